--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+.PHONY: build fmt lint test demo bench slopes fuzz
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+fmt:
+	gofmt -l -w .
+
+lint:
+	sh scripts/lint.sh
+
+test:
+	go test ./...
+
+demo: build
+	sh scripts/demo.sh
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./internal/traffic/...
+
+slopes:
+	go test -run '^$$' -bench Slope -benchmem ./...
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,63 @@
+package samphireturn
+
+import "github.com/go-faster/errors"
+
+// Kinds of errors at the platform's and the peers' interfaces.
+const (
+	// KindOther is an error of no known kind.
+	KindOther Kind = iota
+	// KindMissing says that the named thing does not exist.
+	KindMissing
+	// KindConflict says that the condition of a write did not hold.
+	KindConflict
+	// KindUnavailable says that nothing was done.
+	KindUnavailable
+	// KindUnknown says that a write may or may not have taken effect.
+	KindUnknown
+	// KindTimeout says that a watch ended without a change.
+	KindTimeout
+	// KindLimited says that a rate limit refused the call; nothing was done.
+	KindLimited
+	// KindInvalid says that the call or its content was malformed.
+	KindInvalid
+)
+
+// Kind classifies an Error.
+type Kind int
+
+// String returns the kind in words.
+func (k Kind) String() string {
+	names := [...]string{"error", "missing", "conflict", "unavailable", "unknown outcome", "timeout", "limited", "invalid"}
+	if k < 0 || int(k) >= len(names) {
+		return "error"
+	}
+	return names[k]
+}
+
+// Error is an error of a Store, Lister, Rater or Peers.
+type Error struct {
+	// Op names the operation and its object, such as "get config/manifest".
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return e.Op + ": " + e.Kind.String()
+	}
+	return e.Op + ": " + e.Kind.String() + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// KindOf returns the kind of err, or KindOther if it holds no *Error.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return KindOther
+}
