--- /dev/null
+++ b/internal/traffic/picker/picker_test.go
@@ -0,0 +1,314 @@
+package picker
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	sr "samphireturn"
+)
+
+const second = int64(time.Second)
+
+// fleet returns a snapshot with n warm endpoints of m@v1 in this data centre.
+func fleet(n int) *sr.Snapshot {
+	v1 := sr.VersionRef{Model: "m", Version: "v1"}
+	s := &sr.Snapshot{
+		Config: &sr.Config{
+			Centres:  []sr.Centre{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d", Out: true}},
+			Models:   []sr.Model{{Name: "m", Versions: []sr.Version{{Name: "v1", State: sr.VersionLive, Share: 1}}}},
+			Services: []sr.Backend{{Name: "tickets"}, {Name: "other"}},
+			Teams:    []sr.Team{{Name: "t", Models: []string{"m"}, Services: []string{"tickets"}}},
+		},
+		Self:      sr.VM{ID: "me", Centre: "a"},
+		Endpoints: map[string]*sr.Endpoint{},
+		Pools:     map[sr.VersionRef][]*sr.Endpoint{},
+		Services:  map[string][]*sr.Endpoint{},
+		Remote:    map[sr.VersionRef][]string{v1: {"b", "c", "d"}},
+	}
+	for i := range n {
+		e := &sr.Endpoint{VM: sr.VM{ID: fmt.Sprint("e", i), Centre: "a"}, Versions: []sr.VersionRef{v1}, Warm: true, Speed: 100, Gauge: &sr.Gauge{}}
+		e.Gauge.Allowed.Store(1000)
+		e.Gauge.Lapse.Store(2 * second)
+		s.Endpoints[e.ID] = e
+		s.Pools[v1] = append(s.Pools[v1], e)
+	}
+	s.Services["tickets"] = s.Pools[v1]
+	return s
+}
+
+func newPicker(seed uint64) *Picker {
+	src := rand.New(rand.NewPCG(seed, 1))
+	return &Picker{Rand: src.Uint64, Now: func() int64 { return second }, Prefixes: &Prefixes{}}
+}
+
+func kindOf(err error) Kind {
+	var e *Error
+	if !errors.As(err, &e) {
+		return -1
+	}
+	return e.Kind
+}
+
+func TestVersionTable(t *testing.T) {
+	cfg := &sr.Config{
+		Models: []sr.Model{{Name: "m", Versions: []sr.Version{
+			{Name: "v1", State: sr.VersionWithdrawn, Successor: "v2"},
+			{Name: "v2", State: sr.VersionWithdrawn, Successor: "v3"},
+			{Name: "v3", State: sr.VersionLive, Share: 1},
+			{Name: "v4", State: sr.VersionLive},
+			{Name: "v5", State: sr.VersionLive},
+		}}},
+		Teams: []sr.Team{{Name: "all", Models: []string{"m"}}, {Name: "one", Models: []string{"m@v4"}}, {Name: "gone", Models: []string{"m@v1"}}},
+	}
+	tests := []struct {
+		name, team, model, session, held, want string
+		kind                                   Kind
+	}{
+		{name: "new session", team: "all", model: "m", want: "v3", kind: -1},
+		{name: "session keeps its version", team: "all", model: "m", session: "v4", want: "v4", kind: -1},
+		{name: "session keeps a held version", team: "all", model: "m", session: "v4", held: "v4", want: "v4", kind: -1},
+		{name: "withdrawn before session", team: "all", model: "m", session: "v1", want: "v3", kind: -1},
+		{name: "pinned and moved before", team: "all", model: "m@v1", session: "v3", want: "v3", kind: -1},
+		{name: "pinned withdrawn", team: "all", model: "m@v1", kind: KindNone},
+		{name: "pinned held", team: "all", model: "m@v4", held: "v4", kind: KindNone},
+		{name: "pinned held with a session elsewhere", team: "all", model: "m@v4", session: "v5", held: "v4", kind: KindNone},
+		{name: "pinned before session", team: "all", model: "m@v4", session: "v5", want: "v4", kind: -1},
+		{name: "only version of the team", team: "one", model: "m", want: "v4", kind: -1},
+		{name: "session that the team may not use", team: "one", model: "m", session: "v3", want: "v4", kind: -1},
+		{name: "only version held", team: "one", model: "m", held: "v4", kind: KindNone},
+		{name: "only version withdrawn", team: "gone", model: "m", kind: KindNone},
+		{name: "pinned not allowed", team: "one", model: "m@v3", kind: KindForbidden},
+		{name: "unknown team", team: "x", model: "m", kind: KindForbidden},
+		{name: "unknown model", team: "all", model: "x", kind: KindUnknown},
+		{name: "unknown version", team: "all", model: "m@x", kind: KindUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &sr.Snapshot{Config: cfg, Held: map[sr.VersionRef]bool{{Model: "m", Version: tt.held}: true}}
+			r := &sr.Request{ID: "r", Team: tt.team}
+			if tt.session != "" {
+				r.Session = &sr.Session{ID: "s", Team: tt.team, Model: "m", Version: tt.session}
+			}
+			v, err := newPicker(1).Version(s, r, tt.model)
+			c.Assert(kindOf(err), qt.Equals, tt.kind)
+			c.Assert(v.Version, qt.Equals, tt.want)
+		})
+	}
+}
+
+func TestVersionProperties(t *testing.T) {
+	states := []string{sr.VersionLive, sr.VersionCanary, sr.VersionWithdrawn}
+	rapid.Check(t, func(t *rapid.T) {
+		m := sr.Model{Name: "m"}
+		team := sr.Team{Name: "t"}
+		s := &sr.Snapshot{Held: map[sr.VersionRef]bool{}}
+		for i := range rapid.IntRange(1, 6).Draw(t, "versions") {
+			v := sr.Version{Name: fmt.Sprint("v", i), State: rapid.SampledFrom(states).Draw(t, "state")}
+			v.Share = rapid.SampledFrom([]float64{0, 0.1, 0.5, 1}).Draw(t, "share")
+			v.Successor = fmt.Sprint("v", rapid.IntRange(0, 6).Draw(t, "successor"))
+			m.Versions = append(m.Versions, v)
+			if rapid.Bool().Draw(t, "allowed") {
+				team.Models = append(team.Models, "m@"+v.Name)
+			}
+			s.Held[sr.VersionRef{Model: "m", Version: v.Name}] = rapid.Bool().Draw(t, "held")
+		}
+		s.Config = &sr.Config{Models: []sr.Model{m}, Teams: []sr.Team{team}}
+		r := &sr.Request{ID: rapid.String().Draw(t, "id"), Team: "t"}
+		if rapid.Bool().Draw(t, "session") {
+			r.Session = &sr.Session{ID: "s", Team: "t", Model: "m", Version: fmt.Sprint("v", rapid.IntRange(0, 6).Draw(t, "on"))}
+		}
+		got, err := newPicker(1).Version(s, r, "m")
+		other := *s
+		other.Self = sr.VM{ID: "other", Centre: "z"}
+		again, errAgain := newPicker(2).Version(&other, r, "m")
+		if got != again || (err == nil) != (errAgain == nil) {
+			t.Fatalf("daemons differ: %v and %v", got, again)
+		}
+		if err != nil {
+			return
+		}
+		if v := findVersion(&m, got.Version); v.State == sr.VersionWithdrawn || !allows(&team, "m", got.Version) {
+			t.Fatalf("picked %v, allowed %v, state %s", got, team.Models, v.State)
+		}
+		if r.Session == nil && s.Held[got] {
+			t.Fatalf("new session on held %v", got)
+		}
+		if r.Session != nil && r.Session.Version != got.Version {
+			old := findVersion(&m, r.Session.Version)
+			if old != nil && old.State != sr.VersionWithdrawn && allows(&team, "m", old.Name) {
+				t.Fatalf("session moved from %s to %v", old.Name, got)
+			}
+		}
+	})
+}
+
+func TestShares(t *testing.T) {
+	c := qt.New(t)
+	s := &sr.Snapshot{Config: &sr.Config{
+		Models: []sr.Model{{Name: "m", Versions: []sr.Version{
+			{Name: "v1", State: sr.VersionLive, Share: 0.6}, {Name: "v2", State: sr.VersionLive, Share: 0.3}, {Name: "v3", State: sr.VersionCanary, Share: 0.1},
+		}}},
+		Teams: []sr.Team{{Name: "t", Models: []string{"m"}}},
+	}}
+	count := func() map[string]int {
+		n := map[string]int{}
+		for i := range 10000 {
+			v, err := newPicker(1).Version(s, &sr.Request{ID: fmt.Sprint(i), Team: "t"}, "m")
+			c.Assert(err, qt.IsNil)
+			n[v.Version]++
+		}
+		return n
+	}
+	near := func(got, want int) {
+		c.Check(got > want-200 && got < want+200, qt.IsTrue, qt.Commentf("%d, want %d", got, want))
+	}
+	n := count()
+	near(n["v1"], 6000)
+	near(n["v2"], 3000)
+	near(n["v3"], 1000)
+	s.Held = map[sr.VersionRef]bool{{Model: "m", Version: "v1"}: true}
+	n = count()
+	near(n["v2"], 9000)
+	near(n["v3"], 1000)
+}
+
+func TestEndpointNeverUnusable(t *testing.T) {
+	tests := []struct {
+		name string
+		bar  func(s *sr.Snapshot, e *sr.Endpoint)
+	}{
+		{"leaving", func(_ *sr.Snapshot, e *sr.Endpoint) { e.Leaving = true }},
+		{"cold with another home", func(_ *sr.Snapshot, e *sr.Endpoint) { e.Warm, e.Home = false, "you" }},
+		{"lapsed", func(_ *sr.Snapshot, e *sr.Endpoint) { e.Gauge.Lapse.Store(second) }},
+		{"no room", func(_ *sr.Snapshot, e *sr.Endpoint) { e.Gauge.Outstanding.Store(981) }},
+		{"no gauge", func(_ *sr.Snapshot, e *sr.Endpoint) { e.Gauge = nil }},
+		{"data centre out", func(s *sr.Snapshot, _ *sr.Endpoint) { s.Config.Centres[0].Out = true }},
+	}
+	v := sr.VersionRef{Model: "m", Version: "v1"}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := fleet(40)
+			p := newPicker(7)
+			p.Prefixes.Hold("e3", 9)
+			r := &sr.Request{Team: "t", Prompt: 10, Output: 10, Prefixes: []uint64{9}, Session: &sr.Session{Endpoint: "e3"}}
+			for _, e := range s.Pools[v] {
+				if e.ID != "e17" || tt.name == "data centre out" {
+					tt.bar(s, e)
+				}
+			}
+			for range 50 {
+				e, err := p.Endpoint(s, r, v, nil)
+				if tt.name == "data centre out" {
+					c.Assert(kindOf(err), qt.Equals, KindNone)
+					continue
+				}
+				c.Assert(err, qt.IsNil)
+				c.Assert(e.ID, qt.Equals, "e17")
+			}
+			_, err := p.Endpoint(s, r, v, []string{"e17"})
+			c.Assert(kindOf(err), qt.Equals, KindNone)
+			if tt.name != "no room" {
+				_, err = p.Service(s, "tickets", []string{"e17"})
+				c.Assert(kindOf(err), qt.Equals, KindNone)
+			}
+		})
+	}
+}
+
+func TestEndpointEstimate(t *testing.T) {
+	c := qt.New(t)
+	v := sr.VersionRef{Model: "m", Version: "v1"}
+	s := fleet(100)
+	p := newPicker(3)
+	r := &sr.Request{Prompt: 400, Output: 10, Prefixes: []uint64{11, 12, 13}, Session: &sr.Session{}}
+	p.Prefixes.Hold("e5", 11)
+	p.Prefixes.Hold("e6", 11, 12, 13)
+	pick := func() string {
+		e, err := p.Endpoint(s, r, v, nil)
+		c.Assert(err, qt.IsNil)
+		return e.ID
+	}
+	c.Assert(pick(), qt.Equals, "e6", qt.Commentf("longest prefix"))
+	s.Endpoints["e6"].Gauge.Outstanding.Store(500)
+	c.Assert(pick(), qt.Not(qt.Equals), "e6", qt.Commentf("a loaded holder costs more than its prefix saves"))
+	s.Endpoints["e6"].Gauge.Outstanding.Store(0)
+	p.Prefixes.Drop("e6", 13)
+	p.Prefixes.Forget("e5")
+	c.Assert(pick(), qt.Equals, "e6")
+	p.Prefixes.Now = func() time.Time { return time.Now().Add(defaultAge + time.Minute) }
+	c.Assert(p.Prefixes.Held("e6", r.Prefixes), qt.Equals, 0, qt.Commentf("entries age"))
+	for _, e := range s.Pools[v] {
+		e.Queued = 100
+	}
+	s.Endpoints["e42"].Queued = 0
+	r.Session.Endpoint = "e42"
+	c.Assert(pick(), qt.Equals, "e42", qt.Commentf("session's last endpoint"))
+}
+
+func TestRemoteAndService(t *testing.T) {
+	c := qt.New(t)
+	v := sr.VersionRef{Model: "m", Version: "v1"}
+	s := fleet(3)
+	p := newPicker(1)
+	r := &sr.Request{Session: &sr.Session{ID: "s", Endpoint: "far"}}
+	s.Endpoints["far"] = &sr.Endpoint{VM: sr.VM{ID: "far", Centre: "c"}}
+	got, err := p.Remote(s, r, v, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.Equals, "c")
+	got, err = p.Remote(s, r, v, []string{"c"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.Equals, "b")
+	_, err = p.Remote(s, r, v, []string{"b", "c"})
+	c.Assert(kindOf(err), qt.Equals, KindNone)
+	c.Assert(p.AllowedService(s, "t", "tickets"), qt.IsNil)
+	c.Assert(kindOf(p.AllowedService(s, "t", "other")), qt.Equals, KindForbidden)
+	c.Assert(kindOf(p.AllowedService(s, "t", "x")), qt.Equals, KindUnknown)
+	s.Endpoints["e0"].Gauge.Outstanding.Store(5)
+	e, err := p.Service(s, "tickets", []string{"e1"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.ID, qt.Equals, "e2")
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{12, 630, 12000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := fleet(n)
+			p := newPicker(1)
+			r := &sr.Request{ID: "r", Team: "t", Prompt: 100, Output: 100, Prefixes: []uint64{1, 2, 3, 4}}
+			r.Session = &sr.Session{ID: "s", Team: "t", Model: "m", Version: "v1", Endpoint: "e7"}
+			p.Prefixes.Hold("e3", 1, 2)
+			b.ReportAllocs()
+			for b.Loop() {
+				v, err := p.Version(s, r, "m")
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := p.Endpoint(s, r, v, nil); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func TestDecideAllocatesNothing(t *testing.T) {
+	s := fleet(630)
+	p := newPicker(1)
+	r := &sr.Request{ID: "r", Team: "t", Prompt: 100, Output: 100, Prefixes: []uint64{1, 2, 3, 4}}
+	p.Prefixes.Hold("e3", 1, 2)
+	n := testing.AllocsPerRun(100, func() {
+		v, _ := p.Version(s, r, "m")
+		_, _ = p.Endpoint(s, r, v, nil)
+		_, _ = p.Remote(s, r, v, nil)
+		_, _ = p.Service(s, "tickets", nil)
+	})
+	qt.Assert(t, n, qt.Equals, 0.0)
+}
