cascader, guard: learn when to go cheap first; test versions for faults

Cause: the dispatcher needs a plan for each cascade and the daemons a verdict on each version. Change: cascader.Plan chooses the cheapest steps whose lowered pass rates meet the alias's target within its delay; Learn keeps decayed rates, costs and delays by team, class, version, bar and whether an earlier step failed. guard.Counter merges totals by maximum and runs Wald's test; the n-th test of an epoch spends Alarm/(n(n+1)). Ruled out: one alarm rate for each restarted test, since a long-lived good version restarts hundreds of times and would be held in the end.

--- /dev/null
+++ b/internal/fleet/guard/guard_test.go
@@ -0,0 +1,122 @@
+package guard
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"samphireturn"
+)
+
+var (
+	v1    = samphireturn.VersionRef{Model: "m", Version: "v1"}
+	rates = samphireturn.Guard{Good: 0.02, Bad: 0.2, Alarm: 0.05, Miss: 0.05}
+)
+
+func TestFalseAlarms(t *testing.T) {
+	const seeds, calls = 1000, 3000
+	for _, late := range []int{0, 30} {
+		t.Run(fmt.Sprint("late by ", late), func(t *testing.T) {
+			alarms := 0
+			for seed := range uint64(seeds) {
+				r := rand.New(rand.NewPCG(seed, 1))
+				g := &Counter{Instance: "a", Guard: rates}
+				due := map[int]bool{}
+				for i := range calls {
+					failed := r.Float64() < rates.Good
+					due[i+late] = failed && late > 0
+					g.Count(v1, failed && late == 0)
+					if due[i] {
+						g.Blame(v1, 0)
+					}
+				}
+				alarms += int(g.Verdict(v1))
+			}
+			t.Logf("%d false alarms in %d seeds of %d calls", alarms, seeds, calls)
+			qt.Assert(t, alarms <= seeds*5/100, qt.IsTrue, qt.Commentf("%d", alarms))
+		})
+	}
+}
+
+func TestBadVersionIsFound(t *testing.T) {
+	c := qt.New(t)
+	sum, worst, missed := 0, 0, 0
+	for seed := range uint64(1000) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		g := &Counter{Instance: "a", Guard: rates}
+		for range 2000 {
+			g.Count(v1, r.Float64() < rates.Good)
+		}
+		if g.Verdict(v1) == SuspicionBad {
+			continue
+		}
+		n := 0
+		for ; n < 1000 && g.Verdict(v1) == SuspicionNone; n++ {
+			g.Count(v1, r.Float64() < rates.Bad)
+		}
+		if n == 1000 {
+			missed++
+		}
+		sum += n
+		worst = max(worst, n)
+	}
+	t.Logf("calls until found: mean %d, worst %d", sum/1000, worst)
+	c.Assert(missed, qt.Equals, 0)
+	c.Assert(sum/1000 < 100, qt.IsTrue)
+}
+
+func genTotals(t *rapid.T) []Totals {
+	var out []Totals
+	for range rapid.IntRange(1, 6).Draw(t, "messages") {
+		m := Totals{Version: v1, Epoch: rapid.Uint64Range(0, 2).Draw(t, "epoch"), Instances: map[string]Total{}}
+		for range rapid.IntRange(1, 3).Draw(t, "instances") {
+			calls := rapid.Uint64Range(0, 30).Draw(t, "calls")
+			m.Instances[rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")] = Total{Calls: calls, Failures: calls / 3}
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func TestMergeProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		messages := genTotals(t)
+		one, two := &Counter{Guard: rates}, &Counter{Guard: rates}
+		one.Merge(messages...)
+		two.Merge(rapid.Permutation(messages).Draw(t, "order")...)
+		before, state := one.Totals(), *one.versions[v1]
+		if got := two.Totals(); !reflect.DeepEqual(got, before) {
+			t.Fatalf("order matters: %v and %v", got, before)
+		}
+		one.Merge(messages...)
+		one.Merge(before...)
+		if !reflect.DeepEqual(*one.versions[v1], state) {
+			t.Fatalf("a repeat moves %v to %v", state, *one.versions[v1])
+		}
+	})
+}
+
+func TestSharingAndEpochs(t *testing.T) {
+	c := qt.New(t)
+	a, b := &Counter{Instance: "a", Guard: rates}, &Counter{Instance: "b", Guard: rates}
+	a.Count(v1, true)
+	b.Count(v1, true)
+	c.Assert(a.Verdict(v1), qt.Equals, SuspicionNone)
+	a.Merge(b.Totals()...)
+	c.Assert(a.Verdict(v1), qt.Equals, SuspicionBad, qt.Commentf("two failures in all"))
+	old := a.Totals()
+	a.Restart(v1, 1)
+	c.Assert(a.Verdict(v1), qt.Equals, SuspicionNone)
+	a.Merge(old...)
+	a.Blame(v1, 0)
+	a.Blame(v1, 1)
+	c.Assert(a.Totals(), qt.DeepEquals, []Totals{{Version: v1, Epoch: 1, Instances: map[string]Total{}}})
+	b.Merge(a.Totals()...)
+	c.Assert(b.Epoch(v1), qt.Equals, uint64(1))
+	a.Retain(func(samphireturn.VersionRef) bool { return false })
+	c.Assert(a.Totals(), qt.HasLen, 0)
+}
--- /dev/null
+++ b/internal/traffic/cascader/cascader.go
@@ -0,0 +1,242 @@
+// Package cascader decides which steps of a cascade a request runs: a cheap
+// model first, judged before release, or the dear one at once. It learns from
+// ratings and does no I/O.
+package cascader
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"samphireturn"
+)
+
+const (
+	// maxSteps bounds the steps of an alias that count; later ones are ignored
+	// apart from the last.
+	maxSteps = 6
+	// defaultHalfLife is the time in which the weight of a rating halves.
+	defaultHalfLife = 30 * time.Minute
+	// defaultStale is the age from which an estimate is worth exploring.
+	defaultStale = 5 * time.Minute
+	// defaultMax bounds the estimates that are kept.
+	defaultMax = 4096
+	// cheapRate and dearRate are the assumed pass rates before any rating, and
+	// priorWeight is the number of ratings that they count for.
+	cheapRate   = 0.5
+	dearRate    = 0.95
+	priorWeight = 4
+	// caution is the number of standard deviations by which a pass rate is
+	// lowered before it is held against the target.
+	caution = 0.5
+	// million is the number of tokens that a price is for.
+	million = 1e6
+)
+
+// Step is one step of an alias with the version chosen for the request.
+type Step struct {
+	Version samphireturn.VersionRef
+	// Input and Output are the price of a million tokens.
+	Input, Output float64
+}
+
+// Outcome is what became of one step of a request.
+type Outcome struct {
+	Team, Class string
+	Version     samphireturn.VersionRef
+	// Quality is the alias's bar, from 0 to 1, that the rating is held against.
+	Quality float64
+	// After says that an earlier step of the request had failed.
+	After bool
+	// Rating is the answer's rating, from 0 to 1. It counts only if Rated.
+	Rating float64
+	Rated  bool
+	// Cost is in the currency unit of the prices.
+	Cost float64
+	// Delay is the time that the answer and its judgement took.
+	Delay time.Duration
+}
+
+// Plan is the steps to run in order. Every step but the last is judged before
+// release; the last is released as it is.
+type Plan struct {
+	Steps []Step
+	// Rate asks that the answer of the last step be rated after its release, to
+	// keep estimates fresh.
+	Rate bool
+	// Cost is the expected cost and Reach the expected share of answers that
+	// reach the quality bar.
+	Cost, Reach float64
+}
+
+// Cascader makes plans. Set the exported fields before use; the zero value
+// works. It is safe for concurrent use if Rand is.
+type Cascader struct {
+	// Now replaces the clock; nil means time.Now.
+	Now func() time.Time
+	// Rand returns a uniform number from 0 to 1; nil means math/rand/v2.
+	Rand func() float64
+	// HalfLife is the time in which the weight of a rating halves; zero means
+	// 30 minutes.
+	HalfLife time.Duration
+	// Stale is the age from which an estimate is worth exploring; zero means 5
+	// minutes.
+	Stale time.Duration
+	// Max bounds the estimates that are kept; zero means 4096.
+	Max int
+
+	mu    sync.Mutex
+	known map[key]*list.Element
+	// recent lists estimates, the one learned last first.
+	recent list.List
+}
+
+// view is what one plan knows of one step: alone and after a failed one.
+type view struct {
+	step  Step
+	first rate
+	after rate
+	// cost is in currency units and delay in seconds.
+	cost, delay float64
+	stale       bool
+}
+
+// rate is a pass rate and the same lowered by caution.
+type rate struct{ mean, low float64 }
+
+// Plan chooses the cheapest steps whose expected share of good answers meets
+// the alias's target and whose judging delay stays within its bound; if none
+// meets it, those with the greatest share. With judge false, as when ratings
+// can't be had in time, it chooses one step by the last estimates. Explore is
+// the share of requests, from 0 to 1, that try a step whose estimate is stale.
+func (c *Cascader) Plan(r *samphireturn.Request, alias *samphireturn.Alias, steps []Step, judge bool, explore float64) Plan {
+	if len(steps) > maxSteps {
+		steps = append(steps[:maxSteps-1:maxSteps-1], steps[len(steps)-1])
+	}
+	views := c.views(r, alias, steps)
+	best, found := Plan{}, false
+	for set := 1; set < 1<<len(views); set++ {
+		if !judge && set&(set-1) != 0 {
+			continue
+		}
+		p, delay, low := expect(views, set)
+		if len(p.Steps) > 1 && alias.Delay > 0 && delay > time.Duration(alias.Delay)*time.Millisecond {
+			continue
+		}
+		meets := low >= alias.Target
+		switch {
+		case len(best.Steps) == 0, meets && !found:
+			best, found = p, meets
+		case meets == found && better(p, best, meets):
+			best = p
+		}
+	}
+	if explore > 0 && c.rand() < explore {
+		c.explore(&best, views, alias, judge)
+	}
+	return best
+}
+
+// better reports whether p goes before q: by cost among plans that meet the
+// target, by reach and then by cost among the others.
+func better(p, q Plan, meets bool) bool {
+	if meets || p.Reach == q.Reach {
+		return p.Cost < q.Cost
+	}
+	return p.Reach > q.Reach
+}
+
+// explore puts the first stale step that is not yet planned in front, judged,
+// or asks for a rating of the released answer.
+func (c *Cascader) explore(p *Plan, views []view, alias *samphireturn.Alias, judge bool) {
+	p.Rate = true
+	if !judge || len(p.Steps) == 0 {
+		return
+	}
+	for i := range views {
+		v := &views[i]
+		if v.step == p.Steps[0] {
+			return
+		}
+		tooLong := alias.Delay > 0 && v.delay*1000 > float64(alias.Delay)
+		if v.stale && !tooLong {
+			p.Steps = append([]Step{v.step}, p.Steps...)
+			p.Cost += v.cost
+			return
+		}
+	}
+}
+
+// expect returns the plan that runs the steps in set, the longest delay that
+// its judging adds, and its reach lowered by caution.
+func expect(views []view, set int) (Plan, time.Duration, float64) {
+	p := Plan{}
+	missed, low, delay, judged := 1.0, 1.0, 0.0, 0.0
+	for i := range views {
+		if set&(1<<i) == 0 {
+			continue
+		}
+		v := &views[i]
+		r := v.first
+		if len(p.Steps) > 0 {
+			r = v.after
+		}
+		p.Steps = append(p.Steps, v.step)
+		p.Cost += missed * v.cost
+		missed *= 1 - r.mean
+		low *= 1 - r.low
+		judged = delay
+		delay += v.delay
+	}
+	p.Reach = 1 - missed
+	return p, time.Duration(judged * float64(time.Second)), 1 - low
+}
+
+// views collects what is known of each step. Learned costs count only if every
+// step has one, since they do not compare with estimates from token counts.
+func (c *Cascader) views(r *samphireturn.Request, alias *samphireturn.Alias, steps []Step) []view {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	views := make([]view, len(steps))
+	costs := make([]float64, len(steps))
+	learned := true
+	for i, s := range steps {
+		prior := cheapRate
+		if i == len(steps)-1 {
+			prior = dearRate
+		}
+		k := key{team: r.Team, class: r.Class, version: s.Version, quality: alias.Quality}
+		first := c.lookup(k)
+		k.after = true
+		after := c.lookup(k)
+		runs := first.runs + after.runs
+		views[i] = view{
+			step:  s,
+			first: c.rate(first, prior, now),
+			after: c.rate(after, prior, now),
+			cost:  (float64(r.Prompt)*s.Input + float64(r.Output)*s.Output) / million,
+			stale: now.Sub(first.ratedAt) >= c.stale(),
+		}
+		if runs == 0 {
+			learned = false
+			continue
+		}
+		costs[i] = (first.cost + after.cost) / runs
+		views[i].delay = (first.delay + after.delay) / runs
+	}
+	for i := range views {
+		if learned {
+			views[i].cost = costs[i]
+		}
+	}
+	return views
+}
+
+func (c *Cascader) rand() float64 {
+	if c.Rand == nil {
+		return rand.Float64()
+	}
+	return c.Rand()
+}
--- /dev/null
+++ b/internal/traffic/cascader/cascader_test.go
@@ -0,0 +1,166 @@
+package cascader
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"samphireturn"
+)
+
+var (
+	cheap = Step{Version: samphireturn.VersionRef{Model: "small", Version: "v1"}, Input: 1, Output: 1}
+	dear  = Step{Version: samphireturn.VersionRef{Model: "large", Version: "v1"}, Input: 10, Output: 10}
+	other = Step{Version: samphireturn.VersionRef{Model: "small", Version: "v2"}, Input: 1, Output: 1}
+	alias = samphireturn.Alias{Quality: 0.7, Target: 0.9}
+	ask   = samphireturn.Request{Team: "t", Class: "k", Prompt: 1000, Output: 1000}
+)
+
+func names(p Plan) string {
+	out := ""
+	for _, s := range p.Steps {
+		out += s.Version.Model + "@" + s.Version.Version + " "
+	}
+	return out
+}
+
+// newCascader returns a cascader with a clock that the test moves.
+func newCascader() (*Cascader, *time.Time) {
+	now := time.Unix(1000, 0)
+	return &Cascader{Now: func() time.Time { return now }, Rand: func() float64 { return 0.5 }}, &now
+}
+
+// teach learns n ratings of a step, of which the given number passes.
+func teach(c *Cascader, s Step, n, passed int, after bool, delay time.Duration) {
+	for i := range n {
+		o := Outcome{Team: "t", Class: "k", Version: s.Version, Quality: 0.7, After: after, Rated: true, Rating: 0.2, Delay: delay}
+		o.Cost = 2000 * s.Input / million
+		if i < passed {
+			o.Rating = 0.9
+		}
+		c.Learn(o)
+	}
+}
+
+func TestPlan(t *testing.T) {
+	const both, small, large = "small@v1 large@v1 ", "small@v1 ", "large@v1 "
+	tests := []struct {
+		name    string
+		passed  int // of 100 ratings of the cheap step
+		alias   samphireturn.Alias
+		class   string
+		taught  Step
+		noJudge bool
+		explore float64
+		want    string
+	}{
+		{name: "nothing known yet", alias: alias, class: "new", taught: cheap, want: both},
+		{name: "cheap passes often", passed: 70, alias: alias, class: "k", taught: cheap, want: both},
+		{name: "cheap meets the target alone", passed: 99, alias: alias, class: "k", taught: cheap, want: small},
+		{name: "cheap seldom passes", passed: 5, alias: alias, class: "k", taught: cheap, want: large},
+		{name: "judging takes too long", passed: 70, alias: samphireturn.Alias{Quality: 0.7, Target: 0.9, Delay: 900}, class: "k", taught: cheap, want: large},
+		{name: "judging is quick enough", passed: 70, alias: samphireturn.Alias{Quality: 0.7, Target: 0.9, Delay: 1000}, class: "k", taught: cheap, want: both},
+		{name: "no judge", passed: 70, alias: alias, class: "k", taught: cheap, noJudge: true, want: large},
+		{name: "no judge and cheap is good", passed: 99, alias: alias, class: "k", taught: cheap, noJudge: true, want: small},
+		{name: "ratings of another version", passed: 100, alias: alias, class: "k", taught: other, want: both},
+		{name: "ratings of another class", passed: 100, alias: alias, class: "z", taught: cheap, want: both},
+		{name: "ratings at another bar", passed: 100, alias: samphireturn.Alias{Quality: 0.8, Target: 0.9}, class: "k", taught: cheap, want: both},
+		{name: "no exploration while fresh", passed: 5, alias: alias, class: "k", taught: cheap, explore: 0.6, want: large},
+		{name: "target out of reach", passed: 50, alias: samphireturn.Alias{Quality: 0.7, Target: 1}, class: "k", taught: cheap, want: both},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, _ := newCascader()
+			teach(c, tt.taught, 100, tt.passed, false, time.Second)
+			teach(c, dear, 100, 97, false, 3*time.Second)
+			teach(c, dear, 100, 95, true, 3*time.Second)
+			r := ask
+			r.Class = tt.class
+			p := c.Plan(&r, &tt.alias, []Step{cheap, dear}, !tt.noJudge, tt.explore)
+			qt.Assert(t, names(p), qt.Equals, tt.want)
+		})
+	}
+}
+
+func TestExploreStale(t *testing.T) {
+	c := qt.New(t)
+	k, now := newCascader()
+	teach(k, cheap, 100, 0, false, time.Second)
+	teach(k, dear, 100, 99, false, time.Second)
+	*now = now.Add(defaultStale)
+	draws := rand.New(rand.NewPCG(1, 1))
+	k.Rand = draws.Float64
+	tried := 0
+	for range 10000 {
+		if p := k.Plan(&ask, &alias, []Step{cheap, dear}, true, 0.05); len(p.Steps) == 2 {
+			tried++
+		}
+	}
+	c.Assert(tried > 400 && tried < 600, qt.IsTrue, qt.Commentf("%d", tried))
+	c.Assert(names(k.Plan(&ask, &alias, []Step{cheap, dear}, false, 1)), qt.Equals, "large@v1 ")
+	slow := alias
+	slow.Delay = 900
+	c.Assert(names(k.Plan(&ask, &slow, []Step{cheap, dear}, true, 1)), qt.Equals, "large@v1 ")
+}
+
+func TestBoundedMemory(t *testing.T) {
+	c := qt.New(t)
+	k, _ := newCascader()
+	k.Max = 10
+	for i := range 100 {
+		k.Learn(Outcome{Team: "t", Class: fmt.Sprint(i), Version: cheap.Version})
+	}
+	c.Assert(len(k.known), qt.Equals, 10)
+	c.Assert(k.recent.Len(), qt.Equals, 10)
+	c.Assert(k.known[key{team: "t", class: "99", version: cheap.Version}], qt.IsNotNil)
+}
+
+// TestCostAtTarget runs classes of unlike difficulty with late ratings and
+// compares the cost with that of always dear and of the best in hindsight.
+func TestCostAtTarget(t *testing.T) {
+	c := qt.New(t)
+	k, now := newCascader()
+	r := rand.New(rand.NewPCG(4, 2))
+	k.Rand = r.Float64
+	pass := map[string][2]float64{"easy": {0.97, 0.99}, "mixed": {0.6, 0.97}, "hard": {0.03, 0.95}}
+	classes := []string{"easy", "mixed", "hard"}
+	var cost, always, best float64
+	good, n := 0, 30000
+	var late []Outcome
+	for range n {
+		*now = now.Add(100 * time.Millisecond)
+		class := classes[r.IntN(3)]
+		oks := map[Step]bool{cheap: r.Float64() < pass[class][0], dear: r.Float64() < pass[class][1]}
+		req := ask
+		req.Class = class
+		plan := k.Plan(&req, &alias, []Step{cheap, dear}, true, 0.05)
+		ok := false
+		for j, s := range plan.Steps {
+			o := Outcome{Team: "t", Class: class, Version: s.Version, Quality: 0.7, After: j > 0, Cost: 2000 * s.Input / million, Delay: time.Second}
+			cost += o.Cost
+			ok = oks[s]
+			if o.Rated = j < len(plan.Steps)-1 || plan.Rate; ok {
+				o.Rating = 1
+			}
+			late = append(late, o)
+			if ok {
+				break
+			}
+		}
+		for len(late) > 200 {
+			k.Learn(late[0])
+			late = late[1:]
+		}
+		if ok {
+			good++
+		}
+		always += 0.02
+		best += map[string]float64{"easy": 0.002, "mixed": 0.002 + 0.4*0.02, "hard": 0.02}[class]
+	}
+	t.Logf("reached %.4f, cost %.1f, always dear %.1f, best fixed plan a class %.1f", float64(good)/float64(n), cost, always, best)
+	c.Assert(float64(good)/float64(n) >= alias.Target, qt.IsTrue)
+	c.Assert(cost <= 1.15*best, qt.IsTrue)
+}
