--- /dev/null
+++ b/internal/traffic/dispatcher/errors.go
@@ -0,0 +1,77 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"samphireturn"
+)
+
+// Kinds of errors.
+const (
+	// KindConnect says that no byte of the request was written.
+	KindConnect Kind = iota
+	// KindRefused says that the endpoint declared that it did not start.
+	KindRefused
+	// KindBroken says that the connection failed after bytes were written.
+	KindBroken
+	// KindCrossed says that the answer belonged to another request.
+	KindCrossed
+	// KindSilent says that the endpoint sent nothing for too long.
+	KindSilent
+	// KindCancelled says that the caller gave up or the deadline passed.
+	KindCancelled
+	// KindLarge says that the answer is over the limit.
+	KindLarge
+	// KindStatus says that the endpoint answered with an error of its own.
+	KindStatus
+)
+
+// Kind classifies an Error.
+type Kind int
+
+// String returns the kind as a counter's name.
+func (k Kind) String() string {
+	names := [...]string{"connect", "refused", "broken", "crossed", "silent", "cancelled", "large", "status"}
+	if k < 0 || int(k) >= len(names) {
+		return "other"
+	}
+	return names[k]
+}
+
+// Error is an error of a Dispatcher.
+type Error struct {
+	Op   string
+	Kind Kind
+	// Run is RunNo, RunYes or RunUnknown.
+	Run string
+	// Code is the endpoint's own code of a refusal.
+	Code string
+	// RetryAfter is the endpoint's wish; zero if it has none.
+	RetryAfter time.Duration
+	// Answer is the endpoint's answer; only with KindStatus.
+	Answer *Answer
+	Err    error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return e.Op + ": " + e.Kind.String()
+	}
+	return e.Op + ": " + e.Kind.String() + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// AsError returns err as an *Error. One of another type is taken for a broken
+// connection.
+func AsError(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Op: "send", Kind: KindBroken, Run: samphireturn.RunUnknown, Err: err}
+}
--- /dev/null
+++ b/internal/traffic/receiver/admit.go
@@ -0,0 +1,25 @@
+package receiver
+
+import (
+	"github.com/go-faster/errors"
+
+	"samphireturn"
+	"samphireturn/internal/traffic/admitter"
+)
+
+// admit applies the team's limits to a request of about so many tokens.
+func (r *Receiver) admit(x *exchange, tokens int) (*admitter.Ticket, error) {
+	ticket, err := r.Admitter.Admit(x.team, x.snapshot.Preset.Scale, tokens)
+	if err == nil {
+		return ticket, nil
+	}
+	reason := samphireturn.ReasonTokens
+	var e *admitter.Error
+	if !errors.As(err, &e) {
+		return nil, refusal(reason, err)
+	}
+	if e.Kind == admitter.KindConcurrent {
+		reason = samphireturn.ReasonConcurrent
+	}
+	return nil, &samphireturn.Refusal{Reason: reason, Run: samphireturn.RunNo, RetryAfter: e.RetryAfter, Err: err}
+}
--- /dev/null
+++ b/internal/traffic/receiver/cascade.go
@@ -0,0 +1,171 @@
+package receiver
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"samphireturn"
+	"samphireturn/internal/traffic/cascader"
+	"samphireturn/internal/traffic/dispatcher"
+)
+
+const (
+	judgeTimeout = 2 * time.Second // longest wait for a rating before release
+	rateTimeout  = 30 * time.Second
+	judgePause   = 5 * time.Second // time without judging after a failed rating
+)
+
+// answer is what one step of the cascade gave.
+type answer struct {
+	status   int
+	body     []byte
+	text     string
+	usage    usage
+	version  samphireturn.VersionRef
+	endpoint string
+}
+
+// judged runs the steps of the plan that are judged before release. It returns
+// the first answer that passes, or nil if none did.
+func (r *Receiver) judged(ctx context.Context, t *turn, plan cascader.Plan) (*answer, error) {
+	for i, step := range plan.Steps[:len(plan.Steps)-1] {
+		start := time.Now()
+		a, cost, err := r.run(ctx, t, step)
+		if ctx.Err() != nil {
+			return nil, err
+		}
+		if err != nil {
+			t.log.Info().Str("event", "step_failed").Str("version", step.Version.String()).Err(err).Msg("cascade goes on")
+			continue
+		}
+		rating, rated := r.judge(ctx, t, a)
+		r.Cascader.Learn(cascader.Outcome{
+			Team:    t.team.Name,
+			Class:   t.options.Class,
+			Version: step.Version,
+			Quality: t.alias.Quality,
+			After:   i > 0,
+			Rating:  rating,
+			Rated:   rated,
+			Cost:    cost,
+			Delay:   time.Since(start),
+		})
+		if rated && rating >= t.alias.Quality {
+			return a, nil
+		}
+	}
+	return nil, nil
+}
+
+// step runs the step whose answer is released as it is.
+func (r *Receiver) step(ctx context.Context, t *turn, step cascader.Step, after, rate bool) (*answer, error) {
+	start := time.Now()
+	a, cost, err := r.run(ctx, t, step)
+	if err != nil {
+		return nil, err
+	}
+	r.learn(t, a, cost, time.Since(start), after, rate)
+	return a, nil
+}
+
+// run sends one step and reads its use.
+func (r *Receiver) run(ctx context.Context, t *turn, step cascader.Step) (*answer, float64, error) {
+	w, err := t.send(step.Version, false)
+	if err != nil {
+		return nil, 0, err
+	}
+	got, e, err := r.Router.Send(ctx, w)
+	if err != nil {
+		return nil, 0, err
+	}
+	a := &answer{status: got.Status, body: got.Body, version: step.Version, endpoint: e.ID}
+	if got.Status != http.StatusOK {
+		return a, 0, nil
+	}
+	c, err := decodeCompletion(got.Body)
+	if err != nil || c.Usage == nil || len(c.Choices) == 0 {
+		return nil, 0, &samphireturn.Refusal{
+			Reason: samphireturn.ReasonEndpoint,
+			Run:    samphireturn.RunYes,
+			Err:    errors.Errorf("answer of %s without text or usage", e.ID),
+		}
+	}
+	a.usage, a.text = *c.Usage, c.Choices[0].Message.Content
+	r.hold(e, t)
+	return a, t.spend(step, a.usage), nil
+}
+
+// hold notes that the endpoint now holds the request's prefixes.
+func (r *Receiver) hold(e *samphireturn.Endpoint, t *turn) {
+	if p := r.Picker.Prefixes; p != nil {
+		p.Hold(e.ID, t.chat.Prefixes...)
+	}
+}
+
+// judge rates an answer before its release, within the alias's delay.
+func (r *Receiver) judge(ctx context.Context, t *turn, a *answer) (float64, bool) {
+	wait := judgeTimeout
+	if t.alias.Delay > 0 {
+		wait = min(wait, time.Duration(t.alias.Delay)*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	rating, err := r.Rater.Rate(ctx, a.version, t.chat.Text, a.text)
+	if err != nil {
+		r.unrated.Store(time.Now().UnixNano())
+		ratings.Add("failed", 1)
+		return 0, false
+	}
+	ratings.Add("judged", 1)
+	return rating, true
+}
+
+// judging reports whether ratings can be expected in time.
+func (r *Receiver) judging() bool {
+	return time.Now().UnixNano()-r.unrated.Load() > int64(judgePause)
+}
+
+// learn tells the cascader of a released answer, and rates it in the background
+// if that is wanted.
+func (r *Receiver) learn(t *turn, a *answer, cost float64, delay time.Duration, after, rate bool) {
+	if t.alias == nil || a.status != http.StatusOK {
+		return
+	}
+	o := cascader.Outcome{
+		Team:    t.team.Name,
+		Class:   t.options.Class,
+		Version: a.version,
+		Quality: t.alias.Quality,
+		After:   after,
+		Cost:    cost,
+		Delay:   delay,
+	}
+	prompt := t.chat.Text
+	if !rate {
+		r.Cascader.Learn(o)
+		return
+	}
+	_, full := r.background.TrySubmit(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), rateTimeout)
+		defer cancel()
+		rating, err := r.Rater.Rate(ctx, a.version, prompt, a.text)
+		o.Rating, o.Rated = rating, err == nil
+		r.Cascader.Learn(o)
+	})
+	if !full {
+		ratings.Add("dropped", 1)
+	}
+}
+
+// passed reports an engine's own error answer that is passed on to the caller,
+// or nil.
+func passed(err error) *dispatcher.Answer {
+	var e *dispatcher.Error
+	if errors.As(err, &e) && e.Answer != nil && e.Answer.Status < http.StatusInternalServerError {
+		return e.Answer
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/traffic/receiver/chat.go
@@ -0,0 +1,348 @@
+package receiver
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"samphireturn"
+	"samphireturn/internal/traffic/cascader"
+	"samphireturn/internal/traffic/decoder"
+	"samphireturn/internal/traffic/picker"
+	"samphireturn/internal/traffic/router"
+)
+
+const (
+	completionsPath = "/v1/chat/completions"
+	million         = 1e6 // tokens that a price is for
+)
+
+// turn is a chat request on its way through the cascade.
+type turn struct {
+	*exchange
+	chat    *decoder.Chat
+	work    *samphireturn.Request
+	alias   *samphireturn.Alias
+	session samphireturn.Session
+	// prompt, output and cost sum up all steps that ran.
+	prompt, output int
+	cost           float64
+}
+
+// reply is a whole answer that is ready to be written.
+type reply struct {
+	status  int
+	kind    string // content type
+	body    []byte
+	version samphireturn.VersionRef
+	token   string // session token
+	run     string
+}
+
+// completion is the part of an engine's answer that the router reads.
+type completion struct {
+	ID      string   `json:"id"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage"`
+}
+
+// choice is one answer of a completion, whole or a part of a stream.
+type choice struct {
+	Message content `json:"message"`
+}
+
+// content is the text of a message.
+type content struct {
+	Content string `json:"content"`
+}
+
+// usage counts the tokens of a completion.
+type usage struct {
+	Prompt int `json:"prompt_tokens"`
+	Output int `json:"completion_tokens"`
+}
+
+// chat answers a chat completion request.
+func (r *Receiver) chat(ctx context.Context, x *exchange) error {
+	body, err := r.body(x)
+	if err != nil {
+		return err
+	}
+	t := &turn{exchange: x}
+	t.chat, err = decoder.DecodeChat(body)
+	if err != nil {
+		return refusal(samphireturn.ReasonRequest, err)
+	}
+	if err := r.openSession(t); err != nil {
+		return err
+	}
+	t.alias = findAlias(x.snapshot, t.chat.Model)
+	t.work = t.request(ctx)
+	ticket, err := r.admit(x, t.work.Prompt+t.work.Output)
+	if err != nil {
+		return err
+	}
+	defer func() { ticket.Close(t.prompt + t.output) }()
+	if x.options.Key != "" || x.options.Request != "" {
+		return r.once(ctx, x, body, func(ctx context.Context) (*reply, error) { return r.whole(ctx, t) })
+	}
+	err = r.answer(ctx, t)
+	if r.canOverflow(x, err) {
+		return r.overflow(ctx, x, t.versions(r), body, err)
+	}
+	return err
+}
+
+// answer runs a request that no one remembers, streamed if it asks for that.
+func (r *Receiver) answer(ctx context.Context, t *turn) error {
+	if t.chat.Stream {
+		return r.stream(ctx, t)
+	}
+	reply, err := r.whole(ctx, t)
+	if err != nil {
+		return err
+	}
+	t.write(reply)
+	return nil
+}
+
+// whole runs the cascade, bills it and returns the whole answer.
+func (r *Receiver) whole(ctx context.Context, t *turn) (*reply, error) {
+	plan, err := r.plan(t)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := r.judged(ctx, t, plan)
+	if err != nil {
+		return nil, err
+	}
+	if answer == nil {
+		answer, err = r.step(ctx, t, plan.Steps[len(plan.Steps)-1], len(plan.Steps) > 1, plan.Rate)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := r.bill(ctx, t, answer.version); err != nil {
+		return nil, err
+	}
+	reply := &reply{
+		status:  answer.status,
+		kind:    "application/json",
+		body:    answer.body,
+		version: answer.version,
+		run:     samphireturn.RunYes,
+	}
+	reply.token, err = r.sign(t, answer)
+	if err == nil && t.chat.Stream && answer.status == http.StatusOK {
+		reply.kind, reply.body = "text/event-stream", events(t.id, answer)
+	}
+	return reply, err
+}
+
+// openSession verifies the session token that the caller sent, or begins a new
+// session.
+func (r *Receiver) openSession(t *turn) error {
+	if t.options.Session == "" {
+		t.session = samphireturn.Session{ID: uuid.NewString(), Team: t.team.Name}
+		return nil
+	}
+	s, err := r.Minter.OpenSession(t.options.Session, t.team.Name)
+	if err != nil {
+		return refusal(samphireturn.ReasonSession, err)
+	}
+	t.session = s
+	return nil
+}
+
+// request returns the request as the decision code sees it.
+func (t *turn) request(ctx context.Context) *samphireturn.Request {
+	deadline, _ := ctx.Deadline()
+	session := t.session
+	return &samphireturn.Request{
+		ID:       t.id,
+		Team:     t.team.Name,
+		Class:    t.options.Class,
+		Model:    t.chat.Model,
+		Session:  &session,
+		Prompt:   t.chat.Prompt,
+		Output:   t.chat.Output,
+		Prefixes: t.chat.Prefixes,
+		Priority: t.options.Priority,
+		Deadline: deadline,
+		Stream:   t.chat.Stream,
+	}
+}
+
+// models returns what the request may run on, cheapest first. A session that is
+// on a model of the alias stays with it.
+func (t *turn) models() []string {
+	if t.alias == nil {
+		return []string{t.chat.Model}
+	}
+	for _, name := range t.alias.Steps {
+		model, _, _ := strings.Cut(name, "@")
+		if t.session.Model == model {
+			return []string{name}
+		}
+	}
+	return t.alias.Steps
+}
+
+// versions returns the versions that the request would run on; those that can't
+// be chosen are left out.
+func (t *turn) versions(r *Receiver) []samphireturn.VersionRef {
+	var refs []samphireturn.VersionRef
+	for _, model := range t.models() {
+		if v, err := r.Picker.Version(t.snapshot, t.work, model); err == nil {
+			refs = append(refs, v)
+		}
+	}
+	return refs
+}
+
+// plan chooses the steps of the cascade.
+func (r *Receiver) plan(t *turn) (cascader.Plan, error) {
+	var (
+		steps []cascader.Step
+		last  error
+	)
+	for _, model := range t.models() {
+		v, err := r.Picker.Version(t.snapshot, t.work, model)
+		if err != nil {
+			last = err
+			continue
+		}
+		steps = append(steps, priced(t.snapshot.Config, v))
+	}
+	if len(steps) == 0 {
+		return cascader.Plan{}, pickRefusal(last)
+	}
+	if t.alias == nil || len(steps) == 1 {
+		return cascader.Plan{Steps: steps}, nil
+	}
+	return r.Cascader.Plan(t.work, t.alias, steps, r.judging(), t.snapshot.Preset.Explore), nil
+}
+
+// send returns the work of one step.
+func (t *turn) send(v samphireturn.VersionRef, stream bool) (router.Work, error) {
+	body, err := t.chat.Encode(v.String(), stream)
+	if err != nil {
+		return router.Work{}, err
+	}
+	return router.Work{
+		Request:    t.work,
+		Version:    v,
+		Method:     http.MethodPost,
+		Path:       completionsPath,
+		Header:     http.Header{"Content-Type": {"application/json"}},
+		Body:       body,
+		Repeatable: true,
+	}, nil
+}
+
+// bill records the request's use once.
+func (r *Receiver) bill(ctx context.Context, t *turn, v samphireturn.VersionRef) error {
+	err := r.Biller.Record(context.WithoutCancel(ctx), samphireturn.Usage{
+		Request: t.id,
+		Team:    t.team.Name,
+		Version: v,
+		Prompt:  t.prompt,
+		Output:  t.output,
+		Cost:    t.cost,
+		Time:    time.Now().UnixMilli(),
+	})
+	if err != nil {
+		return &samphireturn.Refusal{Reason: samphireturn.ReasonPlatform, Run: samphireturn.RunYes, Err: err}
+	}
+	return nil
+}
+
+// spend adds the use of one step.
+func (t *turn) spend(step cascader.Step, u usage) float64 {
+	cost := (float64(u.Prompt)*step.Input + float64(u.Output)*step.Output) / million
+	t.prompt += u.Prompt
+	t.output += u.Output
+	t.cost += cost
+	return cost
+}
+
+// sign returns the session token that goes with an answer.
+func (r *Receiver) sign(t *turn, a *answer) (string, error) {
+	s := t.session
+	s.Model, s.Version, s.Endpoint = a.version.Model, a.version.Version, a.endpoint
+	s.Issued = time.Now().Unix()
+	token, err := r.Minter.Session(s)
+	if err != nil {
+		return "", errors.Wrap(err, "sign session")
+	}
+	return token, nil
+}
+
+// write answers with a reply.
+func (x *exchange) write(a *reply) {
+	h := x.Header()
+	h.Set("Content-Type", a.kind)
+	if a.token != "" {
+		h.Set(decoder.HeaderSession, a.token)
+	}
+	if a.version.Model != "" {
+		h.Set(decoder.HeaderVersion, a.version.String())
+	}
+	x.WriteHeader(a.status)
+	_, _ = x.Write(a.body)
+}
+
+// findAlias returns the alias of the preset in force with the name, or nil.
+func findAlias(s *samphireturn.Snapshot, name string) *samphireturn.Alias {
+	i := slices.IndexFunc(s.Preset.Aliases, func(a samphireturn.Alias) bool { return a.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &s.Preset.Aliases[i]
+}
+
+// priced returns the step of a version with its configured price.
+func priced(cfg *samphireturn.Config, v samphireturn.VersionRef) cascader.Step {
+	step := cascader.Step{Version: v}
+	for _, m := range cfg.Models {
+		if m.Name != v.Model {
+			continue
+		}
+		for _, version := range m.Versions {
+			if version.Name == v.Version {
+				step.Input, step.Output = version.Input, version.Output
+			}
+		}
+	}
+	return step
+}
+
+// pickRefusal turns an error of the picker into a refusal.
+func pickRefusal(err error) *samphireturn.Refusal {
+	var e *picker.Error
+	if !errors.As(err, &e) {
+		return refusal(samphireturn.ReasonEmpty, err)
+	}
+	switch e.Kind {
+	case picker.KindUnknown:
+		return refusal(samphireturn.ReasonModel, err)
+	case picker.KindForbidden:
+		return refusal(samphireturn.ReasonForbidden, err)
+	}
+	return &samphireturn.Refusal{Reason: samphireturn.ReasonEmpty, Run: samphireturn.RunNo, RetryAfter: time.Second, Err: err}
+}
+
+// decodeCompletion reads an engine's answer as far as the router needs it.
+func decodeCompletion(body []byte) (completion, error) {
+	var c completion
+	if err := json.Unmarshal(body, &c); err != nil {
+		return c, errors.Wrap(err, "decode completion")
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/traffic/receiver/exchange.go
@@ -0,0 +1,196 @@
+package receiver
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"samphireturn"
+	"samphireturn/internal/traffic/decoder"
+)
+
+const requestPrefix = "req-"
+
+// exchange is one caller's request and its answer.
+type exchange struct {
+	http.ResponseWriter
+	request  *http.Request
+	snapshot *samphireturn.Snapshot
+	team     *samphireturn.Team
+	options  decoder.Options
+	// id names the request at endpoints and in usage records.
+	id  string
+	log zerolog.Logger
+	// began is true once bytes of the answer's body were passed on.
+	began bool
+}
+
+// statuses maps the reasons of refusals to HTTP statuses.
+var statuses = map[string]int{
+	samphireturn.ReasonAuth:       http.StatusUnauthorized,
+	samphireturn.ReasonRequest:    http.StatusBadRequest,
+	samphireturn.ReasonLarge:      http.StatusRequestEntityTooLarge,
+	samphireturn.ReasonModel:      http.StatusNotFound,
+	samphireturn.ReasonForbidden:  http.StatusForbidden,
+	samphireturn.ReasonSession:    http.StatusBadRequest,
+	samphireturn.ReasonConcurrent: http.StatusTooManyRequests,
+	samphireturn.ReasonTokens:     http.StatusTooManyRequests,
+	samphireturn.ReasonEmpty:      http.StatusServiceUnavailable,
+	samphireturn.ReasonBusy:       http.StatusServiceUnavailable,
+	samphireturn.ReasonEndpoint:   http.StatusBadGateway,
+	samphireturn.ReasonDeadline:   http.StatusGatewayTimeout,
+	samphireturn.ReasonID:         http.StatusConflict,
+	samphireturn.ReasonKey:        http.StatusConflict,
+	samphireturn.ReasonMismatch:   http.StatusUnprocessableEntity,
+	samphireturn.ReasonPlatform:   http.StatusServiceUnavailable,
+	samphireturn.ReasonReady:      http.StatusServiceUnavailable,
+	samphireturn.ReasonClosing:    http.StatusServiceUnavailable,
+	samphireturn.ReasonBroken:     http.StatusBadGateway,
+}
+
+// team returns a handler that authenticates the caller and reads the Samphire
+// headers before it calls next.
+func (r *Receiver) team(kind string, next func(context.Context, *exchange) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		requests.Add(kind, 1)
+		x := &exchange{ResponseWriter: w, request: req, snapshot: r.Control.Snapshot(), id: requestPrefix + uuid.NewString()}
+		x.log = r.Log.With().Str("request", x.id).Logger()
+		w.Header().Set(decoder.HeaderRequest, x.id)
+		err := r.prepare(x)
+		if err != nil {
+			r.refuse(x, err)
+			return
+		}
+		ctx, cancel := context.WithTimeout(req.Context(), x.options.Wait)
+		defer cancel()
+		if err := next(ctx, x); err != nil {
+			r.refuse(x, err)
+		}
+	}
+}
+
+// prepare finds the exchange's team and options.
+func (r *Receiver) prepare(x *exchange) error {
+	if r.closing.Load() {
+		return &samphireturn.Refusal{Reason: samphireturn.ReasonClosing, Run: samphireturn.RunNo, RetryAfter: time.Second}
+	}
+	if !r.Ready() || x.snapshot.Config == nil {
+		return &samphireturn.Refusal{Reason: samphireturn.ReasonReady, Run: samphireturn.RunNo, RetryAfter: time.Second}
+	}
+	x.team = authenticate(x.snapshot.Config, x.request.Header.Get("Authorization"))
+	if x.team == nil {
+		return &samphireturn.Refusal{Reason: samphireturn.ReasonAuth, Run: samphireturn.RunNo, Err: errors.New("no team has this key")}
+	}
+	var err error
+	x.options, err = decoder.DecodeOptions(x.request.Header)
+	if err != nil {
+		return refusal(samphireturn.ReasonRequest, err)
+	}
+	x.options.Priority = min(x.options.Priority, x.team.Priority)
+	return nil
+}
+
+// authenticate returns the team whose key the Authorization header carries.
+// Every configured hash is compared in constant time.
+func authenticate(cfg *samphireturn.Config, header string) *samphireturn.Team {
+	key, ok := strings.CutPrefix(header, "Bearer ")
+	if !ok || key == "" {
+		return nil
+	}
+	sum := sha256.Sum256([]byte(key))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	var found *samphireturn.Team
+	for i := range cfg.Teams {
+		for _, k := range cfg.Teams[i].Keys {
+			if subtle.ConstantTimeCompare(hash, []byte(k)) == 1 {
+				found = &cfg.Teams[i]
+			}
+		}
+	}
+	return found
+}
+
+// body reads the request's body up to the limit.
+func (r *Receiver) body(x *exchange) ([]byte, error) {
+	limit := or(r.Body, defaultBody)
+	body, err := io.ReadAll(http.MaxBytesReader(x.ResponseWriter, x.request.Body, limit))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, refusal(samphireturn.ReasonLarge, errors.Errorf("body over %d bytes", limit))
+	}
+	if err != nil {
+		return nil, refusal(samphireturn.ReasonRequest, errors.Wrap(err, "read body"))
+	}
+	return body, nil
+}
+
+// refuse answers with an error. After the first bytes of an answer the
+// connection is broken off, so that a part is not taken for the whole.
+func (r *Receiver) refuse(x *exchange, err error) {
+	var f *samphireturn.Refusal
+	if !errors.As(err, &f) {
+		f = &samphireturn.Refusal{Reason: samphireturn.ReasonEndpoint, Run: samphireturn.RunUnknown, Err: err}
+	}
+	refusals.Add(f.Reason, 1)
+	x.log.Warn().Str("event", "refused").Str("reason", f.Reason).Str("run", f.Run).Err(f.Err).Msg("request refused")
+	if x.began {
+		panic(http.ErrAbortHandler)
+	}
+	h := x.Header()
+	h.Set("Content-Type", "application/json")
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+	}
+	if f.Reason == samphireturn.ReasonAuth {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	x.WriteHeader(or(statuses[f.Reason], http.StatusInternalServerError))
+	_ = json.NewEncoder(x).Encode(errorBody{Error: errorDetail{
+		Message: f.Error(),
+		Type:    "samphireturn_error",
+		Code:    f.Reason,
+		Run:     f.Run,
+	}})
+}
+
+// errorBody is the JSON of an error answer.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+// errorDetail is the content of an error answer.
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	Run     string `json:"run"`
+}
+
+// refusal returns a refusal of a request that was not run.
+func refusal(reason string, err error) *samphireturn.Refusal {
+	return &samphireturn.Refusal{Reason: reason, Run: samphireturn.RunNo, Err: err}
+}
+
+// writeJSON answers with a value in JSON.
+func writeJSON(w http.ResponseWriter, status int, value any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(body, '\n'))
+	return nil
+}
--- /dev/null
+++ b/internal/traffic/receiver/receiver.go
@@ -0,0 +1,203 @@
+// Package receiver serves callers over HTTP: chat completions, the list of
+// models, plain services and request ids, beside health and counters.
+package receiver
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"samphireturn"
+	"samphireturn/internal/ledger/biller"
+	"samphireturn/internal/ledger/claimer"
+	"samphireturn/internal/ledger/minter"
+	"samphireturn/internal/ledger/runner"
+	"samphireturn/internal/traffic/admitter"
+	"samphireturn/internal/traffic/cascader"
+	"samphireturn/internal/traffic/picker"
+	"samphireturn/internal/traffic/router"
+)
+
+// Kinds of errors.
+const (
+	// KindListen says that the address could not be listened on.
+	KindListen Kind = iota
+	// KindClose says that requests were still under way when time ran out.
+	KindClose
+)
+
+const (
+	defaultBody   = 4 << 20  // bytes of a request's body
+	defaultHeader = 64 << 10 // bytes of a request's header
+	defaultIdle   = 2 * time.Minute
+	defaultRead   = 10 * time.Second
+	defaultDrain  = 30 * time.Second
+
+	backgroundRaters = 4
+	backgroundQueue  = 256
+	bytesPerToken    = 4
+	copyBuffer       = 16 << 10 // bytes
+	dialTimeout      = 2 * time.Second
+)
+
+var (
+	requests = expvar.NewMap("receiver_requests")
+	refusals = expvar.NewMap("receiver_refusal")
+	ratings  = expvar.NewMap("receiver_rating")
+	// overflows counts the requests passed on, by data centre.
+	overflows = expvar.NewMap("receiver_overflow")
+)
+
+// Kind classifies an Error.
+type Kind int
+
+// Error is an error of a Receiver.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation and the cause.
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Receiver is the callers' HTTP server. Set the exported fields before Run.
+type Receiver struct {
+	// Listen is the address to listen on; Listener, if set, is used instead.
+	Listen   string
+	Listener net.Listener
+	// Body and Header bound a request in bytes; Idle and Read bound the time
+	// between requests and for reading one. Zero means the default.
+	Body   int64
+	Header int
+	Idle   time.Duration
+	Read   time.Duration
+	// Drain bounds the wait for running requests in Close; zero means 30 s.
+	Drain time.Duration
+	// Notice is the time between turning not ready and closing the listener, in
+	// which a balancer learns of it.
+	Notice time.Duration
+
+	Log      zerolog.Logger
+	Self     samphireturn.VM
+	Control  samphireturn.Control
+	Router   *router.Router
+	Picker   *picker.Picker
+	Cascader *cascader.Cascader
+	Admitter *admitter.Admitter
+	Biller   *biller.Biller
+	Minter   *minter.Minter
+	Runner   *runner.Runner
+	Claimer  *claimer.Claimer
+	Rater    samphireturn.Rater
+	// Ready reports whether the daemon may serve.
+	Ready func() bool
+	// Dial opens connections to other daemons; nil means a plain dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+	server  *http.Server
+	remote  http.RoundTripper
+	closing atomic.Bool
+	served  chan struct{}
+	// unrated is when a rating last failed, in nanoseconds since 1970.
+	unrated    atomic.Int64
+	background pond.Pool
+}
+
+// Run listens and serves until Close.
+func (r *Receiver) Run(context.Context) error {
+	ln := r.Listener
+	if ln == nil {
+		var err error
+		ln, err = net.Listen("tcp", r.Listen)
+		if err != nil {
+			return &Error{Op: "listen on " + r.Listen, Kind: KindListen, Err: err}
+		}
+	}
+	r.remote = &http.Transport{DialContext: r.dialer(), DisableCompression: true, MaxIdleConnsPerHost: 16}
+	r.server = &http.Server{
+		Handler:           r.routes(),
+		MaxHeaderBytes:    or(r.Header, defaultHeader),
+		ReadHeaderTimeout: or(r.Read, defaultRead),
+		ReadTimeout:       or(r.Read, defaultRead),
+		IdleTimeout:       or(r.Idle, defaultIdle),
+	}
+	r.background = pond.NewPool(backgroundRaters, pond.WithQueueSize(backgroundQueue), pond.WithNonBlocking(true))
+	r.served = make(chan struct{})
+	go func() {
+		defer close(r.served)
+		_ = r.server.Serve(ln)
+	}()
+	return nil
+}
+
+// Close turns not ready, waits for Notice, stops listening and waits for
+// running requests until Drain has passed.
+func (r *Receiver) Close() error {
+	r.closing.Store(true)
+	time.Sleep(r.Notice)
+	ctx, cancel := context.WithTimeout(context.Background(), or(r.Drain, defaultDrain))
+	defer cancel()
+	err := r.server.Shutdown(ctx)
+	if err != nil {
+		_ = r.server.Close()
+	}
+	<-r.served
+	r.background.StopAndWait()
+	if err != nil {
+		return &Error{Op: "close", Kind: KindClose, Err: errors.Wrap(err, "requests still under way")}
+	}
+	return nil
+}
+
+// routes returns the handler of all paths.
+func (r *Receiver) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", r.team("chat", r.chat))
+	mux.HandleFunc("GET /v1/models", r.team("models", r.models))
+	mux.HandleFunc("POST /v1/ids", r.team("ids", r.ids))
+	mux.HandleFunc("/v1/services/{service}/{path...}", r.team("service", r.service))
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") })
+	mux.HandleFunc("GET /readyz", r.readyz)
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	return mux
+}
+
+// readyz answers 200 once the daemon may serve and until it closes.
+func (r *Receiver) readyz(w http.ResponseWriter, _ *http.Request) {
+	if r.closing.Load() {
+		writeText(w, http.StatusServiceUnavailable, "closing")
+		return
+	}
+	if !r.Ready() {
+		writeText(w, http.StatusServiceUnavailable, "no configuration yet")
+		return
+	}
+	writeText(w, http.StatusOK, "ok")
+}
+
+// writeText answers with a line of text.
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text + "\n"))
+}
+
+// or returns v, or standard if v is zero.
+func or[T comparable](v, standard T) T {
+	var zero T
+	if v == zero {
+		return standard
+	}
+	return v
+}
--- a/samphireturn.go
+++ b/samphireturn.go
@@ -157,6 +157,10 @@
 // String returns "model@version".
 func (r VersionRef) String() string { return r.Model + "@" + r.Version }
 
+// ServiceRef returns the reference under which a plain service stands beside
+// versions, as in Snapshot.Remote.
+func ServiceRef(name string) VersionRef { return VersionRef{Version: name} }
+
 // VM is one entry of the platform's VM list.
 type VM struct {
 	ID     string `json:"id"`
