--- /dev/null
+++ b/internal/standin/keeper/objects.go
@@ -0,0 +1,309 @@
+// Package keeper is the platform's stand-in: the object API, the VM list, the
+// rating service and the weight store, kept in memory.
+package keeper
+
+import (
+	"context"
+	"maps"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"samphireturn"
+)
+
+// Operations that Objects counts and offers to its fault hook.
+const (
+	OpGet     = "get"
+	OpCreate  = "create"
+	OpUpdate  = "update"
+	OpDelete  = "delete"
+	OpList    = "list"
+	OpWatch   = "watch"
+	OpVMs     = "vms"
+	OpRate    = "rate"
+	OpWeights = "weights"
+	// opWaiting counts the watches that wait now.
+	opWaiting = "waiting"
+)
+
+const (
+	// MaxValue is the size in bytes of the largest value.
+	MaxValue = 1 << 20
+
+	defaultWatchTime = 30 * time.Second
+)
+
+var _ samphireturn.Store = (*Objects)(nil)
+
+// Fault is what goes wrong with one call. The zero value is no fault.
+type Fault struct {
+	// Down refuses the call; nothing is done.
+	Down bool
+	// Delay passes before the call takes effect.
+	Delay time.Duration
+	// Lose lets a write take effect and loses its answer.
+	Lose bool
+}
+
+// Faults is a standing set of faults. The zero value is none.
+type Faults struct {
+	// Down refuses every call.
+	Down bool
+	// Delay passes before each call takes effect.
+	Delay time.Duration
+	// Lose is the number of next writes whose answers are lost.
+	Lose int
+}
+
+// Objects is an in-memory object API. The zero value is ready; exported fields
+// must be set before the first call.
+type Objects struct {
+	// Fault, if not nil, says what goes wrong with a call; see the Op constants.
+	Fault func(op, name string) Fault
+	// WatchTime is the longest time that a watch waits; zero means 30 s.
+	WatchTime time.Duration
+
+	mu      sync.Mutex
+	faults  Faults
+	version uint64
+	objects map[string]samphireturn.Object
+	changed chan struct{}
+	calls   map[string]int64
+}
+
+// SetFaults replaces the standing faults. Waiting watches end if f is Down.
+func (o *Objects) SetFaults(f Faults) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.faults = f
+	o.wake()
+}
+
+// Calls returns the number of calls by operation, and the watches that wait
+// now under "waiting".
+func (o *Objects) Calls() map[string]int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	m := make(map[string]int64, len(o.calls))
+	maps.Copy(m, o.calls)
+	return m
+}
+
+// Get implements samphireturn.Store.
+func (o *Objects) Get(ctx context.Context, name string) (samphireturn.Object, error) {
+	if _, err := o.admit(ctx, OpGet, name); err != nil {
+		return samphireturn.Object{}, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	obj, ok := o.objects[name]
+	if !ok {
+		return obj, failure(OpGet, name, samphireturn.KindMissing, nil)
+	}
+	return clone(obj), nil
+}
+
+// Create implements samphireturn.Store.
+func (o *Objects) Create(ctx context.Context, name string, value []byte) (uint64, error) {
+	return o.write(ctx, OpCreate, name, value, 0)
+}
+
+// Update implements samphireturn.Store.
+func (o *Objects) Update(ctx context.Context, name string, value []byte, version uint64) (uint64, error) {
+	return o.write(ctx, OpUpdate, name, value, version)
+}
+
+// Delete implements samphireturn.Store.
+func (o *Objects) Delete(ctx context.Context, name string, version uint64) error {
+	_, err := o.write(ctx, OpDelete, name, nil, version)
+	return err
+}
+
+// List implements samphireturn.Store.
+func (o *Objects) List(ctx context.Context, prefix string) ([]samphireturn.Object, error) {
+	if _, err := o.admit(ctx, OpList, prefix); err != nil {
+		return nil, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var objs []samphireturn.Object
+	for name, obj := range o.objects {
+		if strings.HasPrefix(name, prefix) {
+			objs = append(objs, samphireturn.Object{Name: name, Version: obj.Version})
+		}
+	}
+	sort.Slice(objs, func(i, j int) bool { return objs[i].Name < objs[j].Name })
+	return objs, nil
+}
+
+// Watch implements samphireturn.Store. It waits for WatchTime at most.
+func (o *Objects) Watch(ctx context.Context, name string, since uint64) (samphireturn.Object, error) {
+	return o.watch(ctx, name, since, o.watchTime())
+}
+
+// Admit counts a call and applies the faults that delay or refuse it.
+func (o *Objects) Admit(ctx context.Context, op, name string) error {
+	_, err := o.admit(ctx, op, name)
+	return err
+}
+
+func (o *Objects) watchTime() time.Duration {
+	if o.WatchTime > 0 {
+		return o.WatchTime
+	}
+	return defaultWatchTime
+}
+
+func (o *Objects) watch(ctx context.Context, name string, since uint64, wait time.Duration) (samphireturn.Object, error) {
+	if _, err := o.admit(ctx, OpWatch, name); err != nil {
+		return samphireturn.Object{}, err
+	}
+	o.count(opWaiting, 1)
+	defer o.count(opWaiting, -1)
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		obj, changed := o.peek(name)
+		if obj.Version > since {
+			return obj, nil
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return samphireturn.Object{}, failure(OpWatch, name, samphireturn.KindTimeout, nil)
+		case <-ctx.Done():
+			return samphireturn.Object{}, failure(OpWatch, name, samphireturn.KindUnavailable, ctx.Err())
+		}
+		if o.down() {
+			return samphireturn.Object{}, failure(OpWatch, name, samphireturn.KindUnavailable, nil)
+		}
+	}
+}
+
+// peek returns the object, of version 0 if there is none, and a channel that is
+// closed by the next write.
+func (o *Objects) peek(name string) (samphireturn.Object, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.changed == nil {
+		o.changed = make(chan struct{})
+	}
+	return clone(o.objects[name]), o.changed
+}
+
+func (o *Objects) down() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.faults.Down
+}
+
+func (o *Objects) write(ctx context.Context, op, name string, value []byte, version uint64) (uint64, error) {
+	f, err := o.admit(ctx, op, name)
+	if err != nil {
+		return 0, err
+	}
+	if len(value) > MaxValue {
+		return 0, failure(op, name, samphireturn.KindInvalid, errors.Errorf("value of %d bytes, limit %d", len(value), MaxValue))
+	}
+	v, err := o.apply(op, name, value, version)
+	if f.Lose {
+		return 0, failure(op, name, samphireturn.KindUnknown, errors.New("answer lost"))
+	}
+	return v, err
+}
+
+// apply changes the object if version is current, where 0 stands for none.
+func (o *Objects) apply(op, name string, value []byte, version uint64) (uint64, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	cur, ok := o.objects[name]
+	if cur.Version != version || ok == (op == OpCreate) {
+		return 0, failure(op, name, samphireturn.KindConflict, nil)
+	}
+	if o.objects == nil {
+		o.objects = make(map[string]samphireturn.Object)
+	}
+	o.version++
+	if op == OpDelete {
+		delete(o.objects, name)
+	} else {
+		o.objects[name] = clone(samphireturn.Object{Name: name, Version: o.version, Value: value})
+	}
+	o.wake()
+	return o.version, nil
+}
+
+// wake lets waiting watches look again. The caller holds mu.
+func (o *Objects) wake() {
+	if o.changed == nil {
+		return
+	}
+	close(o.changed)
+	o.changed = nil
+}
+
+func (o *Objects) admit(ctx context.Context, op, name string) (Fault, error) {
+	o.count(op, 1)
+	f := o.fault(op, name)
+	if f.Down || ctx.Err() != nil {
+		return f, failure(op, name, samphireturn.KindUnavailable, ctx.Err())
+	}
+	if f.Delay <= 0 {
+		return f, nil
+	}
+	t := time.NewTimer(f.Delay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return f, nil
+	case <-ctx.Done():
+	}
+	kind := samphireturn.KindUnavailable
+	if writes(op) {
+		kind = samphireturn.KindUnknown
+	}
+	return f, failure(op, name, kind, ctx.Err())
+}
+
+// fault joins the standing faults and those of the hook.
+func (o *Objects) fault(op, name string) Fault {
+	var f Fault
+	if o.Fault != nil {
+		f = o.Fault(op, name)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f.Down = f.Down || o.faults.Down
+	f.Delay += o.faults.Delay
+	if writes(op) && !f.Down && o.faults.Lose > 0 {
+		o.faults.Lose--
+		f.Lose = true
+	}
+	return f
+}
+
+func (o *Objects) count(op string, n int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.calls == nil {
+		o.calls = make(map[string]int64)
+	}
+	o.calls[op] += n
+}
+
+func writes(op string) bool {
+	return op == OpCreate || op == OpUpdate || op == OpDelete
+}
+
+func clone(obj samphireturn.Object) samphireturn.Object {
+	obj.Value = append([]byte(nil), obj.Value...)
+	return obj
+}
+
+func failure(op, name string, kind samphireturn.Kind, err error) error {
+	return &samphireturn.Error{Op: strings.TrimSpace(op + " " + name), Kind: kind, Err: err}
+}
