--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,178 @@
+// Command standin plays the platform, a model engine or a plain service, for
+// trying the product out.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"samphireturn/internal/standin/booker"
+	"samphireturn/internal/standin/generator"
+	"samphireturn/internal/standin/keeper"
+)
+
+const (
+	exitFailed = 1
+
+	headerTimeout = 5 * time.Second
+	closeTimeout  = 2 * time.Second
+	// grace is how long busy calls may go on after a signal.
+	grace = 500 * time.Millisecond
+)
+
+type platformCmd struct {
+	Listen      string        `arg:"--listen,required" help:"host:port to listen on"`
+	Lag         time.Duration `arg:"--lag" default:"1s" help:"age of the VM list"`
+	RateDelay   time.Duration `arg:"--rate-delay" default:"20ms" help:"time that a rating takes"`
+	WeightRate  float64       `arg:"--weight-rate" default:"1" help:"weights served a second"`
+	WeightBurst int           `arg:"--weight-burst" default:"2" help:"weights served at once"`
+	WatchTime   time.Duration `arg:"--watch-time" default:"30s" help:"longest watch"`
+}
+
+type engineCmd struct {
+	Listen    string        `arg:"--listen,required" help:"host:port to listen on"`
+	ID        string        `arg:"--id,required" help:"VM id"`
+	Versions  []string      `arg:"--version,separate,required" help:"model@version loaded; may be repeated"`
+	Budget    int64         `arg:"--budget" default:"20000" help:"concurrent work in tokens"`
+	Queue     int64         `arg:"--queue" default:"10000" help:"waiting work in tokens"`
+	Speed     float64       `arg:"--speed" default:"2000" help:"tokens a second of all answers together"`
+	Prefill   float64       `arg:"--prefill" default:"20000" help:"prompt tokens a second"`
+	Word      time.Duration `arg:"--word" default:"5ms" help:"shortest time between two tokens"`
+	Warm      time.Duration `arg:"--warm" default:"2s" help:"warm-up time"`
+	WarmShare float64       `arg:"--warm-share" default:"0.1" help:"part of the budget borne at the start"`
+	Cache     int           `arg:"--cache" default:"1000" help:"prefixes held"`
+	EventLag  time.Duration `arg:"--event-lag" default:"500ms" help:"age of cache events"`
+	EventGap  uint64        `arg:"--event-gap" default:"10" help:"every n-th cache event is lost; 0 for none"`
+	ReportLag time.Duration `arg:"--report-lag" default:"200ms" help:"age of the reported load"`
+	Fenced    bool          `arg:"--fenced" help:"refuse orders with an old fencing number"`
+	Quality   float64       `arg:"--quality" default:"0.8" help:"mean rating of answers, 0 to 1"`
+	Spread    float64       `arg:"--spread" default:"0.3" help:"rating of the easiest prompt above the hardest"`
+}
+
+type serviceCmd struct {
+	Listen string        `arg:"--listen,required" help:"host:port to listen on"`
+	ID     string        `arg:"--id,required" help:"VM id"`
+	Budget int           `arg:"--budget" default:"64" help:"concurrent calls"`
+	Slots  int           `arg:"--slots" default:"100" help:"slots to book"`
+	Work   time.Duration `arg:"--work" default:"5ms" help:"time that a call takes"`
+}
+
+type options struct {
+	Platform *platformCmd `arg:"subcommand:platform" help:"object API, VM list, rating service, weight store"`
+	Engine   *engineCmd   `arg:"subcommand:engine" help:"model engine"`
+	Service  *serviceCmd  `arg:"subcommand:service" help:"plain service"`
+}
+
+// Description implements arg.Described.
+func (options) Description() string {
+	return "standin plays the platform, a model engine or a plain service."
+}
+
+func main() {
+	var o options
+	p := arg.MustParse(&o)
+	if p.Subcommand() == nil {
+		p.Fail("a subcommand is needed: platform, engine or service")
+	}
+	if err := o.check(); err != nil {
+		p.Fail(err.Error())
+	}
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("service", p.SubcommandNames()[0]).Logger()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	addr, h, done := o.handler()
+	if err := serve(ctx, log, addr, h, done); err != nil {
+		log.Error().Err(err).Msg("failed")
+		stop()
+		os.Exit(exitFailed)
+	}
+}
+
+// check returns the first option that is out of range.
+func (o *options) check() error {
+	addr, _, _ := o.handler()
+	if _, _, err := net.SplitHostPort(addr); err != nil {
+		return fmt.Errorf("--listen: %w", err)
+	}
+	switch {
+	case o.Platform != nil && (o.Platform.WeightRate <= 0 || o.Platform.WeightBurst < 1 || o.Platform.WatchTime <= 0):
+		return fmt.Errorf("--weight-rate, --weight-burst and --watch-time must be above 0")
+	case o.Engine != nil && (o.Engine.Budget <= 0 || o.Engine.Speed <= 0 || o.Engine.Prefill <= 0 || o.Engine.Word <= 0):
+		return fmt.Errorf("--budget, --speed, --prefill and --word must be above 0")
+	case o.Engine != nil && (!share(o.Engine.WarmShare) || !share(o.Engine.Quality) || !share(o.Engine.Spread)):
+		return fmt.Errorf("--warm-share, --quality and --spread must be from 0 to 1")
+	case o.Service != nil && (o.Service.Budget <= 0 || o.Service.Slots <= 0):
+		return fmt.Errorf("--budget and --slots must be above 0")
+	}
+	return nil
+}
+
+func share(f float64) bool { return f >= 0 && f <= 1 }
+
+// handler returns the address, the handler and the clean-up of the subcommand.
+func (o *options) handler() (string, http.Handler, func()) {
+	start := uint64(time.Now().UnixNano())
+	switch {
+	case o.Platform != nil:
+		c := o.Platform
+		return c.Listen, &keeper.Server{
+			Objects: &keeper.Objects{WatchTime: c.WatchTime}, Lag: c.Lag, RateDelay: c.RateDelay,
+			WeightLimit: rate.NewLimiter(rate.Limit(c.WeightRate), c.WeightBurst),
+		}, func() {}
+	case o.Engine != nil:
+		c := o.Engine
+		g := &generator.Generator{
+			ID: c.ID, Start: start, Versions: c.Versions, Budget: c.Budget, Queue: c.Queue, Speed: c.Speed,
+			Prefill: c.Prefill, Word: c.Word, WarmTime: c.Warm, WarmShare: c.WarmShare, CacheSize: c.Cache,
+			EventLag: c.EventLag, EventGap: c.EventGap, ReportLag: c.ReportLag, Fenced: c.Fenced,
+			Quality: c.Quality, Spread: c.Spread,
+		}
+		return c.Listen, g, g.Close
+	}
+	c := o.Service
+	return c.Listen, &booker.Booker{ID: c.ID, Start: start, Budget: c.Budget, Slots: c.Slots, Work: c.Work}, func() {}
+}
+
+// serve answers requests until ctx ends. Connections still busy after the close
+// time-out are cut.
+func serve(ctx context.Context, log zerolog.Logger, addr string, h http.Handler, done func()) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	base, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		BaseContext:       func(net.Listener) context.Context { return base },
+	}
+	log.Info().Str("addr", ln.Addr().String()).Msg("listening")
+	failed := make(chan error, 1)
+	go func() { failed <- s.Serve(ln) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	log.Info().Msg("stopping")
+	time.AfterFunc(grace, cancel)
+	limit, end := context.WithTimeout(context.Background(), closeTimeout)
+	defer end()
+	if err := s.Shutdown(limit); err != nil {
+		_ = s.Close()
+	}
+	done()
+	log.Info().Msg("stopped")
+	return nil
+}
