Add the settings loader, the configuration parser and the validator

Cause: settings and configuration must be refused whole with every fault named by file, line and key. Line numbers come from the TOML library's expression parser, since its strict mode stops at the first wrong type.

--- /dev/null
+++ b/internal/config/loader/loader.go
@@ -0,0 +1,236 @@
+// Package loader reads the settings of a process from a TOML file.
+package loader
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/rs/zerolog"
+
+	"samphireturn/internal/config/parser"
+)
+
+// Kinds of errors.
+const (
+	// KindRead says that the file could not be read.
+	KindRead Kind = iota
+	// KindInvalid says that the settings are wrong; the cause is of type
+	// parser.Problems.
+	KindInvalid
+)
+
+// Defaults and bounds of settings.
+const (
+	// FleetBytes is the least length of the fleet's key in bytes.
+	FleetBytes = 16
+
+	defaultLevel  = "info"
+	defaultHeader = 64 << 10 // bytes
+	defaultBody   = 4 << 20  // bytes
+	defaultIdle   = 120_000  // milliseconds
+	defaultRead   = 10_000   // milliseconds
+	defaultDrain  = 600_000  // milliseconds
+)
+
+type (
+	// Kind classifies an Error.
+	Kind int
+
+	// Error is an error of the loader.
+	Error struct {
+		Op   string
+		Kind Kind
+		Err  error
+	}
+
+	// Settings are the settings of one daemon.
+	Settings struct {
+		// ID names the daemon; no other of the fleet may have it.
+		ID string `toml:"id"`
+		// Centre is the data centre that the daemon stands in.
+		Centre string `toml:"centre"`
+		// Listen is the host:port for callers; Peer that for other daemons.
+		Listen string `toml:"listen"`
+		Peer   string `toml:"peer"`
+		// Advertise holds the addresses that others reach the daemon by.
+		Advertise Advertise `toml:"advertise"`
+		// Platform is the base URL of the platform's service.
+		Platform string `toml:"platform"`
+		// Fleet is the key that all daemons share.
+		Fleet string `toml:"fleet"`
+		// Level is the least level of the log's lines.
+		Level  string `toml:"level"`
+		Limits Limits `toml:"limits"`
+	}
+
+	// Advertise holds the addresses that others use; empty ones are those that
+	// the daemon listens on.
+	Advertise struct {
+		Listen string `toml:"listen"`
+		Peer   string `toml:"peer"`
+	}
+
+	// Limits bounds what a caller may send and how long it may take.
+	Limits struct {
+		// Header and Body are in bytes.
+		Header int64 `toml:"header"`
+		Body   int64 `toml:"body"`
+		// Idle, Read and Drain are in milliseconds: how long a connection may
+		// stay idle, how long a header may take, and how long a shutdown waits
+		// for requests under way.
+		Idle  int64 `toml:"idle"`
+		Read  int64 `toml:"read"`
+		Drain int64 `toml:"drain"`
+	}
+
+	// check collects the problems of one file.
+	check struct {
+		file      string
+		positions parser.Positions
+		problems  parser.Problems
+	}
+)
+
+// Error returns the operation and the cause.
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Load reads the settings file at path and fills in defaults. An error of
+// KindInvalid holds every problem with its key and line.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{Op: "load settings", Kind: KindRead, Err: err}
+	}
+	return Read(path, data)
+}
+
+// Read is Load for a file's content.
+func Read(file string, data []byte) (*Settings, error) {
+	s := &Settings{
+		Level:  defaultLevel,
+		Limits: Limits{Header: defaultHeader, Body: defaultBody, Idle: defaultIdle, Read: defaultRead, Drain: defaultDrain},
+	}
+	c := check{file: file}
+	var err error
+	c.positions, err = parser.Decode(parser.File{Name: file, Data: data}, s)
+	if err != nil && !errors.As(err, &c.problems) {
+		c.problems = parser.Problems{{File: file, Message: err.Error()}}
+	}
+	var pe *parser.Error
+	if errors.As(err, &pe) && pe.Kind == parser.KindSyntax {
+		return nil, &Error{Op: "load settings", Kind: KindInvalid, Err: c.problems}
+	}
+	if err != nil {
+		s = scan(data, s)
+	}
+	c.settings(s)
+	if len(c.problems) > 0 {
+		slices.SortStableFunc(c.problems, func(a, b parser.Problem) int { return a.Line - b.Line })
+		return nil, &Error{Op: "load settings", Kind: KindInvalid, Err: c.problems}
+	}
+	if s.Advertise.Listen == "" {
+		s.Advertise.Listen = s.Listen
+	}
+	if s.Advertise.Peer == "" {
+		s.Advertise.Peer = s.Peer
+	}
+	return s, nil
+}
+
+// settings checks the values of s.
+func (c *check) settings(s *Settings) {
+	c.name("id", s.ID)
+	c.name("centre", s.Centre)
+	c.address("listen", s.Listen, true)
+	c.address("peer", s.Peer, true)
+	c.address("advertise.listen", s.Advertise.Listen, false)
+	c.address("advertise.peer", s.Advertise.Peer, false)
+	c.platform(s.Platform)
+	switch n := len(s.Fleet); {
+	case n == 0:
+		c.missing("fleet")
+	case n < FleetBytes:
+		c.add("fleet", fmt.Sprintf("must have at least %d bytes, not %d", FleetBytes, n))
+	}
+	if _, err := zerolog.ParseLevel(s.Level); err != nil || s.Level == "" {
+		c.add("level", fmt.Sprintf("%q is no log level; use debug, info, warn or error", s.Level))
+	}
+	c.positive("limits.header", s.Limits.Header)
+	c.positive("limits.body", s.Limits.Body)
+	c.positive("limits.idle", s.Limits.Idle)
+	c.positive("limits.read", s.Limits.Read)
+	c.positive("limits.drain", s.Limits.Drain)
+}
+
+// name checks a value that is part of object names and ids.
+func (c *check) name(key, v string) {
+	if v == "" {
+		c.missing(key)
+		return
+	}
+	if strings.ContainsAny(v, " \t\r\n/@") {
+		c.add(key, fmt.Sprintf("%q must have no space, '/' or '@'", v))
+	}
+}
+
+// address checks a host:port.
+func (c *check) address(key, v string, required bool) {
+	if v == "" {
+		if required {
+			c.missing(key)
+		}
+		return
+	}
+	host, port, err := net.SplitHostPort(v)
+	if err != nil {
+		c.add(key, fmt.Sprintf("%q is no address: want HOST:PORT", v))
+		return
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || (n == 0 && !required) {
+		c.add(key, fmt.Sprintf("%q is no port from 0 to 65535", port))
+	}
+	if host != "" && net.ParseIP(host) == nil {
+		c.add(key, fmt.Sprintf("%q is no IP number", host))
+	}
+}
+
+// platform checks the platform's base URL.
+func (c *check) platform(v string) {
+	if v == "" {
+		c.missing("platform")
+		return
+	}
+	u, err := url.Parse(v)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		c.add("platform", fmt.Sprintf("%q is no http or https URL", v))
+	}
+}
+
+func (c *check) positive(key string, v int64) {
+	if v <= 0 {
+		c.add(key, fmt.Sprintf("must be above 0, not %d", v))
+	}
+}
+
+// missing reports a key without a value unless a fault of it is known.
+func (c *check) missing(key string) {
+	for _, p := range c.problems {
+		if p.Key == key {
+			return
+		}
+	}
+	c.add(key, "is missing")
+}
+
+func (c *check) add(key, message string) {
+	c.problems = append(c.problems, parser.Problem{File: c.file, Line: c.positions.At(key).Line, Key: key, Message: message})
+}
--- /dev/null
+++ b/internal/config/parser/parser.go
@@ -0,0 +1,167 @@
+// Package parser reads configuration files and knows on which line each key
+// stands.
+package parser
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"samphireturn"
+)
+
+// Kinds of errors.
+const (
+	// KindSyntax says that a file is not TOML.
+	KindSyntax Kind = iota
+	// KindContent says that a file holds keys or values that do not belong.
+	KindContent
+)
+
+type (
+	// Kind classifies an Error.
+	Kind int
+
+	// Error is an error of the parser. Its cause is of type Problems.
+	Error struct {
+		Op   string
+		Kind Kind
+		Err  error
+	}
+
+	// Problem is one fault of a file. Line is zero if the fault has no place.
+	Problem struct {
+		File    string `json:"file"`
+		Line    int    `json:"line"`
+		Key     string `json:"key"`
+		Message string `json:"message"`
+	}
+
+	// Problems are the faults found by one check, as an error.
+	Problems []Problem
+
+	// File is a named file of a configuration.
+	File struct {
+		Name string
+		Data []byte
+	}
+)
+
+// Error returns the operation and the cause.
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// String returns "file:line: key: message".
+func (p Problem) String() string {
+	s := p.File
+	if p.Line > 0 {
+		s = fmt.Sprintf("%s:%d", s, p.Line)
+	}
+	if s != "" {
+		s += ": "
+	}
+	if p.Key != "" {
+		s += p.Key + ": "
+	}
+	return s + p.Message
+}
+
+// Error returns one line for each problem.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, x := range p {
+		lines[i] = x.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Parse reads one configuration file. Its errors are of type *Error.
+func Parse(file string, data []byte) (*samphireturn.Config, error) {
+	cfg, _, err := ParseFiles([]File{{Name: file, Data: data}})
+	return cfg, err
+}
+
+// ParseFiles reads files and joins them in their order: lists are appended, and
+// a table such as guard may stand in one file only. The positions use indexes
+// of the joined lists.
+func ParseFiles(files []File) (*samphireturn.Config, Positions, error) {
+	cfg := &samphireturn.Config{}
+	l := newLocator()
+	var all Problems
+	for _, f := range files {
+		var part samphireturn.Config
+		problems, err := l.decode(f, &part)
+		if err != nil {
+			return nil, l.positions, err
+		}
+		all = append(all, problems...)
+		join(cfg, &part)
+	}
+	if len(all) > 0 {
+		return nil, l.positions, &Error{Op: "parse configuration", Kind: KindContent, Err: all}
+	}
+	return cfg, l.positions, nil
+}
+
+// Decode reads one file into v, a pointer to a struct, in strict mode. An error
+// of KindContent holds every unknown key and every value of a wrong type.
+func Decode(f File, v any) (Positions, error) {
+	l := newLocator()
+	problems, err := l.decode(f, v)
+	if err == nil && len(problems) > 0 {
+		err = &Error{Op: "parse " + f.Name, Kind: KindContent, Err: problems}
+	}
+	return l.positions, err
+}
+
+// decode locates the keys of f, checks them against the type of v and decodes.
+func (l *locator) decode(f File, v any) (Problems, error) {
+	var tree map[string]any
+	if err := toml.Unmarshal(f.Data, &tree); err != nil {
+		return nil, &Error{Op: "parse " + f.Name, Kind: KindSyntax, Err: Problems{problemOf(f.Name, err)}}
+	}
+	base := l.counts()
+	problems := l.locate(f)
+	c := checker{file: f.Name, base: base, positions: l.positions}
+	c.check(tree, v)
+	problems = append(problems, c.problems...)
+	if len(problems) > 0 {
+		return problems, nil
+	}
+	d := toml.NewDecoder(strings.NewReader(string(f.Data))).DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		problems = append(problems, problemOf(f.Name, err))
+	}
+	return problems, nil
+}
+
+// problemOf turns an error of the TOML library into a problem.
+func problemOf(file string, err error) Problem {
+	p := Problem{File: file, Message: strings.TrimPrefix(err.Error(), "toml: ")}
+	d, ok := err.(*toml.DecodeError)
+	if !ok {
+		return p
+	}
+	p.Line, _ = d.Position()
+	p.Key = strings.Join(d.Key(), ".")
+	return p
+}
+
+// join appends the lists of part to cfg and takes over its tables.
+func join(cfg, part *samphireturn.Config) {
+	cfg.Presets = append(cfg.Presets, part.Presets...)
+	cfg.Centres = append(cfg.Centres, part.Centres...)
+	cfg.Models = append(cfg.Models, part.Models...)
+	cfg.Services = append(cfg.Services, part.Services...)
+	cfg.Teams = append(cfg.Teams, part.Teams...)
+	cfg.Keys = append(cfg.Keys, part.Keys...)
+	if part.Guard != (samphireturn.Guard{}) {
+		cfg.Guard = part.Guard
+	}
+	if part.Retry != (samphireturn.Retry{}) {
+		cfg.Retry = part.Retry
+	}
+}
--- /dev/null
+++ b/internal/config/validator/validator.go
@@ -0,0 +1,251 @@
+// Package validator checks a configuration as a whole: names, references,
+// shares, successors and ranges.
+package validator
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"samphireturn"
+	"samphireturn/internal/config/parser"
+)
+
+const (
+	// SecretBytes is the least length of a token key in bytes.
+	SecretBytes = 32
+	// HashDigits is the length of a bearer key's hash in hexadecimal digits.
+	HashDigits = 64
+	// MaxAttempts bounds the sends of one request.
+	MaxAttempts = 10
+
+	// shareSlack is how far a sum of shares may be from 1 by rounding.
+	shareSlack = 1e-6
+)
+
+type (
+	// Problem is one fault of a configuration.
+	Problem = parser.Problem
+
+	// check is one run over a configuration.
+	check struct {
+		cfg       *samphireturn.Config
+		positions parser.Positions
+		models    map[string]*samphireturn.Model
+		services  map[string]bool
+		problems  []Problem
+	}
+)
+
+// Validate returns every fault of cfg in order of file and line. Positions come
+// from the parser and may be nil.
+func Validate(cfg *samphireturn.Config, positions parser.Positions) []Problem {
+	c := &check{cfg: cfg, positions: positions, models: make(map[string]*samphireturn.Model), services: make(map[string]bool)}
+	for i := range cfg.Models {
+		c.models[cfg.Models[i].Name] = &cfg.Models[i]
+	}
+	for _, s := range cfg.Services {
+		c.services[s.Name] = true
+	}
+	c.presets()
+	c.centres()
+	c.allModels()
+	c.allServices()
+	c.teams()
+	c.keys()
+	c.guard()
+	c.retry()
+	slices.SortStableFunc(c.problems, func(a, b Problem) int {
+		if a.File != b.File {
+			return strings.Compare(a.File, b.File)
+		}
+		return a.Line - b.Line
+	})
+	return c.problems
+}
+
+// add reports a fault of the key.
+func (c *check) add(key, format string, args ...any) {
+	pos := c.positions.At(key)
+	c.problems = append(c.problems, Problem{File: pos.File, Line: pos.Line, Key: key, Message: fmt.Sprintf(format, args...)})
+}
+
+// names checks that the names of a list are usable and unique.
+func (c *check) names(list string, names []string) {
+	seen := make(map[string]int)
+	for i, n := range names {
+		key := fmt.Sprintf("%s[%d].name", list, i)
+		switch {
+		case n == "":
+			c.add(key, "is missing")
+		case strings.ContainsAny(n, "@/ \t\r\n"):
+			c.add(key, "%q must have no '@', '/' or space", n)
+		}
+		if first, ok := seen[n]; ok && n != "" {
+			c.add(key, "%q is the name of %s[%d] too", n, list, first)
+			continue
+		}
+		seen[n] = i
+	}
+}
+
+// between checks that v is in a closed range.
+func (c *check) between(key string, v, low, high float64) bool {
+	if math.IsNaN(v) || v < low || v > high {
+		c.add(key, "must be from %g to %g, not %g", low, high, v)
+		return false
+	}
+	return true
+}
+
+// least checks that v is not negative and is finite.
+func (c *check) least(key string, v float64) {
+	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		c.add(key, "must be 0 or more, not %g", v)
+	}
+}
+
+func (c *check) presets() {
+	names := make([]string, len(c.cfg.Presets))
+	var force []int
+	for i, p := range c.cfg.Presets {
+		names[i] = p.Name
+		key := fmt.Sprintf("preset[%d]", i)
+		if p.Force {
+			force = append(force, i)
+		}
+		c.least(key+".scale", p.Scale)
+		c.between(key+".explore", p.Explore, 0, 1)
+		c.aliases(key+".alias", p.Aliases)
+	}
+	c.names("preset", names)
+	switch {
+	case len(names) == 0:
+		c.add("preset", "is missing: one preset must be in force")
+	case len(force) == 0:
+		c.add("preset[0]", "no preset is in force: set force = true in one")
+	}
+	for _, i := range force[min(1, len(force)):] {
+		c.add(fmt.Sprintf("preset[%d].force", i), "preset %q is in force already; only one may be", names[force[0]])
+	}
+}
+
+func (c *check) aliases(list string, aliases []samphireturn.Alias) {
+	names := make([]string, len(aliases))
+	for i, a := range aliases {
+		names[i] = a.Name
+		key := fmt.Sprintf("%s[%d]", list, i)
+		if c.models[a.Name] != nil {
+			c.add(key+".name", "%q is the name of a model", a.Name)
+		}
+		if len(a.Steps) == 0 {
+			c.add(key+".steps", "is missing: an alias needs at least one model")
+		}
+		for j, s := range a.Steps {
+			step := fmt.Sprintf("%s.steps[%d]", key, j)
+			c.reference(step, s)
+			if slices.Contains(a.Steps[:j], s) {
+				c.add(step, "%q is a step already", s)
+			}
+		}
+		c.between(key+".quality", a.Quality, 0, 1)
+		c.between(key+".target", a.Target, 0, 1)
+		c.least(key+".delay", float64(a.Delay))
+	}
+	c.names(list, names)
+}
+
+// reference checks a "model" or "model@version".
+func (c *check) reference(key, ref string) {
+	name, version, exact := strings.Cut(ref, "@")
+	m := c.models[name]
+	if m == nil {
+		c.add(key, "no model %q", name)
+		return
+	}
+	if exact && find(m, version) < 0 {
+		c.add(key, "model %q has no version %q", name, version)
+	}
+}
+
+func (c *check) centres() {
+	names := make([]string, len(c.cfg.Centres))
+	for i, z := range c.cfg.Centres {
+		names[i] = z.Name
+	}
+	if len(names) == 0 {
+		c.add("centre", "is missing: name at least one data centre")
+	}
+	c.names("centre", names)
+}
+
+func (c *check) allServices() {
+	names := make([]string, len(c.cfg.Services))
+	for i, s := range c.cfg.Services {
+		names[i] = s.Name
+		key := fmt.Sprintf("service[%d]", i)
+		c.patterns(key+".idempotent", s.Idempotent)
+		c.patterns(key+".once", s.Once)
+		for j, p := range s.Once {
+			if slices.Contains(s.Idempotent, p) {
+				c.add(fmt.Sprintf("%s.once[%d]", key, j), "%q is listed as idempotent too", p)
+			}
+		}
+	}
+	c.names("service", names)
+}
+
+// patterns checks "METHOD /path" patterns.
+func (c *check) patterns(list string, patterns []string) {
+	for i, p := range patterns {
+		method, path, _ := strings.Cut(p, " ")
+		star := strings.IndexByte(path, '*')
+		bad := method == "" || strings.Trim(method, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") != "" ||
+			!strings.HasPrefix(path, "/") || strings.ContainsAny(path, " \t") || (star >= 0 && star != len(path)-1)
+		if bad {
+			c.add(fmt.Sprintf("%s[%d]", list, i), "%q is no pattern: want \"METHOD /path\", with '*' only at the end", p)
+		}
+	}
+}
+
+func (c *check) keys() {
+	names := make([]string, len(c.cfg.Keys))
+	for i, k := range c.cfg.Keys {
+		names[i] = k.Name
+		if n := len(k.Secret); n < SecretBytes {
+			c.add(fmt.Sprintf("key[%d].secret", i), "must have at least %d bytes, not %d", SecretBytes, n)
+		}
+	}
+	if len(names) == 0 {
+		c.add("key", "is missing: one key must sign session tokens")
+	}
+	c.names("key", names)
+}
+
+// guard checks the sequential test; all of it may be left out.
+func (c *check) guard() {
+	g := c.cfg.Guard
+	if g == (samphireturn.Guard{}) {
+		return
+	}
+	for _, r := range []struct {
+		key string
+		v   float64
+	}{{"guard.good", g.Good}, {"guard.bad", g.Bad}, {"guard.alarm", g.Alarm}, {"guard.miss", g.Miss}} {
+		if math.IsNaN(r.v) || r.v <= 0 || r.v >= 1 {
+			c.add(r.key, "must be above 0 and below 1, not %g", r.v)
+		}
+	}
+	if g.Good >= g.Bad {
+		c.add("guard.bad", "must be above good, %g, not %g", g.Good, g.Bad)
+	}
+	if g.Alarm+g.Miss >= 1 {
+		c.add("guard.miss", "alarm and miss together must be below 1, not %g", g.Alarm+g.Miss)
+	}
+}
+
+func (c *check) retry() {
+	c.between("retry.share", c.cfg.Retry.Share, 0, 1)
+	c.between("retry.attempts", float64(c.cfg.Retry.Attempts), 0, MaxAttempts)
+}
