--- /dev/null
+++ b/internal/config/editor/editor.go
@@ -0,0 +1,154 @@
+// Package editor changes single values in configuration files and leaves the
+// operators' comments and layout as they are.
+package editor
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"samphireturn"
+	"samphireturn/internal/config/parser"
+)
+
+// Kinds of errors.
+const (
+	// KindMissing says that the configuration has nothing of the name.
+	KindMissing Kind = iota
+	// KindLayout says that the files are written in a way that can't be edited.
+	KindLayout
+)
+
+type (
+	// Kind classifies an Error.
+	Kind int
+
+	// Error is an error of the editor.
+	Error struct {
+		Op   string
+		Kind Kind
+		Err  error
+	}
+
+	// edit sets the boolean key of a table.
+	edit struct {
+		table, key string
+		value      bool
+	}
+)
+
+// Error returns the operation and the cause.
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Use returns files changed so that the named preset alone is in force.
+func Use(files map[string][]byte, preset string) (map[string][]byte, error) {
+	op := "use preset " + preset
+	cfg, _, err := parse(op, files)
+	if err != nil {
+		return nil, err
+	}
+	var edits []edit
+	found := false
+	for i, p := range cfg.Presets {
+		found = found || p.Name == preset
+		if p.Force != (p.Name == preset) {
+			edits = append(edits, edit{fmt.Sprintf("preset[%d]", i), "force", p.Name == preset})
+		}
+	}
+	if !found {
+		return nil, &Error{Op: op, Kind: KindMissing, Err: errors.Errorf("no preset %q", preset)}
+	}
+	return apply(op, files, edits)
+}
+
+// Out returns files changed so that the data centre is out of service or,
+// with out false, in service.
+func Out(files map[string][]byte, centre string, out bool) (map[string][]byte, error) {
+	op := "take out " + centre
+	if !out {
+		op = "take in " + centre
+	}
+	cfg, _, err := parse(op, files)
+	if err != nil {
+		return nil, err
+	}
+	i := slices.IndexFunc(cfg.Centres, func(z samphireturn.Centre) bool { return z.Name == centre })
+	if i < 0 {
+		return nil, &Error{Op: op, Kind: KindMissing, Err: errors.Errorf("no data centre %q", centre)}
+	}
+	if cfg.Centres[i].Out == out {
+		return files, nil
+	}
+	return apply(op, files, []edit{{fmt.Sprintf("centre[%d]", i), "out", out}})
+}
+
+// parse reads files in order of their names.
+func parse(op string, files map[string][]byte) (*samphireturn.Config, parser.Positions, error) {
+	var list []parser.File
+	for _, name := range slices.Sorted(maps.Keys(files)) {
+		list = append(list, parser.File{Name: name, Data: files[name]})
+	}
+	cfg, positions, err := parser.ParseFiles(list)
+	if err != nil {
+		return nil, nil, &Error{Op: op, Kind: KindLayout, Err: err}
+	}
+	return cfg, positions, nil
+}
+
+// apply makes the edits one after the other in a copy of files.
+func apply(op string, files map[string][]byte, edits []edit) (map[string][]byte, error) {
+	files = maps.Clone(files)
+	for _, e := range edits {
+		_, positions, err := parse(op, files)
+		if err != nil {
+			return nil, err
+		}
+		e.apply(files, positions)
+	}
+	if _, _, err := parse(op, files); err != nil {
+		return nil, err
+	}
+	return files, nil
+}
+
+// apply replaces the value of the key, or adds the key after the table's name.
+func (e edit) apply(files map[string][]byte, positions parser.Positions) {
+	value := strconv.FormatBool(e.value)
+	if pos, ok := positions[e.table+"."+e.key]; ok {
+		files[pos.File] = splice(files[pos.File], pos.Start, pos.End, value)
+		return
+	}
+	pos := positions[e.table+".name"]
+	data := files[pos.File]
+	if pos.Inline {
+		files[pos.File] = splice(data, pos.End, pos.End, ", "+e.key+" = "+value)
+		return
+	}
+	text := string(data)
+	begin := strings.LastIndexByte(text[:pos.Start], '\n') + 1
+	line := text[begin:pos.Start]
+	indent := line[:len(line)-len(strings.TrimLeft(line, " \t"))]
+	end := len(text)
+	if i := strings.IndexByte(text[pos.End:], '\n'); i >= 0 {
+		end = pos.End + i
+	}
+	if end > pos.End && text[end-1] == '\r' {
+		end--
+		indent = "\r\n" + indent
+	} else {
+		indent = "\n" + indent
+	}
+	files[pos.File] = splice(data, end, end, indent+e.key+" = "+value)
+}
+
+// splice returns data with the bytes from start to end replaced.
+func splice(data []byte, start, end int, s string) []byte {
+	return slices.Concat(data[:start], []byte(s), data[end:])
+}
--- /dev/null
+++ b/internal/config/reporter/reporter.go
@@ -0,0 +1,212 @@
+// Package reporter writes the status of a data centre's daemons to the
+// platform, one object for each data centre.
+package reporter
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphireturn"
+)
+
+const (
+	// Prefix begins the names of status objects; the data centre follows.
+	Prefix = "status/"
+	// Topic asks a daemon for its status.
+	Topic = "status.get"
+
+	// interval is the least time between two writes of a changed status.
+	interval = time.Second
+	// refresh is the time between two writes of an unchanged status.
+	refresh = 10 * time.Second
+	// callTimeout bounds a call to a peer or to the platform.
+	callTimeout = 2 * time.Second
+)
+
+var (
+	writes  = expvar.NewInt("reporter_writes")
+	retries = expvar.NewMap("reporter_retry")
+)
+
+type (
+	// Daemon is the status of one daemon.
+	Daemon struct {
+		ID         string   `cbor:"i" json:"id"`
+		Generation uint64   `cbor:"g" json:"generation"`
+		Ready      bool     `cbor:"r" json:"ready"`
+		Held       []string `cbor:"h,omitempty" json:"held,omitempty"`
+		// Problem says what keeps the daemon from following; empty if nothing.
+		Problem string `cbor:"p,omitempty" json:"problem,omitempty"`
+	}
+
+	// Status is the content of a status object.
+	Status struct {
+		Centre  string    `json:"centre"`
+		Time    time.Time `json:"time"`
+		Daemons []Daemon  `json:"daemons"`
+	}
+
+	// Source is what the reporter needs of the configuration's watcher.
+	Source interface {
+		Ready() bool
+		Generation() uint64
+		Problem() string
+	}
+
+	// Reporter is a service that writes the status while this daemon is home.
+	// Set the exported fields before Run.
+	Reporter struct {
+		Control samphireturn.Control
+		Store   samphireturn.Store
+		// Peers may be nil.
+		Peers  samphireturn.Peers
+		Source Source
+		// Home reports whether this daemon writes its data centre's status;
+		// nil stands for always.
+		Home func() bool
+		// Now is time.Now unless set.
+		Now func() time.Time
+		Log zerolog.Logger
+
+		cancel  context.CancelFunc
+		wait    sync.WaitGroup
+		last    Status
+		version uint64
+	}
+)
+
+// New returns a reporter and registers its topic with peers, which may be nil.
+func New(control samphireturn.Control, store samphireturn.Store, peers samphireturn.Peers, source Source) *Reporter {
+	r := &Reporter{Control: control, Store: store, Peers: peers, Source: source, Now: time.Now, Log: zerolog.Nop()}
+	if peers != nil {
+		peers.Handle(Topic, func(context.Context, string, []byte) (any, error) { return r.self(), nil })
+	}
+	return r
+}
+
+// Run starts to report and returns at once.
+func (r *Reporter) Run(ctx context.Context) error {
+	ctx, r.cancel = context.WithCancel(ctx)
+	r.wait.Go(func() { r.loop(ctx) })
+	return nil
+}
+
+// Close stops the reporter and waits until it has stopped.
+func (r *Reporter) Close() error {
+	if r.cancel != nil {
+		r.cancel()
+	}
+	r.wait.Wait()
+	return nil
+}
+
+func (r *Reporter) loop(ctx context.Context) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		if r.Home == nil || r.Home() {
+			r.report(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// self returns this daemon's status.
+func (r *Reporter) self() Daemon {
+	s := r.Control.Snapshot()
+	d := Daemon{ID: s.Self.ID, Generation: r.Source.Generation(), Ready: r.Source.Ready(), Problem: r.Source.Problem()}
+	for ref, held := range s.Held {
+		if held {
+			d.Held = append(d.Held, ref.String())
+		}
+	}
+	slices.Sort(d.Held)
+	return d
+}
+
+// report gathers the status and writes it if it has changed or is old.
+func (r *Reporter) report(ctx context.Context) {
+	s := Status{Centre: r.Control.Snapshot().Self.Centre, Time: r.Now().UTC(), Daemons: r.gather(ctx)}
+	if reflect.DeepEqual(s.Daemons, r.last.Daemons) && s.Time.Sub(r.last.Time) < refresh {
+		return
+	}
+	if err := r.write(ctx, s); err != nil {
+		retries.Add(samphireturn.KindOf(err).String(), 1)
+		r.Log.Debug().Err(err).Msg("status not written")
+		r.version = 0
+		return
+	}
+	writes.Add(1)
+	r.last = s
+}
+
+// gather asks the daemons of this data centre for their status.
+func (r *Reporter) gather(ctx context.Context) []Daemon {
+	snap := r.Control.Snapshot()
+	list := []Daemon{r.self()}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for _, m := range snap.Members {
+		if r.Peers == nil || m.Centre != snap.Self.Centre || m.ID == snap.Self.ID {
+			continue
+		}
+		all.Go(func() {
+			d := r.ask(ctx, m.ID)
+			mu.Lock()
+			defer mu.Unlock()
+			list = append(list, d)
+		})
+	}
+	all.Wait()
+	slices.SortFunc(list, func(a, b Daemon) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// ask returns the status of one daemon.
+func (r *Reporter) ask(ctx context.Context, id string) Daemon {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var d Daemon
+	if err := r.Peers.Call(ctx, id, Topic, struct{}{}, &d); err != nil {
+		retries.Add("peer", 1)
+		return Daemon{ID: id, Problem: "no answer"}
+	}
+	return d
+}
+
+// write stores s. After a conflict or an unknown outcome the next write reads
+// the object's version first.
+func (r *Reporter) write(ctx context.Context, s Status) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	data, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	name := Prefix + s.Centre
+	if r.version == 0 {
+		o, err := r.Store.Get(ctx, name)
+		if err != nil && samphireturn.KindOf(err) != samphireturn.KindMissing {
+			return err
+		}
+		r.version = o.Version
+	}
+	if r.version == 0 {
+		r.version, err = r.Store.Create(ctx, name, data)
+	} else {
+		r.version, err = r.Store.Update(ctx, name, data, r.version)
+	}
+	return err
+}
