--- a/cmd/samphirectl/main.go
+++ b/cmd/samphirectl/main.go
@@ -87,6 +87,7 @@
 // run runs the command of args and returns the exit code.
 func run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	c := &client{out: out, err: errOut, now: time.Now}
+	c.Author = "unknown"
 	p, err := arg.NewParser(arg.Config{Program: "samphirectl", Out: errOut}, &c.options)
 	if err != nil {
 		fmt.Fprintln(errOut, "samphirectl:", err)
--- /dev/null
+++ b/internal/config/watcher/store_test.go
@@ -0,0 +1,188 @@
+package watcher_test
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"samphireturn"
+)
+
+// store is an object API in memory with faults.
+type store struct {
+	mu      sync.Mutex
+	objects map[string]samphireturn.Object
+	clock   uint64
+	down    bool
+	// lose is the number of manifest writes whose answer is lost; then, if
+	// set, runs after each of these.
+	lose   int
+	then   func()
+	writes int
+}
+
+func newStore() *store { return &store{objects: make(map[string]samphireturn.Object)} }
+
+func fail(k samphireturn.Kind) error { return &samphireturn.Error{Op: "store", Kind: k} }
+
+func (s *store) Get(_ context.Context, name string) (samphireturn.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return samphireturn.Object{}, fail(samphireturn.KindUnavailable)
+	}
+	o, ok := s.objects[name]
+	if !ok {
+		return o, fail(samphireturn.KindMissing)
+	}
+	return o, nil
+}
+
+func (s *store) Create(_ context.Context, name string, value []byte) (uint64, error) {
+	return s.put(name, value, 0)
+}
+
+func (s *store) Update(_ context.Context, name string, value []byte, version uint64) (uint64, error) {
+	return s.put(name, value, version)
+}
+
+func (s *store) put(name string, value []byte, version uint64) (uint64, error) {
+	s.mu.Lock()
+	if s.down {
+		s.mu.Unlock()
+		return 0, fail(samphireturn.KindUnavailable)
+	}
+	if s.objects[name].Version != version {
+		s.mu.Unlock()
+		return 0, fail(samphireturn.KindConflict)
+	}
+	s.clock++
+	s.writes++
+	s.objects[name] = samphireturn.Object{Name: name, Version: s.clock, Value: slices.Clone(value)}
+	v, then, lost := s.clock, s.then, s.lose > 0 && name == "config/manifest"
+	if lost {
+		s.lose--
+		s.then = nil
+	}
+	s.mu.Unlock()
+	if !lost {
+		return v, nil
+	}
+	if then != nil {
+		then()
+	}
+	return 0, fail(samphireturn.KindUnknown)
+}
+
+func (s *store) Delete(_ context.Context, name string, version uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[name].Version != version {
+		return fail(samphireturn.KindConflict)
+	}
+	delete(s.objects, name)
+	return nil
+}
+
+func (s *store) List(_ context.Context, prefix string) ([]samphireturn.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []samphireturn.Object
+	for name, o := range s.objects {
+		if strings.HasPrefix(name, prefix) {
+			list = append(list, samphireturn.Object{Name: name, Version: o.Version})
+		}
+	}
+	slices.SortFunc(list, func(a, b samphireturn.Object) int { return strings.Compare(a.Name, b.Name) })
+	return list, nil
+}
+
+func (s *store) Watch(ctx context.Context, name string, since uint64) (samphireturn.Object, error) {
+	for range 300 {
+		o, err := s.Get(ctx, name)
+		if samphireturn.KindOf(err) == samphireturn.KindUnavailable || o.Version > since {
+			return o, err
+		}
+		select {
+		case <-ctx.Done():
+			return o, fail(samphireturn.KindUnavailable)
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	return samphireturn.Object{}, fail(samphireturn.KindTimeout)
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// control applies events at once.
+type control struct {
+	mu   sync.Mutex
+	snap samphireturn.Snapshot
+}
+
+func (c *control) Post(e samphireturn.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e.Apply(&c.snap)
+}
+
+func (c *control) Snapshot() *samphireturn.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.snap
+	return &s
+}
+
+// mesh links daemons in memory.
+type mesh map[string]*peer
+
+type peer struct {
+	id       string
+	mesh     mesh
+	handlers map[string]samphireturn.Handler
+}
+
+func (m mesh) join(id string) *peer {
+	m[id] = &peer{id: id, mesh: m, handlers: make(map[string]samphireturn.Handler)}
+	return m[id]
+}
+
+func (p *peer) Handle(topic string, h samphireturn.Handler) { p.handlers[topic] = h }
+
+func (p *peer) Connected() []string {
+	var ids []string
+	for id := range p.mesh {
+		if id != p.id {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (p *peer) Call(ctx context.Context, to, topic string, body, reply any) error {
+	data, err := cbor.Marshal(body)
+	if err != nil {
+		return err
+	}
+	other, ok := p.mesh[to]
+	if !ok {
+		return fail(samphireturn.KindUnavailable)
+	}
+	v, err := other.handlers[topic](ctx, p.id, data)
+	if err != nil || reply == nil {
+		return err
+	}
+	if data, err = cbor.Marshal(v); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(data, reply)
+}
--- /dev/null
+++ b/internal/config/watcher/watcher_test.go
@@ -0,0 +1,229 @@
+package watcher_test
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"samphireturn"
+	"samphireturn/internal/config/editor"
+	"samphireturn/internal/config/publisher"
+	"samphireturn/internal/config/reporter"
+	"samphireturn/internal/config/watcher"
+)
+
+var ctx = context.Background()
+
+// example returns the example's files with a comment that tells them apart.
+func example(c *qt.C, comment string) map[string][]byte {
+	data, err := os.ReadFile("../../../examples/config.toml")
+	c.Assert(err, qt.IsNil)
+	return map[string][]byte{"config.toml": []byte("# " + comment + "\n" + string(data))}
+}
+
+func apply(c *qt.C, s *store, comment string) publisher.Manifest {
+	p := publisher.Publisher{Store: s, Author: comment}
+	m, err := p.Apply(ctx, example(c, comment), 0)
+	c.Assert(err, qt.IsNil)
+	return m
+}
+
+func TestApplyConflict(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	apply(c, s, "a")
+	apply(c, s, "b")
+	p := publisher.Publisher{Store: s, Author: "c"}
+	_, err := p.Apply(ctx, example(c, "c"), 1)
+	c.Assert(publisher.KindOf(err), qt.Equals, samphireturn.KindConflict)
+	between := err.(*publisher.Error).Between
+	c.Assert(between.Author, qt.Equals, "b")
+	c.Assert(between.Changes(), qt.DeepEquals, []string{"changed config.toml"})
+	m, cfg, err := p.Fetch(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(m.Author, qt.Equals, "b")
+	c.Assert(cfg.Generation, qt.Equals, uint64(2))
+	_, err = p.Apply(ctx, map[string][]byte{"x": []byte("foo = 1")}, 0)
+	c.Assert(publisher.KindOf(err), qt.Equals, samphireturn.KindInvalid)
+	c.Assert(err, qt.ErrorMatches, `.*x:1: foo: unknown key`)
+}
+
+func TestApplyLostAnswer(t *testing.T) {
+	other := func(c *qt.C, s *store, n int) func() {
+		return func() {
+			for range n {
+				apply(c, s, "other")
+			}
+		}
+	}
+	tests := []struct {
+		name    string
+		lose    int
+		changes int
+		want    samphireturn.Kind
+		ok      bool
+		final   uint64
+	}{
+		{"settled by reading back", 1, 0, 0, true, 2},
+		{"another change after it", 1, 1, 0, true, 3},
+		{"two changes after it", 1, 2, samphireturn.KindUnknown, false, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newStore()
+			apply(c, s, "a")
+			s.lose, s.then = test.lose, other(c, s, test.changes)
+			p := publisher.Publisher{Store: s, Author: "b"}
+			_, err := p.Apply(ctx, example(c, "b"), 1)
+			c.Assert(err == nil, qt.Equals, test.ok)
+			if err != nil {
+				c.Assert(publisher.KindOf(err), qt.Equals, test.want)
+			}
+			m, _, err := p.Fetch(ctx)
+			c.Assert(err, qt.IsNil)
+			c.Assert(m.Generation, qt.Equals, test.final)
+		})
+	}
+}
+
+func TestApplyRemovesOldParts(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	for _, name := range []string{"a", "b", "c"} {
+		apply(c, s, name)
+	}
+	list, _ := s.List(ctx, publisher.PartPrefix)
+	c.Assert(list, qt.HasLen, 2)
+}
+
+func TestEditorKeepsLayout(t *testing.T) {
+	c := qt.New(t)
+	old := example(c, "x")
+	next, err := editor.Use(old, "peak")
+	c.Assert(err, qt.IsNil)
+	want := strings.Replace(string(old["config.toml"]), "force = true", "force = false", 1)
+	want = strings.Replace(want, "name = \"peak\"\n", "name = \"peak\"\nforce = true\n", 1)
+	c.Assert(string(next["config.toml"]), qt.Equals, want)
+	next, err = editor.Out(map[string][]byte{"f": []byte("centre = [{name = 'n', region = 'r'}] # c\n")}, "n", true)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(next["f"]), qt.Equals, "centre = [{name = 'n', out = true, region = 'r'}] # c\n")
+	_, err = editor.Use(old, "none")
+	c.Assert(err, qt.ErrorMatches, `.*no preset "none"`)
+}
+
+// daemon runs a watcher until the test ends.
+func daemon(t *testing.T, s *store, m mesh, id string, home bool) *watcher.Watcher {
+	w := watcher.New(&control{}, s, m.join(id))
+	w.Home = func() bool { return home }
+	w.Rand = func() float64 { return 0 }
+	if err := w.Run(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+func TestWatcherNeverReverts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newStore()
+		apply(c, s, "a")
+		old := s.objects["config/manifest"].Value
+		w := daemon(t, s, mesh{}, "n1", true)
+		defer w.Close()
+		time.Sleep(time.Second)
+		c.Assert(w.Generation(), qt.Equals, uint64(1))
+		apply(c, s, "b")
+		time.Sleep(time.Second)
+		c.Assert(w.Generation(), qt.Equals, uint64(2))
+		_, err := s.put("config/manifest", old, s.objects["config/manifest"].Version)
+		c.Assert(err, qt.IsNil)
+		time.Sleep(time.Minute)
+		c.Assert(w.Control.Snapshot().Config.Generation, qt.Equals, uint64(2))
+		c.Assert(w.Control.Snapshot().Preset.Name, qt.Equals, "ordinary")
+	})
+}
+
+func TestWatcherKeepsLastGood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newStore()
+		apply(c, s, "a")
+		w := daemon(t, s, mesh{}, "n1", true)
+		defer w.Close()
+		time.Sleep(time.Second)
+		name := publisher.PartPrefix + publisher.Hash(example(c, "b")["config.toml"])
+		m := apply(c, s, "b")
+		s.mu.Lock()
+		part := s.objects[name]
+		delete(s.objects, name)
+		s.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		c.Assert(w.Generation(), qt.Equals, uint64(1))
+		c.Assert(w.Problem(), qt.Contains, "config.toml")
+		s.mu.Lock()
+		s.objects[name] = part
+		s.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		c.Assert(w.Generation(), qt.Equals, m.Generation)
+		c.Assert(w.Problem(), qt.Equals, "")
+	})
+}
+
+func TestStartWithPlatformDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s, m := newStore(), mesh{}
+		apply(c, s, "a")
+		first := daemon(t, s, m, "n1", true)
+		defer first.Close()
+		time.Sleep(time.Second)
+		s.setDown(true)
+		second := daemon(t, s, m, "n2", false)
+		defer second.Close()
+		c.Assert(second.Ready(), qt.IsFalse)
+		time.Sleep(3 * time.Second)
+		c.Assert(second.Ready(), qt.IsTrue)
+		c.Assert(second.Generation(), qt.Equals, uint64(1))
+		s.setDown(false)
+		apply(c, s, "b")
+		time.Sleep(3 * time.Second)
+		c.Assert(second.Generation(), qt.Equals, uint64(2))
+	})
+}
+
+func TestReporter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s, m := newStore(), mesh{}
+		apply(c, s, "a")
+		members := []samphireturn.VM{{ID: "n1", Centre: "north"}, {ID: "n2", Centre: "north"}, {ID: "s1", Centre: "south"}, {ID: "gone", Centre: "north"}}
+		for _, vm := range members[:2] {
+			w := daemon(t, s, m, vm.ID, vm.ID == "n1")
+			defer w.Close()
+			w.Control.(*control).snap.Self = vm
+			w.Control.(*control).snap.Members = members
+			r := reporter.New(w.Control, s, m[vm.ID], w)
+			r.Home = func() bool { return vm.ID == "n1" }
+			c.Assert(r.Run(t.Context()), qt.IsNil)
+			defer r.Close()
+		}
+		time.Sleep(15 * time.Second)
+		before := s.writes
+		time.Sleep(100 * time.Second)
+		c.Assert(s.writes-before, qt.Equals, 10)
+		var got reporter.Status
+		c.Assert(json.Unmarshal(s.objects["status/north"].Value, &got), qt.IsNil)
+		c.Assert(got.Daemons, qt.DeepEquals, []reporter.Daemon{
+			{ID: "gone", Problem: "no answer"},
+			{ID: "n1", Generation: 1, Ready: true},
+			{ID: "n2", Generation: 1, Ready: true},
+		})
+	})
+}
