--- /dev/null
+++ b/internal/fleet/ranker/ranker.go
@@ -0,0 +1,68 @@
+// Package ranker orders daemons by rendezvous hashing.
+//
+// Every daemon that holds the same member list computes the same order, and a
+// change of one member moves only the names that the member was first for.
+package ranker
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"samphireturn"
+)
+
+type score struct {
+	id  string
+	sum uint64
+}
+
+// Rank returns the ids of members, the best suited for name first.
+func Rank(name string, members []samphireturn.VM) []string {
+	scores := make([]score, len(members))
+	for i := range members {
+		scores[i] = score{id: members[i].ID, sum: weigh(name, members[i].ID)}
+	}
+	slices.SortFunc(scores, compare)
+	ids := make([]string, len(scores))
+	for i, s := range scores {
+		ids[i] = s.id
+	}
+	return ids
+}
+
+// Home returns the id of the member that is best suited for name, or "" if
+// there are no members.
+func Home(name string, members []samphireturn.VM) string {
+	var best score
+	for i := range members {
+		s := score{id: members[i].ID, sum: weigh(name, members[i].ID)}
+		if i == 0 || compare(s, best) < 0 {
+			best = s
+		}
+	}
+	return best.id
+}
+
+// Within returns the members of one data centre, in their order.
+func Within(centre string, members []samphireturn.VM) []samphireturn.VM {
+	var found []samphireturn.VM
+	for _, m := range members {
+		if m.Centre == centre {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+func compare(a, b score) int {
+	if c := cmp.Compare(b.sum, a.sum); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.id, b.id)
+}
+
+func weigh(name, id string) uint64 {
+	return xxhash.Sum64String(name + "\x00" + id)
+}
--- /dev/null
+++ b/internal/fleet/ranker/ranker_test.go
@@ -0,0 +1,31 @@
+package ranker
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"samphireturn"
+)
+
+func TestRank(t *testing.T) {
+	c := qt.New(t)
+	members := []samphireturn.VM{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
+	moved := 0
+	for i := range 400 {
+		name := fmt.Sprint("name-", i)
+		ids := Rank(name, members)
+		c.Assert(ids, qt.HasLen, 4)
+		c.Assert(Home(name, members), qt.Equals, ids[0])
+		after := Home(name, members[:3])
+		if ids[0] != "d" {
+			c.Assert(after, qt.Equals, ids[0])
+			continue
+		}
+		c.Assert(after, qt.Equals, ids[1])
+		moved++
+	}
+	c.Assert(moved > 60 && moved < 140, qt.IsTrue)
+	c.Assert(Home("x", nil), qt.Equals, "")
+}
