Add the detector of daemons and endpoints

Cause: every daemon needs members, endpoints and pools from one cheap source. Change: two homes a data centre read the VM list and pass it on by digest; the home of an endpoint reads its report and shares what changed; pools leave out leaving endpoints and data centres taken out. The messenger test read a shared slice without its lock; it now takes it.

--- /dev/null
+++ b/internal/fleet/detector/lists.go
@@ -0,0 +1,168 @@
+package detector
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"samphireturn"
+	"samphireturn/internal/fleet/encoder"
+)
+
+type (
+	// List tells a peer the VM list, or only its digest.
+	List struct {
+		Digest uint64 `cbor:"d"`
+		// VMs holds all daemons and the data centre's endpoints; empty if the
+		// peer should have them.
+		VMs []samphireturn.VM `cbor:"v,omitempty"`
+	}
+
+	// ListAnswer says which list the peer has.
+	ListAnswer struct {
+		Digest uint64 `cbor:"d"`
+	}
+)
+
+// readList reads the VM list if self is one of its homes, or if no home has
+// sent it for a long time, and passes it on.
+func (d *Detector) readList(ctx context.Context) {
+	d.mu.Lock()
+	home := d.first("vms/"+d.self.Centre, listHomes)
+	late := d.listed.IsZero() || d.Now().Sub(d.listed) > d.slow
+	d.mu.Unlock()
+	if !home && !late {
+		return
+	}
+	limit, cancel := context.WithTimeout(ctx, 5*d.ListTime)
+	defer cancel()
+	vms, err := d.Lister.VMs(limit)
+	if err != nil {
+		reasons.Add("list", 1)
+		d.Log.Warn().Err(err).Msg("VM list not read, the last one stays")
+		return
+	}
+	d.merge(d.relevant(vms))
+	if home {
+		d.passList(ctx)
+	}
+}
+
+// relevant drops other data centres' endpoints and sorts by id.
+func (d *Detector) relevant(vms []samphireturn.VM) []samphireturn.VM {
+	kept := make([]samphireturn.VM, 0, len(vms))
+	for _, vm := range vms {
+		if vm.ID != "" && (vm.Role == samphireturn.RoleEntry || vm.Centre == d.self.Centre) {
+			kept = append(kept, vm)
+		}
+	}
+	slices.SortFunc(kept, func(a, b samphireturn.VM) int { return strings.Compare(a.ID, b.ID) })
+	return slices.CompactFunc(kept, func(a, b samphireturn.VM) bool { return a.ID == b.ID })
+}
+
+// merge puts a list in force. An entry that is missing stays while an
+// endpoint's report answers or a daemon's link lives, up to gapLimit lists.
+func (d *Detector) merge(vms []samphireturn.VM) {
+	linked := d.Links.Connected()
+	d.mu.Lock()
+	seen := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		seen[vm.ID] = true
+		delete(d.missing, vm.ID)
+	}
+	for _, vm := range d.list {
+		if seen[vm.ID] {
+			continue
+		}
+		d.missing[vm.ID]++
+		if d.missing[vm.ID] <= gapLimit && d.alive(vm, linked) {
+			vms = append(vms, vm)
+			continue
+		}
+		delete(d.missing, vm.ID)
+		delete(d.records, vm.ID)
+	}
+	slices.SortFunc(vms, func(a, b samphireturn.VM) int { return strings.Compare(a.ID, b.ID) })
+	d.listed = d.Now()
+	changed := !slices.Equal(d.list, vms)
+	d.list = vms
+	members := d.members()
+	d.mu.Unlock()
+	if changed {
+		d.Links.SetMembers(members)
+		d.publish()
+	}
+}
+
+// alive reports whether a VM that a list lacks shows signs of life. The caller
+// holds mu.
+func (d *Detector) alive(vm samphireturn.VM, linked []string) bool {
+	if vm.Role == samphireturn.RoleEntry {
+		_, ok := slices.BinarySearch(linked, vm.ID)
+		return ok || vm.ID == d.self.ID
+	}
+	r := d.records[vm.ID]
+	return r != nil && r.known && r.fails == 0 && !r.Failed
+}
+
+// passList tells the data centre's daemons the list: its digest first, all of
+// it to those that have another.
+func (d *Detector) passList(ctx context.Context) {
+	d.mu.Lock()
+	list := d.list
+	to := d.others()
+	d.mu.Unlock()
+	digest := sum(list)
+	d.each(ctx, to, func(ctx context.Context, id string) {
+		var answer ListAnswer
+		err := d.Links.Call(ctx, id, TopicVMs, List{Digest: digest}, &answer)
+		if err == nil && answer.Digest != digest {
+			err = d.Links.Call(ctx, id, TopicVMs, List{Digest: digest, VMs: list}, &answer)
+		}
+		if err != nil {
+			reasons.Add("pass_list", 1)
+		}
+	})
+}
+
+// each calls f for every id, all at once, and waits.
+func (d *Detector) each(ctx context.Context, ids []string, f func(context.Context, string)) {
+	limit, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	group := d.pool.NewGroup()
+	for _, id := range ids {
+		group.Submit(func() { f(limit, id) })
+	}
+	_ = group.Wait()
+}
+
+// takeList handles TopicVMs.
+func (d *Detector) takeList(_ context.Context, _ string, body []byte) (any, error) {
+	var in List
+	if err := encoder.Unmarshal(body, &in); err != nil {
+		return nil, &samphireturn.Error{Op: "take list", Kind: samphireturn.KindInvalid, Err: err}
+	}
+	if len(in.VMs) > 0 {
+		d.merge(d.relevant(in.VMs))
+		return ListAnswer{Digest: in.Digest}, nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	have := sum(d.list)
+	if have == in.Digest {
+		d.listed = d.Now()
+	}
+	return ListAnswer{Digest: have}, nil
+}
+
+// sum returns a digest of a sorted list.
+func sum(list []samphireturn.VM) uint64 {
+	data, err := encoder.Marshal(list)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(data)
+}
--- /dev/null
+++ b/internal/fleet/detector/publish.go
@@ -0,0 +1,187 @@
+package detector
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"samphireturn"
+	"samphireturn/internal/fleet/encoder"
+	"samphireturn/internal/fleet/ranker"
+)
+
+type (
+	// Serving tells other data centres which versions one serves.
+	Serving struct {
+		Centre   string                    `cbor:"c"`
+		Versions []samphireturn.VersionRef `cbor:"v"`
+		// Local marks a message passed on within the data centre.
+		Local bool `cbor:"l,omitempty"`
+	}
+
+	// update is the event that puts members and endpoints in force.
+	update struct {
+		members   []samphireturn.VM
+		endpoints map[string]*samphireturn.Endpoint
+		left      map[string]bool
+		remote    map[string][]samphireturn.VersionRef
+	}
+)
+
+// Apply builds the pools with the configuration in force.
+func (u *update) Apply(next *samphireturn.Snapshot) {
+	next.Members = u.members
+	next.Endpoints = u.endpoints
+	next.Pools = make(map[samphireturn.VersionRef][]*samphireturn.Endpoint)
+	next.Services = make(map[string][]*samphireturn.Endpoint)
+	next.Remote = make(map[samphireturn.VersionRef][]string)
+	out := make(map[string]bool)
+	if next.Config != nil {
+		for _, c := range next.Config.Centres {
+			out[c.Name] = c.Out
+		}
+	}
+	for _, id := range sorted(u.endpoints) {
+		e := u.endpoints[id]
+		if u.left[id] || out[e.Centre] {
+			continue
+		}
+		if e.Role == samphireturn.RoleService {
+			next.Services[e.Service] = append(next.Services[e.Service], e)
+			continue
+		}
+		for _, v := range e.Versions {
+			next.Pools[v] = append(next.Pools[v], e)
+		}
+	}
+	for _, centre := range sorted(u.remote) {
+		if out[centre] || centre == next.Self.Centre {
+			continue
+		}
+		for _, v := range u.remote[centre] {
+			next.Remote[v] = append(next.Remote[v], centre)
+		}
+	}
+}
+
+func sorted[T any](m map[string]T) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// publish posts the state as one event. Posts keep the order of the states, as
+// mu is held.
+func (d *Detector) publish() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dirty = false
+	d.config = d.Control.Snapshot().Config
+	u := &update{
+		members:   d.members(),
+		endpoints: make(map[string]*samphireturn.Endpoint),
+		left:      make(map[string]bool),
+		remote:    make(map[string][]samphireturn.VersionRef),
+	}
+	near := d.reachable()
+	for _, vm := range d.list {
+		r := d.records[vm.ID]
+		if vm.Role == samphireturn.RoleEntry || r == nil {
+			continue
+		}
+		u.endpoints[vm.ID] = endpoint(vm, r, ranker.Home(vm.ID, near))
+		u.left[vm.ID] = vm.Leaving || r.Leaving || r.Failed
+	}
+	for centre, s := range d.serving {
+		if d.Now().Sub(s.at) < 4*d.ServingTime {
+			u.remote[centre] = s.versions
+		}
+	}
+	d.Control.Post(u)
+}
+
+func endpoint(vm samphireturn.VM, r *record, home string) *samphireturn.Endpoint {
+	e := &samphireturn.Endpoint{
+		VM:     vm,
+		Start:  r.Start,
+		Budget: r.Budget,
+		Queued: r.Queued,
+		Speed:  r.Speed,
+		Warm:   r.Warm && !r.cold,
+		Fenced: r.Fenced,
+		Home:   home,
+		Gauge:  r.gauge,
+	}
+	e.Leaving = vm.Leaving || r.Leaving
+	for _, name := range r.Versions {
+		model, version, ok := strings.Cut(name, "@")
+		if ok {
+			e.Versions = append(e.Versions, samphireturn.VersionRef{Model: model, Version: version})
+		}
+	}
+	return e
+}
+
+// tellServing sends what this data centre serves to the homes of the others.
+func (d *Detector) tellServing(ctx context.Context) {
+	d.mu.Lock()
+	home := d.first("serving/"+d.self.Centre, 1)
+	to := make(map[string][]samphireturn.VM)
+	for _, vm := range d.members() {
+		if vm.Centre != d.self.Centre {
+			to[vm.Centre] = append(to[vm.Centre], vm)
+		}
+	}
+	d.dirty = true
+	d.mu.Unlock()
+	if !home {
+		return
+	}
+	var ids []string
+	for centre, members := range to {
+		ids = append(ids, ranker.Rank("serving/"+centre, members)[:min(listHomes, len(members))]...)
+	}
+	message := Serving{Centre: d.self.Centre}
+	for v, pool := range d.Control.Snapshot().Pools {
+		if len(pool) > 0 {
+			message.Versions = append(message.Versions, v)
+		}
+	}
+	slices.SortFunc(message.Versions, func(a, b samphireturn.VersionRef) int {
+		return strings.Compare(a.String(), b.String())
+	})
+	d.tell(ctx, ids, message)
+}
+
+func (d *Detector) tell(ctx context.Context, ids []string, message Serving) {
+	d.each(ctx, ids, func(ctx context.Context, id string) {
+		if d.Links.Call(ctx, id, TopicServing, message, nil) != nil {
+			reasons.Add("pass_serving", 1)
+		}
+	})
+}
+
+// takeServing handles TopicServing and passes the message on within the data
+// centre.
+func (d *Detector) takeServing(ctx context.Context, _ string, body []byte) (any, error) {
+	var in Serving
+	if err := encoder.Unmarshal(body, &in); err != nil {
+		return nil, &samphireturn.Error{Op: "take serving", Kind: samphireturn.KindInvalid, Err: err}
+	}
+	d.mu.Lock()
+	old := d.serving[in.Centre]
+	d.serving[in.Centre] = remote{versions: in.Versions, at: d.Now()}
+	to := d.others()
+	d.mu.Unlock()
+	if !slices.Equal(old.versions, in.Versions) {
+		d.publish()
+	}
+	if !in.Local {
+		in.Local = true
+		d.tell(ctx, to, in)
+	}
+	return nil, nil
+}
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -95,6 +95,12 @@
 	return g, nil
 }
 
+func (n *network) opened() []*gate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.conns
+}
+
 // start runs one daemon for each VM; all are told of all.
 func start(t *testing.T, n *network, keys []string, vms ...samphireturn.VM) []*Messenger {
 	var all []*Messenger
@@ -234,14 +240,14 @@
 		all := start(t, n, []string{fleetKey}, vm("a", "x"), vm("b", "x"))
 		defer stop(all)
 		before := count("silent")
-		n.conns[0].silent.Store(true)
+		n.opened()[0].silent.Store(true)
 		start := time.Now()
 		err := all[0].Call(t.Context(), "b", "echo", text{"lost"}, nil)
 		c.Assert(samphireturn.KindOf(err), qt.Equals, samphireturn.KindUnknown)
 		c.Assert(time.Since(start) <= (SilentPings+1)*all[0].PingTime, qt.IsTrue)
 		c.Assert(count("silent"), qt.Not(qt.Equals), before)
 		time.Sleep(2 * time.Second)
-		c.Assert(n.conns, qt.HasLen, 2)
+		c.Assert(n.opened(), qt.HasLen, 2)
 		c.Assert(all[0].Call(t.Context(), "b", "echo", text{"again"}, nil), qt.IsNil)
 	})
 }
