--- /dev/null
+++ b/internal/ledger/minter/errors.go
@@ -0,0 +1,61 @@
+package minter
+
+import "expvar"
+
+// Kinds of errors.
+const (
+	// KindMalformed says that the text is cut, too long or no token at all.
+	KindMalformed Kind = iota
+	// KindForged says that the code does not fit the content.
+	KindForged
+	// KindTeam says that the text belongs to another team.
+	KindTeam
+	// KindKey says that no usable key has the name.
+	KindKey
+	// KindExpired says that the id is past its expiry.
+	KindExpired
+	// KindInvalid says that the content to sign is not complete.
+	KindInvalid
+	// KindRandom says that no serial could be drawn.
+	KindRandom
+)
+
+var (
+	refused = expvar.NewMap("minter_refused")
+	kinds   = [...]string{"malformed", "forged", "team", "key", "expired", "invalid", "random"}
+)
+
+// Kind classifies an Error.
+type Kind int
+
+// String returns the kind in one word.
+func (k Kind) String() string {
+	if k < 0 || int(k) >= len(kinds) {
+		return "error"
+	}
+	return kinds[k]
+}
+
+// Error is an error of the minter.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return e.Op + ": " + e.Kind.String()
+	}
+	return e.Op + ": " + e.Kind.String() + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// refuse counts and returns a refusal.
+func refuse(op string, kind Kind, err error) error {
+	refused.Add(kind.String(), 1)
+	return &Error{Op: op, Kind: kind, Err: err}
+}
--- /dev/null
+++ b/internal/ledger/minter/minter_test.go
@@ -0,0 +1,117 @@
+package minter_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"samphireturn"
+	"samphireturn/internal/ledger/minter"
+)
+
+var (
+	first  = samphireturn.TokenKey{Name: "first", Secret: strings.Repeat("a", 32)}
+	second = samphireturn.TokenKey{Name: "second", Secret: strings.Repeat("b", 32)}
+)
+
+func with(now time.Time, keys ...samphireturn.TokenKey) *minter.Minter {
+	return &minter.Minter{
+		Keys:     func() []samphireturn.TokenKey { return keys },
+		Instance: "a-1",
+		Now:      func() time.Time { return now },
+	}
+}
+
+func kind(err error) minter.Kind {
+	var e *minter.Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return -1
+}
+
+func TestSession(t *testing.T) {
+	c := qt.New(t)
+	m := with(time.Unix(100, 0), first)
+	token, err := m.Session(samphireturn.Session{Team: "red", Model: "small", Version: "v1"})
+	c.Assert(err, qt.IsNil)
+	id, err := m.ID("red", time.Minute)
+	c.Assert(err, qt.IsNil)
+	liar := first
+	liar.Secret = second.Secret
+	short := samphireturn.TokenKey{Name: "first", Secret: "short"}
+	flipped := []byte(token)
+	flipped[len(flipped)/2] ^= 1
+	// The same bytes in another spelling: the last character's unused bits set.
+	spelt := ""
+	for pad := ""; spelt == ""; pad += "e" {
+		token, err = m.Session(samphireturn.Session{Team: "red", Model: "small", Version: "v1", Endpoint: pad})
+		c.Assert(err, qt.IsNil)
+		if alphabet := "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_"; len(token)%4 != 0 {
+			last := strings.IndexByte(alphabet, token[len(token)-1])
+			spelt = token[:len(token)-1] + alphabet[last+1:last+2]
+		}
+	}
+	tests := []struct {
+		name, token, team string
+		keys              []samphireturn.TokenKey
+		want              minter.Kind
+	}{
+		{"good", token, "red", []samphireturn.TokenKey{first}, -1},
+		{"after a key change", token, "red", []samphireturn.TokenKey{second, first}, -1},
+		{"another team's", token, "blue", []samphireturn.TokenKey{first}, minter.KindTeam},
+		{"forged", token, "red", []samphireturn.TokenKey{liar}, minter.KindForged},
+		{"changed", string(flipped), "red", []samphireturn.TokenKey{first}, minter.KindForged},
+		{"unknown key", token, "red", []samphireturn.TokenKey{second}, minter.KindKey},
+		{"short key", token, "red", []samphireturn.TokenKey{short}, minter.KindKey},
+		{"cut", token[:len(token)-4], "red", []samphireturn.TokenKey{first}, minter.KindMalformed},
+		{"long", strings.Repeat("A", minter.MaxToken+1), "red", []samphireturn.TokenKey{first}, minter.KindMalformed},
+		{"spelt otherwise", spelt, "red", []samphireturn.TokenKey{first}, minter.KindMalformed},
+		{"empty", "", "red", []samphireturn.TokenKey{first}, minter.KindMalformed},
+		{"an id", id, "red", []samphireturn.TokenKey{first}, minter.KindForged},
+	}
+	for _, test := range tests {
+		c.Run(test.name, func(c *qt.C) {
+			s, err := with(time.Unix(100, 0), test.keys...).OpenSession(test.token, test.team)
+			c.Assert(kind(err), qt.Equals, test.want, qt.Commentf("%v", err))
+			if err == nil {
+				c.Assert(s.Model, qt.Equals, "small")
+				c.Assert(s.Issued, qt.Equals, int64(100))
+				c.Assert(s.ID, qt.HasLen, 32)
+			}
+		})
+	}
+}
+
+func TestID(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	m := with(now, second, first)
+	id, err := m.ID("red", time.Minute)
+	c.Assert(err, qt.IsNil)
+	v, err := with(now.Add(59*time.Second), first, second).OpenID(id, "red")
+	c.Assert(err, qt.IsNil)
+	c.Assert(v.Instance, qt.Equals, "a-1")
+	_, err = with(now.Add(time.Minute), first, second).OpenID(id, "red")
+	c.Assert(kind(err), qt.Equals, minter.KindExpired)
+	_, err = m.OpenID(id, "blue")
+	c.Assert(kind(err), qt.Equals, minter.KindTeam)
+	_, err = with(now).ID("red", time.Minute)
+	c.Assert(kind(err), qt.Equals, minter.KindKey)
+}
+
+func FuzzOpen(f *testing.F) {
+	m := with(time.Unix(100, 0), first)
+	token, _ := m.Session(samphireturn.Session{Team: "red"})
+	for _, seed := range []string{token, token[:9], "", "oA", "____"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := m.OpenSession(text, "red"); err == nil && text != token {
+			t.Fatalf("accepted %q", text)
+		}
+	})
+}
