--- a/internal/fleet/detector/detector.go
+++ b/internal/fleet/detector/detector.go
@@ -23,10 +23,11 @@
 )
 
 const (
-	// TopicVMs carries a list message, TopicReports a batch and TopicServing a
-	// serving message.
-	TopicVMs     = "vms"
+	// TopicVMs is the topic of List messages.
+	TopicVMs = "vms"
+	// TopicReports is the topic of Batch messages.
 	TopicReports = "reports"
+	// TopicServing is the topic of Serving messages.
 	TopicServing = "serving"
 
 	// listHomes is the number of daemons of a data centre that read the VM list.
@@ -36,9 +37,12 @@
 	// failLimit is the number of failed reads after which an endpoint counts as
 	// not answering.
 	failLimit = 4
-	// gapLimit is the number of lists an entry may be missing from while other
-	// signs show that it lives.
-	gapLimit = 60
+	// gapLimit is the number of lists in a row that an endpoint may be missing
+	// from while its report answers.
+	gapLimit = 2
+	// freshLists is the number of list periods for which a home prefers the list
+	// that it read itself to another's.
+	freshLists = 3
 )
 
 var reasons = expvar.NewMap("detector_reason")
@@ -84,6 +88,7 @@
 		mu      sync.Mutex
 		list    []samphireturn.VM
 		listed  time.Time
+		read    time.Time
 		missing map[string]int
 		records map[string]*record
 		seq     uint64
@@ -150,6 +155,7 @@
 // before the messenger runs.
 func (d *Detector) Register() {
 	d.instance = uint64(d.Now().UnixNano())
+	d.pool = pond.NewPool(d.Workers)
 	d.Links.Handle(TopicVMs, d.takeList)
 	d.Links.Handle(TopicReports, d.takeBatch)
 	d.Links.Handle(TopicServing, d.takeServing)
@@ -159,7 +165,6 @@
 func (d *Detector) Run(ctx context.Context) error {
 	ctx, d.cancel = context.WithCancel(ctx)
 	d.http = resty.NewWithClient(d.Client).SetResponseBodyLimit(reportLimit)
-	d.pool = pond.NewPool(d.Workers)
 	d.slow = time.Duration((0.5 + d.Rand()/2) * float64(d.SlowTime))
 	d.wait.Go(func() { d.every(ctx, d.ListTime, d.readList) })
 	d.wait.Go(func() { d.every(ctx, d.ReportTime, d.readReports) })
--- a/internal/fleet/detector/lists.go
+++ b/internal/fleet/detector/lists.go
@@ -45,7 +45,15 @@
 		d.Log.Warn().Err(err).Msg("VM list not read, the last one stays")
 		return
 	}
-	d.merge(d.relevant(vms))
+	vms = d.relevant(vms)
+	if len(vms) == 0 {
+		reasons.Add("empty_list", 1)
+		return
+	}
+	d.adopt(d.merge(vms))
+	d.mu.Lock()
+	d.read = d.Now()
+	d.mu.Unlock()
 	if home {
 		d.passList(ctx)
 	}
@@ -63,29 +71,37 @@
 	return slices.CompactFunc(kept, func(a, b samphireturn.VM) bool { return a.ID == b.ID })
 }
 
-// merge puts a list in force. An entry that is missing stays while an
-// endpoint's report answers or a daemon's link lives, up to gapLimit lists.
-func (d *Detector) merge(vms []samphireturn.VM) {
+// merge adds to a list that was read what it lacks but must not lose: a daemon
+// while its link lives, an endpoint while its report answers for up to gapLimit
+// lists.
+func (d *Detector) merge(vms []samphireturn.VM) []samphireturn.VM {
 	linked := d.Links.Connected()
 	d.mu.Lock()
-	seen := make(map[string]bool, len(vms))
+	defer d.mu.Unlock()
 	for _, vm := range vms {
-		seen[vm.ID] = true
 		delete(d.missing, vm.ID)
 	}
+	listed := len(vms)
 	for _, vm := range d.list {
-		if seen[vm.ID] {
+		if _, ok := slices.BinarySearchFunc(vms[:listed], vm.ID, compare); ok {
 			continue
 		}
-		d.missing[vm.ID]++
-		if d.missing[vm.ID] <= gapLimit && d.alive(vm, linked) {
+		if d.alive(vm, linked) {
 			vms = append(vms, vm)
-			continue
 		}
-		delete(d.missing, vm.ID)
-		delete(d.records, vm.ID)
 	}
-	slices.SortFunc(vms, func(a, b samphireturn.VM) int { return strings.Compare(a.ID, b.ID) })
+	return d.relevant(vms)
+}
+
+// adopt puts a sorted list in force.
+func (d *Detector) adopt(vms []samphireturn.VM) {
+	d.mu.Lock()
+	for _, vm := range d.list {
+		if _, ok := slices.BinarySearchFunc(vms, vm.ID, compare); !ok {
+			delete(d.missing, vm.ID)
+			delete(d.records, vm.ID)
+		}
+	}
 	d.listed = d.Now()
 	changed := !slices.Equal(d.list, vms)
 	d.list = vms
@@ -97,6 +113,8 @@
 	}
 }
 
+func compare(vm samphireturn.VM, id string) int { return strings.Compare(vm.ID, id) }
+
 // alive reports whether a VM that a list lacks shows signs of life. The caller
 // holds mu.
 func (d *Detector) alive(vm samphireturn.VM, linked []string) bool {
@@ -104,6 +122,10 @@
 		_, ok := slices.BinarySearch(linked, vm.ID)
 		return ok || vm.ID == d.self.ID
 	}
+	d.missing[vm.ID]++
+	if d.missing[vm.ID] > gapLimit {
+		return false
+	}
 	r := d.records[vm.ID]
 	return r != nil && r.known && r.fails == 0 && !r.Failed
 }
@@ -146,11 +168,14 @@
 		return nil, &samphireturn.Error{Op: "take list", Kind: samphireturn.KindInvalid, Err: err}
 	}
 	if len(in.VMs) > 0 {
-		d.merge(d.relevant(in.VMs))
+		d.adopt(d.relevant(in.VMs))
 		return ListAnswer{Digest: in.Digest}, nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.read.IsZero() && d.Now().Sub(d.read) < freshLists*d.ListTime {
+		return ListAnswer{Digest: in.Digest}, nil
+	}
 	have := sum(d.list)
 	if have == in.Digest {
 		d.listed = d.Now()
