--- /dev/null
+++ b/cmd/samphireturnd/main.go
@@ -0,0 +1,88 @@
+// Command samphireturnd is the entry daemon: it takes callers' requests to
+// model engines and plain services.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/rs/zerolog"
+
+	"samphireturn/internal/config/loader"
+	"samphireturn/internal/core/assembler"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// options are the command line.
+type options struct {
+	Settings string `arg:"positional,required" help:"settings file of this daemon, in TOML"`
+	Check    bool   `arg:"--check" help:"check the settings and exit"`
+}
+
+// Description heads the help text.
+func (options) Description() string {
+	return "samphireturnd routes callers' requests to versions of models and to plain services."
+}
+
+// Version is printed by --version.
+func (options) Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "samphireturnd"
+	}
+	return "samphireturnd " + info.Main.Version
+}
+
+func main() {
+	var opts options
+	arg.MustParse(&opts)
+	settings, err := loader.Load(opts.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if opts.Check {
+		return
+	}
+	level, err := zerolog.ParseLevel(settings.Level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("daemon", settings.ID).Logger()
+	if err := run(settings, log); err != nil {
+		log.Error().Str("event", "failed").Err(err).Msg("daemon failed")
+		os.Exit(exitFailed)
+	}
+}
+
+// run runs the daemon until it is told to stop.
+func run(settings *loader.Settings, log zerolog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	k, err := assembler.New(settings, log)
+	if err != nil {
+		return err
+	}
+	if err := k.Run(context.Background()); err != nil {
+		return err
+	}
+	log.Info().Str("event", "started").Str("listen", settings.Listen).Str("peer", settings.Peer).Msg("daemon started")
+	<-ctx.Done()
+	log.Info().Str("event", "closing").Msg("daemon closes")
+	err = k.Close()
+	log.Info().Str("event", "closed").Msg("daemon closed")
+	return err
+}
--- /dev/null
+++ b/internal/core/assembler/assembler.go
@@ -0,0 +1,236 @@
+// Package assembler puts the services of a daemon together.
+package assembler
+
+import (
+	"net"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"samphireturn"
+	"samphireturn/internal/config/loader"
+	"samphireturn/internal/config/reporter"
+	"samphireturn/internal/config/watcher"
+	"samphireturn/internal/core/kernel"
+	"samphireturn/internal/fleet/detector"
+	"samphireturn/internal/fleet/granter"
+	"samphireturn/internal/fleet/messenger"
+	"samphireturn/internal/fleet/ranker"
+	"samphireturn/internal/ledger/biller"
+	"samphireturn/internal/ledger/claimer"
+	"samphireturn/internal/ledger/minter"
+	"samphireturn/internal/ledger/runner"
+	"samphireturn/internal/platform/accessor"
+	"samphireturn/internal/traffic/admitter"
+	"samphireturn/internal/traffic/budgeter"
+	"samphireturn/internal/traffic/cascader"
+	"samphireturn/internal/traffic/dispatcher"
+	"samphireturn/internal/traffic/limiter"
+	"samphireturn/internal/traffic/picker"
+	"samphireturn/internal/traffic/receiver"
+	"samphireturn/internal/traffic/router"
+)
+
+// Names of the services.
+const (
+	Messenger = "messenger"
+	Watcher   = "watcher"
+	Detector  = "detector"
+	Granter   = "granter"
+	Claimer   = "claimer"
+	Biller    = "biller"
+	Reporter  = "reporter"
+	Receiver  = "receiver"
+)
+
+const (
+	manifestHomes = 2 // daemons of a data centre that watch the manifest
+	manifestName  = "config/manifest"
+	statusName    = "status/"
+)
+
+// parts is what the services of one daemon share.
+type parts struct {
+	settings *loader.Settings
+	log      zerolog.Logger
+	kernel   *kernel.Kernel
+	platform *accessor.Accessor
+	peers    *messenger.Messenger
+	limiter  *limiter.Limiter
+	instance string
+}
+
+// New returns a kernel with the services of a daemon, ready to run.
+func New(settings *loader.Settings, log zerolog.Logger) (*kernel.Kernel, error) {
+	self := samphireturn.VM{
+		ID:     settings.ID,
+		Role:   samphireturn.RoleEntry,
+		Centre: settings.Centre,
+		Addr:   settings.Advertise.Listen,
+		Peer:   settings.Advertise.Peer,
+	}
+	p := &parts{
+		settings: settings,
+		log:      log,
+		kernel:   kernel.New(self, log),
+		platform: accessor.New(settings.Platform),
+		peers:    messenger.New(self, settings.Fleet, service(log, Messenger)),
+		limiter:  new(limiter.Limiter),
+		instance: samphireturn.Instance(settings.ID, uuid.NewString()),
+	}
+	if settings.Peer != settings.Advertise.Peer {
+		ln, err := net.Listen("tcp", settings.Peer)
+		if err != nil {
+			return nil, err
+		}
+		p.peers.Listener = ln
+	}
+	adds := []struct {
+		name string
+		make func() (kernel.Service, error)
+	}{
+		{Detector, p.detector},
+		{Watcher, p.watcher},
+		{Granter, p.granter},
+		{Claimer, p.claimer},
+		{Biller, p.biller},
+		{Reporter, p.reporter},
+		{Messenger, func() (kernel.Service, error) { return p.peers, nil }},
+		{Receiver, p.receiver},
+	}
+	for _, a := range adds {
+		s, err := a.make()
+		if err != nil {
+			return nil, err
+		}
+		if err := p.kernel.Add(a.name, s); err != nil {
+			return nil, err
+		}
+	}
+	return p.kernel, nil
+}
+
+// service returns the log of a service.
+func service(log zerolog.Logger, name string) zerolog.Logger {
+	return log.With().Str("service", name).Logger()
+}
+
+// home reports whether this daemon is among the first n homes of name in its
+// data centre. While no members are known it is.
+func (p *parts) home(name string, n int) bool {
+	members := ranker.Within(p.settings.Centre, p.kernel.Snapshot().Members)
+	if len(members) == 0 {
+		return true
+	}
+	ranks := ranker.Rank(name, members)
+	for _, id := range ranks[:min(n, len(ranks))] {
+		if id == p.settings.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *parts) detector() (kernel.Service, error) {
+	d := detector.New(p.kernel.Self, service(p.log, Detector))
+	d.Control = p.kernel
+	d.Lister = p.platform
+	d.Links = p.peers
+	d.Register()
+	return d, nil
+}
+
+func (p *parts) watcher() (kernel.Service, error) {
+	w := watcher.New(p.kernel, p.platform, p.peers)
+	w.Log = service(p.log, Watcher)
+	w.Home = func() bool { return p.home(manifestName, manifestHomes) }
+	return w, nil
+}
+
+func (p *parts) granter() (kernel.Service, error) {
+	return &granter.Granter{Control: p.kernel, Clock: p.limiter.Clock}, nil
+}
+
+func (p *parts) claimer() (kernel.Service, error) {
+	c := &claimer.Claimer{
+		Store:    p.platform,
+		Peers:    p.peers,
+		Instance: p.instance,
+		Home: func(shard string) string {
+			return ranker.Home(shard, p.kernel.Snapshot().Members)
+		},
+	}
+	c.Register()
+	return c, nil
+}
+
+func (p *parts) biller() (kernel.Service, error) {
+	b := &biller.Biller{Store: p.platform, Peers: p.peers, Instance: p.instance, Log: service(p.log, Biller)}
+	b.Register()
+	return b, nil
+}
+
+func (p *parts) reporter() (kernel.Service, error) {
+	w, err := kernel.Find[*watcher.Watcher](p.kernel, Watcher)
+	if err != nil {
+		return nil, err
+	}
+	r := reporter.New(p.kernel, p.platform, p.peers, w)
+	r.Log = service(p.log, Reporter)
+	r.Home = func() bool { return p.home(statusName+p.settings.Centre, 1) }
+	return r, nil
+}
+
+func (p *parts) receiver() (kernel.Service, error) {
+	w, err := kernel.Find[*watcher.Watcher](p.kernel, Watcher)
+	if err != nil {
+		return nil, err
+	}
+	b, err := kernel.Find[*biller.Biller](p.kernel, Biller)
+	if err != nil {
+		return nil, err
+	}
+	c, err := kernel.Find[*claimer.Claimer](p.kernel, Claimer)
+	if err != nil {
+		return nil, err
+	}
+	pick := &picker.Picker{Now: p.limiter.Clock, Prefixes: new(picker.Prefixes)}
+	limits := p.settings.Limits
+	return &receiver.Receiver{
+		Listen:  p.settings.Listen,
+		Body:    limits.Body,
+		Header:  int(limits.Header),
+		Idle:    time.Duration(limits.Idle) * time.Millisecond,
+		Read:    time.Duration(limits.Read) * time.Millisecond,
+		Drain:   time.Duration(limits.Drain) * time.Millisecond,
+		Log:     service(p.log, Receiver),
+		Self:    p.kernel.Self,
+		Control: p.kernel,
+		Router: &router.Router{
+			Control:    p.kernel,
+			Picker:     pick,
+			Limiter:    p.limiter,
+			Dispatcher: dispatcher.New(nil),
+			Retries:    new(budgeter.Budgeter),
+		},
+		Picker:   pick,
+		Cascader: new(cascader.Cascader),
+		Admitter: new(admitter.Admitter),
+		Biller:   b,
+		Claimer:  c,
+		Minter:   &minter.Minter{Keys: p.keys, Instance: p.instance},
+		Runner:   &runner.Runner{Instance: p.instance},
+		Rater:    p.platform,
+		Ready:    w.Ready,
+	}, nil
+}
+
+// keys returns the token keys in force.
+func (p *parts) keys() []samphireturn.TokenKey {
+	cfg := p.kernel.Snapshot().Config
+	if cfg == nil {
+		return nil
+	}
+	return cfg.Keys
+}
--- a/internal/fleet/detector/publish.go
+++ b/internal/fleet/detector/publish.go
@@ -150,6 +150,11 @@
 			message.Versions = append(message.Versions, v)
 		}
 	}
+	for name, pool := range d.Control.Snapshot().Services {
+		if len(pool) > 0 {
+			message.Versions = append(message.Versions, samphireturn.ServiceRef(name))
+		}
+	}
 	slices.SortFunc(message.Versions, func(a, b samphireturn.VersionRef) int {
 		return strings.Compare(a.String(), b.String())
 	})
--- a/samphireturn.go
+++ b/samphireturn.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -161,6 +162,19 @@
 // versions, as in Snapshot.Remote.
 func ServiceRef(name string) VersionRef { return VersionRef{Version: name} }
 
+// Instance returns the name of one process of the daemon with the id. No two
+// processes share a name.
+func Instance(id, start string) string { return id + "." + start }
+
+// InstanceVM returns the id of the daemon whose process has the name.
+func InstanceVM(instance string) string {
+	i := strings.LastIndexByte(instance, '.')
+	if i < 0 {
+		return instance
+	}
+	return instance[:i]
+}
+
 // VM is one entry of the platform's VM list.
 type VM struct {
 	ID     string `json:"id"`
