--- a/internal/platform/accessor/accessor_test.go
+++ b/internal/platform/accessor/accessor_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -131,3 +132,27 @@
 	c.Assert(a.Weights(ctx, "small@v1"), qt.IsNil)
 	c.Assert(samphireturn.KindOf(a.Weights(ctx, "small@v1")), qt.Equals, samphireturn.KindLimited)
 }
+
+func TestVMs(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	s := &keeper.Server{Objects: &keeper.Objects{}, Lag: time.Second, Now: func() time.Time { return now }}
+	a := start(c, s)
+	change := func(method, body string) {
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest(method, "/v1/vms/e1", strings.NewReader(body)))
+		c.Assert(w.Code, qt.Equals, http.StatusNoContent)
+	}
+	check := func(want []samphireturn.VM) {
+		vms, err := a.VMs(context.Background())
+		c.Assert(err, qt.IsNil)
+		c.Assert(vms, qt.DeepEquals, want)
+	}
+	change("PUT", `{"role":"engine"}`)
+	check([]samphireturn.VM{})
+	now = now.Add(time.Second)
+	change("DELETE", "")
+	check([]samphireturn.VM{{ID: "e1", Role: samphireturn.RoleEngine}})
+	now = now.Add(time.Second)
+	check([]samphireturn.VM{})
+}
--- /dev/null
+++ b/internal/standin/generator/generator_test.go
@@ -0,0 +1,196 @@
+package generator_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"samphireturn/internal/standin/generator"
+	"samphireturn/internal/standin/injector"
+)
+
+// do sends one request and returns the answer; a cut connection has code 0.
+func do(g http.Handler, method, path, id, body string) (w *httptest.ResponseRecorder) {
+	w = httptest.NewRecorder()
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("X-Request-Id", id)
+	defer func() {
+		if recover() == http.ErrAbortHandler {
+			w.Code = 0
+		}
+	}()
+	g.ServeHTTP(w, r)
+	return w
+}
+
+func chat(g http.Handler, id, extra string) *httptest.ResponseRecorder {
+	body := `{"model":"m@v1","messages":[{"role":"user","content":"hi"}]` + extra + `}`
+	return do(g, "POST", "/v1/chat/completions", id, body)
+}
+
+func run(t *testing.T, g *generator.Generator, f func(c *qt.C)) {
+	synctest.Test(t, func(t *testing.T) {
+		g.Versions = []string{"m@v1"}
+		defer g.Close()
+		f(qt.New(t))
+	})
+}
+
+func TestOverload(t *testing.T) {
+	g := &generator.Generator{Budget: 100, WarmTime: 10 * time.Second, WarmShare: 0.1, Queue: 100}
+	run(t, g, func(c *qt.C) {
+		w := chat(g, "cold", `,"max_tokens":50`)
+		c.Assert(w.Code, qt.Equals, 503)
+		c.Assert(w.Header().Get("X-Started"), qt.Equals, "no")
+		c.Assert(w.Header().Get("Retry-After"), qt.Equals, "1")
+		c.Assert(w.Body.String(), qt.Contains, `"overloaded"`)
+		c.Assert(g.Runs("cold"), qt.Equals, 0)
+		c.Assert(do(g, "GET", "/report", "", "").Body.String(), qt.Contains, `"warm":false`)
+		time.Sleep(6 * time.Second)
+		c.Assert(chat(g, "half", `,"max_tokens":50`).Code, qt.Equals, 200)
+		time.Sleep(4 * time.Second)
+		c.Assert(do(g, "GET", "/report", "", "").Body.String(), qt.Contains, `"warm":true`)
+		codes := make(chan int, 3)
+		for range 3 {
+			go func() { codes <- chat(g, "warm", `,"max_tokens":90`).Code }()
+		}
+		c.Assert([]int{<-codes, <-codes, <-codes}, qt.DeepEquals, []int{503, 200, 200})
+		c.Assert(g.Runs("warm"), qt.Equals, 2)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		faults injector.Faults
+		model  string
+		want   string
+	}{
+		{injector.Faults{Leaving: true}, "m@v1", `"leaving"`},
+		{injector.Faults{Refuse: 1}, "m@v1", `"overloaded"`},
+		{injector.Faults{}, "m@v2", `"not_loaded"`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.want, func(t *testing.T) {
+			g := &generator.Generator{}
+			run(t, g, func(c *qt.C) {
+				g.Injector.Set(tt.faults)
+				w := chat(g, "a", `,"model":"`+tt.model+`"`)
+				c.Assert(w.Code, qt.Equals, 503)
+				c.Assert(w.Header().Get("X-Started"), qt.Equals, "no")
+				c.Assert(w.Body.String(), qt.Contains, tt.want)
+				c.Assert(g.Runs("a"), qt.Equals, 0)
+			})
+		})
+	}
+}
+
+func TestResume(t *testing.T) {
+	g := &generator.Generator{ResumeTime: time.Minute}
+	run(t, g, func(c *qt.C) {
+		g.Injector.Hook = func(string) injector.Fault { return injector.Fault{After: true} }
+		w := chat(g, "a", `,"stream":true,"max_tokens":4`)
+		c.Assert(w.Code, qt.Equals, 0)
+		c.Assert(w.Body.String(), qt.Contains, "id: 1\n")
+		c.Assert(w.Body.String(), qt.Not(qt.Contains), "[DONE]")
+		rest := do(g, "GET", "/v1/streams/a?from=1", "", "").Body.String()
+		c.Assert(strings.Count(rest, "id: "), qt.Equals, 4)
+		c.Assert(rest, qt.Not(qt.Contains), "id: 1\n")
+		c.Assert(strings.HasSuffix(rest, "data: [DONE]\n\n"), qt.IsTrue)
+		g.Injector.Hook = nil
+		whole := chat(g, "b", `,"stream":true,"max_tokens":4`).Body.String()
+		c.Assert(strings.ReplaceAll(whole, `"b"`, `"a"`), qt.Equals, w.Body.String()+rest)
+		c.Assert(g.Runs("a"), qt.Equals, 1)
+		time.Sleep(2 * time.Minute)
+		c.Assert(do(g, "GET", "/v1/streams/a?from=1", "", "").Code, qt.Equals, 404)
+	})
+}
+
+func TestCancel(t *testing.T) {
+	g := &generator.Generator{Word: time.Second}
+	run(t, g, func(c *qt.C) {
+		done := make(chan *httptest.ResponseRecorder)
+		go func() { done <- chat(g, "a", `,"stream":true,"max_tokens":100`) }()
+		time.Sleep(10 * time.Second)
+		c.Assert(do(g, "GET", "/report", "", "").Body.String(), qt.Contains, `"used":102`)
+		c.Assert(do(g, "DELETE", "/v1/streams/a", "", "").Code, qt.Equals, 204)
+		w := <-done
+		c.Assert(w.Code, qt.Equals, 0)
+		c.Assert(w.Body.String(), qt.Not(qt.Contains), "[DONE]")
+		synctest.Wait()
+		c.Assert(do(g, "GET", "/report", "", "").Body.String(), qt.Contains, `"used":0`)
+	})
+}
+
+func TestFence(t *testing.T) {
+	tests := []struct {
+		fenced bool
+		code   int
+	}{{true, 409}, {false, 200}}
+	for _, tt := range tests {
+		g := &generator.Generator{Fenced: tt.fenced}
+		run(t, g, func(c *qt.C) {
+			c.Assert(do(g, "POST", "/orders", "", `{"fence":5,"kind":"load","name":"m@v2"}`).Code, qt.Equals, 200)
+			w := do(g, "POST", "/orders", "", `{"fence":4,"kind":"load","name":"m@v3"}`)
+			c.Assert(w.Code, qt.Equals, tt.code)
+			c.Assert(w.Body.String(), qt.Equals, "{\"fence\":5}\n")
+			rep := do(g, "GET", "/report", "", "").Body.String()
+			c.Assert(strings.Contains(rep, "m@v3"), qt.Equals, !tt.fenced)
+		})
+	}
+}
+
+func TestFaults(t *testing.T) {
+	g := &generator.Generator{}
+	run(t, g, func(c *qt.C) {
+		first := chat(g, "a", "")
+		faults := map[string]injector.Fault{"b": {Crossed: true}, "c": {Before: true}, "d": {After: true}, "e": {Fail: true}}
+		g.Injector.Hook = func(id string) injector.Fault { return faults[id] }
+		w := chat(g, "b", "")
+		c.Assert(w.Header().Get("X-Request-Id"), qt.Equals, "a")
+		c.Assert(w.Body.String(), qt.Equals, first.Body.String())
+		for id, want := range map[string][2]int{"b": {200, 2}, "c": {0, 0}, "d": {0, 1}, "e": {500, 1}} {
+			c.Assert([2]int{chat(g, id, "").Code, g.Runs(id)}, qt.Equals, want, qt.Commentf("%s", id))
+		}
+	})
+}
+
+func TestCache(t *testing.T) {
+	g := &generator.Generator{CacheSize: 2, EventLag: time.Minute, EventGap: 3, Prefill: 100, Word: time.Millisecond}
+	run(t, g, func(c *qt.C) {
+		long := func(s string) time.Duration {
+			start := time.Now()
+			body := `{"model":"m@v1","max_tokens":1,"messages":[{"role":"u","content":"` + strings.Repeat(s, 600) + `"}]}`
+			c.Assert(do(g, "POST", "/v1/chat/completions", s, body).Code, qt.Equals, 200)
+			return time.Since(start)
+		}
+		cold := long("x")
+		c.Assert(long("x"), qt.Equals, cold-512/4*10*time.Millisecond)
+		c.Assert(long("y"), qt.Equals, cold)
+		c.Assert(do(g, "GET", "/events?since=0", "", "").Body.String(), qt.Equals, "{\"next\":0,\"events\":[]}\n")
+		time.Sleep(time.Minute)
+		all := do(g, "GET", "/events?since=0", "", "").Body.String()
+		c.Assert(strings.Count(all, `"hold"`), qt.Equals, 3)
+		c.Assert(strings.Count(all, `"drop"`), qt.Equals, 1)
+		c.Assert(all, qt.Not(qt.Contains), `"seq":3`)
+		c.Assert(long("x"), qt.Equals, cold)
+	})
+}
+
+func TestLeavingCaller(t *testing.T) {
+	g := &generator.Generator{Word: time.Second}
+	run(t, g, func(c *qt.C) {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		body := strings.NewReader(`{"model":"m@v1","messages":[{"role":"user","content":"hi"}]}`)
+		r := httptest.NewRequestWithContext(ctx, "POST", "/v1/chat/completions", body)
+		g.ServeHTTP(httptest.NewRecorder(), r)
+		synctest.Wait()
+		c.Assert(do(g, "GET", "/report", "", "").Body.String(), qt.Contains, `"used":0`)
+	})
+}
--- a/internal/standin/keeper/server.go
+++ b/internal/standin/keeper/server.go
@@ -1,12 +1,9 @@
 package keeper
 
 import (
-	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"regexp"
-	"sort"
 	"strconv"
 	"sync"
 	"time"
@@ -52,14 +49,6 @@
 	pending []vmChange
 }
 
-// vmChange is a change of the VM list that is not shown yet.
-type vmChange struct {
-	at   time.Time
-	id   string
-	vm   samphireturn.VM
-	gone bool
-}
-
 type listEntry struct {
 	Name    string `json:"name"`
 	Version uint64 `json:"version"`
@@ -257,131 +246,3 @@
 	s.Objects.SetFaults(Faults{Down: f.Down, Delay: time.Duration(f.Delay) * time.Millisecond, Lose: f.Lose})
 	w.WriteHeader(http.StatusNoContent)
 }
-
-func (s *Server) listVMs(w http.ResponseWriter, r *http.Request) {
-	if err := s.Objects.Admit(r.Context(), OpVMs, ""); err != nil {
-		refuse(w, err)
-		return
-	}
-	reply(w, s.shownVMs())
-}
-
-func (s *Server) putVM(w http.ResponseWriter, r *http.Request) {
-	var vm samphireturn.VM
-	if !decode(w, r, &vm) {
-		return
-	}
-	vm.ID = r.PathValue("id")
-	s.change(vmChange{at: s.Now(), id: vm.ID, vm: vm})
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (s *Server) removeVM(w http.ResponseWriter, r *http.Request) {
-	s.change(vmChange{at: s.Now(), id: r.PathValue("id"), gone: true})
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (s *Server) change(c vmChange) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pending = append(s.pending, c)
-}
-
-// shownVMs returns the VM list as it was Lag ago.
-func (s *Server) shownVMs() []samphireturn.VM {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	limit := s.Now().Add(-s.Lag)
-	for len(s.pending) > 0 && !s.pending[0].at.After(limit) {
-		c := s.pending[0]
-		s.pending = s.pending[1:]
-		if c.gone {
-			delete(s.vms, c.id)
-		} else {
-			s.vms[c.id] = c.vm
-		}
-	}
-	vms := make([]samphireturn.VM, 0, len(s.vms))
-	for _, vm := range s.vms {
-		vms = append(vms, vm)
-	}
-	sort.Slice(vms, func(i, j int) bool { return vms[i].ID < vms[j].ID })
-	return vms
-}
-
-func answerWrite(w http.ResponseWriter, version uint64, status int, err error) {
-	if err != nil {
-		refuse(w, err)
-		return
-	}
-	w.Header().Set("ETag", tag(version))
-	w.WriteHeader(status)
-}
-
-// refuse answers with the status of the error's kind. An unknown outcome closes
-// the connection without an answer.
-func refuse(w http.ResponseWriter, err error) {
-	status := http.StatusInternalServerError
-	switch samphireturn.KindOf(err) {
-	case samphireturn.KindUnknown:
-		panic(http.ErrAbortHandler)
-	case samphireturn.KindMissing:
-		status = http.StatusNotFound
-	case samphireturn.KindConflict:
-		status = http.StatusPreconditionFailed
-	case samphireturn.KindTimeout:
-		w.WriteHeader(http.StatusNotModified)
-		return
-	case samphireturn.KindUnavailable:
-		status = http.StatusServiceUnavailable
-		w.Header().Set("Retry-After", "1")
-	case samphireturn.KindLimited:
-		status = http.StatusTooManyRequests
-		w.Header().Set("Retry-After", "1")
-	case samphireturn.KindInvalid:
-		status = http.StatusBadRequest
-	}
-	http.Error(w, err.Error(), status)
-}
-
-func reply(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
-
-func decode(w http.ResponseWriter, r *http.Request, v any) bool {
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(v)
-	if err != nil {
-		http.Error(w, "bad JSON: "+err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-// sleep waits for d and reports whether ctx lasted that long.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func tag(version uint64) string {
-	return strconv.Quote(strconv.FormatUint(version, 10))
-}
-
-func parseTag(s string) (uint64, bool) {
-	t, err := strconv.Unquote(s)
-	if err != nil {
-		return 0, false
-	}
-	v, err := strconv.ParseUint(t, 10, 64)
-	return v, err == nil
-}
--- /dev/null
+++ b/internal/standin/keeper/vms.go
@@ -0,0 +1,68 @@
+package keeper
+
+import (
+	"net/http"
+	"sort"
+	"time"
+
+	"samphireturn"
+)
+
+// vmChange is a change of the VM list that is not shown yet.
+type vmChange struct {
+	at   time.Time
+	id   string
+	vm   samphireturn.VM
+	gone bool
+}
+
+func (s *Server) listVMs(w http.ResponseWriter, r *http.Request) {
+	if err := s.Objects.Admit(r.Context(), OpVMs, ""); err != nil {
+		refuse(w, err)
+		return
+	}
+	reply(w, s.shownVMs())
+}
+
+func (s *Server) putVM(w http.ResponseWriter, r *http.Request) {
+	var vm samphireturn.VM
+	if !decode(w, r, &vm) {
+		return
+	}
+	vm.ID = r.PathValue("id")
+	s.change(vmChange{at: s.Now(), id: vm.ID, vm: vm})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) removeVM(w http.ResponseWriter, r *http.Request) {
+	s.change(vmChange{at: s.Now(), id: r.PathValue("id"), gone: true})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) change(c vmChange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = append(s.pending, c)
+}
+
+// shownVMs returns the VM list as it was Lag ago.
+func (s *Server) shownVMs() []samphireturn.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := s.Now().Add(-s.Lag)
+	for len(s.pending) > 0 && !s.pending[0].at.After(limit) {
+		c := s.pending[0]
+		s.pending = s.pending[1:]
+		if c.gone {
+			delete(s.vms, c.id)
+		} else {
+			s.vms[c.id] = c.vm
+		}
+	}
+	vms := make([]samphireturn.VM, 0, len(s.vms))
+	for _, vm := range s.vms {
+		vms = append(vms, vm)
+	}
+	sort.Slice(vms, func(i, j int) bool { return vms[i].ID < vms[j].ID })
+	return vms
+}
