--- a/internal/standin/generator/generator_test.go
+++ b/internal/standin/generator/generator_test.go
@@ -194,3 +194,27 @@
 		c.Assert(do(g, "GET", "/report", "", "").Body.String(), qt.Contains, `"used":0`)
 	})
 }
+
+func TestPriorityAndReportLag(t *testing.T) {
+	g := &generator.Generator{Budget: 102, Queue: 1000, Word: 10 * time.Millisecond, ReportLag: 5 * time.Second}
+	run(t, g, func(c *qt.C) {
+		order := make(chan string, 3)
+		for _, id := range []string{"0", "1", "2"} {
+			go func() {
+				r := httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(
+					`{"model":"m@v1","max_tokens":100,"messages":[{"role":"user","content":"hi"}]}`))
+				r.Header.Set("X-Request-Id", id)
+				r.Header.Set("X-Priority", id)
+				g.ServeHTTP(httptest.NewRecorder(), r)
+				order <- id
+			}()
+			synctest.Wait()
+		}
+		c.Assert(do(g, "GET", "/report", "", "").Body.String(), qt.Contains, `"used":0,"queued":0`)
+		c.Assert([]string{<-order, <-order, <-order}, qt.DeepEquals, []string{"0", "2", "1"})
+		time.Sleep(2500 * time.Millisecond)
+		c.Assert(do(g, "GET", "/report", "", "").Body.String(), qt.Contains, `"used":102,"queued":204`)
+		time.Sleep(5 * time.Second)
+		c.Assert(do(g, "GET", "/report", "", "").Body.String(), qt.Contains, `"used":0,"queued":0`)
+	})
+}
