--- /dev/null
+++ b/internal/ledger/biller/fakes_test.go
@@ -0,0 +1,102 @@
+package biller_test
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"samphireturn"
+)
+
+// store is an in-memory store with faults: lose counts the next writes whose
+// answer is lost.
+type store struct {
+	samphireturn.Store
+	mu      sync.Mutex
+	objects map[string]samphireturn.Object
+	lose    int
+	down    bool
+	writes  int
+}
+
+func fail(kind samphireturn.Kind) error { return &samphireturn.Error{Op: "fake", Kind: kind} }
+
+func (s *store) Get(_ context.Context, name string) (samphireturn.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[name]
+	switch {
+	case s.down:
+		return o, fail(samphireturn.KindUnavailable)
+	case !ok:
+		return o, fail(samphireturn.KindMissing)
+	}
+	return o, nil
+}
+
+func (s *store) Create(_ context.Context, name string, value []byte) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if s.down {
+		return 0, fail(samphireturn.KindUnavailable)
+	}
+	if _, ok := s.objects[name]; ok {
+		return 0, fail(samphireturn.KindConflict)
+	}
+	s.objects[name] = samphireturn.Object{Name: name, Version: 1, Value: value}
+	if s.lose > 0 {
+		s.lose--
+		return 0, fail(samphireturn.KindUnknown)
+	}
+	return 1, nil
+}
+
+func (s *store) List(_ context.Context, prefix string) ([]samphireturn.Object, error) {
+	var found []samphireturn.Object
+	for _, name := range slices.Sorted(maps.Keys(s.objects)) {
+		if strings.HasPrefix(name, prefix) {
+			found = append(found, samphireturn.Object{Name: name})
+		}
+	}
+	return found, nil
+}
+
+// fleet carries messages between the peers of a test; those in cut get none.
+type fleet struct {
+	handlers map[string]map[string]samphireturn.Handler
+	cut      map[string]bool
+}
+
+type peers struct {
+	*fleet
+	self string
+}
+
+func (p *peers) Handle(topic string, h samphireturn.Handler) {
+	if p.handlers[p.self] == nil {
+		p.handlers[p.self] = make(map[string]samphireturn.Handler)
+	}
+	p.handlers[p.self][topic] = h
+}
+
+func (p *peers) Call(ctx context.Context, to, topic string, body, _ any) error {
+	if p.cut[to] || p.cut[p.self] {
+		return fail(samphireturn.KindUnavailable)
+	}
+	data, err := cbor.Marshal(body)
+	if err != nil {
+		return err
+	}
+	_, err = p.handlers[to][topic](ctx, p.self, data)
+	return err
+}
+
+func (p *peers) Connected() []string {
+	others := slices.Sorted(maps.Keys(p.handlers))
+	return slices.DeleteFunc(others, func(id string) bool { return id == p.self })
+}
