Tighten the tests of element limits and of data centres taken out

Cause: with the element limit or the remote check taken out, both tests still passed. Change: the elements stand where the type allows them; the pools are looked at before the next message between data centres.

--- a/internal/fleet/detector/detector_test.go
+++ b/internal/fleet/detector/detector_test.go
@@ -146,11 +146,13 @@
 		for _, id := range sorted(w.daemons) {
 			qt.Assert(t, w.daemons[id].Run(context.Background()), qt.IsNil)
 		}
+		defer func() {
+			for _, d := range w.daemons {
+				_ = d.Detector.Close()
+			}
+		}()
 		w.change(func() {}, 8*time.Second)
 		f(qt.New(t), w)
-		for _, d := range w.daemons {
-			_ = d.Detector.Close()
-		}
 	})
 }
 
@@ -210,7 +212,7 @@
 				d.state.Config = &samphireturn.Config{Centres: []samphireturn.Centre{{Name: "x", Out: true}}}
 				d.mu.Unlock()
 			}
-		}, 2 * time.Second, 0},
+		}, 1500 * time.Millisecond, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/fleet/encoder/encoder_test.go
+++ b/internal/fleet/encoder/encoder_test.go
@@ -25,7 +25,7 @@
 		{"repeated key", []byte{0xa3, 1, Version, 2, 1, 2, 1}, KindMalformed},
 		{"indefinite map", []byte{0xbf, 1, Version, 2, 1, 0xff}, KindMalformed},
 		{"too deep", append([]byte{0xa3, 1, Version, 2, 1, 5}, append(bytes.Repeat([]byte{0x81}, DepthLimit), 0)...), KindMalformed},
-		{"too many elements", append([]byte{0x9a, 0, 1, 0, 1}, make([]byte, ElementLimit+1)...), KindMalformed},
+		{"too many elements", append([]byte{0xa3, 1, Version, 2, 1, 5, 0x9a, 0, 1, 0, 1}, make([]byte, ElementLimit+1)...), KindMalformed},
 		{"too large", make([]byte, SizeLimit+1), KindSize},
 		{"other version", []byte{0xa2, 1, Version + 1, 2, 1}, KindVersion},
 		{"unknown kind", []byte{0xa2, 1, Version, 2, 9}, KindMalformed},
