Mend races of the configuration tests' fakes and tighten one test

Cause: the in-memory mesh and store were read without their locks while daemons ran; the race detector found no race in the product's code. The start with the platform down is now bounded by half a second of fake time, since the other daemon's own exchange hid a missing question at start.

--- a/internal/config/watcher/store_test.go
+++ b/internal/config/watcher/store_test.go
@@ -116,6 +116,13 @@
 	return samphireturn.Object{}, fail(samphireturn.KindTimeout)
 }
 
+// count returns the number of writes so far.
+func (s *store) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -142,25 +149,43 @@
 }
 
 // mesh links daemons in memory.
-type mesh map[string]*peer
+type mesh struct {
+	mu    sync.Mutex
+	peers map[string]*peer
+}
 
 type peer struct {
 	id       string
-	mesh     mesh
+	mesh     *mesh
 	handlers map[string]samphireturn.Handler
+	linked   bool
+}
+
+// join returns a peer that others don't see before it is linked.
+func (m *mesh) join(id string) *peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.peers == nil {
+		m.peers = make(map[string]*peer)
+	}
+	m.peers[id] = &peer{id: id, mesh: m, handlers: make(map[string]samphireturn.Handler)}
+	return m.peers[id]
 }
 
-func (m mesh) join(id string) *peer {
-	m[id] = &peer{id: id, mesh: m, handlers: make(map[string]samphireturn.Handler)}
-	return m[id]
+func (p *peer) link() {
+	p.mesh.mu.Lock()
+	defer p.mesh.mu.Unlock()
+	p.linked = true
 }
 
 func (p *peer) Handle(topic string, h samphireturn.Handler) { p.handlers[topic] = h }
 
 func (p *peer) Connected() []string {
+	p.mesh.mu.Lock()
+	defer p.mesh.mu.Unlock()
 	var ids []string
-	for id := range p.mesh {
-		if id != p.id {
+	for id, other := range p.mesh.peers {
+		if id != p.id && other.linked {
 			ids = append(ids, id)
 		}
 	}
@@ -173,7 +198,10 @@
 	if err != nil {
 		return err
 	}
-	other, ok := p.mesh[to]
+	p.mesh.mu.Lock()
+	other, ok := p.mesh.peers[to]
+	ok = ok && other.linked
+	p.mesh.mu.Unlock()
 	if !ok {
 		return fail(samphireturn.KindUnavailable)
 	}
--- a/internal/config/watcher/watcher_test.go
+++ b/internal/config/watcher/watcher_test.go
@@ -118,14 +118,14 @@
 	c.Assert(err, qt.ErrorMatches, `.*no preset "none"`)
 }
 
-// daemon runs a watcher until the test ends.
-func daemon(t *testing.T, s *store, m mesh, id string, home bool) *watcher.Watcher {
-	w := watcher.New(&control{}, s, m.join(id))
+// daemon starts a watcher and links its peer.
+func daemon(t *testing.T, s *store, m *mesh, id string, home bool) *watcher.Watcher {
+	p := m.join(id)
+	w := watcher.New(&control{}, s, p)
 	w.Home = func() bool { return home }
 	w.Rand = func() float64 { return 0 }
-	if err := w.Run(t.Context()); err != nil {
-		t.Fatal(err)
-	}
+	qt.Assert(t, w.Run(t.Context()), qt.IsNil)
+	p.link()
 	return w
 }
 
@@ -134,15 +134,16 @@
 		c := qt.New(t)
 		s := newStore()
 		apply(c, s, "a")
-		old := s.objects["config/manifest"].Value
-		w := daemon(t, s, mesh{}, "n1", true)
+		old, _ := s.Get(ctx, publisher.ManifestName)
+		w := daemon(t, s, &mesh{}, "n1", true)
 		defer w.Close()
 		time.Sleep(time.Second)
 		c.Assert(w.Generation(), qt.Equals, uint64(1))
 		apply(c, s, "b")
 		time.Sleep(time.Second)
 		c.Assert(w.Generation(), qt.Equals, uint64(2))
-		_, err := s.put("config/manifest", old, s.objects["config/manifest"].Version)
+		now, _ := s.Get(ctx, publisher.ManifestName)
+		_, err := s.Update(ctx, now.Name, old.Value, now.Version)
 		c.Assert(err, qt.IsNil)
 		time.Sleep(time.Minute)
 		c.Assert(w.Control.Snapshot().Config.Generation, qt.Equals, uint64(2))
@@ -155,7 +156,7 @@
 		c := qt.New(t)
 		s := newStore()
 		apply(c, s, "a")
-		w := daemon(t, s, mesh{}, "n1", true)
+		w := daemon(t, s, &mesh{}, "n1", true)
 		defer w.Close()
 		time.Sleep(time.Second)
 		name := publisher.PartPrefix + publisher.Hash(example(c, "b")["config.toml"])
@@ -179,7 +180,7 @@
 func TestStartWithPlatformDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		s, m := newStore(), mesh{}
+		s, m := newStore(), &mesh{}
 		apply(c, s, "a")
 		first := daemon(t, s, m, "n1", true)
 		defer first.Close()
@@ -188,7 +189,8 @@
 		second := daemon(t, s, m, "n2", false)
 		defer second.Close()
 		c.Assert(second.Ready(), qt.IsFalse)
-		time.Sleep(3 * time.Second)
+		// The first daemon's next exchange is a second away.
+		time.Sleep(500 * time.Millisecond)
 		c.Assert(second.Ready(), qt.IsTrue)
 		c.Assert(second.Generation(), qt.Equals, uint64(1))
 		s.setDown(false)
@@ -201,25 +203,28 @@
 func TestReporter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		s, m := newStore(), mesh{}
+		s, m := newStore(), &mesh{}
 		apply(c, s, "a")
 		members := []samphireturn.VM{{ID: "n1", Centre: "north"}, {ID: "n2", Centre: "north"}, {ID: "s1", Centre: "south"}, {ID: "gone", Centre: "north"}}
 		for _, vm := range members[:2] {
-			w := daemon(t, s, m, vm.ID, vm.ID == "n1")
-			defer w.Close()
-			w.Control.(*control).snap.Self = vm
-			w.Control.(*control).snap.Members = members
-			r := reporter.New(w.Control, s, m[vm.ID], w)
+			p := m.join(vm.ID)
+			w := watcher.New(&control{snap: samphireturn.Snapshot{Self: vm, Members: members}}, s, p)
+			r := reporter.New(w.Control, s, p, w)
 			r.Home = func() bool { return vm.ID == "n1" }
+			c.Assert(w.Run(t.Context()), qt.IsNil)
+			defer w.Close()
 			c.Assert(r.Run(t.Context()), qt.IsNil)
+			p.link()
 			defer r.Close()
 		}
 		time.Sleep(15 * time.Second)
-		before := s.writes
+		before := s.count()
 		time.Sleep(100 * time.Second)
-		c.Assert(s.writes-before, qt.Equals, 10)
+		c.Assert(s.count()-before, qt.Equals, 10)
 		var got reporter.Status
-		c.Assert(json.Unmarshal(s.objects["status/north"].Value, &got), qt.IsNil)
+		o, err := s.Get(ctx, reporter.Prefix+"north")
+		c.Assert(err, qt.IsNil)
+		c.Assert(json.Unmarshal(o.Value, &got), qt.IsNil)
 		c.Assert(got.Daemons, qt.DeepEquals, []reporter.Daemon{
 			{ID: "gone", Problem: "no answer"},
 			{ID: "n1", Generation: 1, Ready: true},
