Serve one request end to end by separate processes

The demo starts the platform's stand-in, four engines, a plain service and three daemons in two data centres and sends requests through them.

Cause of the one failure met on the way: a plain service reports no warm-up and was taken for cold, so only its home sent to it, and a call at the other daemon was refused as busy. Ruled out: the forwarding to the minting daemon (its log shows that the call arrived). Plain services now count as warm but right after a restart. The demo failed before and passes after.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	go test ./...
 
 demo: build
-	sh scripts/demo.sh
+	bash scripts/demo.sh
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/traffic/...
--- a/cmd/samphirectl/main.go
+++ b/cmd/samphirectl/main.go
@@ -57,6 +57,7 @@
 		Out     *nameCmd   `arg:"subcommand:out" help:"take a data centre out of service"`
 		In      *nameCmd   `arg:"subcommand:in" help:"bring a data centre back into service"`
 		Status  *emptyCmd  `arg:"subcommand:status" help:"show which daemon runs which generation"`
+		Usage   *emptyCmd  `arg:"subcommand:usage" help:"show what teams used"`
 		Version *emptyCmd  `arg:"subcommand:version" help:"print the version of this program"`
 
 		Platform string        `arg:"--platform,env:SAMPHIRE_PLATFORM" help:"base URL of the platform"`
@@ -133,6 +134,8 @@
 		return c.show(ctx)
 	case c.Status != nil:
 		return c.status(ctx)
+	case c.Usage != nil:
+		return c.usage(ctx)
 	case c.Preset != nil:
 		return c.edit(ctx, c.Preset.Use, "use preset "+c.Preset.Use.Name, func(f files) (files, error) { return editor.Use(f, c.Preset.Use.Name) })
 	case c.Out != nil:
--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -90,13 +90,13 @@
 		name string
 		make func() (kernel.Service, error)
 	}{
+		{Messenger, func() (kernel.Service, error) { return p.peers, nil }},
 		{Detector, p.detector},
 		{Watcher, p.watcher},
 		{Granter, p.granter},
 		{Claimer, p.claimer},
 		{Biller, p.biller},
 		{Reporter, p.reporter},
-		{Messenger, func() (kernel.Service, error) { return p.peers, nil }},
 		{Receiver, p.receiver},
 	}
 	for _, a := range adds {
@@ -154,9 +154,10 @@
 
 func (p *parts) claimer() (kernel.Service, error) {
 	c := &claimer.Claimer{
-		Store:    p.platform,
-		Peers:    p.peers,
-		Instance: p.instance,
+		Store: p.platform,
+		Peers: p.peers,
+		Self:  p.settings.ID,
+		Log:   service(p.log, Claimer),
 		Home: func(shard string) string {
 			return ranker.Home(shard, p.kernel.Snapshot().Members)
 		},
--- a/internal/fleet/detector/publish.go
+++ b/internal/fleet/detector/publish.go
@@ -103,6 +103,8 @@
 	d.Control.Post(u)
 }
 
+// endpoint returns the endpoint of a record. Plain services report no warm-up;
+// one that has just restarted is cold until its next report.
 func endpoint(vm samphireturn.VM, r *record, home string) *samphireturn.Endpoint {
 	e := &samphireturn.Endpoint{
 		VM:     vm,
@@ -110,7 +112,7 @@
 		Budget: r.Budget,
 		Queued: r.Queued,
 		Speed:  r.Speed,
-		Warm:   r.Warm && !r.cold,
+		Warm:   (r.Warm || vm.Role == samphireturn.RoleService) && !r.cold,
 		Fenced: r.Fenced,
 		Home:   home,
 		Gauge:  r.gauge,
--- a/internal/traffic/receiver/exchange.go
+++ b/internal/traffic/receiver/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireturn"
+	"samphireturn/internal/ledger/minter"
 	"samphireturn/internal/traffic/decoder"
 )
 
@@ -31,8 +32,10 @@
 	team     *samphireturn.Team
 	options  decoder.Options
 	// id names the request at endpoints and in usage records.
-	id  string
-	log zerolog.Logger
+	id string
+	// minted is the request id that the caller sent; zero if none.
+	minted minter.ID
+	log    zerolog.Logger
 	// began is true once bytes of the answer's body were passed on.
 	began bool
 }
@@ -66,9 +69,8 @@
 	return func(w http.ResponseWriter, req *http.Request) {
 		requests.Add(kind, 1)
 		x := &exchange{ResponseWriter: w, request: req, snapshot: r.Control.Snapshot(), id: requestPrefix + uuid.NewString()}
-		x.log = r.Log.With().Str("request", x.id).Logger()
-		w.Header().Set(decoder.HeaderRequest, x.id)
 		err := r.prepare(x)
+		x.log = r.Log.With().Str("request", x.id).Logger()
 		if err != nil {
 			r.refuse(x, err)
 			return
@@ -99,7 +101,7 @@
 		return refusal(samphireturn.ReasonRequest, err)
 	}
 	x.options.Priority = min(x.options.Priority, x.team.Priority)
-	return nil
+	return r.identify(x)
 }
 
 // authenticate returns the team whose key the Authorization header carries.
