Add claimer

Cause: a caller's own Idempotency-Key must be granted to at most one run, by whatever daemon, also when the platform's answer is lost.

The home batches; a claim goes around a home that is closing, silent or not connected, with the same nonce.

--- a/internal/ledger/biller/biller_test.go
+++ b/internal/ledger/biller/biller_test.go
@@ -36,10 +36,13 @@
 	return w
 }
 
+// record records usage for callers that have hung up.
 func (w *world) record(id string, numbers ...int) {
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
 	for _, n := range numbers {
 		u := samphireturn.Usage{Request: fmt.Sprint("r", n), Team: "red", Prompt: n}
-		w.Assert(w.b[id].Record(context.Background(), u), qt.IsNil)
+		w.Assert(w.b[id].Record(gone, u), qt.IsNil)
 	}
 }
 
--- a/internal/ledger/biller/fakes_test.go
+++ b/internal/ledger/biller/fakes_test.go
@@ -57,6 +57,8 @@
 }
 
 func (s *store) List(_ context.Context, prefix string) ([]samphireturn.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var found []samphireturn.Object
 	for _, name := range slices.Sorted(maps.Keys(s.objects)) {
 		if strings.HasPrefix(name, prefix) {
@@ -85,7 +87,7 @@
 }
 
 func (p *peers) Call(ctx context.Context, to, topic string, body, _ any) error {
-	if p.cut[to] || p.cut[p.self] {
+	if p.cut[to] || p.cut[p.self] || ctx.Err() != nil {
 		return fail(samphireturn.KindUnavailable)
 	}
 	data, err := cbor.Marshal(body)
--- /dev/null
+++ b/internal/ledger/claimer/peer.go
@@ -0,0 +1,84 @@
+package claimer
+
+import (
+	"context"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// attempt commits r through its home, or here if the home can't be reached, and
+// returns the key's claim in force.
+func (c *Claimer) attempt(ctx context.Context, name string, r record) (record, error) {
+	home := c.home(name)
+	if home == c.Self {
+		return c.commit(ctx, name, r)
+	}
+	if !slices.Contains(c.Peers.Connected(), home) {
+		retries.Add("home not connected", 1)
+		return c.commit(ctx, name, r)
+	}
+	call, cancel := context.WithTimeout(ctx, 2*orTime(c.Wait, DefaultWait))
+	defer cancel()
+	var a answer
+	err := c.Peers.Call(call, home, TopicClaim, r, &a)
+	switch {
+	case err != nil || a.Refused && a.Kind == KindClosed:
+		// The home may have committed r: the same nonce is then found here.
+		retries.Add("home not reached", 1)
+		return c.commit(ctx, name, r)
+	case a.Refused:
+		return record{}, refuse("claim at "+home, a.Kind, nil)
+	}
+	return a.Record, nil
+}
+
+// answer is the reply to TopicClaim.
+type answer struct {
+	Refused bool   `cbor:"r"`
+	Kind    Kind   `cbor:"k"`
+	Record  record `cbor:"c"`
+}
+
+// takeClaim commits an attempt of another daemon.
+func (c *Claimer) takeClaim(ctx context.Context, from string, body []byte) (any, error) {
+	op := "claim from " + from
+	r, err := parse(op, body)
+	if err != nil {
+		return nil, err
+	}
+	latest := c.now().Add(MaxLife + orTime(c.Slack, DefaultSlack)).Unix()
+	if r.Done || r.Expires > latest {
+		return nil, refuse(op, KindInvalid, nil)
+	}
+	found, err := c.commit(ctx, c.shardOf(r.Key), r)
+	if err != nil {
+		kind := KindUnavailable
+		if e, ok := err.(*Error); ok {
+			kind = e.Kind
+		}
+		return answer{Refused: true, Kind: kind}, nil
+	}
+	return answer{Record: found}, nil
+}
+
+// takeFinish keeps an outcome of another daemon for the next batch.
+func (c *Claimer) takeFinish(_ context.Context, from string, body []byte) (any, error) {
+	r, err := parse("finish from "+from, body)
+	if err != nil {
+		return nil, err
+	}
+	return nil, c.finish(c.shardOf(r.Key), r)
+}
+
+// parse decodes and checks a record of a peer.
+func parse(op string, body []byte) (record, error) {
+	var r record
+	if err := cbor.Unmarshal(body, &r); err != nil {
+		return r, refuse(op, KindInvalid, err)
+	}
+	if r.Nonce == ([16]byte{}) || len(r.Outcome.Summary) > MaxSummary {
+		return r, refuse(op, KindInvalid, nil)
+	}
+	return r, nil
+}
