--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -2,7 +2,9 @@
 package assembler
 
 import (
+	"context"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/google/uuid"
@@ -48,21 +50,45 @@
 	manifestHomes = 2 // daemons of a data centre that watch the manifest
 	manifestName  = "config/manifest"
 	statusName    = "status/"
+
+	dialTimeout = 2 * time.Second
+	idleTimeout = 30 * time.Second
+	idlePerHost = 16
 )
 
+// Assembler makes the kernel of a daemon. Set the exported fields before
+// Kernel.
+type Assembler struct {
+	Settings *loader.Settings
+	Log      zerolog.Logger
+	// Dial and Listen replace the network; nil means TCP.
+	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	Listen func(addr string) (net.Listener, error)
+}
+
 // parts is what the services of one daemon share.
 type parts struct {
-	settings *loader.Settings
-	log      zerolog.Logger
-	kernel   *kernel.Kernel
-	platform *accessor.Accessor
-	peers    *messenger.Messenger
-	limiter  *limiter.Limiter
-	instance string
+	*Assembler
+
+	settings  *loader.Settings
+	log       zerolog.Logger
+	kernel    *kernel.Kernel
+	platform  *accessor.Accessor
+	peers     *messenger.Messenger
+	limiter   *limiter.Limiter
+	transport *http.Transport
+	instance  string
 }
 
-// New returns a kernel with the services of a daemon, ready to run.
-func New(settings *loader.Settings, log zerolog.Logger) (*kernel.Kernel, error) {
+// Kernel returns a kernel with the services of a daemon, ready to run.
+func (a *Assembler) Kernel() (*kernel.Kernel, error) {
+	settings, log := a.Settings, a.Log
+	if a.Dial == nil {
+		a.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	if a.Listen == nil {
+		a.Listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
 	self := samphireturn.VM{
 		ID:     settings.ID,
 		Role:   samphireturn.RoleEntry,
@@ -71,22 +97,24 @@
 		Peer:   settings.Advertise.Peer,
 	}
 	p := &parts{
-		settings: settings,
-		log:      log,
-		kernel:   kernel.New(self, log),
-		platform: accessor.New(settings.Platform),
-		peers:    messenger.New(self, settings.Fleet, service(log, Messenger)),
-		limiter:  new(limiter.Limiter),
-		instance: samphireturn.Instance(settings.ID, uuid.NewString()),
-	}
-	if settings.Peer != settings.Advertise.Peer {
-		ln, err := net.Listen("tcp", settings.Peer)
-		if err != nil {
-			return nil, err
-		}
-		p.peers.Listener = ln
+		Assembler: a,
+		settings:  settings,
+		log:       log,
+		kernel:    kernel.New(self, log),
+		platform:  accessor.New(settings.Platform),
+		peers:     messenger.New(self, settings.Fleet, service(log, Messenger)),
+		limiter:   new(limiter.Limiter),
+		transport: &http.Transport{DialContext: a.Dial, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout},
+		instance:  samphireturn.Instance(settings.ID, uuid.NewString()),
+	}
+	p.platform.Transport = p.transport
+	p.peers.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return a.Dial(ctx, "tcp", addr) }
+	ln, err := a.Listen(settings.Peer)
+	if err != nil {
+		return nil, err
 	}
-	adds := []struct {
+	p.peers.Listener = ln
+	services := []struct {
 		name string
 		make func() (kernel.Service, error)
 	}{
@@ -99,12 +127,12 @@
 		{Reporter, p.reporter},
 		{Receiver, p.receiver},
 	}
-	for _, a := range adds {
-		s, err := a.make()
+	for _, v := range services {
+		s, err := v.make()
 		if err != nil {
 			return nil, err
 		}
-		if err := p.kernel.Add(a.name, s); err != nil {
+		if err := p.kernel.Add(v.name, s); err != nil {
 			return nil, err
 		}
 	}
@@ -137,6 +165,7 @@
 	d.Control = p.kernel
 	d.Lister = p.platform
 	d.Links = p.peers
+	d.Client = &http.Client{Transport: p.transport}
 	d.Register()
 	return d, nil
 }
@@ -198,21 +227,26 @@
 	}
 	pick := &picker.Picker{Now: p.limiter.Clock, Prefixes: new(picker.Prefixes)}
 	limits := p.settings.Limits
+	ln, err := p.Listen(p.settings.Listen)
+	if err != nil {
+		return nil, err
+	}
 	return &receiver.Receiver{
-		Listen:  p.settings.Listen,
-		Body:    limits.Body,
-		Header:  int(limits.Header),
-		Idle:    time.Duration(limits.Idle) * time.Millisecond,
-		Read:    time.Duration(limits.Read) * time.Millisecond,
-		Drain:   time.Duration(limits.Drain) * time.Millisecond,
-		Log:     service(p.log, Receiver),
-		Self:    p.kernel.Self,
-		Control: p.kernel,
+		Listener: ln,
+		Dial:     p.Dial,
+		Body:     limits.Body,
+		Header:   int(limits.Header),
+		Idle:     time.Duration(limits.Idle) * time.Millisecond,
+		Read:     time.Duration(limits.Read) * time.Millisecond,
+		Drain:    time.Duration(limits.Drain) * time.Millisecond,
+		Log:      service(p.log, Receiver),
+		Self:     p.kernel.Self,
+		Control:  p.kernel,
 		Router: &router.Router{
 			Control:    p.kernel,
 			Picker:     pick,
 			Limiter:    p.limiter,
-			Dispatcher: dispatcher.New(nil),
+			Dispatcher: dispatcher.New(p.Dial),
 			Retries:    new(budgeter.Budgeter),
 		},
 		Picker:   pick,
--- /dev/null
+++ b/internal/standin/starter/starter.go
@@ -0,0 +1,221 @@
+// Package starter runs daemons and stand-ins in one process on an in-memory
+// network, for tests of whole requests.
+package starter
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"samphireturn"
+	"samphireturn/internal/config/loader"
+	"samphireturn/internal/config/publisher"
+	"samphireturn/internal/core/assembler"
+	"samphireturn/internal/core/kernel"
+	"samphireturn/internal/standin/booker"
+	"samphireturn/internal/standin/connector"
+	"samphireturn/internal/standin/generator"
+	"samphireturn/internal/standin/keeper"
+)
+
+const (
+	// PlatformAddr is where the platform listens.
+	PlatformAddr = "platform:80"
+	// FleetKey is the key that the daemons share.
+	FleetKey = "a fleet key for tests"
+
+	drain = 10 * time.Second
+)
+
+// Starter is a small installation. Close it at the end of a test.
+type Starter struct {
+	Network connector.Network
+	Objects *keeper.Objects
+	Server  *keeper.Server
+	// Log receives the daemons' lines; nil drops them.
+	Log io.Writer
+
+	servers []*http.Server
+	daemons []*Daemon
+}
+
+// Daemon is a running daemon.
+type Daemon struct {
+	VM     samphireturn.VM
+	Kernel *kernel.Kernel
+
+	starter *Starter
+	closed  bool
+}
+
+// New returns an installation whose platform runs.
+func New() (*Starter, error) {
+	s := &Starter{Objects: new(keeper.Objects)}
+	s.Server = &keeper.Server{Objects: s.Objects}
+	return s, s.serve(PlatformAddr, s.Server)
+}
+
+// Engine starts an engine and lists it.
+func (s *Starter) Engine(centre string, g *generator.Generator) error {
+	vm := samphireturn.VM{ID: g.ID, Role: samphireturn.RoleEngine, Centre: centre, Addr: g.ID + ":80"}
+	if err := s.serve(vm.Addr, g); err != nil {
+		return err
+	}
+	return s.List(vm)
+}
+
+// Service starts a plain service's VM and lists it.
+func (s *Starter) Service(centre, name string, b *booker.Booker) error {
+	vm := samphireturn.VM{ID: b.ID, Role: samphireturn.RoleService, Centre: centre, Addr: b.ID + ":80", Service: name}
+	if err := s.serve(vm.Addr, b); err != nil {
+		return err
+	}
+	return s.List(vm)
+}
+
+// List puts a VM into the platform's list.
+func (s *Starter) List(vm samphireturn.VM) error {
+	body, err := json.Marshal(vm)
+	if err != nil {
+		return err
+	}
+	return s.platform(http.MethodPut, vm.ID, body)
+}
+
+// Unlist removes a VM from the platform's list.
+func (s *Starter) Unlist(id string) error { return s.platform(http.MethodDelete, id, nil) }
+
+// Apply puts a configuration in force at the platform.
+func (s *Starter) Apply(ctx context.Context, config string) (publisher.Manifest, error) {
+	p := publisher.Publisher{Store: s.Objects, Author: "test"}
+	return p.Apply(ctx, map[string][]byte{"config.toml": []byte(config)}, 0)
+}
+
+// Daemon lists and starts a daemon.
+func (s *Starter) Daemon(ctx context.Context, id, centre string) (*Daemon, error) {
+	vm := samphireturn.VM{ID: id, Role: samphireturn.RoleEntry, Centre: centre, Addr: id + ":80", Peer: id + ":90"}
+	if err := s.List(vm); err != nil {
+		return nil, err
+	}
+	return s.Start(ctx, vm)
+}
+
+// Start starts a daemon without listing it.
+func (s *Starter) Start(ctx context.Context, vm samphireturn.VM) (*Daemon, error) {
+	settings := &loader.Settings{
+		ID:        vm.ID,
+		Centre:    vm.Centre,
+		Listen:    vm.Addr,
+		Peer:      vm.Peer,
+		Advertise: loader.Advertise{Listen: vm.Addr, Peer: vm.Peer},
+		Platform:  "http://" + PlatformAddr,
+		Fleet:     FleetKey,
+		Limits:    loader.Limits{Drain: drain.Milliseconds()},
+	}
+	log := zerolog.Nop()
+	if s.Log != nil {
+		log = zerolog.New(s.Log).With().Str("daemon", vm.ID).Logger()
+	}
+	a := &assembler.Assembler{Settings: settings, Log: log, Dial: s.Network.Dial(vm.ID), Listen: s.Network.Listen}
+	k, err := a.Kernel()
+	if err != nil {
+		return nil, err
+	}
+	if err := k.Run(ctx); err != nil {
+		return nil, err
+	}
+	d := &Daemon{VM: vm, Kernel: k, starter: s}
+	s.daemons = append(s.daemons, d)
+	return d, nil
+}
+
+// Close closes the daemon in good order.
+func (d *Daemon) Close() error {
+	if d.closed {
+		return nil
+	}
+	d.closed = true
+	return d.Kernel.Close()
+}
+
+// Isolates reports whether a connection begins or ends at the daemon.
+func (d *Daemon) Isolates(from, to string) bool {
+	return from == d.VM.ID || to == d.VM.Addr || to == d.VM.Peer
+}
+
+// Send sends a request to a daemon as a caller would and reads the answer.
+func (d *Daemon) Send(ctx context.Context, method, path, body string, header ...string) (int, http.Header, string, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.VM.Addr+path, strings.NewReader(body))
+	if err != nil {
+		return 0, nil, "", err
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	res, err := d.starter.Transport("caller").RoundTrip(req)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer res.Body.Close()
+	answer, err := io.ReadAll(res.Body)
+	return res.StatusCode, res.Header, string(answer), err
+}
+
+// Transport returns a transport from a place of the network that keeps no
+// connections.
+func (s *Starter) Transport(from string) *http.Transport {
+	return &http.Transport{DialContext: s.Network.Dial(from), DisableKeepAlives: true}
+}
+
+// Close closes all daemons and stops the stand-ins.
+func (s *Starter) Close() error {
+	var first error
+	for _, d := range s.daemons {
+		if err := d.Close(); err != nil && first == nil {
+			first = err
+		}
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	s.Network.Break(func(string, string) bool { return true })
+	return first
+}
+
+// serve serves h at an address of the network.
+func (s *Starter) serve(addr string, h http.Handler) error {
+	ln, err := s.Network.Listen(addr)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	s.servers = append(s.servers, server)
+	go func(ln net.Listener) { _ = server.Serve(ln) }(ln)
+	return nil
+}
+
+// platform changes the platform's VM list.
+func (s *Starter) platform(method, id string, body []byte) error {
+	req, err := http.NewRequest(method, "http://"+PlatformAddr+"/v1/vms/"+url.PathEscape(id), bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	res, err := s.Transport("operator").RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	_ = res.Body.Close()
+	if res.StatusCode >= http.StatusMultipleChoices {
+		return errors.Errorf("%s VM %s: status %d", method, id, res.StatusCode)
+	}
+	return nil
+}
--- a/internal/traffic/receiver/cascade.go
+++ b/internal/traffic/receiver/cascade.go
@@ -148,14 +148,17 @@
 		r.Cascader.Learn(o)
 		return
 	}
-	_, full := r.background.TrySubmit(func() {
+	r.rating.Add(1)
+	_, taken := r.background.TrySubmit(func() {
+		defer r.rating.Done()
 		ctx, cancel := context.WithTimeout(context.Background(), rateTimeout)
 		defer cancel()
 		rating, err := r.Rater.Rate(ctx, a.version, prompt, a.text)
 		o.Rating, o.Rated = rating, err == nil
 		r.Cascader.Learn(o)
 	})
-	if !full {
+	if !taken {
+		r.rating.Done()
 		ratings.Add("dropped", 1)
 	}
 }
--- a/internal/traffic/receiver/receiver.go
+++ b/internal/traffic/receiver/receiver.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,13 +26,8 @@
 	"samphireturn/internal/traffic/router"
 )
 
-// Kinds of errors.
-const (
-	// KindListen says that the address could not be listened on.
-	KindListen Kind = iota
-	// KindClose says that requests were still under way when time ran out.
-	KindClose
-)
+// KindClose says that requests were still under way when time ran out.
+const KindClose Kind = 0
 
 const (
 	defaultBody   = 4 << 20  // bytes of a request's body
@@ -73,8 +69,7 @@
 
 // Receiver is the callers' HTTP server. Set the exported fields before Run.
 type Receiver struct {
-	// Listen is the address to listen on; Listener, if set, is used instead.
-	Listen   string
+	// Listener accepts the callers' connections.
 	Listener net.Listener
 	// Body and Header bound a request in bytes; Idle and Read bound the time
 	// between requests and for reading one. Zero means the default.
@@ -112,18 +107,11 @@
 	// unrated is when a rating last failed, in nanoseconds since 1970.
 	unrated    atomic.Int64
 	background pond.Pool
+	rating     sync.WaitGroup
 }
 
 // Run listens and serves until Close.
 func (r *Receiver) Run(context.Context) error {
-	ln := r.Listener
-	if ln == nil {
-		var err error
-		ln, err = net.Listen("tcp", r.Listen)
-		if err != nil {
-			return &Error{Op: "listen on " + r.Listen, Kind: KindListen, Err: err}
-		}
-	}
 	r.remote = &http.Transport{DialContext: r.dialer(), DisableCompression: true, MaxIdleConnsPerHost: 16}
 	r.server = &http.Server{
 		Handler:           r.routes(),
@@ -136,7 +124,7 @@
 	r.served = make(chan struct{})
 	go func() {
 		defer close(r.served)
-		_ = r.server.Serve(ln)
+		_ = r.server.Serve(r.Listener)
 	}()
 	return nil
 }
@@ -153,7 +141,7 @@
 		_ = r.server.Close()
 	}
 	<-r.served
-	r.background.StopAndWait()
+	r.rating.Wait()
 	if err != nil {
 		return &Error{Op: "close", Kind: KindClose, Err: errors.Wrap(err, "requests still under way")}
 	}
