--- a/internal/core/assembler/assembler_test.go
+++ b/internal/core/assembler/assembler_test.go
@@ -108,9 +108,9 @@
 		cfg.HTTPClient = &http.Client{Transport: s.Transport("caller")}
 		client := openai.NewClientWithConfig(cfg)
 		request := openai.ChatCompletionRequest{
-			Model:     "draft",
-			Messages:  []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: "Write an itinerary."}},
-			MaxTokens: 16,
+			Model:               "draft",
+			Messages:            []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: "Write an itinerary."}},
+			MaxCompletionTokens: 16,
 		}
 		models, err := client.ListModels(context.Background())
 		c.Assert(err, qt.IsNil)
