Measure what a daemon spends on control at several sizes

make slopes starts daemons, many engines in one process and the platform's stand-in on loopback, reads the counters twice and prints the means of one daemon. The daemon publishes its processor time for it.

--- a/Makefile
+++ b/Makefile
@@ -19,5 +19,5 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/traffic/...
 
-slopes:
-	go test -run '^$$' -bench Slope -benchmem ./...
+slopes: build
+	bash scripts/slopes.sh
--- a/cmd/samphireturnd/main.go
+++ b/cmd/samphireturnd/main.go
@@ -72,6 +72,7 @@
 func run(settings *loader.Settings, log zerolog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	publishProcess()
 	k, err := (&assembler.Assembler{Settings: settings, Log: log}).Kernel()
 	if err != nil {
 		return err
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -71,6 +71,8 @@
 	Platform *platformCmd `arg:"subcommand:platform" help:"object API, VM list, rating service, weight store"`
 	Engine   *engineCmd   `arg:"subcommand:engine" help:"model engine"`
 	Service  *serviceCmd  `arg:"subcommand:service" help:"plain service"`
+	Pool     *poolCmd     `arg:"subcommand:pool" help:"many engines in one process, listed at the platform"`
+	Sample   *sampleCmd   `arg:"subcommand:sample" help:"measure what running daemons spend on control"`
 }
 
 // Description implements arg.Described.
@@ -82,22 +84,37 @@
 	var o options
 	p := arg.MustParse(&o)
 	if p.Subcommand() == nil {
-		p.Fail("a subcommand is needed: platform, engine or service")
-	}
-	if err := o.check(); err != nil {
-		p.Fail(err.Error())
+		p.Fail("a subcommand is needed; see --help")
 	}
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("service", p.SubcommandNames()[0]).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	addr, h, done := o.handler()
-	if err := serve(ctx, log, addr, h, done); err != nil {
+	task := o.task()
+	if task == nil {
+		if err := o.check(); err != nil {
+			p.Fail(err.Error())
+		}
+		addr, h, done := o.handler()
+		task = func(ctx context.Context, log zerolog.Logger) error { return serve(ctx, log, addr, h, done) }
+	}
+	if err := task(ctx, log); err != nil {
 		log.Error().Err(err).Msg("failed")
 		stop()
 		os.Exit(exitFailed)
 	}
 }
 
+// task returns what a subcommand that is no single server does, or nil.
+func (o *options) task() func(context.Context, zerolog.Logger) error {
+	switch {
+	case o.Pool != nil:
+		return o.Pool.run
+	case o.Sample != nil:
+		return func(ctx context.Context, _ zerolog.Logger) error { return o.Sample.run(ctx) }
+	}
+	return nil
+}
+
 // check returns the first option that is out of range.
 func (o *options) check() error {
 	addr, _, _ := o.handler()
