Read and pass on only what changed in the VM list

Cause: a home read the whole fleet's list each second and passed a changed list on whole. Ruled out: reading less often, since an endpoint that leaves must lose new work within seconds. Change: the list is asked for by data centre and by role, with the tag of the last answer; daemons pass on the entries that changed to those that have the list before. A platform without filters still works; the daemon then drops what it does not need after reading it.

--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -108,6 +108,7 @@
 		instance:  samphireturn.Instance(settings.ID, uuid.NewString()),
 	}
 	p.platform.Transport = p.transport
+	p.platform.Centre = settings.Centre
 	p.peers.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return a.Dial(ctx, "tcp", addr) }
 	ln, err := a.Listen(settings.Peer)
 	if err != nil {
--- a/internal/fleet/detector/detector.go
+++ b/internal/fleet/detector/detector.go
@@ -85,8 +85,10 @@
 		// slow jitters SlowTime; drawn once.
 		slow time.Duration
 
-		mu      sync.Mutex
-		list    []samphireturn.VM
+		mu   sync.Mutex
+		list []samphireturn.VM
+		// before is the list that was in force before list.
+		before  []samphireturn.VM
 		listed  time.Time
 		read    time.Time
 		missing map[string]int
--- a/internal/fleet/detector/detector_test.go
+++ b/internal/fleet/detector/detector_test.go
@@ -22,10 +22,12 @@
 type (
 	// world plays the platform, the endpoints and the links.
 	world struct {
-		mu      sync.Mutex
-		down    bool
-		reads   map[string]int
-		polls   int
+		mu    sync.Mutex
+		down  bool
+		reads map[string]int
+		polls int
+		// largest is the size in bytes of the largest message.
+		largest int
 		vms     []samphireturn.VM
 		reports map[string]Report
 		daemons map[string]*daemon
@@ -60,6 +62,9 @@
 	if err != nil {
 		return err
 	}
+	d.world.mu.Lock()
+	d.world.largest = max(d.world.largest, len(data))
+	d.world.mu.Unlock()
 	answer, err := d.world.daemons[to].handlers[topic](ctx, d.self.ID, data)
 	if err != nil || reply == nil {
 		return err
--- a/internal/fleet/detector/lists.go
+++ b/internal/fleet/detector/lists.go
@@ -13,12 +13,17 @@
 )
 
 type (
-	// List tells a peer the VM list, or only its digest.
+	// List tells a peer the VM list: only its digest, what has changed since
+	// another list, or all of it.
 	List struct {
 		Digest uint64 `cbor:"d"`
-		// VMs holds all daemons and the data centre's endpoints; empty if the
-		// peer should have them.
-		VMs []samphireturn.VM `cbor:"v,omitempty"`
+		// Base is the digest of the list that VMs and Gone change; zero if VMs is
+		// the whole list.
+		Base uint64 `cbor:"b,omitempty"`
+		// VMs holds all daemons and the data centre's endpoints, or the new and
+		// changed ones; empty if the peer should have them.
+		VMs  []samphireturn.VM `cbor:"v,omitempty"`
+		Gone []string          `cbor:"g,omitempty"`
 	}
 
 	// ListAnswer says which list the peer has.
@@ -104,6 +109,9 @@
 	}
 	d.listed = d.Now()
 	changed := !slices.Equal(d.list, vms)
+	if changed {
+		d.before = d.list
+	}
 	d.list = vms
 	members := d.members()
 	d.mu.Unlock()
@@ -130,19 +138,23 @@
 	return r != nil && r.known && r.fails == 0 && !r.Failed
 }
 
-// passList tells the data centre's daemons the list: its digest first, all of
-// it to those that have another.
+// passList tells the data centre's daemons the list: its digest first, then what
+// has changed to those that have the one before, all of it to the others.
 func (d *Detector) passList(ctx context.Context) {
 	d.mu.Lock()
-	list := d.list
+	list, before := d.list, d.before
 	to := d.others()
 	d.mu.Unlock()
-	digest := sum(list)
+	whole := List{Digest: sum(list), VMs: list}
+	changes := difference(before, list)
 	d.each(ctx, to, func(ctx context.Context, id string) {
 		var answer ListAnswer
-		err := d.Links.Call(ctx, id, TopicVMs, List{Digest: digest}, &answer)
-		if err == nil && answer.Digest != digest {
-			err = d.Links.Call(ctx, id, TopicVMs, List{Digest: digest, VMs: list}, &answer)
+		err := d.Links.Call(ctx, id, TopicVMs, List{Digest: whole.Digest}, &answer)
+		if err == nil && answer.Digest != whole.Digest && answer.Digest == changes.Base {
+			err = d.Links.Call(ctx, id, TopicVMs, changes, &answer)
+		}
+		if err == nil && answer.Digest != whole.Digest {
+			err = d.Links.Call(ctx, id, TopicVMs, whole, &answer)
 		}
 		if err != nil {
 			reasons.Add("pass_list", 1)
@@ -150,6 +162,35 @@
 	})
 }
 
+// difference returns what turns one sorted list into another.
+func difference(from, to []samphireturn.VM) List {
+	out := List{Digest: sum(to), Base: sum(from)}
+	for _, vm := range to {
+		i, ok := slices.BinarySearchFunc(from, vm.ID, compare)
+		if !ok || from[i] != vm {
+			out.VMs = append(out.VMs, vm)
+		}
+	}
+	for _, vm := range from {
+		if _, ok := slices.BinarySearchFunc(to, vm.ID, compare); !ok {
+			out.Gone = append(out.Gone, vm.ID)
+		}
+	}
+	return out
+}
+
+// changed returns a sorted list with the changes of in.
+func changed(list []samphireturn.VM, in List) []samphireturn.VM {
+	next := slices.Clone(in.VMs)
+	for _, vm := range list {
+		replaced := slices.ContainsFunc(in.VMs, func(v samphireturn.VM) bool { return v.ID == vm.ID })
+		if !replaced && !slices.Contains(in.Gone, vm.ID) {
+			next = append(next, vm)
+		}
+	}
+	return next
+}
+
 // each calls f for every id, all at once, and waits.
 func (d *Detector) each(ctx context.Context, ids []string, f func(context.Context, string)) {
 	limit, cancel := context.WithTimeout(ctx, 2*time.Second)
@@ -167,10 +208,13 @@
 	if err := encoder.Unmarshal(body, &in); err != nil {
 		return nil, &samphireturn.Error{Op: "take list", Kind: samphireturn.KindInvalid, Err: err}
 	}
-	if len(in.VMs) > 0 {
+	if in.Base == 0 && len(in.VMs) > 0 {
 		d.adopt(d.relevant(in.VMs))
 		return ListAnswer{Digest: in.Digest}, nil
 	}
+	if in.Base != 0 {
+		return d.takeChanges(in)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.read.IsZero() && d.Now().Sub(d.read) < freshLists*d.ListTime {
@@ -183,6 +227,25 @@
 	return ListAnswer{Digest: have}, nil
 }
 
+// takeChanges puts changes in force if they are made to the list in force here
+// and lead to the list that the sender has.
+func (d *Detector) takeChanges(in List) (any, error) {
+	d.mu.Lock()
+	list := d.list
+	d.mu.Unlock()
+	have := sum(list)
+	if have != in.Base {
+		return ListAnswer{Digest: have}, nil
+	}
+	next := d.relevant(changed(list, in))
+	if sum(next) != in.Digest {
+		reasons.Add("list_changes", 1)
+		return ListAnswer{Digest: have}, nil
+	}
+	d.adopt(next)
+	return ListAnswer{Digest: in.Digest}, nil
+}
+
 // sum returns a digest of a sorted list.
 func sum(list []samphireturn.VM) uint64 {
 	data, err := encoder.Marshal(list)
--- a/internal/platform/accessor/accessor.go
+++ b/internal/platform/accessor/accessor.go
@@ -54,11 +54,15 @@
 	// WatchTime is how long the platform is asked to hold a quiet watch; whole
 	// seconds count.
 	WatchTime time.Duration
+	// Centre limits the VM list to this data centre's VMs and all daemons; empty
+	// means the whole list.
+	Centre string
 	// Transport carries the requests; nil means a transport of its own.
 	Transport http.RoundTripper
 
 	once   sync.Once
 	client *resty.Client
+	lists  lists
 }
 
 // New returns an accessor of the platform at the URL base.
@@ -119,14 +123,6 @@
 	return a.object(ctx, &c)
 }
 
-// VMs implements samphireturn.Lister.
-func (a *Accessor) VMs(ctx context.Context) ([]samphireturn.VM, error) {
-	c := call{op: "vms", method: http.MethodGet, path: "/v1/vms"}
-	var vms []samphireturn.VM
-	err := a.decode(ctx, &c, &vms)
-	return vms, err
-}
-
 // Rate implements samphireturn.Rater.
 func (a *Accessor) Rate(ctx context.Context, version samphireturn.VersionRef, prompt, answer string) (float64, error) {
 	body, err := json.Marshal(rateRequest{Version: version.String(), Prompt: prompt, Answer: answer})
--- a/internal/standin/keeper/vms.go
+++ b/internal/standin/keeper/vms.go
@@ -1,10 +1,15 @@
 package keeper
 
 import (
+	"encoding/json"
 	"net/http"
+	"net/url"
 	"sort"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"samphireturn"
 )
 
@@ -21,7 +26,35 @@
 		refuse(w, err)
 		return
 	}
-	reply(w, s.shownVMs())
+	vms := matching(s.shownVMs(), r.URL.Query())
+	body, err := json.Marshal(vms)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+// matching returns the VMs that have the centre and the role of the query.
+func matching(vms []samphireturn.VM, query url.Values) []samphireturn.VM {
+	kept := vms[:0]
+	for _, vm := range vms {
+		if query.Has("centre") && vm.Centre != query.Get("centre") {
+			continue
+		}
+		if query.Has("role") && vm.Role != query.Get("role") {
+			continue
+		}
+		kept = append(kept, vm)
+	}
+	return kept
 }
 
 func (s *Server) putVM(w http.ResponseWriter, r *http.Request) {
