Leave in good order: notice, hand-over of homes, no request cut

Cause: Close refused new requests from its first moment, although the balancer had not yet seen the daemon turn not ready; there was no setting for the notice; peers learned of the departure only when the links broke, after the drain of up to ten minutes, and held the daemon home until then. Ruled out: a flag in the VM list (it lags, and the platform may be down); closing the links early (requests that drain still need grants and copies). Change: kernel.Close first calls Leave of each service that has it. The receiver serves on for limits.notice (10 s unless set: two checks of a balancer 5 s apart), closing each connection after its request; only then it refuses, with run no. Guards removed -> failure: Leave before Close -> Homes/graceful; the notice, or refusing from Leave on -> CutsNothing, all five rows; Connection: close -> KeepsServing; Staying in the detector -> Homes/graceful.

--- a/internal/config/loader/loader.go
+++ b/internal/config/loader/loader.go
@@ -36,6 +36,7 @@
 	defaultIdle   = 120_000  // milliseconds
 	defaultRead   = 10_000   // milliseconds
 	defaultDrain  = 600_000  // milliseconds
+	defaultNotice = 10_000   // milliseconds: two checks of a balancer, 5 s apart
 )
 
 type (
@@ -87,6 +88,9 @@
 		Idle  int64 `toml:"idle"`
 		Read  int64 `toml:"read"`
 		Drain int64 `toml:"drain"`
+		// Notice is the time in milliseconds for which a shutdown still takes
+		// new requests while it answers /readyz with 503.
+		Notice int64 `toml:"notice"`
 	}
 
 	// check collects the problems of one file.
@@ -117,7 +121,7 @@
 func Read(file string, data []byte) (*Settings, error) {
 	s := &Settings{
 		Level:  defaultLevel,
-		Limits: Limits{Header: defaultHeader, Body: defaultBody, Idle: defaultIdle, Read: defaultRead, Drain: defaultDrain},
+		Limits: Limits{Header: defaultHeader, Body: defaultBody, Idle: defaultIdle, Read: defaultRead, Drain: defaultDrain, Notice: defaultNotice},
 	}
 	c := check{file: file}
 	var err error
@@ -169,6 +173,9 @@
 	c.positive("limits.idle", s.Limits.Idle)
 	c.positive("limits.read", s.Limits.Read)
 	c.positive("limits.drain", s.Limits.Drain)
+	if s.Limits.Notice < 0 {
+		c.add("limits.notice", fmt.Sprintf("must not be negative, not %d", s.Limits.Notice))
+	}
 }
 
 // name checks a value that is part of object names and ids.
--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -15,6 +16,7 @@
 	"samphireturn/internal/config/reporter"
 	"samphireturn/internal/config/watcher"
 	"samphireturn/internal/core/kernel"
+	"samphireturn/internal/fleet/announcer"
 	"samphireturn/internal/fleet/detector"
 	"samphireturn/internal/fleet/granter"
 	"samphireturn/internal/fleet/messenger"
@@ -37,6 +39,7 @@
 // Names of the services.
 const (
 	Messenger = "messenger"
+	Announcer = "announcer"
 	Watcher   = "watcher"
 	Detector  = "detector"
 	Granter   = "granter"
@@ -75,6 +78,7 @@
 	kernel    *kernel.Kernel
 	platform  *accessor.Accessor
 	peers     *messenger.Messenger
+	leaves    *announcer.Announcer
 	limiter   *limiter.Limiter
 	transport *http.Transport
 	instance  string
@@ -107,6 +111,7 @@
 		transport: &http.Transport{DialContext: a.Dial, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout},
 		instance:  samphireturn.Instance(settings.ID, uuid.NewString()),
 	}
+	p.leaves = &announcer.Announcer{Peers: p.peers, Control: p.kernel, Self: self}
 	p.platform.Transport = p.transport
 	p.peers.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return a.Dial(ctx, "tcp", addr) }
 	ln, err := a.Listen(settings.Peer)
@@ -119,6 +124,7 @@
 		make func() (kernel.Service, error)
 	}{
 		{Messenger, func() (kernel.Service, error) { return p.peers, nil }},
+		{Announcer, p.announcer},
 		{Detector, p.detector},
 		{Watcher, p.watcher},
 		{Granter, p.granter},
@@ -144,20 +150,27 @@
 	return log.With().Str("service", name).Logger()
 }
 
-// home reports whether this daemon is among the first n homes of name in its
-// data centre. While no members are known it is.
+// home reports whether this daemon is among the first n homes of name among the
+// daemons of its data centre that it is linked with and that don't leave. While
+// no members are known it is.
 func (p *parts) home(name string, n int) bool {
-	members := ranker.Within(p.settings.Centre, p.kernel.Snapshot().Members)
+	var members []samphireturn.VM
+	linked := p.peers.Connected()
+	for _, m := range ranker.Within(p.settings.Centre, p.kernel.Snapshot().Members) {
+		if m.ID == p.settings.ID || slices.Contains(linked, m.ID) {
+			members = append(members, m)
+		}
+	}
 	if len(members) == 0 {
 		return true
 	}
-	ranks := ranker.Rank(name, members)
-	for _, id := range ranks[:min(n, len(ranks))] {
-		if id == p.settings.ID {
-			return true
-		}
-	}
-	return false
+	ranks := ranker.Rank(name, p.leaves.Staying(members))
+	return slices.Contains(ranks[:min(n, len(ranks))], p.settings.ID)
+}
+
+func (p *parts) announcer() (kernel.Service, error) {
+	p.leaves.Register()
+	return p.leaves, nil
 }
 
 func (p *parts) detector() (kernel.Service, error) {
@@ -165,6 +178,7 @@
 	d.Control = p.kernel
 	d.Lister = p.platform
 	d.Links = p.peers
+	d.Staying = p.leaves.Staying
 	d.Client = &http.Client{Transport: p.transport}
 	d.Register()
 	return d, nil
@@ -188,7 +202,7 @@
 		Self:  p.settings.ID,
 		Log:   service(p.log, Claimer),
 		Home: func(shard string) string {
-			return ranker.Home(shard, p.kernel.Snapshot().Members)
+			return ranker.Home(shard, p.leaves.Staying(p.kernel.Snapshot().Members))
 		},
 	}
 	c.Register()
@@ -239,6 +253,7 @@
 		Idle:     time.Duration(limits.Idle) * time.Millisecond,
 		Read:     time.Duration(limits.Read) * time.Millisecond,
 		Drain:    time.Duration(limits.Drain) * time.Millisecond,
+		Notice:   time.Duration(limits.Notice) * time.Millisecond,
 		Log:      service(p.log, Receiver),
 		Self:     p.kernel.Self,
 		Control:  p.kernel,
--- a/internal/core/assembler/assembler_test.go
+++ b/internal/core/assembler/assembler_test.go
@@ -26,12 +26,19 @@
 // install starts a small installation: four engines, a plain service and three
 // daemons in two data centres.
 func install(t *testing.T, c *qt.C) (*starter.Starter, []*starter.Daemon) {
+	t.Helper()
+	return installWith(t, c, 0)
+}
+
+// installWith is install with the setting limits.notice.
+func installWith(t *testing.T, c *qt.C, notice time.Duration) (*starter.Starter, []*starter.Daemon) {
 	t.Helper()
 	ctx := context.Background()
 	config, err := os.ReadFile("../../../examples/config.toml")
 	c.Assert(err, qt.IsNil)
 	s, err := starter.New()
 	c.Assert(err, qt.IsNil)
+	s.Notice = notice
 	_, err = s.Apply(ctx, string(config))
 	c.Assert(err, qt.IsNil)
 	engines := []struct {
--- /dev/null
+++ b/internal/core/assembler/fault_shutdown_test.go
@@ -0,0 +1,198 @@
+package assembler_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"samphireturn"
+	"samphireturn/internal/core/assembler"
+	"samphireturn/internal/core/kernel"
+	"samphireturn/internal/fleet/announcer"
+	"samphireturn/internal/ledger/auditor"
+	"samphireturn/internal/standin/keeper"
+	"samphireturn/internal/standin/starter"
+)
+
+const (
+	notice = time.Second
+	long   = `{"model":"small","messages":[{"role":"user","content":"hi"}],"max_tokens":400`
+	short  = `{"model":"small","messages":[{"role":"user","content":"hi"}],"max_tokens":4}`
+)
+
+// result is the end of a request.
+type result struct {
+	status int
+	body   string
+	err    error
+	closes bool
+}
+
+// ask sends a chat request in the background.
+func ask(d *starter.Daemon, body string) chan result {
+	done := make(chan result, 1)
+	go func() {
+		status, header, text, err := d.Send(context.Background(), "POST", "/v1/chat/completions", body, "Authorization", bearer)
+		done <- result{status, text, err, strings.EqualFold(header.Get("Connection"), "close")}
+	}()
+	return done
+}
+
+// homes counts the endpoints that each daemon holds another one home of.
+func homes(d *starter.Daemon) map[string]int {
+	n := make(map[string]int)
+	for _, e := range d.Kernel.Snapshot().Endpoints {
+		n[e.Home]++
+	}
+	return n
+}
+
+func TestFaultShutdownCutsNothing(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(s *starter.Starter, d *starter.Daemon)
+		// late says that the usage reaches the platform only through others.
+		late bool
+	}{
+		{"no fault", func(*starter.Starter, *starter.Daemon) {}, false},
+		{"platform slow", func(s *starter.Starter, _ *starter.Daemon) { s.Objects.SetFaults(keeper.Faults{Delay: time.Second}) }, false},
+		{"platform down", func(s *starter.Starter, _ *starter.Daemon) { s.Objects.SetFaults(keeper.Faults{Down: true}) }, true},
+		{"answer of the usage's write lost", func(s *starter.Starter, _ *starter.Daemon) { s.Objects.SetFaults(keeper.Faults{Lose: 3}) }, false},
+		{"cut off from peers", func(s *starter.Starter, d *starter.Daemon) {
+			s.Network.Cut(func(from, to string) bool { return d.Isolates(from, to) && (strings.HasSuffix(to, ":90")) })
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s, daemons := installWith(t, c, notice)
+				d := daemons[0]
+				var running []chan result
+				for range 3 {
+					running = append(running, ask(d, long+`,"stream":true}`), ask(d, long+`}`))
+				}
+				time.Sleep(500 * time.Millisecond)
+				synctest.Wait()
+				tt.fault(s, d)
+				closed := make(chan error, 1)
+				go func() { closed <- d.Close() }()
+				time.Sleep(notice / 3)
+				status, _, _, err := d.Send(context.Background(), "GET", "/readyz", "")
+				c.Check(err, qt.IsNil)
+				c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+				fresh := <-ask(d, short)
+				c.Check(fresh.err, qt.IsNil)
+				c.Check(fresh.status, qt.Equals, http.StatusOK, qt.Commentf("%s", fresh.body))
+				time.Sleep(notice)
+				synctest.Wait()
+				c.Check(len(running[0])+len(running[1]), qt.Equals, 0, qt.Commentf("the requests must outlast the notice"))
+				err = <-closed
+				c.Check(err == nil || tt.late, qt.IsTrue, qt.Commentf("%v", err))
+				for i, done := range running {
+					r := <-done
+					c.Check(r.err, qt.IsNil)
+					c.Check(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+					end := map[bool]string{true: "data: [DONE]", false: "completion_tokens"}[i%2 == 0]
+					c.Check(r.body, qt.Contains, end)
+				}
+				_, _, _, err = d.Send(context.Background(), "GET", "/livez", "")
+				c.Check(err, qt.Not(qt.IsNil))
+				s.Network.Cut(nil)
+				s.Objects.SetFaults(keeper.Faults{})
+				if tt.late {
+					time.Sleep(2 * time.Minute) // a buddy writes copies that are a minute old
+				}
+				c.Check(billed(c, s), qt.Equals, len(running)+1)
+				c.Check(s.Close(), qt.IsNil)
+			})
+		})
+	}
+}
+
+// billed counts the requests whose usage the platform has.
+func billed(c *qt.C, s *starter.Starter) int {
+	a, err := auditor.Read(context.Background(), s.Objects)
+	c.Assert(err, qt.IsNil)
+	return a.Total.Requests
+}
+
+func TestFaultShutdownHomes(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave func(s *starter.Starter, d *starter.Daemon)
+		bound time.Duration
+	}{
+		{"graceful", func(_ *starter.Starter, d *starter.Daemon) { go func() { _ = d.Close() }() }, 600 * time.Millisecond},
+		{"killed", func(s *starter.Starter, d *starter.Daemon) { s.Network.Cut(d.Isolates) }, 600 * time.Millisecond},
+		{"gone silent", func(s *starter.Starter, d *starter.Daemon) {
+			s.Network.Mute(d.Isolates)
+		}, 5 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s, daemons := installWith(t, c, time.Minute)
+				leaver, other := daemons[0], daemons[1]
+				if homes(other)[leaver.VM.ID] == 0 {
+					leaver, other = other, leaver
+				}
+				c.Assert(homes(other)[leaver.VM.ID] > 0, qt.IsTrue)
+				tt.leave(s, leaver)
+				began := time.Now()
+				for homes(other)[leaver.VM.ID] > 0 && time.Since(began) < tt.bound {
+					time.Sleep(50 * time.Millisecond)
+					synctest.Wait()
+				}
+				c.Check(homes(other)[leaver.VM.ID], qt.Equals, 0, qt.Commentf("after %s", time.Since(began)))
+				t.Logf("homes moved within %s", time.Since(began))
+				s.Network.Cut(nil)
+				s.Network.Mute(nil)
+				time.Sleep(2 * time.Minute)
+				c.Check(s.Close(), qt.IsNil)
+			})
+		})
+	}
+}
+
+func TestFaultShutdownKeepsServing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s, daemons := installWith(t, c, time.Minute)
+		d := daemons[0]
+		conn, err := s.Network.Dial("caller")(context.Background(), "tcp", d.VM.Addr)
+		c.Assert(err, qt.IsNil)
+		client := &http.Client{Transport: &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil }}}
+		get := func() bool {
+			res, err := client.Get("http://" + d.VM.Addr + "/livez")
+			c.Assert(err, qt.IsNil)
+			_, _ = io.Copy(io.Discard, res.Body)
+			_ = res.Body.Close()
+			return res.Close
+		}
+		c.Check(get(), qt.IsFalse)
+		closed := make(chan error, 1)
+		go func() { closed <- d.Close() }()
+		time.Sleep(30 * time.Second) // longer than lists, reports and grants last
+		a, err := kernel.Find[*announcer.Announcer](daemons[2].Kernel, assembler.Announcer)
+		c.Assert(err, qt.IsNil)
+		c.Check(a.Leaving(d.VM.ID), qt.IsTrue)
+		c.Check(a.Staying([]samphireturn.VM{d.VM, daemons[1].VM}), qt.DeepEquals, []samphireturn.VM{daemons[1].VM})
+		r := <-ask(d, short)
+		c.Check(r.err, qt.IsNil)
+		c.Check(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+		c.Check(get(), qt.IsTrue, qt.Commentf("the connection is to be closed"))
+		c.Check(<-closed, qt.IsNil)
+		time.Sleep(announcer.Life)
+		c.Check(a.Leaving(d.VM.ID), qt.IsFalse)
+		c.Check(s.Close(), qt.IsNil)
+	})
+}
--- a/internal/core/kernel/kernel.go
+++ b/internal/core/kernel/kernel.go
@@ -65,6 +65,10 @@
 	Close() error
 }
 
+// Leaver is a service that acts before any service closes. Leave returns at
+// once.
+type Leaver interface{ Leave() }
+
 // Kernel is a registry of services and the owner of the control state. Set
 // the exported fields before Run.
 type Kernel struct {
@@ -136,10 +140,16 @@
 	return nil
 }
 
-// Close closes the started services in reverse order, then stops the control
-// goroutine and waits for it. It returns the first error.
+// Close tells the started services that are Leavers, closes all in reverse
+// order, then stops the control goroutine and waits for it. It returns the
+// first error.
 func (k *Kernel) Close() error {
 	var first error
+	for _, name := range k.names[:k.started] {
+		if l, ok := k.services[name].(Leaver); ok {
+			l.Leave()
+		}
+	}
 	for k.started > 0 {
 		k.started--
 		name := k.names[k.started]
--- a/internal/fleet/detector/detector.go
+++ b/internal/fleet/detector/detector.go
@@ -60,6 +60,9 @@
 		Lister  samphireturn.Lister
 		Links   Links
 		Control samphireturn.Control
+		// Staying returns the members that may be home of something, at least
+		// one; nil stands for all.
+		Staying func(members []samphireturn.VM) []samphireturn.VM
 		// Client reads the endpoints' reports.
 		Client *http.Client
 		Now    func() time.Time
@@ -228,6 +231,15 @@
 	return found
 }
 
+// homes returns the reachable daemons that may be home of something. The
+// caller holds mu.
+func (d *Detector) homes() []samphireturn.VM {
+	if d.Staying == nil {
+		return d.reachable()
+	}
+	return d.Staying(d.reachable())
+}
+
 // others returns the ids of reachable without self. The caller holds mu.
 func (d *Detector) others() []string {
 	var ids []string
@@ -242,6 +254,6 @@
 // first reports whether self is among the first n for name. The caller holds
 // mu.
 func (d *Detector) first(name string, n int) bool {
-	ids := ranker.Rank(name, d.reachable())
+	ids := ranker.Rank(name, d.homes())
 	return slices.Contains(ids[:min(n, len(ids))], d.self.ID)
 }
--- a/internal/fleet/detector/publish.go
+++ b/internal/fleet/detector/publish.go
@@ -86,7 +86,7 @@
 		left:      make(map[string]bool),
 		remote:    make(map[string][]samphireturn.VersionRef),
 	}
-	near := d.reachable()
+	near := d.homes()
 	for _, vm := range d.list {
 		r := d.records[vm.ID]
 		if vm.Role == samphireturn.RoleEntry || r == nil {
--- a/internal/fleet/detector/reports.go
+++ b/internal/fleet/detector/reports.go
@@ -48,7 +48,7 @@
 // what changed, and publishes.
 func (d *Detector) readReports(ctx context.Context) {
 	d.mu.Lock()
-	members := d.reachable()
+	members := d.homes()
 	var homed []samphireturn.VM
 	for _, vm := range d.list {
 		if vm.Role == samphireturn.RoleEntry || vm.Centre != d.self.Centre {
--- a/internal/standin/connector/connector.go
+++ b/internal/standin/connector/connector.go
@@ -20,6 +20,7 @@
 	listeners map[string]*listener
 	conns     map[*conn]struct{}
 	cut       func(from, to string) bool
+	mute      func(from, to string) bool
 }
 
 // listener accepts connections to one address.
@@ -77,6 +78,7 @@
 		}
 		a, b := net.Pipe()
 		silent := new(atomic.Bool)
+		silent.Store(n.muted(from, to))
 		near := &conn{Conn: a, network: n, from: from, to: to, local: addr(from), remote: addr(to), silent: silent}
 		far := &conn{Conn: b, network: n, from: from, to: to, local: addr(to), remote: addr(from), silent: silent}
 		select {
@@ -113,6 +115,24 @@
 	n.each(match, func(c *conn) { c.silent.Store(true) })
 }
 
+// Mute is Silence for the connections that are open and those to come, as when
+// the process at one end is paused, until the next Mute. A nil match lets new
+// connections work again.
+func (n *Network) Mute(match func(from, to string) bool) {
+	n.mu.Lock()
+	n.mute = match
+	n.mu.Unlock()
+	if match != nil {
+		n.Silence(match)
+	}
+}
+
+func (n *Network) muted(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.mute != nil && n.mute(from, to)
+}
+
 // Break closes the open connections that match. New connections work.
 func (n *Network) Break(match func(from, to string) bool) {
 	n.each(match, func(c *conn) { _ = c.Close() })
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -43,6 +43,8 @@
 	Server  *keeper.Server
 	// Log receives the daemons' lines; nil drops them.
 	Log io.Writer
+	// Notice is the daemons' setting limits.notice.
+	Notice time.Duration
 
 	servers []*http.Server
 	daemons []*Daemon
@@ -119,7 +121,7 @@
 		Advertise: loader.Advertise{Listen: vm.Addr, Peer: vm.Peer},
 		Platform:  "http://" + PlatformAddr,
 		Fleet:     FleetKey,
-		Limits:    loader.Limits{Drain: drain.Milliseconds()},
+		Limits:    loader.Limits{Drain: drain.Milliseconds(), Notice: s.Notice.Milliseconds()},
 	}
 	log := zerolog.Nop()
 	if s.Log != nil {
--- a/internal/traffic/receiver/exchange.go
+++ b/internal/traffic/receiver/exchange.go
@@ -85,7 +85,7 @@
 
 // prepare finds the exchange's team and options.
 func (r *Receiver) prepare(x *exchange) error {
-	if r.closing.Load() {
+	if r.ended.Load() {
 		return &samphireturn.Refusal{Reason: samphireturn.ReasonClosing, Run: samphireturn.RunNo, RetryAfter: time.Second}
 	}
 	if !r.Ready() || x.snapshot.Config == nil {
--- a/internal/traffic/receiver/receiver.go
+++ b/internal/traffic/receiver/receiver.go
@@ -100,9 +100,11 @@
 	// Dial opens connections to other daemons; nil means a plain dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
-	server  *http.Server
-	remote  http.RoundTripper
+	server *http.Server
+	remote http.RoundTripper
+	// closing is true from Leave on, ended once Notice has passed.
 	closing atomic.Bool
+	ended   atomic.Bool
 	served  chan struct{}
 	// unrated is when a rating last failed, in nanoseconds since 1970.
 	unrated    atomic.Int64
@@ -114,7 +116,7 @@
 func (r *Receiver) Run(context.Context) error {
 	r.remote = &http.Transport{DialContext: r.dialer(), DisableCompression: true, MaxIdleConnsPerHost: 16}
 	r.server = &http.Server{
-		Handler:           r.routes(),
+		Handler:           r.parting(r.routes()),
 		MaxHeaderBytes:    or(r.Header, defaultHeader),
 		ReadHeaderTimeout: or(r.Read, defaultRead),
 		ReadTimeout:       or(r.Read, defaultRead),
@@ -129,11 +131,16 @@
 	return nil
 }
 
+// Leave turns not ready. Requests are still served; each connection that carries
+// one is closed after it, so that its next request goes to another daemon.
+func (r *Receiver) Leave() { r.closing.Store(true) }
+
 // Close turns not ready, waits for Notice, stops listening and waits for
 // running requests until Drain has passed.
 func (r *Receiver) Close() error {
-	r.closing.Store(true)
+	r.Leave()
 	time.Sleep(r.Notice)
+	r.ended.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), or(r.Drain, defaultDrain))
 	defer cancel()
 	err := r.server.Shutdown(ctx)
@@ -161,6 +168,16 @@
 	return mux
 }
 
+// parting has connections closed after their request once the daemon leaves.
+func (r *Receiver) parting(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if r.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
 // readyz answers 200 once the daemon may serve and until it closes.
 func (r *Receiver) readyz(w http.ResponseWriter, _ *http.Request) {
 	if r.closing.Load() {
