Prove configuration under faults and mend what the matrix found

Causes found by TestFaultConfigFleet, Publish, Parts, Restored and Wait: - a second operator's whole files without -base overwrote the first one's change. Ruled out: the author's name (shared by desks), a line in the file (it would have to be edited after each change). - homes were chosen from the VM list, which lags: with both killed, or one cut off from its peers, a change waited for the list or the 30 s poll. Parts are read at once, within 10 s. - after a restore of the platform the next generation could be below the one in force and never take effect, while apply -wait said that it had. It is now above any reported, wait compares the manifest's hash, and status says that the platform went back. - applying again did not rewrite a missing or damaged part. - apply -wait passed over data centres that are out or unknown and took a stale status for news; it now names them, and counts only objects newer than the swap.

--- a/cmd/samphirectl/commands.go
+++ b/cmd/samphirectl/commands.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"samphireturn"
 	"samphireturn/internal/config/parser"
 	"samphireturn/internal/config/publisher"
 	"samphireturn/internal/config/reporter"
@@ -107,7 +106,28 @@
 		}
 		return c.print(map[string]bool{"valid": true}, "valid; nothing was changed")
 	}
-	return c.publish(ctx, input, c.Apply.Base, c.Apply.Note, c.Apply.Wait)
+	return c.replace(ctx, input)
+}
+
+// replace puts files in force in place of those that they were made from.
+func (c *client) replace(ctx context.Context, input files) error {
+	dir := filepath.Dir(c.Apply.Files[0])
+	p := publisher.Publisher{Store: c.store}
+	m, old, err := p.Files(ctx)
+	if err == nil && maps.EqualFunc(old, input, slices.Equal) {
+		c.keep(dir, m.Generation)
+		return c.unchanged(ctx, m, c.Apply.Wait)
+	}
+	base := c.Apply.Base
+	if base == publisher.Current {
+		base = c.seen(dir)
+	}
+	return c.publish(ctx, input, base, c.Apply.Note, c.Apply.Wait, func(g uint64) { c.keep(dir, g) })
+}
+
+// unchanged says that there is nothing to change.
+func (c *client) unchanged(ctx context.Context, m publisher.Manifest, wait bool) error {
+	return c.done(ctx, m, fmt.Sprintf("nothing to change in generation %d", m.Generation), wait, true)
 }
 
 // edit changes the files in force and puts them in force again.
@@ -122,30 +142,26 @@
 		return err
 	}
 	if maps.EqualFunc(old, next, slices.Equal) {
-		if err := c.print(m, fmt.Sprintf("nothing to change in generation %d", m.Generation)); err != nil || !cmd.Wait {
-			return err
-		}
-		return c.wait(ctx, m.Generation)
+		return c.unchanged(ctx, m, cmd.Wait)
 	}
 	if cmd.Note != "" {
 		note = cmd.Note
 	}
-	return c.publish(ctx, next, m.Generation, note, cmd.Wait)
+	return c.publish(ctx, next, m.Generation, note, cmd.Wait, nil)
 }
 
-// publish puts files in force and waits for the fleet if asked to.
-func (c *client) publish(ctx context.Context, f files, base uint64, note string, wait bool) error {
+// publish puts files in force and waits for the fleet if asked to. The function
+// accepted, if any, is told the generation before the wait.
+func (c *client) publish(ctx context.Context, f files, base uint64, note string, wait bool, accepted func(uint64)) error {
 	p := publisher.Publisher{Store: c.store, Author: c.Author, Note: note, Now: c.now}
 	m, err := p.Apply(ctx, f, base)
 	if err != nil {
 		return err
 	}
-	if wait {
-		if err := c.wait(ctx, m.Generation); err != nil {
-			return err
-		}
+	if accepted != nil {
+		accepted(m.Generation)
 	}
-	return c.print(m, "accepted "+describe(m))
+	return c.done(ctx, m, "accepted "+describe(m), wait, false)
 }
 
 // show prints the configuration in force.
@@ -161,36 +177,17 @@
 		s.Files[part.Name] = string(f[part.Name])
 		text += "\n# file " + part.Name + "\n" + string(f[part.Name])
 	}
-	return c.print(s, text)
-}
-
-// statuses reads the status of every data centre.
-func (c *client) statuses(ctx context.Context) (map[string]reporter.Status, error) {
-	list, err := c.store.List(ctx, reporter.Prefix)
-	if err != nil {
-		return nil, err
-	}
-	all := make(map[string]reporter.Status)
-	for _, o := range list {
-		o, err := c.store.Get(ctx, o.Name)
-		if samphireturn.KindOf(err) == samphireturn.KindMissing {
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		var s reporter.Status
-		if err := json.Unmarshal(o.Value, &s); err != nil {
-			return nil, &Error{Op: "read " + o.Name, Code: exitFailed, Err: err}
+	if c.Show.Save != "" {
+		if err := c.save(c.Show.Save, m, f); err != nil {
+			return err
 		}
-		all[s.Centre] = s
 	}
-	return all, nil
+	return c.print(s, text)
 }
 
 // status prints the status of every data centre.
 func (c *client) status(ctx context.Context) error {
-	all, err := c.statuses(ctx)
+	all, err := reporter.Read(ctx, c.store)
 	if err != nil {
 		return err
 	}
@@ -214,49 +211,3 @@
 	}
 	return c.print(all, b.String())
 }
-
-// wait returns once every daemon of each data centre in service reports the
-// generation or a later one.
-func (c *client) wait(ctx context.Context, generation uint64) error {
-	p := publisher.Publisher{Store: c.store}
-	last := "no status was read"
-	for {
-		late, err := c.late(ctx, &p, generation)
-		if err == nil && len(late) == 0 {
-			return nil
-		}
-		if err == nil {
-			last = strings.Join(late, ", ")
-		}
-		select {
-		case <-ctx.Done():
-			return &Error{Op: fmt.Sprintf("generation %d was accepted but is not in force in time: %s", generation, last), Code: exitLate}
-		case <-time.After(poll):
-		}
-	}
-}
-
-// late lists the daemons and data centres that do not report the generation.
-func (c *client) late(ctx context.Context, p *publisher.Publisher, generation uint64) ([]string, error) {
-	_, cfg, err := p.Fetch(ctx)
-	if err != nil {
-		return nil, err
-	}
-	all, err := c.statuses(ctx)
-	if err != nil {
-		return nil, err
-	}
-	var late []string
-	for _, z := range cfg.Centres {
-		s, ok := all[z.Name]
-		if !ok && !z.Out {
-			late = append(late, z.Name+" has not reported")
-		}
-		for _, d := range s.Daemons {
-			if d.Generation < generation && !z.Out {
-				late = append(late, d.ID+" of "+z.Name)
-			}
-		}
-	}
-	return late, nil
-}
--- a/cmd/samphirectl/main.go
+++ b/cmd/samphirectl/main.go
@@ -38,7 +38,7 @@
 		Dry   bool     `arg:"--dry" help:"check the files and change nothing"`
 		Wait  bool     `arg:"--wait" help:"wait until every data centre has it in force"`
 		Note  string   `arg:"--note" help:"a line on why, kept with the change"`
-		Base  uint64   `arg:"--base" help:"the generation the change was made from; refused if another is in force"`
+		Base  uint64   `arg:"--base" help:"the generation the change was made from, unless noted beside the files; refused if another is in force"`
 	}
 	nameCmd struct {
 		Name string `arg:"positional,required"`
@@ -48,11 +48,14 @@
 	presetCmd struct {
 		Use *nameCmd `arg:"subcommand:use" help:"put one preset in force"`
 	}
+	showCmd struct {
+		Save string `arg:"--save" help:"write the files into this directory, to be edited there"`
+	}
 	emptyCmd struct{}
 
 	options struct {
 		Apply   *applyCmd  `arg:"subcommand:apply" help:"check files and put them in force"`
-		Show    *emptyCmd  `arg:"subcommand:show" help:"print the configuration in force"`
+		Show    *showCmd   `arg:"subcommand:show" help:"print the configuration in force"`
 		Preset  *presetCmd `arg:"subcommand:preset" help:"work with presets"`
 		Out     *nameCmd   `arg:"subcommand:out" help:"take a data centre out of service"`
 		In      *nameCmd   `arg:"subcommand:in" help:"bring a data centre back into service"`
--- a/cmd/samphirectl/main_test.go
+++ b/cmd/samphirectl/main_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"samphireturn"
+	"samphireturn/internal/config/publisher"
 )
 
 // memory is an object API without faults but for down.
@@ -20,6 +21,10 @@
 	objects map[string]samphireturn.Object
 	clock   uint64
 	down    bool
+	// accepted runs after each write of the manifest.
+	accepted func(s *memory)
+	// first is the manifest to go back to.
+	first []byte
 }
 
 func (s *memory) Get(_ context.Context, name string) (samphireturn.Object, error) {
@@ -43,7 +48,11 @@
 	}
 	s.clock++
 	s.objects[name] = samphireturn.Object{Name: name, Version: s.clock, Value: value}
-	return s.clock, nil
+	written := s.clock
+	if name == publisher.ManifestName && s.accepted != nil {
+		s.accepted(s)
+	}
+	return written, nil
 }
 
 func (s *memory) Delete(_ context.Context, name string, _ uint64) error {
@@ -69,7 +78,13 @@
 	defer func() { openStore = old }()
 	bad := filepath.Join(t.TempDir(), "bad.toml")
 	c.Assert(os.WriteFile(bad, []byte("foo = 1\n"), 0o600), qt.IsNil)
-	const good = "../../examples/config.toml"
+	example, err := os.ReadFile("../../examples/config.toml")
+	c.Assert(err, qt.IsNil)
+	good := filepath.Join(t.TempDir(), "config.toml")
+	c.Assert(os.WriteFile(good, example, 0o600), qt.IsNil)
+	colleague := filepath.Join(t.TempDir(), "config.toml")
+	c.Assert(os.WriteFile(colleague, append(example, "# hers\n"...), 0o600), qt.IsNil)
+	saved := t.TempDir()
 	steps := []struct {
 		args, want string
 		code       int
@@ -85,7 +100,12 @@
 		{"apply " + bad, "bad.toml:1: foo: unknown key", exitUsage},
 		{"apply missing.toml", "missing.toml", exitUsage},
 		{"apply -note first " + good, "accepted generation 1 by ann", exitOK},
+		{"apply " + good, "nothing to change in generation 1", exitOK},
 		{"preset use peak", "accepted generation 2 by ann", exitOK},
+		{"apply " + good, "made from generation 1, but 2 by ann is in force", exitConflict},
+		{"apply " + colleague, "names no generation that it was made from, but 2 by ann is in force", exitConflict},
+		{"show -save " + saved, "generation 2 by ann", exitOK},
+		{"apply " + saved + "/config.toml", "nothing to change in generation 2", exitOK},
 		{"apply -base 1 " + good, "This change came between; nothing of it or of your files is lost:\ngeneration 2 by ann", exitConflict},
 		{"preset use peak", "nothing to change in generation 2", exitOK},
 		{"preset use none", `no preset "none"`, exitUsage},
@@ -94,6 +114,8 @@
 		{"in south", "accepted generation 4", exitOK},
 		{"--json show", `"generation": 4`, exitOK},
 		{"--timeout 1ms out -wait north", "south has not reported", exitLate},
+		{"apply -base 5 " + colleague, "accepted generation 6", exitOK},
+		{"apply " + saved + "/config.toml", "made from generation 2, but 6 by ann is in force", exitConflict},
 		{"status", "no data centre has reported yet", exitOK},
 	}
 	for _, step := range steps {
--- a/internal/config/publisher/manifest.go
+++ b/internal/config/publisher/manifest.go
@@ -46,6 +46,11 @@
 		Note       string    `json:"note"`
 		Previous   Previous  `json:"previous"`
 		Parts      []Part    `json:"parts"`
+
+		// version and digest are those of the object it was read from or
+		// written as.
+		version uint64
+		digest  string
 	}
 )
 
@@ -55,6 +60,12 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// Version returns the version of the object that m was read from or written as.
+func (m Manifest) Version() uint64 { return m.version }
+
+// Digest returns the hash of that object, or "" if it was not read back.
+func (m Manifest) Digest() string { return m.digest }
+
 // Decode reads a manifest from its object.
 func Decode(data []byte) (Manifest, error) {
 	var m Manifest
--- a/internal/config/publisher/parts.go
+++ b/internal/config/publisher/parts.go
@@ -7,10 +7,10 @@
 	"samphireturn"
 )
 
-// write stores the parts of m that old does not name.
+// write stores the parts of m that old does not name or that are damaged.
 func (p *Publisher) write(ctx context.Context, m Manifest, old state, files map[string][]byte) error {
 	for _, part := range m.Parts {
-		if old.names(part.Hash) {
+		if old.names(part.Hash) && p.whole(ctx, part) {
 			continue
 		}
 		if err := p.part(ctx, PartPrefix+part.Hash, files[part.Name]); err != nil {
@@ -20,6 +20,12 @@
 	return nil
 }
 
+// whole reports whether the part is there with its content.
+func (p *Publisher) whole(ctx context.Context, part Part) bool {
+	o, err := p.Store.Get(ctx, PartPrefix+part.Hash)
+	return err == nil && Hash(o.Value) == part.Hash
+}
+
 // part stores one part and gives it a new version if it is there already.
 func (p *Publisher) part(ctx context.Context, name string, data []byte) error {
 	var err error
--- a/internal/config/publisher/publisher.go
+++ b/internal/config/publisher/publisher.go
@@ -11,6 +11,7 @@
 	"expvar"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -21,6 +22,11 @@
 )
 
 const (
+	// Current as a base stands for the generation in force, whichever it is.
+	Current uint64 = 0
+	// Unseen as a base says that the change was made without sight of the
+	// generation in force, if there is one.
+	Unseen uint64 = math.MaxUint64
 	// PartBytes is the largest part in bytes, which the platform sets.
 	PartBytes = 1 << 20
 	// attempts bounds the tries of one write whose outcome is unknown.
@@ -86,8 +92,10 @@
 }
 
 // Apply makes files, by name, the configuration in force. Base is the
-// generation that the change was made from; zero stands for the current one.
-// It returns an *Error of KindInvalid for a faulty configuration, of
+// generation that the change was made from, Current or Unseen. The new
+// generation is above any that a daemon is known to run, so that it takes
+// effect also after the platform was restored from an older state. Apply
+// returns an *Error of KindInvalid for a faulty configuration, of
 // KindConflict if another change came between, and of KindUnknown if the
 // platform does not say whether the change was accepted.
 func (p *Publisher) Apply(ctx context.Context, files map[string][]byte, base uint64) (Manifest, error) {
@@ -99,15 +107,19 @@
 	if err != nil {
 		return m, wrap("apply", err)
 	}
-	if base != 0 && base != old.Generation {
+	if base != Current && base != old.Generation && old.Generation != 0 {
 		return m, conflict(old.Manifest, base)
 	}
-	m.Generation = old.Generation + 1
+	running, err := p.running(ctx)
+	if err != nil {
+		return m, wrap("apply", err)
+	}
+	m.Generation = max(old.Generation, running) + 1
 	m.Previous = Previous{Generation: old.Generation, Hash: Hash(old.object.Value), Parts: old.Parts}
 	if err := p.write(ctx, m, old, files); err != nil {
 		return m, err
 	}
-	if err := p.swap(ctx, m, old); err != nil {
+	if m.version, err = p.swap(ctx, m, old); err != nil {
 		return m, err
 	}
 	// A concurrent apply may have removed a new part before the swap named it.
--- a/internal/config/publisher/reader.go
+++ b/internal/config/publisher/reader.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/go-faster/errors"
 
 	"samphireturn"
+	"samphireturn/internal/config/reporter"
 )
 
 // current returns the manifest in force, or the zero state if there is none.
@@ -18,9 +20,25 @@
 		return state{}, err
 	}
 	m, err := Decode(o.Value)
+	m.version, m.digest = o.Version, Hash(o.Value)
 	return state{Manifest: m, object: o}, err
 }
 
+// running returns the highest generation that a daemon has reported.
+func (p *Publisher) running(ctx context.Context) (uint64, error) {
+	all, err := reporter.Read(ctx, p.Store)
+	if err != nil {
+		return 0, err
+	}
+	highest := uint64(0)
+	for _, s := range all {
+		for _, d := range s.Daemons {
+			highest = max(highest, d.Generation)
+		}
+	}
+	return highest, nil
+}
+
 // Load returns the manifest in force and its files by hash. KindMissing says
 // that there is no configuration or that a part is not there.
 func (p *Publisher) Load(ctx context.Context) (Manifest, map[string][]byte, error) {
@@ -35,15 +53,21 @@
 	return now.Manifest, parts, err
 }
 
-// Parts reads the files of m by hash.
+// Parts reads the files of m by hash, all at once.
 func (p *Publisher) Parts(ctx context.Context, m Manifest) (map[string][]byte, error) {
+	objects := make([]samphireturn.Object, len(m.Parts))
+	failed := make([]error, len(m.Parts))
+	var all sync.WaitGroup
+	for i, part := range m.Parts {
+		all.Go(func() { objects[i], failed[i] = p.Store.Get(ctx, PartPrefix+part.Hash) })
+	}
+	all.Wait()
 	parts := make(map[string][]byte)
-	for _, part := range m.Parts {
-		o, err := p.Store.Get(ctx, PartPrefix+part.Hash)
-		if err != nil {
-			return nil, wrap("load part of "+part.Name, err)
+	for i, part := range m.Parts {
+		if failed[i] != nil {
+			return nil, wrap("load part of "+part.Name, failed[i])
 		}
-		parts[part.Hash] = o.Value
+		parts[part.Hash] = objects[i].Value
 	}
 	return parts, nil
 }
--- a/internal/config/publisher/swapper.go
+++ b/internal/config/publisher/swapper.go
@@ -10,11 +10,12 @@
 	"samphireturn"
 )
 
-// swap puts m in the place of old and settles an unknown outcome.
-func (p *Publisher) swap(ctx context.Context, m Manifest, old state) error {
+// swap puts m in the place of old, settles an unknown outcome and returns the
+// version of an object that is not older than the swap's.
+func (p *Publisher) swap(ctx context.Context, m Manifest, old state) (uint64, error) {
 	data, err := json.Marshal(m)
 	if err != nil {
-		return wrap("swap", err)
+		return 0, wrap("swap", err)
 	}
 	unknown := false
 	for try := range attempts {
@@ -24,17 +25,14 @@
 				break
 			}
 		}
-		if old.object.Version == 0 {
-			_, err = p.Store.Create(ctx, ManifestName, data)
-		} else {
-			_, err = p.Store.Update(ctx, ManifestName, data, old.object.Version)
-		}
+		version, e := p.replace(ctx, data, old)
+		err = e
 		switch samphireturn.KindOf(err) {
 		case samphireturn.KindConflict, samphireturn.KindUnknown:
 			unknown = unknown || samphireturn.KindOf(err) == samphireturn.KindUnknown
 		default:
 			if err == nil || !unknown {
-				return swapError(err)
+				return version, swapError(err)
 			}
 			continue
 		}
@@ -45,10 +43,18 @@
 		}
 		done, e := settle(now, m, data, old, unknown)
 		if done {
-			return e
+			return now.object.Version, e
 		}
 	}
-	return &Error{Op: "swap " + ManifestName, Kind: samphireturn.KindUnknown, Err: err}
+	return 0, &Error{Op: "swap " + ManifestName, Kind: samphireturn.KindUnknown, Err: err}
+}
+
+// replace writes the manifest's object in the place of old's.
+func (p *Publisher) replace(ctx context.Context, data []byte, old state) (uint64, error) {
+	if old.object.Version == 0 {
+		return p.Store.Create(ctx, ManifestName, data)
+	}
+	return p.Store.Update(ctx, ManifestName, data, old.object.Version)
 }
 
 func swapError(err error) error {
@@ -80,6 +86,10 @@
 
 // conflict is the error for a change made from base while m is in force.
 func conflict(m Manifest, base uint64) error {
+	if base == Unseen {
+		return &Error{Op: "apply", Kind: samphireturn.KindConflict, Between: &m,
+			Err: errors.Errorf("the change names no generation that it was made from, but %d by %s is in force", m.Generation, m.Author)}
+	}
 	return &Error{Op: "apply", Kind: samphireturn.KindConflict, Between: &m,
 		Err: errors.Errorf("the change was made from generation %d, but %d by %s is in force", base, m.Generation, m.Author)}
 }
--- a/internal/config/reporter/reporter.go
+++ b/internal/config/reporter/reporter.go
@@ -39,10 +39,12 @@
 type (
 	// Daemon is the status of one daemon.
 	Daemon struct {
-		ID         string   `cbor:"i" json:"id"`
-		Generation uint64   `cbor:"g" json:"generation"`
-		Ready      bool     `cbor:"r" json:"ready"`
-		Held       []string `cbor:"h,omitempty" json:"held,omitempty"`
+		ID         string `cbor:"i" json:"id"`
+		Generation uint64 `cbor:"g" json:"generation"`
+		// Digest is the hash of the manifest in force.
+		Digest string   `cbor:"d,omitempty" json:"digest,omitempty"`
+		Ready  bool     `cbor:"r" json:"ready"`
+		Held   []string `cbor:"h,omitempty" json:"held,omitempty"`
 		// Problem says what keeps the daemon from following; empty if nothing.
 		Problem string `cbor:"p,omitempty" json:"problem,omitempty"`
 	}
@@ -52,12 +54,16 @@
 		Centre  string    `json:"centre"`
 		Time    time.Time `json:"time"`
 		Daemons []Daemon  `json:"daemons"`
+
+		// Version is that of the object it was read from.
+		Version uint64 `json:"-"`
 	}
 
 	// Source is what the reporter needs of the configuration's watcher.
 	Source interface {
 		Ready() bool
 		Generation() uint64
+		Digest() string
 		Problem() string
 	}
 
@@ -126,7 +132,7 @@
 // self returns this daemon's status.
 func (r *Reporter) self() Daemon {
 	s := r.Control.Snapshot()
-	d := Daemon{ID: s.Self.ID, Generation: r.Source.Generation(), Ready: r.Source.Ready(), Problem: r.Source.Problem()}
+	d := Daemon{ID: s.Self.ID, Generation: r.Source.Generation(), Digest: r.Source.Digest(), Ready: r.Source.Ready(), Problem: r.Source.Problem()}
 	for ref, held := range s.Held {
 		if held {
 			d.Held = append(d.Held, ref.String())
--- a/internal/config/watcher/exchanger.go
+++ b/internal/config/watcher/exchanger.go
@@ -32,6 +32,11 @@
 		refusals.Add("message", 1)
 		return nil, err
 	}
+	if a.Blind {
+		w.mu.Lock()
+		w.blind = w.Now()
+		w.mu.Unlock()
+	}
 	if a.Generation > w.Generation() {
 		w.suggest(from)
 	}
@@ -111,10 +116,14 @@
 // announce tells every connected peer but the source of the generation in
 // force. Peers that it does not reach ask by themselves.
 func (w *Watcher) announce(source string) {
+	w.tell(source, Ask{Generation: w.Generation()})
+}
+
+// tell sends a message to every connected peer but the source and does not wait.
+func (w *Watcher) tell(source string, a Ask) {
 	if w.Peers == nil {
 		return
 	}
-	a := Ask{Generation: w.Generation()}
 	for _, p := range w.Peers.Connected() {
 		if p == source {
 			continue
--- a/internal/config/watcher/follower.go
+++ b/internal/config/watcher/follower.go
@@ -2,22 +2,24 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"samphireturn"
 	"samphireturn/internal/config/publisher"
 )
 
-// follow reads the manifest at start, then watches it while home and polls it
-// otherwise.
+// follow reads the manifest at start, then watches it while home, or while a
+// home does not reach the platform, and polls it otherwise.
 func (w *Watcher) follow() {
 	var last time.Duration
 	for w.ctx.Err() == nil {
-		if w.Home == nil || w.Home() {
+		home := w.Home == nil || w.Home()
+		if home || w.standsIn() {
 			last = 0
 			if err := w.watch(); err != nil {
 				retries.Add("watch", 1)
-				w.sleep(tick)
+				w.pause(home)
 			}
 			continue
 		}
@@ -32,6 +34,25 @@
 	}
 }
 
+// pause waits after a failed watch. A home tells its peers first, so that one
+// that reaches the platform watches in its place.
+func (w *Watcher) pause(home bool) {
+	if !home {
+		w.sleep(standInPause)
+		return
+	}
+	w.tell("", Ask{Generation: w.Generation(), Blind: true})
+	w.sleep(tick)
+}
+
+// standsIn reports whether a home said lately that it does not reach the
+// platform.
+func (w *Watcher) standsIn() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.blind.IsZero() && w.Now().Sub(w.blind) < blindTime
+}
+
 // watch waits for one change of the manifest and takes it over.
 func (w *Watcher) watch() error {
 	ctx, cancel := context.WithTimeout(w.ctx, watchTimeout)
@@ -40,6 +61,11 @@
 	if samphireturn.KindOf(err) == samphireturn.KindTimeout {
 		return nil
 	}
+	if err != nil && ctx.Err() != nil && w.ctx.Err() == nil {
+		// Silence has cost time enough: the next watch follows at once.
+		retries.Add("silent", 1)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -63,13 +89,11 @@
 // take reads the parts of a manifest and puts it in force. The object counts as
 // seen only then, so that a missing part is asked for again.
 func (w *Watcher) take(o samphireturn.Object) error {
-	ctx, cancel := context.WithTimeout(w.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(w.ctx, takeTimeout)
 	defer cancel()
 	m, err := publisher.Decode(o.Value)
 	if err == nil && m.Generation <= w.Generation() {
-		if m.Generation < w.Generation() {
-			refusals.Add("old", 1)
-		}
+		w.compare(m.Generation)
 		w.version = o.Version
 		return nil
 	}
@@ -92,3 +116,17 @@
 	}
 	return nil
 }
+
+// compare notes whether the platform holds an older generation than is in
+// force.
+func (w *Watcher) compare(generation uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.problem = ""
+	if generation == w.generation.Load() {
+		return
+	}
+	refusals.Add("old", 1)
+	w.problem = fmt.Sprintf("the platform went back to generation %d", generation)
+	w.Log.Error().Uint64("generation", w.generation.Load()).Uint64("platform", generation).Msg("older configuration refused")
+}
--- a/internal/config/watcher/watcher.go
+++ b/internal/config/watcher/watcher.go
@@ -32,12 +32,22 @@
 const (
 	defaultPoll     = 30 * time.Second
 	defaultExchange = 2 * time.Second
+	// blindTime is how long a home's word that it does not reach the platform
+	// makes others watch too; it is repeated while it holds.
+	blindTime = 10 * time.Second
+	// standInPause is the time after a failed watch of a daemon that is no home.
+	standInPause = 4 * time.Second
 	// tick is how often a daemon looks whether it is home.
 	tick = time.Second
 	// callTimeout bounds one call to a peer or one read from the platform.
 	callTimeout = 3 * time.Second
-	// watchTimeout bounds one watch, which the platform ends after 30 s.
-	watchTimeout = 45 * time.Second
+	// WatchTime is how long the platform is asked to hold a quiet watch. It is
+	// short, so that a connection that went silent delays a change little.
+	WatchTime = 2 * time.Second
+	// watchTimeout bounds one watch.
+	watchTimeout = WatchTime + time.Second
+	// takeTimeout bounds the reading of a manifest's parts.
+	takeTimeout = 10 * time.Second
 )
 
 var (
@@ -57,6 +67,8 @@
 	// Ask asks for the configuration if its generation is above Generation.
 	Ask struct {
 		Generation uint64 `cbor:"g"`
+		// Blind says that the sender is home and does not reach the platform.
+		Blind bool `cbor:"b,omitempty"`
 	}
 
 	// Bundle is a manifest with its parts by hash; it is empty if there is
@@ -80,6 +92,8 @@
 		// Poll is the time between two reads of the platform by a daemon that
 		// is not home; Exchange that between two questions to a peer.
 		Poll, Exchange time.Duration
+		// Now is time.Now unless set.
+		Now func() time.Time
 		// Rand draws a number from 0 to 1 for jitter.
 		Rand func() float64
 		Log  zerolog.Logger
@@ -94,8 +108,11 @@
 		mu      sync.Mutex
 		bundle  Bundle
 		problem string
+		digest  string
 		// version is the highest version of the manifest's object seen.
 		version uint64
+		// blind is when a home last said that it does not reach the platform.
+		blind time.Time
 	}
 
 	// event puts a configuration in force.
@@ -116,6 +133,7 @@
 		Peers:    peers,
 		Poll:     defaultPoll,
 		Exchange: defaultExchange,
+		Now:      time.Now,
 		Rand:     rand.Float64,
 		Log:      zerolog.Nop(),
 		kick:     make(chan string, 1),
@@ -153,6 +171,13 @@
 // Generation returns the highest generation put in force, or zero.
 func (w *Watcher) Generation() uint64 { return w.generation.Load() }
 
+// Digest returns the hash of the manifest in force, or "".
+func (w *Watcher) Digest() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.digest
+}
+
 // Problem says why a newer configuration is not in force; empty if none is
 // known.
 func (w *Watcher) Problem() string {
@@ -197,6 +222,7 @@
 	b.Generation = m.Generation
 	w.bundle = b
 	w.problem = ""
+	w.digest = publisher.Hash(b.Manifest)
 	w.generation.Store(m.Generation)
 	w.Control.Post(event{cfg})
 	adopted.Add(1)
--- a/internal/config/watcher/watcher_test.go
+++ b/internal/config/watcher/watcher_test.go
@@ -205,6 +205,9 @@
 		c := qt.New(t)
 		s, m := newStore(), &mesh{}
 		apply(c, s, "a")
+		manifest, err := s.Get(ctx, publisher.ManifestName)
+		c.Assert(err, qt.IsNil)
+		digest := publisher.Hash(manifest.Value)
 		members := []samphireturn.VM{{ID: "n1", Centre: "north"}, {ID: "n2", Centre: "north"}, {ID: "s1", Centre: "south"}, {ID: "gone", Centre: "north"}}
 		for _, vm := range members[:2] {
 			p := m.join(vm.ID)
@@ -227,8 +230,8 @@
 		c.Assert(json.Unmarshal(o.Value, &got), qt.IsNil)
 		c.Assert(got.Daemons, qt.DeepEquals, []reporter.Daemon{
 			{ID: "gone", Problem: "no answer"},
-			{ID: "n1", Generation: 1, Ready: true},
-			{ID: "n2", Generation: 1, Ready: true},
+			{ID: "n1", Generation: 1, Digest: digest, Ready: true},
+			{ID: "n2", Generation: 1, Digest: digest, Ready: true},
 		})
 	})
 }
--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -112,6 +112,7 @@
 		instance:  samphireturn.Instance(settings.ID, uuid.NewString()),
 	}
 	p.leaves = &announcer.Announcer{Peers: p.peers, Control: p.kernel, Self: self}
+	p.platform.WatchTime = watcher.WatchTime
 	p.platform.Transport = p.transport
 	p.peers.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return a.Dial(ctx, "tcp", addr) }
 	ln, err := a.Listen(settings.Peer)
--- a/internal/platform/accessor/accessor.go
+++ b/internal/platform/accessor/accessor.go
@@ -202,6 +202,10 @@
 		req.SetBody(c.body)
 	}
 	resp, err := req.Execute(c.method, c.path)
+	if errors.Is(err, context.DeadlineExceeded) {
+		// Other idle connections may have gone silent as this one has.
+		a.client.GetClient().CloseIdleConnections()
+	}
 	if err != nil {
 		return nil, c.fail(c.doubt(), err)
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -121,6 +121,9 @@
 platform = "$platform"
 fleet = "the fleet key of the demo"
 level = "info"
+
+[limits]
+notice = 500
 TOML
 	vm "$id" "{\"id\":\"$id\",\"role\":\"entry\",\"centre\":\"$centre\",\"addr\":\"$listen\",\"peer\":\"$peer\"}"
 	start "$id" bin/samphireturnd "$dir/$id.toml"
@@ -134,7 +137,8 @@
 for url in "$north" "$north2" "$south"; do until_ok "$url" curl -sSf "$url/livez"; done
 
 step "apply a configuration"
-ctl apply --wait examples/config.toml || fail "apply"
+cp examples/config.toml "$dir/config.toml"
+ctl apply --wait "$dir/config.toml" || fail "apply"
 for url in "$north" "$north2" "$south"; do until_ok "$url" curl -sSf "$url/readyz"; done
 for url in "$north" "$north2"; do
 	until_ok "small at $url" works "$url" small
