--- /dev/null
+++ b/internal/config/watcher/property_test.go
@@ -0,0 +1,111 @@
+package watcher_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"samphireturn/internal/config/publisher"
+	"samphireturn/internal/config/watcher"
+)
+
+// TestWatcherAnyOrder draws orders of changes, restores, outages, restarts and
+// peers' messages, true and forged, and checks that no generation goes down and
+// that all daemons have the newest once the faults end.
+func TestWatcherAnyOrder(t *testing.T) {
+	c := qt.New(t)
+	files := example(c, "drawn")
+	rapid.Check(t, func(rt *rapid.T) {
+		kinds := rapid.SliceOfN(rapid.IntRange(0, 7), 1, 24).Draw(rt, "kinds")
+		waits := rapid.SliceOfN(rapid.IntRange(0, 4000), len(kinds), len(kinds)).Draw(rt, "waits in milliseconds")
+		picks := rapid.SliceOfN(rapid.IntRange(0, 99), len(kinds), len(kinds)).Draw(rt, "picks")
+		synctest.Test(t, func(t *testing.T) {
+			s, m := newStore(), &mesh{}
+			publish := func(name string) {
+				next := map[string][]byte{"config.toml": append([]byte("# "+name+"\n"), files["config.toml"]...)}
+				p := publisher.Publisher{Store: s, Author: name}
+				_, _ = p.Apply(ctx, next, publisher.Current)
+			}
+			publish("first")
+			var history [][]byte
+			var bundles []watcher.Bundle
+			daemons := []*watcher.Watcher{daemon(t, s, m, "n0", true), daemon(t, s, m, "n1", false), daemon(t, s, m, "n2", false)}
+			seen := make([]uint64, len(daemons))
+			look := func() {
+				synctest.Wait()
+				for i, w := range daemons {
+					got := w.Generation()
+					if cfg := w.Control.Snapshot().Config; cfg != nil && cfg.Generation != got {
+						rt.Fatalf("daemon %d says %d and runs %d", i, got, cfg.Generation)
+					}
+					if got < seen[i] {
+						rt.Fatalf("daemon %d went back from %d to %d", i, seen[i], got)
+					}
+					seen[i] = got
+				}
+			}
+			note := func() {
+				if o, err := s.Get(ctx, publisher.ManifestName); err == nil {
+					history = append(history, o.Value)
+					if found, err := publisher.Decode(o.Value); err == nil {
+						p := publisher.Publisher{Store: s}
+						if parts, err := p.Parts(ctx, found); err == nil {
+							bundles = append(bundles, watcher.Bundle{Generation: found.Generation, Manifest: o.Value, Parts: parts})
+						}
+					}
+				}
+			}
+			note()
+			for i, kind := range kinds {
+				switch kind {
+				case 0, 1:
+					publish(fmt.Sprint("change", i))
+					note()
+				case 2: // an older manifest is restored
+					if now, err := s.Get(ctx, publisher.ManifestName); err == nil {
+						_, _ = s.Update(ctx, publisher.ManifestName, history[picks[i]%len(history)], now.Version)
+					}
+				case 3:
+					s.setDown(true)
+				case 4:
+					s.setDown(false)
+				case 5: // a peer offers an old bundle
+					m.offer("n1", bundles[picks[i]%len(bundles)], false)
+				case 6: // a peer offers half a bundle under a high number
+					m.offer("n1", bundles[picks[i]%len(bundles)], true)
+				case 7: // a daemon is replaced
+					_ = daemons[2].Close()
+					daemons[2] = daemon(t, s, m, "n2", false)
+					seen[2] = 0
+				}
+				time.Sleep(time.Duration(waits[i]) * time.Millisecond)
+				look()
+			}
+			m.offer("n1", watcher.Bundle{}, false)
+			s.setDown(false)
+			highest := max(seen[0], seen[1], seen[2])
+			for range 2 {
+				publish("last")
+			}
+			for now, _ := s.Get(ctx, publisher.ManifestName); ; now, _ = s.Get(ctx, publisher.ManifestName) {
+				if last, err := publisher.Decode(now.Value); err == nil && last.Generation > highest {
+					highest = last.Generation
+					break
+				}
+				publish("last") // the store has no status that says where daemons are
+			}
+			time.Sleep(10 * time.Second)
+			look()
+			for i, w := range daemons {
+				if w.Generation() != highest {
+					rt.Errorf("daemon %d runs %d, not %d", i, w.Generation(), highest)
+				}
+				_ = w.Close()
+			}
+		})
+	})
+}
--- a/internal/config/watcher/store_test.go
+++ b/internal/config/watcher/store_test.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"samphireturn"
+	"samphireturn/internal/config/watcher"
 )
 
 // store is an object API in memory with faults.
@@ -159,6 +160,8 @@
 	mesh     *mesh
 	handlers map[string]samphireturn.Handler
 	linked   bool
+	// fake, unless empty, is what the daemon answers to questions.
+	fake watcher.Bundle
 }
 
 // join returns a peer that others don't see before it is linked.
@@ -201,11 +204,18 @@
 	p.mesh.mu.Lock()
 	other, ok := p.mesh.peers[to]
 	ok = ok && other.linked
+	var fake watcher.Bundle
+	if ok {
+		fake = other.fake
+	}
 	p.mesh.mu.Unlock()
 	if !ok {
 		return fail(samphireturn.KindUnavailable)
 	}
 	v, err := other.handlers[topic](ctx, p.id, data)
+	if topic == watcher.TopicGet && fake.Generation > 0 {
+		v = fake
+	}
 	if err != nil || reply == nil {
 		return err
 	}
@@ -214,3 +224,15 @@
 	}
 	return cbor.Unmarshal(data, reply)
 }
+
+// offer has the daemon answer questions with a bundle, that is not its own, for
+// as long as it is not empty; forged ones have no parts and a high number.
+func (m *mesh) offer(id string, b watcher.Bundle, forged bool) {
+	if forged {
+		b.Generation += 1000
+		b.Parts = nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peers[id].fake = b
+}
