Let a key be claimed again after a run that did not start

So did a claim that was told as unavailable although its record was in the log. A release record with the holder's nonce now frees the key; the nonce never claims again, and the release of an attempt in doubt is written whether or not its claim is there, so a write still under way fails its condition. Outcomes and releases that meet an outage are kept and tried again; before, they were dropped. A home whose log another daemon has passed now asks for the window's version (one read a batch) before it answers that a claim's end is unknown or drops an outcome: the new table showed outcomes lost and keys stuck at a home that had been cut off.

--- a/internal/ledger/claimer/claimer.go
+++ b/internal/ledger/claimer/claimer.go
@@ -23,6 +23,14 @@
 // is unknown. It is never granted to another run. The same attempt sent again,
 // by the home or around it, finds its own nonce and is granted.
 //
+// A granted claim whose request did not run is released by a record with its
+// nonce; the key can then be claimed anew. The nonce never claims again, so an
+// attempt that is still on its way changes nothing. An attempt whose caller was
+// told that the claim is unavailable is released in the same way, whether or not
+// it is in the log yet: a write that is still under way when the release is
+// written then fails its condition. Until the release is written whoever comes
+// finds the key unknown.
+//
 // A claim is forgotten only Slack after its expiry, for clocks that differ; a
 // sealed window is removed once all its claims are. The last window always
 // stays, so that a number is never used again.
@@ -181,7 +189,10 @@
 		return Claim{}, refuse(op, KindUnavailable, err)
 	}
 	name := c.shardOf(r.Key)
-	a, err := c.attempt(ctx, name, r)
+	a, doubt, err := c.attempt(ctx, name, r)
+	if doubt && err != nil {
+		c.abandon(name, r)
+	}
 	if err != nil {
 		return Claim{}, err
 	}
@@ -211,7 +222,39 @@
 	}
 	r := claim.record
 	r.Done, r.Outcome = true, o
-	if home := c.home(claim.shard); home != c.Self && slices.Contains(c.Peers.Connected(), home) {
+	return c.end(ctx, claim.shard, r)
+}
+
+// Release gives up a granted claim whose request has not run and will not run,
+// so that another attempt may claim the key. It returns once the log has it, or
+// with an error if that takes too long; the release then waits for the platform
+// and the key's state stays unknown until then.
+func (c *Claimer) Release(ctx context.Context, claim Claim) error {
+	if !claim.Granted {
+		return refuse("release", KindInvalid, nil)
+	}
+	counters.Add("released", 1)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*orTime(c.Wait, DefaultWait))
+	defer cancel()
+	r := claim.record
+	r.Freed = true
+	return c.end(ctx, claim.shard, r)
+}
+
+// abandon releases an attempt whose caller was told that it failed, for the case
+// that it is in the log or comes there. It does not wait.
+func (c *Claimer) abandon(name string, r record) {
+	counters.Add("abandoned", 1)
+	r.Freed = true
+	if err := c.enqueue(name, nil, &ending{record: r, done: make(chan struct{})}); err != nil {
+		c.Log.Warn().Err(err).Str("shard", name).Msg("abandoned claim not released")
+	}
+}
+
+// end brings an outcome or a release to the shard's home, or keeps it here if
+// the home can't be reached.
+func (c *Claimer) end(ctx context.Context, name string, r record) error {
+	if home := c.home(name); home != c.Self && slices.Contains(c.Peers.Connected(), home) {
 		call, cancel := context.WithTimeout(ctx, orTime(c.Wait, DefaultWait))
 		defer cancel()
 		if c.Peers.Call(call, home, TopicFinish, r, nil) == nil {
@@ -219,7 +262,7 @@
 		}
 		retries.Add("home not reached", 1)
 	}
-	return c.finish(claim.shard, r)
+	return c.finish(ctx, name, r)
 }
 
 func (c *Claimer) home(name string) string {
--- a/internal/ledger/claimer/fakes_test.go
+++ b/internal/ledger/claimer/fakes_test.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"samphireturn"
+	"samphireturn/internal/ledger/claimer"
 )
 
 // store is an in-memory store with faults: lose counts the next writes whose
@@ -32,6 +33,13 @@
 
 func fail(kind samphireturn.Kind) error { return &samphireturn.Error{Op: "fake", Kind: kind} }
 
+// set changes the faults.
+func (s *store) set(f func(*store)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
 func (s *store) Get(_ context.Context, name string) (samphireturn.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,6 +121,8 @@
 	handlers  map[string]map[string]samphireturn.Handler
 	cut, mute map[string]bool
 	calls     int
+	// attempt is the last claim that was sent.
+	attempt []byte
 }
 
 type peers struct {
@@ -133,6 +143,9 @@
 	if err != nil {
 		return err
 	}
+	if topic == claimer.TopicClaim {
+		p.attempt = data
+	}
 	answer, err := p.handlers[to][topic](ctx, p.self, data)
 	if err != nil || reply == nil {
 		return err
--- /dev/null
+++ b/internal/ledger/claimer/fuzz_test.go
@@ -0,0 +1,39 @@
+package claimer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"samphireturn"
+	"samphireturn/internal/ledger/claimer"
+)
+
+// FuzzDecode reads any bytes as a peer's claim, as its outcome and as a window
+// of the log. None of them may grant a key that the log holds.
+func FuzzDecode(f *testing.F) {
+	r := map[string]any{"k": make([]byte, 32), "p": make([]byte, 32), "n": [16]byte{1}, "e": time.Now().Add(time.Hour).Unix()}
+	claim, _ := cbor.Marshal(r)
+	r["d"] = true
+	outcome, _ := cbor.Marshal(r)
+	window, _ := cbor.Marshal(map[string]any{"s": true, "b": 1, "r": []any{r}})
+	for _, seed := range [][]byte{claim, outcome, window, claim[:20], {}, {0xa0}, {0xff}, {0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		run(t, func(w *world) {
+			a, b := w.add("a", "a"), w.add("b", "b")
+			w.granted(a, "x", true)
+			for _, topic := range []string{claimer.TopicClaim, claimer.TopicFinish} {
+				_, _ = w.fleet.handlers["b"][topic](w.t.Context(), "a", body)
+			}
+			w.granted(b, "x", false)
+			name := claimer.Prefix + "0000/000000000002"
+			w.store.objects[name] = samphireturn.Object{Name: name, Version: 9, Value: body}
+			if claim, err := w.claim(w.add("c", "c"), "x"); err == nil && claim.Granted {
+				t.Fatalf("granted twice after %x", body)
+			}
+		})
+	})
+}
--- a/internal/ledger/claimer/log.go
+++ b/internal/ledger/claimer/log.go
@@ -12,13 +12,15 @@
 	"samphireturn"
 )
 
-// record is one entry of a shard's log: a claim or, if Done, its outcome.
+// record is one entry of a shard's log: a claim, its outcome if Done, or its
+// release if Freed.
 type record struct {
 	Key     [32]byte `cbor:"k"`
 	Print   [32]byte `cbor:"p"`
 	Nonce   [16]byte `cbor:"n"`
 	Expires int64    `cbor:"e"`
 	Done    bool     `cbor:"d,omitempty"`
+	Freed   bool     `cbor:"f,omitempty"`
 	Outcome Outcome  `cbor:"o"`
 }
 
@@ -35,6 +37,8 @@
 	prefix string
 	// claims is the claim in force for each key.
 	claims map[[32]byte]record
+	// freed holds the expiries of the released nonces, which never claim again.
+	freed map[[16]byte]int64
 	// sealed are the windows before the last, oldest first.
 	sealed []span
 	// last is the window that takes records; its number is zero if there is none.
@@ -54,7 +58,7 @@
 // read reads the whole log of a shard. A window that vanishes on the way was
 // removed with all its claims expired.
 func read(ctx context.Context, store samphireturn.Store, prefix string) (*log, error) {
-	l := &log{prefix: prefix, claims: make(map[[32]byte]record)}
+	l := &log{prefix: prefix, claims: make(map[[32]byte]record), freed: make(map[[16]byte]int64)}
 	objects, err := store.List(ctx, prefix)
 	if err != nil {
 		return nil, err
@@ -95,19 +99,36 @@
 }
 
 // apply puts records into force in their order. A claim is written only when the
-// key was free, so the last claim of a key is the one in force.
+// key was free, so the last claim of a key is the one in force. A release counts
+// for its nonce alone, also for one that never claimed.
 func (l *log) apply(records []record) {
 	for _, r := range records {
-		if !r.Done {
-			l.claims[r.Key] = r
-			continue
-		}
-		if current, ok := l.claims[r.Key]; ok && current.Nonce == r.Nonce {
+		current, ok := l.claims[r.Key]
+		own := ok && current.Nonce == r.Nonce
+		switch {
+		case r.Freed:
+			l.freed[r.Nonce] = r.Expires
+			if own {
+				delete(l.claims, r.Key)
+			}
+		case !r.Done || own:
 			l.claims[r.Key] = r
 		}
 	}
 }
 
+// ended reports whether the log needs nothing more of an outcome or a release.
+// Known is false if the log lacks the claim.
+func (l *log) ended(r record, now int64) (ended, known bool) {
+	_, freed := l.freed[r.Nonce]
+	found, ok := l.find(r.Key, now)
+	own := ok && found.Nonce == r.Nonce
+	if r.Freed {
+		return freed || own && found.Done, true
+	}
+	return freed || !own || found.Done, own || freed
+}
+
 // find returns the claim in force at a time in seconds since 1970 UTC.
 func (l *log) find(key [32]byte, now int64) (record, bool) {
 	r, ok := l.claims[key]
@@ -153,6 +174,20 @@
 	return nil
 }
 
+// current reports whether the log is as the platform has it. It is false if that
+// can't be told.
+func (l *log) current(ctx context.Context, store samphireturn.Store) bool {
+	if l.number == 0 {
+		return false
+	}
+	if l.last.Sealed {
+		_, err := store.Get(ctx, l.nameOf(l.number+1))
+		return samphireturn.KindOf(err) == samphireturn.KindMissing
+	}
+	object, err := store.Get(ctx, l.name())
+	return err == nil && object.Version == l.version
+}
+
 // trim removes sealed windows from the front whose claims have all expired, and
 // forgets expired claims. The last window stays.
 func (l *log) trim(ctx context.Context, store samphireturn.Store, now int64) {
@@ -170,6 +205,11 @@
 			delete(l.claims, key)
 		}
 	}
+	for nonce, expires := range l.freed {
+		if expires <= now {
+			delete(l.freed, nonce)
+		}
+	}
 }
 
 // name returns the object name of the last window.
--- a/internal/ledger/claimer/peer.go
+++ b/internal/ledger/claimer/peer.go
@@ -8,8 +8,9 @@
 )
 
 // attempt commits r through its home, or here if the home can't be reached, and
-// returns the key's claim in force.
-func (c *Claimer) attempt(ctx context.Context, name string, r record) (record, error) {
+// returns the key's claim in force. After an error, doubt is true if r may be in
+// the log or may come there.
+func (c *Claimer) attempt(ctx context.Context, name string, r record) (found record, doubt bool, err error) {
 	home := c.home(name)
 	if home == c.Self {
 		return c.commit(ctx, name, r)
@@ -21,22 +22,24 @@
 	call, cancel := context.WithTimeout(ctx, 2*orTime(c.Wait, DefaultWait))
 	defer cancel()
 	var a answer
-	err := c.Peers.Call(call, home, TopicClaim, r, &a)
+	err = c.Peers.Call(call, home, TopicClaim, r, &a)
 	switch {
 	case err != nil || a.Refused && a.Kind == KindClosed:
 		// The home may have committed r: the same nonce is then found here.
 		retries.Add("home not reached", 1)
-		return c.commit(ctx, name, r)
+		found, _, err = c.commit(ctx, name, r)
+		return found, true, err
 	case a.Refused:
-		return record{}, refuse("claim at "+home, a.Kind, nil)
+		return record{}, a.Doubt, refuse("claim at "+home, a.Kind, nil)
 	}
-	return a.Record, nil
+	return a.Record, false, nil
 }
 
 // answer is the reply to TopicClaim.
 type answer struct {
 	Refused bool   `cbor:"r"`
 	Kind    Kind   `cbor:"k"`
+	Doubt   bool   `cbor:"d,omitempty"`
 	Record  record `cbor:"c"`
 }
 
@@ -48,27 +51,32 @@
 		return nil, err
 	}
 	latest := c.now().Add(MaxLife + orTime(c.Slack, DefaultSlack)).Unix()
-	if r.Done || r.Expires > latest {
+	if r.Done || r.Freed || r.Expires > latest {
 		return nil, refuse(op, KindInvalid, nil)
 	}
-	found, err := c.commit(ctx, c.shardOf(r.Key), r)
+	found, doubt, err := c.commit(ctx, c.shardOf(r.Key), r)
 	if err != nil {
 		kind := KindUnavailable
 		if e, ok := err.(*Error); ok {
 			kind = e.Kind
 		}
-		return answer{Refused: true, Kind: kind}, nil
+		return answer{Refused: true, Kind: kind, Doubt: doubt}, nil
 	}
 	return answer{Record: found}, nil
 }
 
-// takeFinish keeps an outcome of another daemon for the next batch.
-func (c *Claimer) takeFinish(_ context.Context, from string, body []byte) (any, error) {
-	r, err := parse("finish from "+from, body)
+// takeFinish keeps an outcome of another daemon for the next batch. A release
+// is answered once it is in the log.
+func (c *Claimer) takeFinish(ctx context.Context, from string, body []byte) (any, error) {
+	op := "finish from " + from
+	r, err := parse(op, body)
 	if err != nil {
 		return nil, err
 	}
-	return nil, c.finish(c.shardOf(r.Key), r)
+	if r.Done == r.Freed {
+		return nil, refuse(op, KindInvalid, nil)
+	}
+	return nil, c.finish(ctx, c.shardOf(r.Key), r)
 }
 
 // parse decodes and checks a record of a peer.
--- a/internal/traffic/receiver/once.go
+++ b/internal/traffic/receiver/once.go
@@ -138,6 +138,7 @@
 	defer cancel()
 	a, err := f(ctx)
 	if err != nil {
+		r.free(ctx, x, claim, err)
 		return err
 	}
 	kept, err := encoder.Marshal(a.record())
@@ -151,6 +152,17 @@
 	return nil
 }
 
+// free releases the claim of a request that ended with err if it did not run, so
+// that a repeat can.
+func (r *Receiver) free(ctx context.Context, x *exchange, claim claimer.Claim, err error) {
+	if stateAfter(err) != runner.StateFree {
+		return
+	}
+	if err := r.Claimer.Release(ctx, claim); err != nil {
+		x.log.Warn().Str("event", "release_failed").Err(err).Msg("key not released yet")
+	}
+}
+
 // repeat answers a request whose key was claimed before.
 func (x *exchange) repeat(claim claimer.Claim) error {
 	if claim.State != claimer.StateDone {
