Prove sessions and at-most-once bookings on whole daemons

Sessions at every daemon across cuts, outages, a replaced VM, a key change, a withdrawal and a chain of withdrawals.

A refusal of the stand-ins carried no X-Request-Id, which the protocol asks for, so the router took it for a crossed answer and told unknown; they send it now. A keyed request at a data centre without the service was refused although another has it; it now goes there after its claim here has been released.

--- a/internal/standin/booker/booker.go
+++ b/internal/standin/booker/booker.go
@@ -122,7 +122,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if f.Refuse || b.Injector.Faults().Leaving || !b.begin() {
-			refuse(w)
+			refuse(w, id)
 			return
 		}
 		defer b.end()
@@ -224,7 +224,8 @@
 }
 
 // refuse answers that the request was not started.
-func refuse(w http.ResponseWriter) {
+func refuse(w http.ResponseWriter, id string) {
+	w.Header().Set(headerRequest, id)
 	w.Header().Set(headerStarted, "no")
 	w.Header().Set("Retry-After", "1")
 	write(w, http.StatusServiceUnavailable, errorReply{Error: "not started"})
--- a/internal/standin/generator/handler.go
+++ b/internal/standin/generator/handler.go
@@ -60,13 +60,13 @@
 		return
 	}
 	if code := g.refusal(&req, f); code != "" {
-		refuse(w, code)
+		refuse(w, id, code)
 		return
 	}
 	priority, _ := strconv.Atoi(r.Header.Get(headerPriority))
 	slot := g.reserve(int64(tokens(req.text())+req.output()), priority)
 	if slot == nil {
-		refuse(w, codeOverloaded)
+		refuse(w, id, codeOverloaded)
 		return
 	}
 	other := g.previous()
@@ -225,7 +225,8 @@
 }
 
 // refuse answers that the request was not started.
-func refuse(w http.ResponseWriter, code string) {
+func refuse(w http.ResponseWriter, id, code string) {
+	w.Header().Set(headerRequest, id)
 	w.Header().Set(headerStarted, "no")
 	w.Header().Set("Retry-After", "1")
 	fail(w, http.StatusServiceUnavailable, code, "not started: "+code)
--- a/internal/traffic/receiver/chat.go
+++ b/internal/traffic/receiver/chat.go
@@ -90,7 +90,8 @@
 	}
 	defer func() { ticket.Close(t.prompt + t.output) }()
 	if x.options.Key != "" || x.options.Request != "" {
-		return r.once(ctx, x, body, func(ctx context.Context) (*reply, error) { return r.whole(ctx, t) })
+		versions := func() []samphireturn.VersionRef { return t.versions(r) }
+		return r.once(ctx, x, body, versions, func(ctx context.Context) (*reply, error) { return r.whole(ctx, t) })
 	}
 	err = r.answer(ctx, t)
 	if r.canOverflow(x, err) {
--- a/internal/traffic/receiver/once.go
+++ b/internal/traffic/receiver/once.go
@@ -52,12 +52,18 @@
 
 // once runs f at most once for the request's minted id or idempotency key and
 // answers with its outcome. A run goes on when its caller leaves, so that a
-// repeat finds the outcome.
-func (r *Receiver) once(ctx context.Context, x *exchange, body []byte, f func(context.Context) (*reply, error)) error {
+// repeat finds the outcome. A request with a key that this data centre has no
+// room for goes on to another that serves one of the versions; its claim here has
+// been released then.
+func (r *Receiver) once(ctx context.Context, x *exchange, body []byte, versions func() []samphireturn.VersionRef, f func(context.Context) (*reply, error)) error {
 	if x.options.Request != "" {
 		return r.onceByID(ctx, x, body, f)
 	}
-	return r.onceByKey(ctx, x, body, f)
+	err := r.onceByKey(ctx, x, body, f)
+	if r.canOverflow(x, err) {
+		return r.overflow(ctx, x, versions(), body, err)
+	}
+	return err
 }
 
 // onceByID runs f in the process that minted the id.
--- a/internal/traffic/receiver/service.go
+++ b/internal/traffic/receiver/service.go
@@ -37,7 +37,8 @@
 	defer ticket.Close(0)
 	w := r.serviceWork(ctx, x, name, body)
 	if x.options.Key != "" || x.options.Request != "" {
-		return r.once(ctx, x, body, func(ctx context.Context) (*reply, error) { return r.call(ctx, x, w) })
+		versions := func() []samphireturn.VersionRef { return []samphireturn.VersionRef{samphireturn.ServiceRef(name)} }
+		return r.once(ctx, x, body, versions, func(ctx context.Context) (*reply, error) { return r.call(ctx, x, w) })
 	}
 	a, err := r.call(ctx, x, w)
 	if r.canOverflow(x, err) {
--- /dev/null
+++ b/internal/traffic/receiver/session_test.go
@@ -0,0 +1,158 @@
+package receiver_test
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"samphireturn"
+	"samphireturn/internal/ledger/minter"
+	"samphireturn/internal/standin/keeper"
+	"samphireturn/internal/standin/starter"
+)
+
+// edit is a change of the example configuration.
+type edit struct{ old, new string }
+
+const oldKey = `[[key]]
+name = "k1"`
+
+var (
+	newKeyFirst = edit{oldKey, "[[key]]\nname = \"k2\"\nsecret = \"another secret of at least 32 bytes!\"\n\n" + oldKey}
+	withdrawV2  = []edit{
+		{"state = \"canary\"\n  share = 0.1", "state = \"withdrawn\"\n  successor = \"v1\""},
+		{"share = 0.9", "share = 1.0"},
+	}
+	// withdrawV1 makes v1 move to v2, which moves on to v3; v4 takes half of
+	// the new sessions.
+	withdrawV1 = []edit{
+		{"state = \"live\"\n  share = 0.9", "state = \"withdrawn\"\n  successor = \"v2\""},
+		{"state = \"canary\"\n  share = 0.1", "state = \"withdrawn\"\n  successor = \"v3\""},
+		{"[[model]]\nname = \"large\"", "  [[model.version]]\n  name = \"v3\"\n  state = \"live\"\n  share = 0.5\n\n  [[model.version]]\n  name = \"v4\"\n  state = \"live\"\n  share = 0.5\n\n[[model]]\nname = \"large\""},
+	}
+)
+
+// reconfigure puts the example configuration with the edits in force.
+func (s *site) reconfigure(edits ...edit) {
+	config, err := os.ReadFile("../../../examples/config.toml")
+	s.Assert(err, qt.IsNil)
+	text := string(config)
+	for _, e := range edits {
+		s.Assert(strings.Count(text, e.old), qt.Equals, 1, qt.Commentf("%s", e.old))
+		text = strings.Replace(text, e.old, e.new, 1)
+	}
+	_, err = s.Apply(context.Background(), text)
+	s.Assert(err, qt.IsNil)
+	time.Sleep(onceSettle)
+}
+
+// chat asks the daemon with the number in a session.
+func (s *site) chat(n int, token string) said {
+	body := `{"model":"small","max_tokens":4,"messages":[{"role":"user","content":"hi"}]}`
+	if token == "" {
+		return s.send(n, "/v1/chat/completions", body)
+	}
+	return s.send(n, "/v1/chat/completions", body, "Samphire-Session", token)
+}
+
+// TestFaultSession carries sessions on each version to every daemon, under each
+// fault and change. All daemons serve it on the version that is wanted.
+func TestFaultSession(t *testing.T) {
+	split := func(s *site) {
+		s.Network.Cut(func(from, to string) bool {
+			south := func(at string) bool { return strings.HasPrefix(at, "entry3") }
+			return south(from) != south(to) && from != "caller" && to != starter.PlatformAddr && !strings.HasPrefix(to, "engine")
+		})
+	}
+	down := func(s *site) { s.Objects.SetFaults(keeper.Faults{Down: true}) }
+	replace := func(s *site) {
+		s.Assert(s.daemons[0].Close(), qt.IsNil)
+		s.Assert(s.Unlist("entry1"), qt.IsNil)
+		d, err := s.Daemon(context.Background(), "entry4", "north")
+		s.Assert(err, qt.IsNil)
+		s.daemons[0] = d
+		time.Sleep(onceSettle)
+	}
+	change := func(edits ...edit) func(*site) { return func(s *site) { s.reconfigure(edits...) } }
+	same := map[string]string{"small@v1": "small@v1", "small@v2": "small@v2"}
+	tests := []struct {
+		name  string
+		fault []func(*site)
+		want  map[string]string
+	}{
+		{"none", nil, same},
+		{"platform down", []func(*site){down}, same},
+		{"centres cut", []func(*site){split}, same},
+		{"centres cut, platform down", []func(*site){split, down}, same},
+		{"VM replaced", []func(*site){replace}, same},
+		{"key changed", []func(*site){change(newKeyFirst)}, same},
+		{"key changed, VM replaced, platform down", []func(*site){change(newKeyFirst), replace, down}, same},
+		{"withdrawn", []func(*site){change(withdrawV2...)}, map[string]string{"small@v1": "small@v1", "small@v2": "small@v1"}},
+		{"withdrawn, centres cut, platform down", []func(*site){change(withdrawV2...), split, down}, map[string]string{"small@v1": "small@v1", "small@v2": "small@v1"}},
+		{"chain withdrawn", []func(*site){change(withdrawV1...)}, map[string]string{"small@v1": "small@v3", "small@v2": "small@v3"}},
+		{"chain withdrawn, VM replaced", []func(*site){change(withdrawV1...), replace}, map[string]string{"small@v1": "small@v3", "small@v2": "small@v3"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			open(t, func(s *site) {
+				tokens := make(map[string]string)
+				for n := 0; len(tokens) < 2 && n < 200; n++ {
+					got := s.chat(n%3, "")
+					s.Assert(got.status, qt.Equals, 200, qt.Commentf("%s", got.body))
+					tokens[got.version] = got.token
+				}
+				s.Assert(len(tokens), qt.Equals, 2)
+				for _, f := range tt.fault {
+					f(s)
+				}
+				for version, token := range tokens {
+					for n := range s.daemons {
+						got := s.chat(n, token)
+						s.Check(got.version, qt.Equals, tt.want[version], qt.Commentf("daemon %d: %s", n, got.body))
+						// The new token goes on at another daemon.
+						s.Check(s.chat((n+1)%3, got.token).version, qt.Equals, tt.want[version])
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestFaultSessionToken refuses tokens that are cut, forged, signed by a key
+// that is gone, or another team's, at every daemon.
+func TestFaultSessionToken(t *testing.T) {
+	const hash = "edbd7968212204de4f16847e8aa622c26329f5f074698dc93879d21fdb01711b"
+	otherTeam := edit{oldKey, "[[team]]\nname = \"export\"\nkeys = [\"" + hash + "\"]\nmodels = [\"small\"]\n\n" + oldKey}
+	open(t, func(s *site) {
+		token := s.chat(0, "").token
+		flip := []byte(token)
+		flip[len(flip)/2] ^= 1
+		liar := &minter.Minter{Instance: "entry1.x", Keys: func() []samphireturn.TokenKey {
+			return []samphireturn.TokenKey{{Name: "k1", Secret: strings.Repeat("guess", 8)}}
+		}}
+		guessed, err := liar.Session(samphireturn.Session{Team: "counter", Model: "large", Version: "v1"})
+		s.Assert(err, qt.IsNil)
+		bad := map[string]string{"signed by another": guessed, "cut": token[:len(token)-4], "forged": string(flip), "no token": "AAAA"}
+		for name, b := range bad {
+			for n := range s.daemons {
+				got := s.chat(n, b)
+				s.Check(got.status, qt.Equals, 400, qt.Commentf("%s: %s", name, got.body))
+				s.Check(got.run, qt.Equals, "no")
+			}
+		}
+		// The caller's key now belongs to another team.
+		s.reconfigure(edit{"keys = [\"edbd", "keys = [\"adbd"}, otherTeam)
+		for n := range s.daemons {
+			s.Check(s.chat(n, token).status, qt.Equals, 400)
+		}
+		s.reconfigure(edit{"name = \"k1\"", "name = \"k3\""})
+		for n := range s.daemons {
+			s.Check(s.chat(n, token).status, qt.Equals, 400)
+			s.Check(s.chat(n, "").status, qt.Equals, 200)
+		}
+	})
+}
