--- a/internal/traffic/receiver/once_test.go
+++ b/internal/traffic/receiver/once_test.go
@@ -55,9 +55,9 @@
 		c.Assert(err, qt.IsNil)
 		s.tickets = &booker.Booker{ID: "tickets1", Start: 1, Budget: 8, Work: onceWork}
 		c.Assert(s.Service("north", "tickets", s.tickets), qt.IsNil)
-		s.engine = &generator.Generator{ID: "engine1", Start: 1, Versions: []string{"small@v1", "small@v2", "small@v3", "large@v1"}}
+		s.engine = &generator.Generator{ID: "engine1", Start: 1, Versions: []string{"small@v1", "small@v2", "small@v3", "small@v4", "large@v1"}}
 		c.Assert(s.Engine("north", s.engine), qt.IsNil)
-		c.Assert(s.Engine("south", &generator.Generator{ID: "engine2", Start: 1, Versions: []string{"small@v1", "small@v2", "small@v3", "large@v1"}}), qt.IsNil)
+		c.Assert(s.Engine("south", &generator.Generator{ID: "engine2", Start: 1, Versions: []string{"small@v1", "small@v2", "small@v3", "small@v4", "large@v1"}}), qt.IsNil)
 		for _, d := range []struct{ id, centre string }{{"entry1", "north"}, {"entry2", "north"}, {"entry3", "south"}} {
 			daemon, err := s.Daemon(context.Background(), d.id, d.centre)
 			c.Assert(err, qt.IsNil)
--- a/internal/traffic/receiver/session_test.go
+++ b/internal/traffic/receiver/session_test.go
@@ -27,12 +27,12 @@
 		{"state = \"canary\"\n  share = 0.1", "state = \"withdrawn\"\n  successor = \"v1\""},
 		{"share = 0.9", "share = 1.0"},
 	}
-	// withdrawV1 makes v1 move to v2, which moves on to v3; v4 takes half of
-	// the new sessions.
+	// withdrawV1 makes v1 move to v2, which moves on to v3; v4 takes all
+	// new sessions.
 	withdrawV1 = []edit{
 		{"state = \"live\"\n  share = 0.9", "state = \"withdrawn\"\n  successor = \"v2\""},
 		{"state = \"canary\"\n  share = 0.1", "state = \"withdrawn\"\n  successor = \"v3\""},
-		{"[[model]]\nname = \"large\"", "  [[model.version]]\n  name = \"v3\"\n  state = \"live\"\n  share = 0.5\n\n  [[model.version]]\n  name = \"v4\"\n  state = \"live\"\n  share = 0.5\n\n[[model]]\nname = \"large\""},
+		{"[[model]]\nname = \"large\"", "  [[model.version]]\n  name = \"v3\"\n  state = \"live\"\n  share = 0.0\n\n  [[model.version]]\n  name = \"v4\"\n  state = \"live\"\n  share = 1.0\n\n[[model]]\nname = \"large\""},
 	}
 )
 
