Share budgets through grants that lapse, from one home at a time

Cause: every daemon took an equal, permanent part of each budget, so that a busy daemon could not use what others left, and members or homes that changed were not waited for. Change: the home of an endpoint lends parts by what daemons want. Asks count as votes by the home's own stamp that they bring back; grants end with the majority, a new home waits for that, and a daemon without a home creeps up to a static share that homes hold back for it.

--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -167,6 +167,7 @@
 	d.Links = p.peers
 	d.Client = &http.Client{Transport: p.transport}
 	d.Register()
+	p.kernel.Derive = d.Derive
 	return d, nil
 }
 
@@ -178,7 +179,9 @@
 }
 
 func (p *parts) granter() (kernel.Service, error) {
-	return &granter.Granter{Control: p.kernel, Clock: p.limiter.Clock}, nil
+	g := granter.New(p.kernel.Self, p.kernel, p.peers, p.limiter.Clock)
+	g.Register()
+	return g, nil
 }
 
 func (p *parts) claimer() (kernel.Service, error) {
@@ -225,6 +228,14 @@
 	if err != nil {
 		return nil, err
 	}
+	g, err := kernel.Find[*granter.Granter](p.kernel, Granter)
+	if err != nil {
+		return nil, err
+	}
+	d, err := kernel.Find[*detector.Detector](p.kernel, Detector)
+	if err != nil {
+		return nil, err
+	}
 	pick := &picker.Picker{Now: p.limiter.Clock, Prefixes: new(picker.Prefixes)}
 	limits := p.settings.Limits
 	ln, err := p.Listen(p.settings.Listen)
@@ -248,6 +259,7 @@
 			Limiter:    p.limiter,
 			Dispatcher: dispatcher.New(p.Dial),
 			Retries:    new(budgeter.Budgeter),
+			Observer:   observers{g, d},
 		},
 		Picker:   pick,
 		Cascader: new(cascader.Cascader),
--- a/internal/core/kernel/kernel.go
+++ b/internal/core/kernel/kernel.go
@@ -70,6 +70,8 @@
 type Kernel struct {
 	Log  zerolog.Logger
 	Self samphireturn.VM
+	// Derive, if set, completes each new snapshot before it is published.
+	Derive func(old, next *samphireturn.Snapshot)
 
 	names    []string
 	services map[string]Service
@@ -181,10 +183,14 @@
 		batch := k.queue
 		k.queue = nil
 		k.mu.Unlock()
-		next := *k.current.Load()
+		old := k.current.Load()
+		next := *old
 		for _, e := range batch {
 			e.Apply(&next)
 		}
+		if k.Derive != nil {
+			k.Derive(old, &next)
+		}
 		k.current.Store(&next)
 		events.Add(int64(len(batch)))
 	}
--- a/internal/fleet/detector/detector.go
+++ b/internal/fleet/detector/detector.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -40,6 +41,11 @@
 	// gapLimit is the number of lists in a row that an endpoint may be missing
 	// from while its report answers.
 	gapLimit = 2
+	// loadSteps is the number of steps of the load that are passed on.
+	loadSteps = 8
+	// leavingTime is how long an endpoint gets no work after a refusal that said
+	// that it is leaving.
+	leavingTime = 10 * time.Second
 	// freshLists is the number of list periods for which a home prefers the list
 	// that it read itself to another's.
 	freshLists = 3
@@ -96,6 +102,8 @@
 		serving map[string]remote
 		config  *samphireturn.Config
 		dirty   bool
+		// last is the state posted last.
+		last atomic.Pointer[update]
 	}
 
 	// record is what is known of one endpoint.
@@ -110,6 +118,10 @@
 		// cold holds a restarted endpoint back until a later report.
 		cold  bool
 		gauge *samphireturn.Gauge
+		// passed is the report that was last meant for the other daemons.
+		passed Report
+		// refused is when the endpoint refused a request as it is leaving.
+		refused time.Time
 	}
 
 	// peer is what another daemon has acknowledged.
--- a/internal/fleet/detector/publish.go
+++ b/internal/fleet/detector/publish.go
@@ -28,10 +28,24 @@
 	}
 )
 
-// Apply builds the pools with the configuration in force.
+// Apply puts the members and endpoints in force and builds the pools.
 func (u *update) Apply(next *samphireturn.Snapshot) {
 	next.Members = u.members
 	next.Endpoints = u.endpoints
+	u.build(next)
+}
+
+// Derive builds the pools anew when the configuration has changed, so that a
+// data centre that was taken out leaves them in the same snapshot. It runs on
+// the control goroutine.
+func (d *Detector) Derive(old, next *samphireturn.Snapshot) {
+	if u := d.last.Load(); u != nil && old.Config != next.Config {
+		u.build(next)
+	}
+}
+
+// build makes the pools with the configuration in force.
+func (u *update) build(next *samphireturn.Snapshot) {
 	next.Pools = make(map[samphireturn.VersionRef][]*samphireturn.Endpoint)
 	next.Services = make(map[string][]*samphireturn.Endpoint)
 	next.Remote = make(map[samphireturn.VersionRef][]string)
@@ -93,13 +107,16 @@
 			continue
 		}
 		u.endpoints[vm.ID] = endpoint(vm, r, ranker.Home(vm.ID, near))
-		u.left[vm.ID] = vm.Leaving || r.Leaving || r.Failed
+		leaving := d.Now().Sub(r.refused) < leavingTime
+		u.endpoints[vm.ID].Leaving = u.endpoints[vm.ID].Leaving || leaving
+		u.left[vm.ID] = vm.Leaving || r.Leaving || r.Failed || leaving
 	}
 	for centre, s := range d.serving {
 		if d.Now().Sub(s.at) < 4*d.ServingTime {
 			u.remote[centre] = s.versions
 		}
 	}
+	d.last.Store(u)
 	d.Control.Post(u)
 }
 
@@ -110,6 +127,7 @@
 		VM:     vm,
 		Start:  r.Start,
 		Budget: r.Budget,
+		Used:   r.Used,
 		Queued: r.Queued,
 		Speed:  r.Speed,
 		Warm:   (r.Warm || vm.Role == samphireturn.RoleService) && !r.cold,
--- a/internal/fleet/detector/reports.go
+++ b/internal/fleet/detector/reports.go
@@ -132,6 +132,7 @@
 	}
 	fresh := !r.known || r.started != report.Start
 	same := !fresh && r.own == own && equal(r.Report, report) && !r.cold
+	material := fresh || r.own != own || r.cold || differs(r.passed, report)
 	r.cold = fresh && r.known
 	if fresh {
 		r.gauge = new(samphireturn.Gauge)
@@ -147,12 +148,27 @@
 	}
 	r.own = own
 	d.dirty = true
-	if own {
+	if own && material {
 		d.seq++
 		r.seq = d.seq
+		r.passed = report
 	}
 }
 
+// differs reports whether a report must be passed on: what it says has changed,
+// or the load by more than a part of the budget.
+func differs(old, report Report) bool {
+	if moved(old.Used, report.Used, report.Budget) || moved(old.Queued, report.Queued, report.Budget) ||
+		moved(int64(old.Speed), int64(report.Speed), int64(2*old.Speed)) {
+		return true
+	}
+	old.Used, old.Queued, old.Speed = report.Used, report.Queued, report.Speed
+	return !equal(old, report)
+}
+
+// moved reports whether a load has moved by more than 1/loadSteps of a scale.
+func moved(old, load, scale int64) bool { return max(old-load, load-old)*loadSteps > scale }
+
 func equal(a, b Report) bool {
 	if !slices.Equal(a.Versions, b.Versions) {
 		return false
--- a/internal/fleet/granter/granter.go
+++ b/internal/fleet/granter/granter.go
@@ -1,37 +1,127 @@
-// Package granter sets how much work this daemon may have under way at each
-// endpoint.
+// Package granter shares the budget of each endpoint between the daemons of a
+// data centre.
+//
+// The home of an endpoint lends parts of its budget to the daemons that ask
+// for them. A grant lapses by itself, counted from when it was asked for. A
+// daemon acts as home only while more than half of the data centre's daemons
+// ask it, which they do one home at a time, and not before every grant of an
+// earlier home has lapsed. A daemon that no home answers keeps to a static
+// share of the budget, which the homes hold back for it.
 package granter
 
 import (
 	"context"
+	"expvar"
 	"sync"
 	"time"
 
 	"samphireturn"
+	"samphireturn/internal/fleet/encoder"
+	"samphireturn/internal/fleet/ranker"
 )
 
 const (
-	// Life is how long a grant lasts.
+	// Topic is the topic of Ask messages.
+	Topic = "grants"
+	// Life is the longest time that a grant lasts.
 	Life = 2 * time.Second
+	// Period is the time between two asks of the same home.
+	Period = 500 * time.Millisecond
 
-	period    = 500 * time.Millisecond
-	coldShare = 0.1 // part of the budget that a cold endpoint is given
+	// reportLag is the assumed bound on the age of a reported load.
+	reportLag = time.Second
+	// loadWindow is the time over which the highest reported load counts.
+	loadWindow = 2 * time.Second
+	// countWindow is the time for which an earlier, higher number of daemons
+	// counts, as lists are late.
+	countWindow = 30 * time.Second
+	// forgetTime is the time after which the work of a daemon that is neither
+	// listed nor heard from is taken for ended.
+	forgetTime = 30 * time.Second
 )
 
-// Granter is a service that renews the grants of this daemon. Set the exported
-// fields before Run.
-type Granter struct {
-	Control samphireturn.Control
-	// Clock is the clock of Gauge.Lapse, in nanoseconds.
-	Clock func() int64
+var (
+	reasons = expvar.NewMap("granter_reason")
+	regimes = expvar.NewMap("granter_regime")
+)
+
+type (
+	// Links is what the granter needs of the messenger.
+	Links interface {
+		Call(ctx context.Context, to, topic string, body, reply any) error
+		Handle(topic string, h samphireturn.Handler)
+		Connected() []string
+	}
+
+	// Granter is a service of the kernel. Set the exported fields before Run.
+	Granter struct {
+		Control samphireturn.Control
+		Links   Links
+		// Clock is the monotonic clock of Gauge.Lapse, in nanoseconds.
+		Clock func() int64
+
+		self     samphireturn.VM
+		instance uint64
+		cancel   context.CancelFunc
+		wait     sync.WaitGroup
+
+		mu    sync.Mutex
+		began int64
+		view  view
+		// places are the endpoints of this data centre, by key.
+		places map[uint32]*place
+		// lenders are the homes that this daemon asks, by id.
+		lenders map[string]*lender
+		// borrowers are the daemons that ask this one, by id.
+		borrowers map[string]*borrower
+		// books are the endpoints that this daemon is home of, by key.
+		books map[uint32]*book
+
+		markMu sync.Mutex
+		marks  map[string]*mark
+	}
+
+	// view is this daemon's view of its data centre.
+	view struct {
+		// listed are the ids of all daemons, near those that are linked, and self.
+		listed []string
+		near   []samphireturn.VM
+		counts []count
+	}
 
-	cancel context.CancelFunc
-	wait   sync.WaitGroup
+	// count is a number of daemons that was seen at a time.
+	count struct {
+		at int64
+		n  int
+	}
+)
+
+// New returns a granter of the daemon self.
+func New(self samphireturn.VM, control samphireturn.Control, links Links, clock func() int64) *Granter {
+	return &Granter{
+		Control:   control,
+		Links:     links,
+		Clock:     clock,
+		self:      self,
+		places:    make(map[uint32]*place),
+		lenders:   make(map[string]*lender),
+		borrowers: make(map[string]*borrower),
+		books:     make(map[uint32]*book),
+		marks:     make(map[string]*mark),
+	}
 }
 
-// Run starts to renew grants and returns at once.
+// Register sets the handler of Topic. It must be called before the messenger
+// runs.
+func (g *Granter) Register() {
+	g.instance = uint64(time.Now().UnixNano())
+	g.Links.Handle(Topic, g.take)
+}
+
+// Run starts to ask for grants and returns at once.
 func (g *Granter) Run(ctx context.Context) error {
 	ctx, g.cancel = context.WithCancel(ctx)
+	g.began = g.Clock()
 	g.wait.Go(func() { g.loop(ctx) })
 	return nil
 }
@@ -46,10 +136,10 @@
 }
 
 func (g *Granter) loop(ctx context.Context) {
-	tick := time.NewTicker(period)
+	tick := time.NewTicker(Period)
 	defer tick.Stop()
 	for {
-		g.renew(g.Control.Snapshot())
+		g.renew(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -58,27 +148,95 @@
 	}
 }
 
-// renew gives each daemon of the data centre an equal part of each endpoint's
-// budget. A cold endpoint is for its home alone.
-func (g *Granter) renew(s *samphireturn.Snapshot) {
-	daemons := int64(0)
-	for _, m := range s.Members {
-		if m.Centre == s.Self.Centre {
-			daemons++
+// renew asks every home for its grants and sets the static shares.
+func (g *Granter) renew(ctx context.Context) {
+	s := g.Control.Snapshot()
+	linked := g.Links.Connected()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock()
+	g.look(s, linked, now)
+	g.lendSelf(now)
+	for id, needs := range g.needs(now) {
+		l := g.lenders[id]
+		if l == nil {
+			l = &lender{id: id, full: true}
+			g.lenders[id] = l
+		}
+		if l.busy {
+			continue
+		}
+		l.busy = true
+		ask := g.ask(l, needs)
+		g.wait.Go(func() { g.borrow(ctx, l, ask, needs) })
+	}
+	for _, p := range g.places {
+		g.shareStatic(p, now)
+	}
+}
+
+// look brings the view, the places and the books up to date. The caller holds
+// mu.
+func (g *Granter) look(s *samphireturn.Snapshot, linked []string, now int64) {
+	up := make(map[string]bool, len(linked))
+	for _, id := range linked {
+		up[id] = true
+	}
+	g.view.listed, g.view.near = nil, nil
+	self := false
+	for _, vm := range ranker.Within(g.self.Centre, s.Members) {
+		self = self || vm.ID == g.self.ID
+		g.view.listed = append(g.view.listed, vm.ID)
+		if up[vm.ID] || vm.ID == g.self.ID {
+			g.view.near = append(g.view.near, vm)
 		}
 	}
+	if !self {
+		g.view.listed = append(g.view.listed, g.self.ID)
+		g.view.near = append(g.view.near, g.self)
+	}
+	g.view.add(len(g.view.listed), now)
+	known := make(map[uint32]bool)
 	for _, e := range s.Endpoints {
-		if e.Centre != s.Self.Centre {
-			continue
+		if e.Centre == g.self.Centre && e.Gauge != nil {
+			known[g.lookAt(e, now)] = true
 		}
-		share := e.Budget / max(daemons, 1)
-		if !e.Warm {
-			share = 0
+	}
+	for key := range g.places {
+		if !known[key] {
+			delete(g.places, key)
 		}
-		if !e.Warm && e.Home == s.Self.ID {
-			share = int64(float64(e.Budget) * coldShare)
+	}
+	g.keepBooks(now)
+}
+
+// add notes that n daemons were seen.
+func (v *view) add(n int, now int64) {
+	kept := v.counts[:0]
+	for _, c := range v.counts {
+		if c.n > n && now-c.at < int64(countWindow) {
+			kept = append(kept, c)
 		}
-		e.Gauge.Allowed.Store(share)
-		e.Gauge.Lapse.Store(g.Clock() + int64(Life))
 	}
+	v.counts = append(kept, count{at: now, n: n})
+}
+
+// daemons returns the highest number of daemons seen of late, at least 1.
+func (v *view) daemons() int {
+	n := 1
+	for _, c := range v.counts {
+		n = max(n, c.n)
+	}
+	return n
+}
+
+// take handles Topic.
+func (g *Granter) take(_ context.Context, from string, body []byte) (any, error) {
+	var in Ask
+	if err := encoder.Unmarshal(body, &in); err != nil {
+		return nil, &samphireturn.Error{Op: "take ask", Kind: samphireturn.KindInvalid, Err: err}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.answer(from, &in, g.Clock()), nil
 }
--- a/internal/traffic/picker/picker.go
+++ b/internal/traffic/picker/picker.go
@@ -208,6 +208,7 @@
 	if !e.Warm && e.Home != c.snapshot.Self.ID {
 		return false
 	}
+	e.Gauge.Want(c.need)
 	if e.Gauge.Lapse.Load() <= c.now {
 		return false
 	}
--- a/samphireturn.go
+++ b/samphireturn.go
@@ -200,6 +200,9 @@
 	// Budget is the concurrent work, in tokens, that the endpoint bears when
 	// warm; zero until its first report.
 	Budget int64
+	// Used is the work under way at the endpoint, from all daemons, at its last
+	// report, which lags.
+	Used int64
 	// Queued is the work waiting at the endpoint at its last report, in tokens.
 	Queued int64
 	// Speed is the tokens a second that the endpoint makes; zero if unknown.
@@ -222,11 +225,30 @@
 	Calls atomic.Int64
 	// Allowed is the work that this daemon may have under way, in tokens.
 	Allowed atomic.Int64
+	// Wanted is the most work that this daemon would have had under way since the
+	// granter last looked, and Unit the largest request among it.
+	Wanted, Unit atomic.Int64
 	// Lapse is the time, in nanoseconds of the limiter's clock, when Allowed
 	// ends.
 	Lapse atomic.Int64
 }
 
+// Want notes that this daemon has work of the given size for the endpoint, in
+// tokens, whether the grant has room for it or not.
+func (g *Gauge) Want(work int64) {
+	raise(&g.Wanted, g.Outstanding.Load()+work)
+	raise(&g.Unit, work)
+}
+
+// raise sets v to at least n.
+func raise(v *atomic.Int64, n int64) {
+	for old := v.Load(); old < n; old = v.Load() {
+		if v.CompareAndSwap(old, n) {
+			return
+		}
+	}
+}
+
 // Snapshot is what traffic sees of the control state. It is immutable.
 type Snapshot struct {
 	Config *Config
