Let the tests' endpoints keep connections

Cause: the fake closed each connection after one answer, so that the removal of closing a crossed answer's connection went unseen. With kept connections TestFaultCrossedConn fails without it.

--- a/internal/traffic/router/fake_test.go
+++ b/internal/traffic/router/fake_test.go
@@ -60,43 +60,50 @@
 func (f *fake) conn(c net.Conn) {
 	defer c.Close()
 	src := bufio.NewReaderSize(c, 16)
+	for f.exchange(c, src) {
+	}
+}
+
+// exchange answers one request and reports whether the connection goes on.
+func (f *fake) exchange(c net.Conn, src *bufio.Reader) bool {
 	first, err := src.Peek(14)
 	if err != nil {
-		return
+		return false
 	}
 	start := string(first)
 	switch {
 	case strings.HasPrefix(start, "GET /report"):
 		f.report(c, src)
-		return
+		return false
 	case strings.HasPrefix(start, "GET /v1/stream"):
 		f.resume(c, src)
-		return
+		return false
 	case strings.HasPrefix(start, "DELETE"):
 		f.count(func() { f.cancels++ })
-		return
+		return false
 	}
 	f.count(func() { f.touched = true })
 	if f.step("header/") {
 		f.fail(c)
-		return
+		return false
 	}
 	req, err := http.ReadRequest(src)
 	if err != nil {
-		return
+		return false
 	}
 	if f.step("body/reset") {
 		_, _ = io.ReadFull(req.Body, make([]byte, 1))
-		return
+		return false
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
 	id := req.Header.Get(dispatcher.HeaderID)
 	if f.fault == "first/overload" {
 		write(c, id, "503 Service Unavailable", "X-Started: no\r\nRetry-After: 7\r\n", `{"error":{"code":"overloaded"}}`)
-		return
+		return true
 	}
 	f.count(func() { f.runs[id]++ })
 	f.answer(c, id, req)
+	return f.fault == "" || strings.HasSuffix(f.fault, "/crossed")
 }
 
 func (f *fake) step(prefix string) bool { return strings.HasPrefix(f.fault, prefix) }
@@ -175,6 +182,7 @@
 	if !broken {
 		_, _ = io.WriteString(c, "data: [DONE]\n\n")
 	}
+	_ = c.Close()
 }
 
 // report answers unless the endpoint is dead.
