--- a/internal/traffic/queuer/queuer.go
+++ b/internal/traffic/queuer/queuer.go
@@ -100,14 +100,15 @@
 	if wait == 0 {
 		wait = defaultWait
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		wait = min(wait, time.Until(deadline))
-	}
 	places := q.Places
 	if places == 0 {
 		places = defaultPlaces
 	}
-	t, err := p.join(e, places, wait)
+	left := wait
+	if deadline, ok := ctx.Deadline(); ok {
+		left = min(left, time.Until(deadline))
+	}
+	t, err := p.join(e, places, left)
 	if err != nil {
 		return err
 	}
