--- /dev/null
+++ b/internal/traffic/receiver/overflow_test.go
@@ -0,0 +1,80 @@
+package receiver_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	sr "samphireturn"
+	"samphireturn/internal/standin/injector"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestFaultOverflow lets the north lack a version, then lets hops to the south
+// fail at each step.
+func TestFaultOverflow(t *testing.T) {
+	only := chat("small@v1", "9", false)
+	tests := []struct {
+		name   string
+		stream bool
+		fault  func(s *site)
+		// status and run are what the caller gets; south counts the requests that
+		// the southern engine ran.
+		status int
+		run    string
+		south  int
+	}{
+		{"whole", false, nil, http.StatusOK, "", 1},
+		{"stream", true, nil, http.StatusOK, "", 1},
+		{"engine here refuses connections", false, func(s *site) {
+			s.Network.Cut(func(_, to string) bool { return to == "engine1:80" })
+		}, http.StatusOK, "", 1},
+		{"one daemon there refuses connections", false, func(s *site) {
+			s.Network.Cut(func(from, to string) bool { return from == "entry1" && to == "entry2:80" })
+		}, http.StatusOK, "", 1},
+		{"all daemons there refuse connections", false, func(s *site) {
+			s.Network.Cut(func(from, to string) bool { return from == "entry1" && (to == "entry2:80" || to == "entry3:80") })
+		}, http.StatusServiceUnavailable, "no", 0},
+		{"engine there refuses", false, func(s *site) { s.faults(injector.Fault{Refuse: true}) }, http.StatusServiceUnavailable, "no", 0},
+		{"hop breaks after the request", false, func(s *site) {
+			s.faults(injector.Fault{Delay: 5 * time.Second})
+			time.AfterFunc(time.Second, func() {
+				s.Network.Break(func(from, to string) bool {
+					return from == "entry1" && strings.HasSuffix(to, ":80") && to != "platform:80"
+				})
+			})
+		}, http.StatusBadGateway, "unknown", 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t)
+				_, err := s.Daemon(context.Background(), "entry3", "south")
+				s.c.Assert(err, qt.IsNil)
+				if tt.name != "engine here refuses connections" {
+					s.c.Assert(s.Unlist("engine1"), qt.IsNil)
+				}
+				time.Sleep(2 * settle)
+				if tt.fault != nil {
+					tt.fault(s)
+				}
+				body := strings.Replace(only, "false", map[bool]string{true: "true", false: "false"}[tt.stream], 1)
+				r := s.post(chatPath, body)
+				s.c.Check(r.err, qt.IsNil)
+				s.c.Check(r.status, qt.Equals, tt.status, qt.Commentf("%+v", r))
+				s.c.Check(r.run, qt.Equals, tt.run)
+				if tt.status == http.StatusOK {
+					s.c.Check(s.engines["engine4"].Runs(r.id), qt.Equals, tt.south)
+				}
+				if r.run == sr.RunNo {
+					s.c.Check(s.runs(r.id), qt.Equals, 0)
+				}
+				s.end()
+			})
+		})
+	}
+}
