--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 demo: build
 	bash scripts/demo.sh
 
-bench:
+bench: build
+	bash scripts/bench.sh
 	go test -run '^$$' -bench . -benchmem ./internal/traffic/...
 
 slopes:
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -54,6 +54,7 @@
 	EventLag  time.Duration `arg:"--event-lag" default:"500ms" help:"age of cache events"`
 	EventGap  uint64        `arg:"--event-gap" default:"10" help:"every n-th cache event is lost; 0 for none"`
 	ReportLag time.Duration `arg:"--report-lag" default:"200ms" help:"age of the reported load"`
+	Resume    time.Duration `arg:"--resume" default:"30s" help:"time in which an answer can be resumed"`
 	Fenced    bool          `arg:"--fenced" help:"refuse orders with an old fencing number"`
 	Quality   float64       `arg:"--quality" default:"0.8" help:"mean rating of answers, 0 to 1"`
 	Spread    float64       `arg:"--spread" default:"0.3" help:"rating of the easiest prompt above the hardest"`
@@ -71,6 +72,7 @@
 	Platform *platformCmd `arg:"subcommand:platform" help:"object API, VM list, rating service, weight store"`
 	Engine   *engineCmd   `arg:"subcommand:engine" help:"model engine"`
 	Service  *serviceCmd  `arg:"subcommand:service" help:"plain service"`
+	Load     *loadCmd     `arg:"subcommand:load" help:"send chat requests and measure the answers"`
 }
 
 // Description implements arg.Described.
@@ -82,7 +84,7 @@
 	var o options
 	p := arg.MustParse(&o)
 	if p.Subcommand() == nil {
-		p.Fail("a subcommand is needed: platform, engine or service")
+		p.Fail("a subcommand is needed: platform, engine, service or load")
 	}
 	if err := o.check(); err != nil {
 		p.Fail(err.Error())
@@ -90,6 +92,12 @@
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("service", p.SubcommandNames()[0]).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if o.Load != nil {
+		if err := o.Load.run(ctx, os.Stdout); err != nil {
+			log.Error().Err(err).Msg("failed")
+		}
+		return
+	}
 	addr, h, done := o.handler()
 	if err := serve(ctx, log, addr, h, done); err != nil {
 		log.Error().Err(err).Msg("failed")
@@ -100,6 +108,9 @@
 
 // check returns the first option that is out of range.
 func (o *options) check() error {
+	if o.Load != nil {
+		return o.Load.check()
+	}
 	addr, _, _ := o.handler()
 	if _, _, err := net.SplitHostPort(addr); err != nil {
 		return fmt.Errorf("--listen: %w", err)
@@ -134,7 +145,7 @@
 		g := &generator.Generator{
 			ID: c.ID, Start: start, Versions: c.Versions, Budget: c.Budget, Queue: c.Queue, Speed: c.Speed,
 			Prefill: c.Prefill, Word: c.Word, WarmTime: c.Warm, WarmShare: c.WarmShare, CacheSize: c.Cache,
-			EventLag: c.EventLag, EventGap: c.EventGap, ReportLag: c.ReportLag, Fenced: c.Fenced,
+			EventLag: c.EventLag, ResumeTime: c.Resume, EventGap: c.EventGap, ReportLag: c.ReportLag, Fenced: c.Fenced,
 			Quality: c.Quality, Spread: c.Spread,
 		}
 		return c.Listen, g, g.Close
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -19,6 +19,9 @@
 		{"engine --listen :0 --id e --version a@1 --quality 1.1", "--quality"},
 		{"engine --listen :0 --id e --version a@1 --budget -1", "--budget"},
 		{"service --listen :0 --id s --slots 0", "--slots"},
+		{"load --url http://127.0.0.1:1 --model a@1", ""},
+		{"load --url here --model a@1", "--url"},
+		{"load --url http://127.0.0.1:1 --model a@1 --count 2000000", "--count"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.args, func(t *testing.T) {
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,74 @@
+#!/usr/bin/env bash
+# Measures on loopback what a hop through a daemon adds to a request of a local
+# engine, streamed and not, and the answers a second of a daemon that runs on
+# one core (GOMAXPROCS=1). Direct and through take turns in the same run.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly COUNT=${COUNT:-2000} WAIT=20 # requests, seconds
+dir=$(mktemp -d)
+pids=()
+
+stop() {
+	for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+	for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+	rm -rf "$dir"
+}
+trap stop EXIT
+
+# start NAME COMMAND... runs a process in the background.
+start() {
+	local name=$1
+	shift
+	"$@" >"$dir/$name.log" 2>&1 &
+	pids+=($!)
+}
+
+base=$((21000 + RANDOM % 20000))
+addr() { echo "127.0.0.1:$((base + $1))"; }
+platform=http://$(addr 0)
+engine=http://$(addr 1)
+daemon=http://$(addr 2)
+
+start platform bin/standin platform --listen "$(addr 0)" --lag 10ms
+start engine bin/standin engine --listen "$(addr 1)" --id engine1 --version large@v1 --warm 1ns \
+	--budget 1000000000 --speed 1000000000 --prefill 1000000000 --word 1ns --cache 0 --resume 20ms
+cat >"$dir/entry.toml" <<TOML
+id = "entry1"
+centre = "north"
+listen = "$(addr 2)"
+peer = "$(addr 3)"
+platform = "$platform"
+fleet = "the fleet key of the bench"
+level = "error"
+TOML
+start daemon env GOMAXPROCS=1 bin/samphireturnd "$dir/entry.toml"
+sed -E 's/^(concurrent|tokens) = .*/\1 = 0/' examples/config.toml >"$dir/config.toml"
+
+ready() {
+	curl -sSf -X PUT -d "{\"id\":\"engine1\",\"role\":\"engine\",\"centre\":\"north\",\"addr\":\"$(addr 1)\"}" "$platform/v1/vms/engine1" &&
+		curl -sSf -X PUT -d "{\"id\":\"entry1\",\"role\":\"entry\",\"centre\":\"north\",\"addr\":\"$(addr 2)\",\"peer\":\"$(addr 3)\"}" "$platform/v1/vms/entry1" &&
+		bin/samphirectl --platform "$platform" --author bench apply "$dir/config.toml"
+}
+works() {
+	curl -sSf -m 5 -o /dev/null -H "Authorization: Bearer counter-key" \
+		-d '{"model":"large","messages":[{"role":"user","content":"ready"}],"max_tokens":4}' "$daemon/v1/chat/completions"
+}
+for step in ready works; do
+	end=$((SECONDS + WAIT))
+	until $step >/dev/null 2>&1; do
+		[ "$SECONDS" -lt "$end" ] || { echo "bench: $step: not after $WAIT s" >&2; tail -n 5 "$dir"/*.log >&2; exit 1; }
+		sleep 0.2
+	done
+done
+
+load() { bin/standin load --url "$daemon" --base "$engine" --key counter-key --model large@v1 "$@"; }
+load --count 500 >/dev/null # connections and caches
+echo "== unloaded (1 client), whole answers of 16 tokens"
+load --count "$COUNT"
+echo "== unloaded (1 client), streams of 16 tokens"
+load --count "$COUNT" --stream
+echo "== 16 clients, whole answers; daemon on one core, engine and callers on all"
+load --count $((COUNT * 4)) --clients 16
+echo "== 16 clients, streams"
+load --count $((COUNT * 4)) --clients 16 --stream
