Give the measured daemon a buddy, as every installed one has

Cause: alone, the daemon wrote each usage record to the platform before the end of the answer; installed, a buddy keeps a copy.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -28,31 +28,37 @@
 addr() { echo "127.0.0.1:$((base + $1))"; }
 platform=http://$(addr 0)
 engine=http://$(addr 1)
-daemon=http://$(addr 2)
+through=http://$(addr 2)
 
 start platform bin/standin platform --listen "$(addr 0)" --lag 10ms
 start engine bin/standin engine --listen "$(addr 1)" --id engine1 --version large@v1 --warm 1ns \
 	--budget 1000000000 --speed 1000000000 --prefill 1000000000 --word 1ns --cache 0 --resume 20ms
-cat >"$dir/entry.toml" <<TOML
-id = "entry1"
+# daemon ID LISTEN PEER starts a daemon on one core.
+daemon() {
+	cat >"$dir/$1.toml" <<TOML
+id = "$1"
 centre = "north"
-listen = "$(addr 2)"
-peer = "$(addr 3)"
+listen = "$2"
+peer = "$3"
 platform = "$platform"
 fleet = "the fleet key of the bench"
 level = "error"
 TOML
-start daemon env GOMAXPROCS=1 bin/samphireturnd "$dir/entry.toml"
+	start "$1" env GOMAXPROCS=1 bin/samphireturnd "$dir/$1.toml"
+}
+daemon entry1 "$(addr 2)" "$(addr 3)"
+daemon entry2 "$(addr 4)" "$(addr 5)" # keeps the copies of usage records
 sed -E 's/^(concurrent|tokens) = .*/\1 = 0/' examples/config.toml >"$dir/config.toml"
 
 ready() {
 	curl -sSf -X PUT -d "{\"id\":\"engine1\",\"role\":\"engine\",\"centre\":\"north\",\"addr\":\"$(addr 1)\"}" "$platform/v1/vms/engine1" &&
+		curl -sSf -X PUT -d "{\"id\":\"entry2\",\"role\":\"entry\",\"centre\":\"north\",\"addr\":\"$(addr 4)\",\"peer\":\"$(addr 5)\"}" "$platform/v1/vms/entry2" &&
 		curl -sSf -X PUT -d "{\"id\":\"entry1\",\"role\":\"entry\",\"centre\":\"north\",\"addr\":\"$(addr 2)\",\"peer\":\"$(addr 3)\"}" "$platform/v1/vms/entry1" &&
 		bin/samphirectl --platform "$platform" --author bench apply "$dir/config.toml"
 }
 works() {
 	curl -sSf -m 5 -o /dev/null -H "Authorization: Bearer counter-key" \
-		-d '{"model":"large","messages":[{"role":"user","content":"ready"}],"max_tokens":4}' "$daemon/v1/chat/completions"
+		-d '{"model":"large","messages":[{"role":"user","content":"ready"}],"max_tokens":4}' "$through/v1/chat/completions"
 }
 for step in ready works; do
 	end=$((SECONDS + WAIT))
@@ -62,7 +68,8 @@
 	done
 done
 
-load() { bin/standin load --url "$daemon" --base "$engine" --key counter-key --model large@v1 "$@"; }
+load() { bin/standin load --url "$through" --base "$engine" --key counter-key --model large@v1 "$@"; }
+sleep 3 # links between the daemons
 load --count 500 >/dev/null # connections and caches
 echo "== unloaded (1 client), whole answers of 16 tokens"
 load --count "$COUNT"
