--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -54,6 +54,7 @@
 	EventLag  time.Duration `arg:"--event-lag" default:"500ms" help:"age of cache events"`
 	EventGap  uint64        `arg:"--event-gap" default:"10" help:"every n-th cache event is lost; 0 for none"`
 	ReportLag time.Duration `arg:"--report-lag" default:"200ms" help:"age of the reported load"`
+	Resume    time.Duration `arg:"--resume" default:"30s" help:"time in which an answer can be resumed"`
 	Fenced    bool          `arg:"--fenced" help:"refuse orders with an old fencing number"`
 	Quality   float64       `arg:"--quality" default:"0.8" help:"mean rating of answers, 0 to 1"`
 	Spread    float64       `arg:"--spread" default:"0.3" help:"rating of the easiest prompt above the hardest"`
@@ -73,6 +74,7 @@
 	Service  *serviceCmd  `arg:"subcommand:service" help:"plain service"`
 	Pool     *poolCmd     `arg:"subcommand:pool" help:"many engines in one process, listed at the platform"`
 	Sample   *sampleCmd   `arg:"subcommand:sample" help:"measure what running daemons spend on control"`
+	Load     *loadCmd     `arg:"subcommand:load" help:"send chat requests and measure the answers"`
 }
 
 // Description implements arg.Described.
@@ -90,10 +92,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	task := o.task()
+	if err := o.check(); err != nil {
+		p.Fail(err.Error())
+	}
 	if task == nil {
-		if err := o.check(); err != nil {
-			p.Fail(err.Error())
-		}
 		addr, h, done := o.handler()
 		task = func(ctx context.Context, log zerolog.Logger) error { return serve(ctx, log, addr, h, done) }
 	}
@@ -111,12 +113,20 @@
 		return o.Pool.run
 	case o.Sample != nil:
 		return func(ctx context.Context, _ zerolog.Logger) error { return o.Sample.run(ctx) }
+	case o.Load != nil:
+		return func(ctx context.Context, _ zerolog.Logger) error { return o.Load.run(ctx, os.Stdout) }
 	}
 	return nil
 }
 
 // check returns the first option that is out of range.
 func (o *options) check() error {
+	switch {
+	case o.Load != nil:
+		return o.Load.check()
+	case o.Pool != nil, o.Sample != nil:
+		return nil
+	}
 	addr, _, _ := o.handler()
 	if _, _, err := net.SplitHostPort(addr); err != nil {
 		return fmt.Errorf("--listen: %w", err)
@@ -151,7 +161,7 @@
 		g := &generator.Generator{
 			ID: c.ID, Start: start, Versions: c.Versions, Budget: c.Budget, Queue: c.Queue, Speed: c.Speed,
 			Prefill: c.Prefill, Word: c.Word, WarmTime: c.Warm, WarmShare: c.WarmShare, CacheSize: c.Cache,
-			EventLag: c.EventLag, EventGap: c.EventGap, ReportLag: c.ReportLag, Fenced: c.Fenced,
+			EventLag: c.EventLag, ResumeTime: c.Resume, EventGap: c.EventGap, ReportLag: c.ReportLag, Fenced: c.Fenced,
 			Quality: c.Quality, Spread: c.Spread,
 		}
 		return c.Listen, g, g.Close
--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -32,6 +32,7 @@
 	"samphireturn/internal/traffic/dispatcher"
 	"samphireturn/internal/traffic/limiter"
 	"samphireturn/internal/traffic/picker"
+	"samphireturn/internal/traffic/queuer"
 	"samphireturn/internal/traffic/receiver"
 	"samphireturn/internal/traffic/router"
 )
@@ -260,7 +261,6 @@
 	}
 	return &receiver.Receiver{
 		Listener: ln,
-		Dial:     p.Dial,
 		Body:     limits.Body,
 		Header:   int(limits.Header),
 		Idle:     time.Duration(limits.Idle) * time.Millisecond,
@@ -277,6 +277,7 @@
 			Dispatcher: dispatcher.New(p.Dial),
 			Retries:    new(budgeter.Budgeter),
 			Observer:   observers{g, d},
+			Queue:      new(queuer.Queuer),
 		},
 		Picker:   pick,
 		Cascader: new(cascader.Cascader),
--- a/internal/traffic/receiver/once_test.go
+++ b/internal/traffic/receiver/once_test.go
@@ -23,9 +23,9 @@
 	onceWork   = time.Second     // time that a booking takes
 )
 
-// site is a small installation: entry1 and entry2 in north, entry3 in south, and
+// place is a small installation: entry1 and entry2 in north, entry3 in south, and
 // a booking service in north.
-type site struct {
+type place struct {
 	*qt.C
 	*starter.Starter
 	daemons []*starter.Daemon
@@ -42,15 +42,15 @@
 	body               string
 }
 
-// open runs f at a fresh site on fake time.
-func open(t *testing.T, f func(s *site)) {
+// open runs f at a fresh place on fake time.
+func open(t *testing.T, f func(s *place)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		config, err := os.ReadFile("../../../examples/config.toml")
 		c.Assert(err, qt.IsNil)
 		base, err := starter.New()
 		c.Assert(err, qt.IsNil)
-		s := &site{C: c, Starter: base}
+		s := &place{C: c, Starter: base}
 		_, err = s.Apply(t.Context(), string(config))
 		c.Assert(err, qt.IsNil)
 		s.tickets = &booker.Booker{ID: "tickets1", Start: 1, Budget: 8, Work: onceWork}
@@ -71,13 +71,13 @@
 }
 
 // heal ends the faults of network and platform.
-func (s *site) heal() {
+func (s *place) heal() {
 	s.Network.Cut(nil)
 	s.Objects.SetFaults(keeper.Faults{})
 }
 
 // send sends a request to the daemon with the number.
-func (s *site) send(n int, path, body string, header ...string) said {
+func (s *place) send(n int, path, body string, header ...string) said {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	header = append([]string{"Authorization", onceBearer, "Samphire-Deadline", "10"}, header...)
@@ -101,12 +101,12 @@
 }
 
 // book books by an Idempotency-Key or a minted id.
-func (s *site) book(n int, header, value string) said {
+func (s *place) book(n int, header, value string) said {
 	return s.send(n, "/v1/services/tickets/bookings", "{}", header, value)
 }
 
 // isolate cuts a daemon off from all, as a kill does.
-func (s *site) isolate(n int) { s.Network.Cut(s.daemons[n].Isolates) }
+func (s *place) isolate(n int) { s.Network.Cut(s.daemons[n].Isolates) }
 
 // TestFaultOnce meets each step of a booking at entry1 with each fault. The
 // caller repeats it at entry2 and entry3 while the fault lasts, and at all three
@@ -118,26 +118,26 @@
 		during = "during"
 		after  = "after"
 	)
-	none := func(*site) {}
-	kill := func(s *site) { s.isolate(0) }
-	pause := func(s *site) { s.Network.Silence(s.daemons[0].Isolates) }
-	down := func(s *site) { s.Objects.SetFaults(keeper.Faults{Down: true}) }
-	slow := func(s *site) { s.Objects.SetFaults(keeper.Faults{Delay: 800 * time.Millisecond}) }
-	lose := func(s *site) { s.Objects.SetFaults(keeper.Faults{Lose: 3}) }
-	offline := func(s *site) {
+	none := func(*place) {}
+	kill := func(s *place) { s.isolate(0) }
+	pause := func(s *place) { s.Network.Silence(s.daemons[0].Isolates) }
+	down := func(s *place) { s.Objects.SetFaults(keeper.Faults{Down: true}) }
+	slow := func(s *place) { s.Objects.SetFaults(keeper.Faults{Delay: 800 * time.Millisecond}) }
+	lose := func(s *place) { s.Objects.SetFaults(keeper.Faults{Lose: 3}) }
+	offline := func(s *place) {
 		s.Network.Cut(func(from, to string) bool { return from == "entry1" && to == starter.PlatformAddr })
 	}
-	split := func(s *site) {
+	split := func(s *place) {
 		s.Network.Cut(func(from, to string) bool {
 			return (from == "entry3") != (to == "entry3:80" || to == "entry3:90") && to != starter.PlatformAddr && from != "caller"
 		})
 	}
-	refuse := func(s *site) { s.tickets.Injector.Set(injector.Faults{Refuse: 1}) }
-	reset := func(s *site) { s.tickets.Injector.Set(injector.Faults{After: 1}) }
-	both := func(f, g func(*site)) func(*site) { return func(s *site) { f(s); g(s) } }
+	refuse := func(s *place) { s.tickets.Injector.Set(injector.Faults{Refuse: 1}) }
+	reset := func(s *place) { s.tickets.Injector.Set(injector.Faults{After: 1}) }
+	both := func(f, g func(*place)) func(*place) { return func(s *place) { f(s); g(s) } }
 	tests := []struct {
 		step, name string
-		fault      func(*site)
+		fault      func(*place)
 		// by key and by minted id: what the first caller is told, then entry2's
 		// while the fault lasts, then entry2's when it is over.
 		key, id [3]string
@@ -162,7 +162,7 @@
 	for _, tt := range tests {
 		for _, by := range []string{"Idempotency-Key", "Samphire-Request"} {
 			t.Run(tt.step+"/"+tt.name+"/"+by, func(t *testing.T) {
-				open(t, func(s *site) {
+				open(t, func(s *place) {
 					value, want := "lantern-7", tt.key
 					if by == "Samphire-Request" {
 						value, want = s.mint(0), tt.id
@@ -200,7 +200,7 @@
 }
 
 // mint returns a request id of the daemon with the number.
-func (s *site) mint(n int) string {
+func (s *place) mint(n int) string {
 	var out struct {
 		IDs []string `json:"ids"`
 	}
@@ -213,7 +213,7 @@
 func TestFaultOnceTogether(t *testing.T) {
 	for _, lose := range []int{0, 1, 5} {
 		for _, by := range []string{"Idempotency-Key", "Samphire-Request"} {
-			open(t, func(s *site) {
+			open(t, func(s *place) {
 				value := "lantern-8"
 				if by == "Samphire-Request" {
 					value = s.mint(0)
@@ -237,7 +237,7 @@
 // repeat finds the outcome.
 func TestFaultOnceCallerGone(t *testing.T) {
 	for _, by := range []string{"Idempotency-Key", "Samphire-Request"} {
-		open(t, func(s *site) {
+		open(t, func(s *place) {
 			value := "lantern-9"
 			if by == "Samphire-Request" {
 				value = s.mint(0)
--- a/internal/traffic/receiver/session_test.go
+++ b/internal/traffic/receiver/session_test.go
@@ -37,7 +37,7 @@
 )
 
 // reconfigure puts the example configuration with the edits in force.
-func (s *site) reconfigure(edits ...edit) {
+func (s *place) reconfigure(edits ...edit) {
 	config, err := os.ReadFile("../../../examples/config.toml")
 	s.Assert(err, qt.IsNil)
 	text := string(config)
@@ -51,7 +51,7 @@
 }
 
 // chat asks the daemon with the number in a session.
-func (s *site) chat(n int, token string) said {
+func (s *place) chat(n int, token string) said {
 	body := `{"model":"small","max_tokens":4,"messages":[{"role":"user","content":"hi"}]}`
 	if token == "" {
 		return s.send(n, "/v1/chat/completions", body)
@@ -62,14 +62,14 @@
 // TestFaultSession carries sessions on each version to every daemon, under each
 // fault and change. All daemons serve it on the version that is wanted.
 func TestFaultSession(t *testing.T) {
-	split := func(s *site) {
+	split := func(s *place) {
 		s.Network.Cut(func(from, to string) bool {
 			south := func(at string) bool { return strings.HasPrefix(at, "entry3") }
 			return south(from) != south(to) && from != "caller" && to != starter.PlatformAddr && !strings.HasPrefix(to, "engine")
 		})
 	}
-	down := func(s *site) { s.Objects.SetFaults(keeper.Faults{Down: true}) }
-	replace := func(s *site) {
+	down := func(s *place) { s.Objects.SetFaults(keeper.Faults{Down: true}) }
+	replace := func(s *place) {
 		s.Assert(s.daemons[0].Close(), qt.IsNil)
 		s.Assert(s.Unlist("entry1"), qt.IsNil)
 		d, err := s.Daemon(context.Background(), "entry4", "north")
@@ -77,28 +77,28 @@
 		s.daemons[0] = d
 		time.Sleep(onceSettle)
 	}
-	change := func(edits ...edit) func(*site) { return func(s *site) { s.reconfigure(edits...) } }
+	change := func(edits ...edit) func(*place) { return func(s *place) { s.reconfigure(edits...) } }
 	same := map[string]string{"small@v1": "small@v1", "small@v2": "small@v2"}
 	tests := []struct {
 		name  string
-		fault []func(*site)
+		fault []func(*place)
 		want  map[string]string
 	}{
 		{"none", nil, same},
-		{"platform down", []func(*site){down}, same},
-		{"centres cut", []func(*site){split}, same},
-		{"centres cut, platform down", []func(*site){split, down}, same},
-		{"VM replaced", []func(*site){replace}, same},
-		{"key changed", []func(*site){change(newKeyFirst)}, same},
-		{"key changed, VM replaced, platform down", []func(*site){change(newKeyFirst), replace, down}, same},
-		{"withdrawn", []func(*site){change(withdrawV2...)}, map[string]string{"small@v1": "small@v1", "small@v2": "small@v1"}},
-		{"withdrawn, centres cut, platform down", []func(*site){change(withdrawV2...), split, down}, map[string]string{"small@v1": "small@v1", "small@v2": "small@v1"}},
-		{"chain withdrawn", []func(*site){change(withdrawV1...)}, map[string]string{"small@v1": "small@v3", "small@v2": "small@v3"}},
-		{"chain withdrawn, VM replaced", []func(*site){change(withdrawV1...), replace}, map[string]string{"small@v1": "small@v3", "small@v2": "small@v3"}},
+		{"platform down", []func(*place){down}, same},
+		{"centres cut", []func(*place){split}, same},
+		{"centres cut, platform down", []func(*place){split, down}, same},
+		{"VM replaced", []func(*place){replace}, same},
+		{"key changed", []func(*place){change(newKeyFirst)}, same},
+		{"key changed, VM replaced, platform down", []func(*place){change(newKeyFirst), replace, down}, same},
+		{"withdrawn", []func(*place){change(withdrawV2...)}, map[string]string{"small@v1": "small@v1", "small@v2": "small@v1"}},
+		{"withdrawn, centres cut, platform down", []func(*place){change(withdrawV2...), split, down}, map[string]string{"small@v1": "small@v1", "small@v2": "small@v1"}},
+		{"chain withdrawn", []func(*place){change(withdrawV1...)}, map[string]string{"small@v1": "small@v3", "small@v2": "small@v3"}},
+		{"chain withdrawn, VM replaced", []func(*place){change(withdrawV1...), replace}, map[string]string{"small@v1": "small@v3", "small@v2": "small@v3"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			open(t, func(s *site) {
+			open(t, func(s *place) {
 				tokens := make(map[string]string)
 				for n := 0; len(tokens) < 2 && n < 200; n++ {
 					got := s.chat(n%3, "")
@@ -127,7 +127,7 @@
 func TestFaultSessionToken(t *testing.T) {
 	const hash = "edbd7968212204de4f16847e8aa622c26329f5f074698dc93879d21fdb01711b"
 	otherTeam := edit{oldKey, "[[team]]\nname = \"export\"\nkeys = [\"" + hash + "\"]\nmodels = [\"small\"]\n\n" + oldKey}
-	open(t, func(s *site) {
+	open(t, func(s *place) {
 		token := s.chat(0, "").token
 		flip := []byte(token)
 		flip[len(flip)/2] ^= 1
