Add traces, their maker and samphirectl replay

Cause: decisions were measured only by unit tests with made-up pass rates, so no figure said what a configuration costs at its quality target. Change: a JSON-lines trace format (docs/TRACES.md), a seeded maker of two traces, a player that runs picker, cascader and guard over recorded outcomes, and samphirectl replay with a table, JSON, SVG and stated outcomes. The guard takes a rating floor (guard.floor). TestNoLookAhead fails if the daemons are taught the ratings of the whole trace at the start.

--- a/cmd/samphirectl/main.go
+++ b/cmd/samphirectl/main.go
@@ -58,6 +58,7 @@
 		In      *nameCmd   `arg:"subcommand:in" help:"bring a data centre back into service"`
 		Status  *emptyCmd  `arg:"subcommand:status" help:"show which daemon runs which generation"`
 		Usage   *emptyCmd  `arg:"subcommand:usage" help:"show what teams used"`
+		Replay  *replayCmd `arg:"subcommand:replay" help:"try a configuration on a recorded trace"`
 		Version *emptyCmd  `arg:"subcommand:version" help:"print the version of this program"`
 
 		Platform string        `arg:"--platform,env:SAMPHIRE_PLATFORM" help:"base URL of the platform"`
@@ -117,6 +118,8 @@
 	switch {
 	case c.Version != nil:
 		return c.version()
+	case c.Replay != nil:
+		return c.replay()
 	case c.Apply != nil && c.Apply.Dry:
 		return c.apply(ctx)
 	}
--- a/cmd/samphirectl/main_test.go
+++ b/cmd/samphirectl/main_test.go
@@ -69,6 +69,13 @@
 	defer func() { openStore = old }()
 	bad := filepath.Join(t.TempDir(), "bad.toml")
 	c.Assert(os.WriteFile(bad, []byte("foo = 1\n"), 0o600), qt.IsNil)
+	trace := filepath.Join(t.TempDir(), "trace.jsonl")
+	c.Assert(os.WriteFile(trace, []byte(strings.Join([]string{
+		`{"kind":"trace","trace":{"format":1,"name":"x","seed":1,"daemons":["d"]}}`,
+		`{"kind":"request","request":{"id":"r","daemon":"d","centre":"north","team":"counter","model":"draft","prompt":1,"output":1,"runs":[` +
+			`{"version":"small@v1","rating":0.1,"cost":1,"first":1,"whole":2,"late":0},{"version":"large@v1","rating":0.1,"cost":9,"first":1,"whole":2,"late":0}]}}`,
+		`{"kind":"expect","expect":{"name":"quality target","measure":"share","min":1}}`,
+	}, "\n")), 0o600), qt.IsNil)
 	const good = "../../examples/config.toml"
 	steps := []struct {
 		args, want string
@@ -94,6 +101,12 @@
 		{"in south", "accepted generation 4", exitOK},
 		{"--json show", `"generation": 4`, exitOK},
 		{"--timeout 1ms out -wait north", "south has not reported", exitLate},
+		{"replay -config " + good, "TRACE is required", exitUsage},
+		{"replay -config " + good + " -trace " + bad, "bad.toml: read trace: line 1", exitUsage},
+		{"replay -config " + bad + " -trace " + trace, "foo: unknown key", exitUsage},
+		{"replay -config " + good + " -trace " + trace, "broken quality target: share is 0, at least 1", exitFailed},
+		{"replay -config " + good + " -trace " + trace + " -plot " + trace + ".svg", "1 stated outcomes broken", exitFailed},
+		{"--json replay -config " + good + " -trace " + trace, `"kept": false`, exitFailed},
 		{"status", "no data centre has reported yet", exitOK},
 	}
 	for _, step := range steps {
@@ -104,6 +117,9 @@
 		c.Assert(out.String(), qt.Contains, step.want, note)
 		c.Assert(code, qt.Equals, step.code, note)
 	}
+	svg, err := os.ReadFile(trace + ".svg")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(svg), qt.Contains, "</svg>")
 	s.down = true
 	c.Assert(run(t.Context(), []string{"--platform", "x", "show"}, &bytes.Buffer{}, &bytes.Buffer{}), qt.Equals, exitPlatform)
 }
--- a/internal/config/validator/validator.go
+++ b/internal/config/validator/validator.go
@@ -237,6 +237,7 @@
 			c.add(r.key, "must be above 0 and below 1, not %g", r.v)
 		}
 	}
+	c.between("guard.floor", g.Floor, 0, 1)
 	if g.Good >= g.Bad {
 		c.add("guard.bad", "must be above good, %g, not %g", g.Good, g.Bad)
 	}
--- /dev/null
+++ b/internal/replay/plotter/colour.go
@@ -0,0 +1,14 @@
+package plotter
+
+import "image/color"
+
+// colours tell policies apart, also for readers who see few colours.
+var colours = []color.Color{
+	color.RGBA{R: 0x00, G: 0x72, B: 0xb2, A: 0xff},
+	color.RGBA{R: 0xe6, G: 0x9f, B: 0x00, A: 0xff},
+	color.RGBA{R: 0xd5, G: 0x5e, B: 0x00, A: 0xff},
+	color.RGBA{R: 0x99, G: 0x99, B: 0x99, A: 0xff},
+	color.RGBA{R: 0x00, G: 0x9e, B: 0x73, A: 0xff},
+}
+
+func colour(i int) color.Color { return colours[i%len(colours)] }
--- a/samphireturn.go
+++ b/samphireturn.go
@@ -139,6 +139,9 @@
 	// Alarm is the accepted share of false alarms; Miss that of misses.
 	Alarm float64 `toml:"alarm" json:"alarm"`
 	Miss  float64 `toml:"miss" json:"miss"`
+	// Floor is the rating, from 0 to 1, below which an answer counts as a
+	// failure; zero means that ratings do not count.
+	Floor float64 `toml:"floor" json:"floor"`
 }
 
 // Retry sets the retry budget.
