cascader: steer to the target instead of overshooting it

Change: the cascader keeps, for each team, class and alias, the surplus of good answers over the target; while there is one, a failed answer that is not worthless is released if its next run costs more than a price that is steered by the surplus. Costs are scaled to a request's estimated tokens. Replay also shows the best fixed plan of each team and class.

--- a/internal/replay/player/compare.go
+++ b/internal/replay/player/compare.go
@@ -61,10 +61,10 @@
 	if dear.Cost > cheap.Cost {
 		share = min(max((own.Cost-cheap.Cost)/(dear.Cost-cheap.Cost), 0), 1)
 	}
-	best := Hindsight(c, t)
-	r := &Report{Trace: t.Head.Name, Results: []*Result{own, cheap, dear, play("random", Random, share), best}}
+	best, fixed := Hindsight(c, t), Fixed(c, t)
+	r := &Report{Trace: t.Head.Name, Results: []*Result{own, cheap, dear, play("random", Random, share), fixed, best}}
 	for _, e := range t.Expects {
-		v, ok := measure(e.Measure, own, dear, best)
+		v, ok := measure(e.Measure, own, dear, fixed, best)
 		if !ok {
 			return nil, &Error{Op: "compare", Kind: KindMeasure, Err: errors.Errorf("outcome %q has the unknown measure %q", e.Name, e.Measure)}
 		}
@@ -75,7 +75,7 @@
 }
 
 // measure returns a measure of the configured policy.
-func measure(name string, own, dear, best *Result) (float64, bool) {
+func measure(name string, own, dear, fixed, best *Result) (float64, bool) {
 	if len(name) > 5 && name[:5] == "held:" {
 		return float64(own.Held[name[5:]]), true
 	}
@@ -83,7 +83,7 @@
 		"cost": own.Cost, "quality": own.Quality, "share": own.Share, "lowest": own.Lowest,
 		"p50": float64(own.P50), "p95": float64(own.P95), "p99": float64(own.P99),
 		"bad": float64(own.Bad), "failed": float64(own.Failed), "refused": float64(own.Refused),
-		"best": ratio(own.Cost, best.Cost), "dear": ratio(own.Cost, dear.Cost),
+		"best": ratio(own.Cost, best.Cost), "fixed": ratio(own.Cost, fixed.Cost), "dear": ratio(own.Cost, dear.Cost),
 	}
 	v, ok := values[name]
 	return v, ok
--- a/internal/replay/player/player_test.go
+++ b/internal/replay/player/player_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"slices"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -15,17 +16,28 @@
 // load reads a committed trace with its configuration.
 func load(t testing.TB, name string) (*sr.Config, *reader.Trace) {
 	t.Helper()
-	c := qt.New(t)
+	cfg, trace, err := open(name)
+	qt.Assert(t, err, qt.IsNil)
+	return cfg, trace
+}
+
+// open reads a committed trace with its configuration.
+func open(name string) (*sr.Config, *reader.Trace, error) {
 	data, err := os.ReadFile("../../../testdata/" + name + ".toml")
-	c.Assert(err, qt.IsNil)
+	if err != nil {
+		return nil, nil, err
+	}
 	cfg, err := parser.Parse(name, data)
-	c.Assert(err, qt.IsNil)
+	if err != nil {
+		return nil, nil, err
+	}
 	f, err := os.Open("../../../testdata/" + name + ".jsonl.gz")
-	c.Assert(err, qt.IsNil)
+	if err != nil {
+		return nil, nil, err
+	}
 	defer f.Close()
 	trace, err := reader.Read(f)
-	c.Assert(err, qt.IsNil)
-	return cfg, trace
+	return cfg, trace, err
 }
 
 // small returns a configuration of two models and a trace of one daemon whose
@@ -102,3 +114,40 @@
 	_, err := Compare(cfg, trace, 1)
 	qt.Assert(t, err, qt.ErrorMatches, `.*unknown measure "beauty"`)
 }
+
+// TestStatedOutcomes checks the outcomes that the committed traces state on
+// quality, latency and exposure.
+func TestStatedOutcomes(t *testing.T) { checkStated(t, false) }
+
+// TestStatedCosts checks the outcomes that the committed traces state on cost.
+func TestStatedCosts(t *testing.T) { checkStated(t, true) }
+
+// stated are the reports of the committed traces, three seeds each.
+var stated = sync.OnceValue(func() []*Report {
+	var reports []*Report
+	for _, name := range []string{"counter", "dossier"} {
+		cfg, trace, err := open(name)
+		if err != nil {
+			panic(err)
+		}
+		for seed := range uint64(3) {
+			report, err := Compare(cfg, trace, seed)
+			if err != nil {
+				panic(err)
+			}
+			reports = append(reports, report)
+		}
+	}
+	return reports
+})
+
+// checkStated checks the stated outcomes, those on cost or the others.
+func checkStated(t *testing.T, costs bool) {
+	for i, report := range stated() {
+		for _, o := range report.Outcomes {
+			if cost := o.Measure == "best" || o.Measure == "dear"; cost == costs {
+				qt.Check(t, o.Kept, qt.IsTrue, qt.Commentf("%s, seed %d: %s: %s is %.3f", report.Trace, i%3, o.Name, o.Measure, o.Value))
+			}
+		}
+	}
+}
--- a/internal/replay/player/request.go
+++ b/internal/replay/player/request.go
@@ -112,7 +112,7 @@
 		if run.Error != "" {
 			continue
 		}
-		if t.judge(step, run, i > 0) {
+		if t.judge(plan, i, run) {
 			return
 		}
 	}
@@ -136,7 +136,8 @@
 
 // judge waits for a rating before release and reports whether the request is
 // answered.
-func (t *turn) judge(step cascader.Step, run *reader.Run, after bool) bool {
+func (t *turn) judge(plan cascader.Plan, at int, run *reader.Run) bool {
+	step, after := plan.Steps[at], at > 0
 	wait := judgeWait
 	if t.alias.Delay > 0 {
 		wait = min(wait, ms(t.alias.Delay))
@@ -148,9 +149,9 @@
 	}
 	begun := t.spent
 	t.spent += delay
-	passed := rated && run.Rating >= t.alias.Quality
+	passed := rated && (run.Rating >= t.alias.Quality || t.daemon.cascader.Settle(&t.request, t.alias, plan, at, run.Rating))
 	o := t.outcome(step, run, after, rated)
-	o.Delay = delay
+	o.Delay, o.Final = delay, passed
 	d := t.daemon
 	t.later(t.spent, func() {
 		d.cascader.Learn(o)
@@ -170,7 +171,7 @@
 // release ends the request with an answer that was not judged.
 func (t *turn) release(step cascader.Step, run *reader.Run, after, rate bool) {
 	o := t.outcome(step, run, after, false)
-	o.Delay = ms(run.Whole)
+	o.Delay, o.Final = ms(run.Whole), true
 	at := t.spent + ms(run.Whole)
 	if rate && run.Late >= 0 && ms(run.Late) <= rateWait {
 		at += ms(run.Late)
@@ -189,6 +190,7 @@
 	return cascader.Outcome{
 		Team: t.record.Team, Class: t.record.Class, Version: step.Version, Quality: t.alias.Quality,
 		After: after, Rating: run.Rating, Rated: rated, Cost: run.Cost,
+		Quoted: step.Quote(&t.request), Alias: t.alias.Name, Target: t.alias.Target,
 	}
 }
 
--- a/internal/traffic/cascader/cascader.go
+++ b/internal/traffic/cascader/cascader.go
@@ -54,8 +54,21 @@
 	Rated  bool
 	// Cost is in the currency unit of the prices.
 	Cost float64
+	// Quoted is the cost that Step.Quote gave before the run; zero if unknown.
+	Quoted float64
 	// Delay is the time that the answer and its judgement took.
 	Delay time.Duration
+	// Alias and Target are those of the alias. Final says that the caller got
+	// this answer, so that it counts for the target.
+	Alias  string
+	Target float64
+	Final  bool
+}
+
+// Quote returns the cost of a request on the step by its estimated tokens, in
+// the currency unit of the prices.
+func (s Step) Quote(r *samphireturn.Request) float64 {
+	return (float64(r.Prompt)*s.Input + float64(r.Output)*s.Output) / million
 }
 
 // Plan is the steps to run in order. Every step but the last is judged before
@@ -87,6 +100,7 @@
 	Max int
 
 	mu    sync.Mutex
+	paces map[account]*pace
 	known map[key]*list.Element
 	// recent lists estimates, the one learned last first.
 	recent list.List
@@ -216,7 +230,7 @@
 			step:  s,
 			first: c.rate(first, prior, now),
 			after: c.rate(after, prior, now),
-			cost:  (float64(r.Prompt)*s.Input + float64(r.Output)*s.Output) / million,
+			cost:  s.Quote(r),
 			stale: now.Sub(first.ratedAt) >= c.stale(),
 		}
 		if runs == 0 {
@@ -224,6 +238,9 @@
 			continue
 		}
 		costs[i] = (first.cost + after.cost) / runs
+		if quoted := first.quoted + after.quoted; quoted > 0 {
+			costs[i] = views[i].cost * (first.cost + after.cost) / quoted
+		}
 		views[i].delay = (first.delay + after.delay) / runs
 	}
 	for i := range views {
--- a/internal/traffic/cascader/cascader_test.go
+++ b/internal/traffic/cascader/cascader_test.go
@@ -164,3 +164,43 @@
 	c.Assert(float64(good)/float64(n) >= alias.Target, qt.IsTrue)
 	c.Assert(cost <= 1.15*best, qt.IsTrue)
 }
+
+// TestSettle checks that an answer below the bar is released only while the
+// team's answers of the class are above the target.
+func TestSettle(t *testing.T) {
+	plan := Plan{Steps: []Step{cheap, dear}}
+	tests := []struct {
+		name   string
+		rating float64
+		good   int // rated answers that reached the bar
+		missed int
+		class  string
+		at     int
+		want   bool
+	}{
+		{name: "above the target", rating: 0.6, good: 50, class: "k", want: true},
+		{name: "below the target", rating: 0.6, good: 50, missed: 10, class: "k"},
+		{name: "surplus of another class", rating: 0.6, good: 50, class: "z"},
+		{name: "worthless answer", rating: 0.3, good: 50, class: "k"},
+		{name: "last step", rating: 0.6, good: 50, class: "k", at: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			k, _ := newCascader()
+			r := ask
+			r.Class = tt.class
+			learn := func(n int, rating float64) {
+				for range n {
+					k.Learn(Outcome{Team: "t", Class: "k", Version: cheap.Version, Quality: 0.7, Target: 0.9, Rated: true, Final: true, Rating: rating})
+				}
+			}
+			learn(tt.good, 0.9)
+			for range 20 { // lowers the price if there is a surplus
+				k.Settle(&r, &alias, plan, tt.at, tt.rating)
+			}
+			learn(tt.missed, 0.1)
+			settled := k.Settle(&r, &alias, plan, tt.at, tt.rating)
+			qt.Assert(t, settled, qt.Equals, tt.want)
+		})
+	}
+}
--- a/internal/traffic/cascader/estimate.go
+++ b/internal/traffic/cascader/estimate.go
@@ -24,8 +24,9 @@
 	at, ratedAt time.Time
 	// passed and rated count ratings.
 	passed, rated float64
-	// cost, in currency units, and delay, in seconds, are summed over runs.
-	cost, delay, runs float64
+	// cost and quoted, in currency units, and delay, in seconds, are summed over
+	// runs.
+	cost, quoted, delay, runs float64
 }
 
 // Learn takes in what became of a step. It may come long after the answer.
@@ -36,13 +37,15 @@
 	k := key{team: o.Team, class: o.Class, version: o.Version, quality: o.Quality, after: o.After}
 	e := c.touch(k, now)
 	decay := c.decay(now.Sub(e.at))
-	for _, f := range []*float64{&e.passed, &e.rated, &e.cost, &e.delay, &e.runs} {
+	for _, f := range []*float64{&e.passed, &e.rated, &e.cost, &e.quoted, &e.delay, &e.runs} {
 		*f *= decay
 	}
 	e.at = now
 	e.cost += o.Cost
+	e.quoted += o.Quoted
 	e.delay += o.Delay.Seconds()
 	e.runs++
+	c.book(o, e, now)
 	if !o.Rated {
 		return
 	}
--- /dev/null
+++ b/internal/traffic/cascader/pace.go
@@ -0,0 +1,97 @@
+package cascader
+
+import (
+	"math"
+	"time"
+
+	"samphireturn"
+)
+
+const (
+	// maxSurplus bounds the good answers above the target that are remembered,
+	// so that a long good time does not pay for a long bad one.
+	maxSurplus = 20
+	// keptSurplus is the surplus that the price is steered to.
+	keptSurplus = 0.5
+	// priceStep is how far the logarithm of the price moves for one answer of
+	// surplus, and maxMove the farthest that it moves at once.
+	priceStep = 0.1
+	maxMove   = 0.3
+	// worthless is the part of the bar below which an answer is never released
+	// while another step is left.
+	worthless = 0.6
+)
+
+// account names what a surplus is kept for.
+type account struct{ team, class, alias string }
+
+// pace accounts for an alias's target.
+type pace struct {
+	// surplus is the number of good answers above the target.
+	surplus float64
+	// price is the cost above which one more good answer is not worth its run
+	// while there is a surplus, in currency units.
+	price float64
+}
+
+// Settle reports whether a judged answer below the bar is released all the
+// same, since the team's answers of this class are above their target and the
+// next step costs much for what it is expected to gain. At is the step's index
+// in the plan.
+func (c *Cascader) Settle(r *samphireturn.Request, alias *samphireturn.Alias, p Plan, at int, rating float64) bool {
+	if at+1 >= len(p.Steps) || rating < worthless*alias.Quality {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := p.Steps[at+1]
+	k := key{team: r.Team, class: r.Class, version: next.Version, quality: alias.Quality, after: true}
+	e := c.lookup(k)
+	cost := next.Quote(r)
+	if e.quoted > 0 {
+		cost *= e.cost / e.quoted
+	}
+	gain := cost / max(c.rate(e, dearRate, c.now()).mean, 0.01)
+	t := c.pace(account{r.Team, r.Class, alias.Name})
+	if t.price == 0 {
+		t.price = gain
+	}
+	move := priceStep * (keptSurplus - t.surplus)
+	t.price *= math.Exp(min(max(move, -maxMove), maxMove))
+	return t.surplus >= 0 && gain > t.price
+}
+
+// book accounts for a released answer. One that was not rated counts by its
+// estimate.
+func (c *Cascader) book(o Outcome, e *estimate, now time.Time) {
+	if !o.Final {
+		return
+	}
+	good := c.rate(*e, dearRate, now).low
+	if o.Rated {
+		good = 0
+		if o.Rating >= o.Quality {
+			good = 1
+		}
+	}
+	t := c.pace(account{o.Team, o.Class, o.Alias})
+	t.surplus = min(t.surplus+good-o.Target, maxSurplus)
+}
+
+// pace returns the pace of an account, made if there is none.
+func (c *Cascader) pace(a account) *pace {
+	t := c.paces[a]
+	if t != nil {
+		return t
+	}
+	limit := c.Max
+	if limit <= 0 {
+		limit = defaultMax
+	}
+	if c.paces == nil || len(c.paces) >= limit {
+		c.paces = make(map[account]*pace)
+	}
+	t = &pace{}
+	c.paces[a] = t
+	return t
+}
--- a/internal/traffic/receiver/cascade.go
+++ b/internal/traffic/receiver/cascade.go
@@ -42,18 +42,11 @@
 			continue
 		}
 		rating, rated := r.judge(ctx, t, a)
-		r.Cascader.Learn(cascader.Outcome{
-			Team:    t.team.Name,
-			Class:   t.options.Class,
-			Version: step.Version,
-			Quality: t.alias.Quality,
-			After:   i > 0,
-			Rating:  rating,
-			Rated:   rated,
-			Cost:    cost,
-			Delay:   time.Since(start),
-		})
-		if rated && rating >= t.alias.Quality {
+		passed := rated && (rating >= t.alias.Quality || r.Cascader.Settle(t.work, t.alias, plan, i, rating))
+		o := t.outcome(step, cost, time.Since(start), i > 0)
+		o.Rating, o.Rated, o.Final = rating, rated, passed
+		r.Cascader.Learn(o)
+		if passed {
 			return a, nil
 		}
 	}
@@ -134,15 +127,8 @@
 	if t.alias == nil || a.status != http.StatusOK {
 		return
 	}
-	o := cascader.Outcome{
-		Team:    t.team.Name,
-		Class:   t.options.Class,
-		Version: a.version,
-		Quality: t.alias.Quality,
-		After:   after,
-		Cost:    cost,
-		Delay:   delay,
-	}
+	o := t.outcome(priced(t.snapshot.Config, a.version), cost, delay, after)
+	o.Final = true
 	prompt := t.chat.Text
 	if !rate {
 		r.Cascader.Learn(o)
@@ -163,6 +149,22 @@
 	}
 }
 
+// outcome returns what the cascader learns of a run of a step.
+func (t *turn) outcome(step cascader.Step, cost float64, delay time.Duration, after bool) cascader.Outcome {
+	return cascader.Outcome{
+		Team:    t.team.Name,
+		Class:   t.options.Class,
+		Version: step.Version,
+		Quality: t.alias.Quality,
+		After:   after,
+		Cost:    cost,
+		Quoted:  step.Quote(t.work),
+		Delay:   delay,
+		Alias:   t.alias.Name,
+		Target:  t.alias.Target,
+	}
+}
+
 // passed reports an engine's own error answer that is passed on to the caller,
 // or nil.
 func passed(err error) *dispatcher.Answer {
