guard: count, share and hold as a service of the daemon

Cause: the sequential test stood alone; no daemon counted answers, shared them or held a version. Change: guard.New(control, peers, store, instance) is a kernel service and an observer of the router (router.Observers passes on to several); guard.Rater tells it of ratings below guard.floor. Counts are totals per instance, pushed each second as far as they changed and at once after a failure; instances that are gone are folded. An odd epoch holds a version: the daemon that suspects it holds it at once, peers take the higher epoch, and holds/<model>@<version> is written by conditional create or update. Starting daemons and one home a data centre read it; samphirectl release and a change of the version's state end it.

--- a/cmd/samphirectl/main.go
+++ b/cmd/samphirectl/main.go
@@ -58,6 +58,7 @@
 		In      *nameCmd   `arg:"subcommand:in" help:"bring a data centre back into service"`
 		Status  *emptyCmd  `arg:"subcommand:status" help:"show which daemon runs which generation"`
 		Usage   *emptyCmd  `arg:"subcommand:usage" help:"show what teams used"`
+		Release *nameCmd   `arg:"subcommand:release" help:"let a held version, model@version, take new sessions again"`
 		Replay  *replayCmd `arg:"subcommand:replay" help:"try a configuration on a recorded trace"`
 		Version *emptyCmd  `arg:"subcommand:version" help:"print the version of this program"`
 
@@ -139,6 +140,8 @@
 		return c.status(ctx)
 	case c.Usage != nil:
 		return c.usage(ctx)
+	case c.Release != nil:
+		return c.release(ctx)
 	case c.Preset != nil:
 		return c.edit(ctx, c.Preset.Use, "use preset "+c.Preset.Use.Name, func(f files) (files, error) { return editor.Use(f, c.Preset.Use.Name) })
 	case c.Out != nil:
--- /dev/null
+++ b/cmd/samphirectl/release.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"samphireturn"
+	"samphireturn/internal/fleet/guard"
+)
+
+// release ends the hold of a version. Daemons follow within seconds.
+func (c *client) release(ctx context.Context) error {
+	name := c.Release.Name
+	h, _, err := guard.Load(ctx, c.store, name)
+	if samphireturn.KindOf(err) == samphireturn.KindMissing || err == nil && !h.Held() {
+		return &Error{Op: "release " + name + ": it is not held", Code: exitFailed}
+	}
+	if err != nil {
+		return &Error{Op: "release " + name, Code: exitPlatform, Err: err}
+	}
+	next := guard.Hold{Version: h.Version, Epoch: h.Epoch + 1, Generation: h.Generation}
+	stands, err := guard.Save(ctx, c.store, next)
+	if samphireturn.KindOf(err) == samphireturn.KindConflict {
+		return &Error{Op: "release " + name, Code: exitConflict, Err: err}
+	}
+	if err != nil {
+		return &Error{Op: "release " + name, Code: exitPlatform, Err: err}
+	}
+	return c.print(stands, fmt.Sprintf("%s is released in epoch %d", name, stands.Epoch))
+}
--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -17,6 +17,7 @@
 	"samphireturn/internal/core/kernel"
 	"samphireturn/internal/fleet/detector"
 	"samphireturn/internal/fleet/granter"
+	"samphireturn/internal/fleet/guard"
 	"samphireturn/internal/fleet/messenger"
 	"samphireturn/internal/fleet/ranker"
 	"samphireturn/internal/ledger/biller"
@@ -40,6 +41,7 @@
 	Watcher   = "watcher"
 	Detector  = "detector"
 	Granter   = "granter"
+	Guard     = "guard"
 	Claimer   = "claimer"
 	Biller    = "biller"
 	Reporter  = "reporter"
@@ -50,6 +52,7 @@
 	manifestHomes = 2 // daemons of a data centre that watch the manifest
 	manifestName  = "config/manifest"
 	statusName    = "status/"
+	holdsName     = "holds/"
 
 	dialTimeout = 2 * time.Second
 	idleTimeout = 30 * time.Second
@@ -122,6 +125,7 @@
 		{Detector, p.detector},
 		{Watcher, p.watcher},
 		{Granter, p.granter},
+		{Guard, p.guard},
 		{Claimer, p.claimer},
 		{Biller, p.biller},
 		{Reporter, p.reporter},
@@ -181,6 +185,13 @@
 	return &granter.Granter{Control: p.kernel, Clock: p.limiter.Clock}, nil
 }
 
+func (p *parts) guard() (kernel.Service, error) {
+	g := guard.New(p.kernel, p.peers, p.platform, p.instance)
+	g.Log = service(p.log, Guard)
+	g.Home = func() bool { return p.home(holdsName+p.settings.Centre, 1) }
+	return g, nil
+}
+
 func (p *parts) claimer() (kernel.Service, error) {
 	c := &claimer.Claimer{
 		Store: p.platform,
@@ -225,6 +236,10 @@
 	if err != nil {
 		return nil, err
 	}
+	g, err := kernel.Find[*guard.Guard](p.kernel, Guard)
+	if err != nil {
+		return nil, err
+	}
 	pick := &picker.Picker{Now: p.limiter.Clock, Prefixes: new(picker.Prefixes)}
 	limits := p.settings.Limits
 	ln, err := p.Listen(p.settings.Listen)
@@ -248,6 +263,7 @@
 			Limiter:    p.limiter,
 			Dispatcher: dispatcher.New(p.Dial),
 			Retries:    new(budgeter.Budgeter),
+			Observer:   router.Observers{g},
 		},
 		Picker:   pick,
 		Cascader: new(cascader.Cascader),
@@ -256,7 +272,7 @@
 		Claimer:  c,
 		Minter:   &minter.Minter{Keys: p.keys, Instance: p.instance},
 		Runner:   &runner.Runner{Instance: p.instance},
-		Rater:    p.platform,
+		Rater:    &guard.Rater{Rater: p.platform, Guard: g},
 		Ready:    w.Ready,
 	}, nil
 }
--- a/internal/fleet/guard/guard.go
+++ b/internal/fleet/guard/guard.go
@@ -17,6 +17,8 @@
 	// defaultAlarm and defaultMiss are the accepted error rates of the test.
 	defaultAlarm = 0.01
 	defaultMiss  = 0.01
+	// maxFolded bounds the instances that are gone but remembered.
+	maxFolded = 1024
 )
 
 // Verdicts on a version.
@@ -68,6 +70,8 @@
 type state struct {
 	epoch     uint64
 	instances map[string]Total
+	// folded holds the counts of instances that are gone.
+	folded map[string]Total
 	// ratio is the logarithm of the likelihood ratio of bad to good.
 	ratio float64
 	// test numbers the running test of the epoch, from 1.
@@ -167,6 +171,33 @@
 	}
 }
 
+// SetGuard replaces the rates.
+func (c *Counter) SetGuard(g samphireturn.Guard) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Guard = g
+}
+
+// Fold sets the counts of every instance that keep does not accept aside. They
+// stay in the test and are no longer in Totals. If the instance turns up again
+// its counts go on from where they stood.
+func (c *Counter) Fold(keep func(instance string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.versions {
+		for id, t := range s.instances {
+			if keep(id) {
+				continue
+			}
+			delete(s.instances, id)
+			if s.folded == nil || len(s.folded) >= maxFolded {
+				s.folded = make(map[string]Total)
+			}
+			s.folded[id] = t
+		}
+	}
+}
+
 // Retain forgets every version that keep does not accept, such as those no
 // longer configured.
 func (c *Counter) Retain(keep func(samphireturn.VersionRef) bool) {
@@ -231,12 +262,16 @@
 // raise lifts an instance's counts to t and returns the growth.
 func (s *state) raise(id string, t Total) Total {
 	t.Failures = min(t.Failures, t.Calls)
-	old := s.instances[id]
+	old, ok := s.instances[id]
+	if !ok {
+		old = s.folded[id]
+	}
 	next := Total{Calls: max(old.Calls, t.Calls), Failures: max(old.Failures, t.Failures)}
 	if next == old {
 		return Total{}
 	}
 	s.instances[id] = next
+	delete(s.folded, id)
 	return Total{Calls: next.Calls - old.Calls, Failures: next.Failures - old.Failures}
 }
 
--- /dev/null
+++ b/internal/fleet/guard/rater.go
@@ -0,0 +1,22 @@
+package guard
+
+import (
+	"context"
+
+	"samphireturn"
+)
+
+// Rater passes ratings on and tells the guard of them.
+type Rater struct {
+	samphireturn.Rater
+	Guard *Guard
+}
+
+// Rate returns the rating of the wrapped rater.
+func (r *Rater) Rate(ctx context.Context, v samphireturn.VersionRef, prompt, answer string) (float64, error) {
+	rating, err := r.Rater.Rate(ctx, v, prompt, answer)
+	if err == nil {
+		r.Guard.Rated(v, rating)
+	}
+	return rating, err
+}
--- a/internal/traffic/router/router.go
+++ b/internal/traffic/router/router.go
@@ -32,6 +32,16 @@
 	Sent(e *samphireturn.Endpoint, v samphireturn.VersionRef, first time.Duration, err *dispatcher.Error)
 }
 
+// Observers passes what it learns on to each observer in turn.
+type Observers []Observer
+
+// Sent calls Sent of each observer.
+func (o Observers) Sent(e *samphireturn.Endpoint, v samphireturn.VersionRef, first time.Duration, err *dispatcher.Error) {
+	for _, each := range o {
+		each.Sent(e, v, first, err)
+	}
+}
+
 // Work is a request that is ready to be sent.
 type Work struct {
 	Request *samphireturn.Request
