--- a/internal/replay/maker/maker.go
+++ b/internal/replay/maker/maker.go
@@ -29,6 +29,14 @@
 	follow = 0.15
 	// reportPeriod is the time between two load reports in milliseconds.
 	reportPeriod = 30_000
+	// firstBlock is the length of the shortest prefix and tokenBytes that of a
+	// token; teamBlocks is the number of blocks that a team's prompts share.
+	firstBlock = 256
+	tokenBytes = 4
+	teamBlocks = 2
+	// engineSpeed is the tokens a second that an engine makes for all requests
+	// together.
+	engineSpeed = 2500
 	// slowShare and slowLate are the share of slow ratings and their lateness
 	// in milliseconds.
 	slowShare = 0.02
@@ -115,7 +123,7 @@
 
 // request draws one request.
 func (m *maker) request(i int, at int64) *reader.Request {
-	s, first := m.session(i)
+	s := m.session(i)
 	c := m.classes[s.class]
 	daemon := m.rand.IntN(m.daemons)
 	r := &reader.Request{
@@ -129,7 +137,7 @@
 		Prompt:  int(float64(c.prompt) * m.lognormal(0.4) * float64(1+s.turns)),
 		Output:  int(float64(c.output) * m.lognormal(0.3)),
 	}
-	r.Prefixes = m.prefixes(s, first)
+	r.Prefixes = prefixes(s, r.Prompt)
 	late := m.late(at)
 	for _, v := range m.versions {
 		r.Runs = append(r.Runs, m.run(r, c, v, s.difficulty, at, late))
@@ -138,17 +146,17 @@
 }
 
 // session goes on with a session or begins one.
-func (m *maker) session(i int) (session, bool) {
+func (m *maker) session(i int) session {
 	if len(m.sessions) > 0 && m.rand.Float64() < follow {
 		at := m.rand.IntN(len(m.sessions))
 		m.sessions[at].turns++
-		return m.sessions[at], false
+		return m.sessions[at]
 	}
 	s := session{id: fmt.Sprint("s", i), team: m.team(), class: m.class(), difficulty: m.rand.NormFloat64()}
 	if m.sessions = append(m.sessions, s); len(m.sessions) > 200 {
 		m.sessions = m.sessions[1:]
 	}
-	return s, true
+	return s
 }
 
 // team draws a team; a few are large.
@@ -215,35 +223,39 @@
 	return run
 }
 
-// prefixes returns the hashes of the leading blocks: two of the team and the
-// class, the others of the session.
-func (m *maker) prefixes(s session, first bool) []uint64 {
-	team := uint64(len(s.team))*1000 + uint64(s.team[len(s.team)-1])*10 + uint64(s.class)
-	out := []uint64{2 * team, 2*team + 1}
-	if first {
-		return out
-	}
+// prefixes returns the hashes of the prompt's leading blocks: the first ones are
+// those of the team and class, the others those of the session.
+func prefixes(s session, prompt int) []uint64 {
+	team := 100*uint64(len(s.team)) + 10*uint64(s.team[len(s.team)-1]) + uint64(s.class)
 	var id uint64
 	_, _ = fmt.Sscanf(s.id, "s%d", &id)
-	for i := range min(s.turns, 4) {
-		out = append(out, 1_000_000+10*id+uint64(i))
+	var out []uint64
+	for block := uint64(0); firstBlock<<block <= prompt*tokenBytes; block++ {
+		if block < teamBlocks {
+			out = append(out, 10*team+block)
+			continue
+		}
+		out = append(out, 1_000_000+100*id+block)
 	}
 	return out
 }
 
 // reports draws the load reports of the endpoints.
 func (m *maker) reports() {
+	var names []string
+	for _, v := range m.versions {
+		names = append(names, v.name)
+	}
 	for at := int64(0); at < m.length; at += reportPeriod {
 		for i := range m.endpoints {
-			v := m.versions[i%len(m.versions)]
 			e := &reader.Load{
 				Endpoint: fmt.Sprint("engine", i+1),
 				Centre:   centres[i%len(centres)],
-				Versions: []string{v.name},
+				Versions: names,
 				Lag:      500 + m.rand.Int64N(2500),
 				Budget:   64000,
 				Queued:   int64(4000 * m.lognormal(0.8)),
-				Speed:    20 * v.speed,
+				Speed:    engineSpeed,
 			}
 			m.lines = append(m.lines, reader.Line{Kind: reader.LineLoad, Time: at, Load: e})
 		}
--- a/internal/traffic/picker/picker_test.go
+++ b/internal/traffic/picker/picker_test.go
@@ -287,38 +287,89 @@
 	c.Assert(e.ID, qt.Equals, "e2")
 }
 
-func BenchmarkDecide(b *testing.B) {
-	for _, n := range []int{12, 630, 12000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			s := fleet(n)
-			p := newPicker(1)
-			r := &sr.Request{ID: "r", Team: "t", Prompt: 100, Output: 100, Prefixes: []uint64{1, 2, 3, 4}}
-			r.Session = &sr.Session{ID: "s", Team: "t", Model: "m", Version: "v1", Endpoint: "e7"}
-			p.Prefixes.Hold("e3", 1, 2)
-			b.ReportAllocs()
-			for b.Loop() {
-				v, err := p.Version(s, r, "m")
-				if err != nil {
-					b.Fatal(err)
-				}
-				if _, err := p.Endpoint(s, r, v, nil); err != nil {
-					b.Fatal(err)
-				}
+// TestFaultStaleReport has one endpoint of twelve report no queue for good while
+// it fills up, and checks that daemons do not all go there.
+func TestFaultStaleReport(t *testing.T) {
+	const daemons, requests = 8, 60
+	toStale := 0
+	for d := range uint64(daemons) {
+		s := fleet(12)
+		for _, e := range s.Endpoints {
+			e.Gauge.Allowed.Store(1 << 30)
+			e.Queued = 100000
+		}
+		s.Endpoints["e0"].Queued = 0
+		p := newPicker(d)
+		r := &sr.Request{Team: "t", Prompt: 100, Output: 100}
+		for range requests {
+			e, err := p.Endpoint(s, r, sr.VersionRef{Model: "m", Version: "v1"}, nil)
+			qt.Assert(t, err, qt.IsNil)
+			e.Gauge.Outstanding.Add(200)
+			if e.ID == "e0" {
+				toStale++
 			}
-		})
+		}
 	}
+	share := float64(toStale) / (daemons * requests)
+	t.Logf("share of the endpoint with the stale report: %.2f", share)
+	qt.Assert(t, share < 0.25, qt.IsTrue)
 }
 
-func TestDecideAllocatesNothing(t *testing.T) {
-	s := fleet(630)
+// BenchmarkDecide measures one decision. In the full pools one endpoint in ten,
+// and at least one, has room.
+func BenchmarkDecide(b *testing.B) {
+	for _, full := range []bool{false, true} {
+		for _, n := range []int{12, 630, 12000} {
+			b.Run(fmt.Sprintf("full=%t/%d", full, n), func(b *testing.B) { benchmarkDecide(b, n, full) })
+		}
+	}
+}
+
+func benchmarkDecide(b *testing.B, n int, full bool) {
+	s := fleet(n)
 	p := newPicker(1)
 	r := &sr.Request{ID: "r", Team: "t", Prompt: 100, Output: 100, Prefixes: []uint64{1, 2, 3, 4}}
+	r.Session = &sr.Session{ID: "s", Team: "t", Model: "m", Version: "v1", Endpoint: "e7"}
 	p.Prefixes.Hold("e3", 1, 2)
-	n := testing.AllocsPerRun(100, func() {
-		v, _ := p.Version(s, r, "m")
-		_, _ = p.Endpoint(s, r, v, nil)
-		_, _ = p.Remote(s, r, v, nil)
-		_, _ = p.Service(s, "tickets", nil)
-	})
-	qt.Assert(t, n, qt.Equals, 0.0)
+	if full {
+		fill(s)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		v, err := p.Version(s, r, "m")
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := p.Endpoint(s, r, v, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// fill leaves room at every tenth endpoint.
+func fill(s *sr.Snapshot) {
+	for i, e := range s.Services["tickets"] {
+		if i%10 != 5 || i > 9 && len(s.Endpoints) < 20 {
+			e.Gauge.Outstanding.Store(1000)
+		}
+	}
+}
+
+func TestDecideAllocatesNothing(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		s := fleet(630)
+		p := newPicker(1)
+		r := &sr.Request{ID: "r", Team: "t", Prompt: 100, Output: 100, Prefixes: []uint64{1, 2, 3, 4}}
+		p.Prefixes.Hold("e3", 1, 2)
+		if full {
+			fill(s)
+		}
+		n := testing.AllocsPerRun(100, func() {
+			v, _ := p.Version(s, r, "m")
+			_, _ = p.Endpoint(s, r, v, nil)
+			_, _ = p.Remote(s, r, v, nil)
+			_, _ = p.Service(s, "tickets", nil)
+		})
+		qt.Assert(t, n, qt.Equals, 0.0, qt.Commentf("full pools: %t", full))
+	}
 }
