Test holds on the whole path and releases by the operator

Cause: guard was proved with fakes only; nothing showed that the assembled daemon counts, holds and releases.

--- a/cmd/samphirectl/main_test.go
+++ b/cmd/samphirectl/main_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"samphireturn"
+	"samphireturn/internal/fleet/guard"
 )
 
 // memory is an object API without faults but for down.
@@ -76,6 +77,8 @@
 			`{"version":"small@v1","rating":0.1,"cost":1,"first":1,"whole":2,"late":0},{"version":"large@v1","rating":0.1,"cost":9,"first":1,"whole":2,"late":0}]}}`,
 		`{"kind":"expect","expect":{"name":"quality target","measure":"share","min":1}}`,
 	}, "\n")), 0o600), qt.IsNil)
+	_, err := guard.Save(t.Context(), s, guard.Hold{Version: samphireturn.VersionRef{Model: "small", Version: "v9"}, Epoch: 3})
+	c.Assert(err, qt.IsNil)
 	const good = "../../examples/config.toml"
 	steps := []struct {
 		args, want string
@@ -107,6 +110,9 @@
 		{"replay -config " + good + " -trace " + trace, "broken quality target: share is 0, at least 1", exitFailed},
 		{"replay -config " + good + " -trace " + trace + " -plot " + trace + ".svg", "1 stated outcomes broken", exitFailed},
 		{"--json replay -config " + good + " -trace " + trace, `"kept": false`, exitFailed},
+		{"release small@v2", "it is not held", exitFailed},
+		{"release small@v9", "small@v9 is released in epoch 4", exitOK},
+		{"release small@v9", "it is not held", exitFailed},
 		{"status", "no data centre has reported yet", exitOK},
 	}
 	for _, step := range steps {
