--- a/cmd/samphirectl/main_test.go
+++ b/cmd/samphirectl/main_test.go
@@ -13,6 +13,7 @@
 
 	"samphireturn"
 	"samphireturn/internal/config/publisher"
+	"samphireturn/internal/fleet/guard"
 )
 
 // memory is an object API without faults but for down.
@@ -85,6 +86,15 @@
 	colleague := filepath.Join(t.TempDir(), "config.toml")
 	c.Assert(os.WriteFile(colleague, append(example, "# hers\n"...), 0o600), qt.IsNil)
 	saved := t.TempDir()
+	trace := filepath.Join(t.TempDir(), "trace.jsonl")
+	c.Assert(os.WriteFile(trace, []byte(strings.Join([]string{
+		`{"kind":"trace","trace":{"format":1,"name":"x","seed":1,"daemons":["d"]}}`,
+		`{"kind":"request","request":{"id":"r","daemon":"d","centre":"north","team":"counter","model":"draft","prompt":1,"output":1,"runs":[` +
+			`{"version":"small@v1","rating":0.1,"cost":1,"first":1,"whole":2,"late":0},{"version":"large@v1","rating":0.1,"cost":9,"first":1,"whole":2,"late":0}]}}`,
+		`{"kind":"expect","expect":{"name":"quality target","measure":"share","min":1}}`,
+	}, "\n")), 0o600), qt.IsNil)
+	_, err = guard.Save(t.Context(), s, guard.Hold{Version: samphireturn.VersionRef{Model: "small", Version: "v9"}, Epoch: 3})
+	c.Assert(err, qt.IsNil)
 	steps := []struct {
 		args, want string
 		code       int
@@ -116,6 +126,15 @@
 		{"--timeout 1ms out -wait north", "south has not reported", exitLate},
 		{"apply -base 5 " + colleague, "accepted generation 6", exitOK},
 		{"apply " + saved + "/config.toml", "made from generation 2, but 6 by ann is in force", exitConflict},
+		{"replay -config " + good, "TRACE is required", exitUsage},
+		{"replay -config " + good + " -trace " + bad, "bad.toml: read trace: line 1", exitUsage},
+		{"replay -config " + bad + " -trace " + trace, "foo: unknown key", exitUsage},
+		{"replay -config " + good + " -trace " + trace, "broken quality target: share is 0, at least 1", exitFailed},
+		{"replay -config " + good + " -trace " + trace + " -plot " + trace + ".svg", "1 stated outcomes broken", exitFailed},
+		{"--json replay -config " + good + " -trace " + trace, `"kept": false`, exitFailed},
+		{"release small@v2", "it is not held", exitFailed},
+		{"release small@v9", "small@v9 is released in epoch 4", exitOK},
+		{"release small@v9", "it is not held", exitFailed},
 		{"status", "no data centre has reported yet", exitOK},
 	}
 	for _, step := range steps {
@@ -126,6 +145,9 @@
 		c.Assert(out.String(), qt.Contains, step.want, note)
 		c.Assert(code, qt.Equals, step.code, note)
 	}
+	svg, err := os.ReadFile(trace + ".svg")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(svg), qt.Contains, "</svg>")
 	s.down = true
 	c.Assert(run(t.Context(), []string{"--platform", "x", "show"}, &bytes.Buffer{}, &bytes.Buffer{}), qt.Equals, exitPlatform)
 }
--- a/internal/traffic/receiver/overflow.go
+++ b/internal/traffic/receiver/overflow.go
@@ -43,9 +43,10 @@
 }
 
 // overflows reports whether the request may be passed on to another data
-// centre: it was not passed on before, and no daemon is bound to it by an id.
+// centre: it was not passed on before, and no daemon is bound to it by an id. An
+// idempotency key binds it to none, since the claim here is released first.
 func (x *exchange) overflows() bool {
-	return x.request.Header.Get(HeaderHop) == "" && x.options.Key == "" && x.options.Request == ""
+	return x.request.Header.Get(HeaderHop) == "" && x.options.Request == ""
 }
 
 // overflow passes a request on to a daemon of another data centre that serves
--- a/internal/traffic/receiver/receiver.go
+++ b/internal/traffic/receiver/receiver.go
@@ -36,6 +36,7 @@
 	defaultRead   = 10 * time.Second
 	defaultDrain  = 30 * time.Second
 
+	linger           = 250 * time.Millisecond // time in which late requests are refused
 	backgroundRaters = 4
 	backgroundQueue  = 256
 	bytesPerToken    = 4
@@ -132,11 +133,15 @@
 func (r *Receiver) Leave() { r.closing.Store(true) }
 
 // Close turns not ready, waits for Notice, stops listening and waits for
-// running requests until Drain has passed.
+// running requests until Drain has passed. Requests that come late on open
+// connections are refused for a short time before these are closed, since the
+// server would close them without an answer.
 func (r *Receiver) Close() error {
 	r.Leave()
 	time.Sleep(r.Notice)
 	r.ended.Store(true)
+	_ = r.Listener.Close()
+	time.Sleep(linger)
 	ctx, cancel := context.WithTimeout(context.Background(), or(r.Drain, defaultDrain))
 	defer cancel()
 	err := r.server.Shutdown(ctx)
