--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -47,6 +47,7 @@
 	start "$1" env GOMAXPROCS=1 bin/samphireturnd "$dir/$1.toml"
 }
 daemon entry1 "$(addr 2)" "$(addr 3)"
+entry1=${pids[-1]}
 daemon entry2 "$(addr 4)" "$(addr 5)" # keeps the copies of usage records
 sed -E 's/^(concurrent|tokens) = .*/\1 = 0/' examples/config.toml >"$dir/config.toml"
 
@@ -68,6 +69,17 @@
 	done
 done
 
+# used prints the processor time in microseconds that entry1 has used.
+used() { awk -v hz="$(getconf CLK_TCK)" '{print ($14 + $15) * 1000000 / hz}' "/proc/$entry1/stat"; }
+
+# busy COUNT OPTIONS... runs a load and prints entry1's processor time an answer.
+busy() {
+	local before
+	before=$(used)
+	load --count "$@"
+	echo "processor time of the daemon: $((($(used) - before) / $1)) us an answer"
+}
+
 load() { bin/standin load --url "$through" --base "$engine" --key counter-key --model large@v1 "$@"; }
 sleep 3 # links between the daemons
 load --count 500 >/dev/null # connections and caches
@@ -76,6 +88,6 @@
 echo "== unloaded (1 client), streams of 16 tokens"
 load --count "$COUNT" --stream
 echo "== 16 clients, whole answers; daemon on one core, engine and callers on all"
-load --count $((COUNT * 4)) --clients 16
+busy $((COUNT * 4)) --clients 16
 echo "== 16 clients, streams"
-load --count $((COUNT * 4)) --clients 16 --stream
+busy $((COUNT * 4)) --clients 16 --stream
