--- a/internal/traffic/dispatcher/silence.go
+++ b/internal/traffic/dispatcher/silence.go
@@ -43,7 +43,7 @@
 func (d *Dispatcher) guard(a *attempt, c Call) func() {
 	wait := d.Silence
 	if deadline, ok := a.ctx.Deadline(); ok && !c.Once {
-		wait = min(wait, time.Until(deadline)/patience)
+		wait = min(wait, max(time.Until(deadline)/patience, pingTimeout))
 	}
 	done := make(chan struct{})
 	go func() {
