--- a/Makefile
+++ b/Makefile
@@ -20,5 +20,5 @@
 	bash scripts/bench.sh
 	go test -run '^$$' -bench . -benchmem ./internal/traffic/...
 
-slopes:
-	go test -run '^$$' -bench Slope -benchmem ./...
+slopes: build
+	bash scripts/slopes.sh
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -72,6 +72,8 @@
 	Platform *platformCmd `arg:"subcommand:platform" help:"object API, VM list, rating service, weight store"`
 	Engine   *engineCmd   `arg:"subcommand:engine" help:"model engine"`
 	Service  *serviceCmd  `arg:"subcommand:service" help:"plain service"`
+	Pool     *poolCmd     `arg:"subcommand:pool" help:"many engines in one process, listed at the platform"`
+	Sample   *sampleCmd   `arg:"subcommand:sample" help:"measure what running daemons spend on control"`
 	Load     *loadCmd     `arg:"subcommand:load" help:"send chat requests and measure the answers"`
 }
 
@@ -84,32 +86,46 @@
 	var o options
 	p := arg.MustParse(&o)
 	if p.Subcommand() == nil {
-		p.Fail("a subcommand is needed: platform, engine, service or load")
-	}
-	if err := o.check(); err != nil {
-		p.Fail(err.Error())
+		p.Fail("a subcommand is needed; see --help")
 	}
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("service", p.SubcommandNames()[0]).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if o.Load != nil {
-		if err := o.Load.run(ctx, os.Stdout); err != nil {
-			log.Error().Err(err).Msg("failed")
-		}
-		return
+	task := o.task()
+	if err := o.check(); err != nil {
+		p.Fail(err.Error())
+	}
+	if task == nil {
+		addr, h, done := o.handler()
+		task = func(ctx context.Context, log zerolog.Logger) error { return serve(ctx, log, addr, h, done) }
 	}
-	addr, h, done := o.handler()
-	if err := serve(ctx, log, addr, h, done); err != nil {
+	if err := task(ctx, log); err != nil {
 		log.Error().Err(err).Msg("failed")
 		stop()
 		os.Exit(exitFailed)
 	}
 }
 
+// task returns what a subcommand that is no single server does, or nil.
+func (o *options) task() func(context.Context, zerolog.Logger) error {
+	switch {
+	case o.Pool != nil:
+		return o.Pool.run
+	case o.Sample != nil:
+		return func(ctx context.Context, _ zerolog.Logger) error { return o.Sample.run(ctx) }
+	case o.Load != nil:
+		return func(ctx context.Context, _ zerolog.Logger) error { return o.Load.run(ctx, os.Stdout) }
+	}
+	return nil
+}
+
 // check returns the first option that is out of range.
 func (o *options) check() error {
-	if o.Load != nil {
+	switch {
+	case o.Load != nil:
 		return o.Load.check()
+	case o.Pool != nil, o.Sample != nil:
+		return nil
 	}
 	addr, _, _ := o.handler()
 	if _, _, err := net.SplitHostPort(addr); err != nil {
--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -15,6 +16,7 @@
 	"samphireturn/internal/config/reporter"
 	"samphireturn/internal/config/watcher"
 	"samphireturn/internal/core/kernel"
+	"samphireturn/internal/fleet/announcer"
 	"samphireturn/internal/fleet/detector"
 	"samphireturn/internal/fleet/granter"
 	"samphireturn/internal/fleet/messenger"
@@ -38,6 +40,7 @@
 // Names of the services.
 const (
 	Messenger = "messenger"
+	Announcer = "announcer"
 	Watcher   = "watcher"
 	Detector  = "detector"
 	Granter   = "granter"
@@ -76,6 +79,7 @@
 	kernel    *kernel.Kernel
 	platform  *accessor.Accessor
 	peers     *messenger.Messenger
+	leaves    *announcer.Announcer
 	limiter   *limiter.Limiter
 	transport *http.Transport
 	instance  string
@@ -108,7 +112,10 @@
 		transport: &http.Transport{DialContext: a.Dial, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout},
 		instance:  samphireturn.Instance(settings.ID, uuid.NewString()),
 	}
+	p.leaves = &announcer.Announcer{Peers: p.peers, Control: p.kernel, Self: self}
+	p.platform.WatchTime = watcher.WatchTime
 	p.platform.Transport = p.transport
+	p.platform.Centre = settings.Centre
 	p.peers.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return a.Dial(ctx, "tcp", addr) }
 	ln, err := a.Listen(settings.Peer)
 	if err != nil {
@@ -120,6 +127,7 @@
 		make func() (kernel.Service, error)
 	}{
 		{Messenger, func() (kernel.Service, error) { return p.peers, nil }},
+		{Announcer, p.announcer},
 		{Detector, p.detector},
 		{Watcher, p.watcher},
 		{Granter, p.granter},
@@ -145,20 +153,27 @@
 	return log.With().Str("service", name).Logger()
 }
 
-// home reports whether this daemon is among the first n homes of name in its
-// data centre. While no members are known it is.
+// home reports whether this daemon is among the first n homes of name among the
+// daemons of its data centre that it is linked with and that don't leave. While
+// no members are known it is.
 func (p *parts) home(name string, n int) bool {
-	members := ranker.Within(p.settings.Centre, p.kernel.Snapshot().Members)
+	var members []samphireturn.VM
+	linked := p.peers.Connected()
+	for _, m := range ranker.Within(p.settings.Centre, p.kernel.Snapshot().Members) {
+		if m.ID == p.settings.ID || slices.Contains(linked, m.ID) {
+			members = append(members, m)
+		}
+	}
 	if len(members) == 0 {
 		return true
 	}
-	ranks := ranker.Rank(name, members)
-	for _, id := range ranks[:min(n, len(ranks))] {
-		if id == p.settings.ID {
-			return true
-		}
-	}
-	return false
+	ranks := ranker.Rank(name, p.leaves.Staying(members))
+	return slices.Contains(ranks[:min(n, len(ranks))], p.settings.ID)
+}
+
+func (p *parts) announcer() (kernel.Service, error) {
+	p.leaves.Register()
+	return p.leaves, nil
 }
 
 func (p *parts) detector() (kernel.Service, error) {
@@ -166,8 +181,10 @@
 	d.Control = p.kernel
 	d.Lister = p.platform
 	d.Links = p.peers
+	d.Staying = p.leaves.Staying
 	d.Client = &http.Client{Transport: p.transport}
 	d.Register()
+	p.kernel.Derive = d.Derive
 	return d, nil
 }
 
@@ -179,7 +196,9 @@
 }
 
 func (p *parts) granter() (kernel.Service, error) {
-	return &granter.Granter{Control: p.kernel, Clock: p.limiter.Clock}, nil
+	g := granter.New(p.kernel.Self, p.kernel, p.peers, p.limiter.Clock)
+	g.Register()
+	return g, nil
 }
 
 func (p *parts) claimer() (kernel.Service, error) {
@@ -189,7 +208,7 @@
 		Self:  p.settings.ID,
 		Log:   service(p.log, Claimer),
 		Home: func(shard string) string {
-			return ranker.Home(shard, p.kernel.Snapshot().Members)
+			return ranker.Home(shard, p.leaves.Staying(p.kernel.Snapshot().Members))
 		},
 	}
 	c.Register()
@@ -226,6 +245,14 @@
 	if err != nil {
 		return nil, err
 	}
+	g, err := kernel.Find[*granter.Granter](p.kernel, Granter)
+	if err != nil {
+		return nil, err
+	}
+	d, err := kernel.Find[*detector.Detector](p.kernel, Detector)
+	if err != nil {
+		return nil, err
+	}
 	pick := &picker.Picker{Now: p.limiter.Clock, Prefixes: new(picker.Prefixes)}
 	limits := p.settings.Limits
 	ln, err := p.Listen(p.settings.Listen)
@@ -239,6 +266,7 @@
 		Idle:     time.Duration(limits.Idle) * time.Millisecond,
 		Read:     time.Duration(limits.Read) * time.Millisecond,
 		Drain:    time.Duration(limits.Drain) * time.Millisecond,
+		Notice:   time.Duration(limits.Notice) * time.Millisecond,
 		Log:      service(p.log, Receiver),
 		Self:     p.kernel.Self,
 		Control:  p.kernel,
@@ -248,6 +276,7 @@
 			Limiter:    p.limiter,
 			Dispatcher: dispatcher.New(p.Dial),
 			Retries:    new(budgeter.Budgeter),
+			Observer:   observers{g, d},
 			Queue:      new(queuer.Queuer),
 		},
 		Picker:   pick,
