cascader: bound the delay of judging by the request's own length

Cause: the bound was held against the mean delay of the team and class, so long requests of a class that just passed waited far beyond it, and short ones of a class that just failed were never judged. Change: the learned delay is scaled by the request's estimated output.

--- a/internal/traffic/cascader/cascader.go
+++ b/internal/traffic/cascader/cascader.go
@@ -56,6 +56,8 @@
 	Cost float64
 	// Quoted is the cost that Step.Quote gave before the run; zero if unknown.
 	Quoted float64
+	// Output is the output tokens estimated before the run; zero if unknown.
+	Output int
 	// Delay is the time that the answer and its judgement took.
 	Delay time.Duration
 	// Alias and Target are those of the alias. Final says that the caller got
@@ -242,6 +244,9 @@
 			costs[i] = views[i].cost * (first.cost + after.cost) / quoted
 		}
 		views[i].delay = (first.delay + after.delay) / runs
+		if output := first.output + after.output; output > 0 {
+			views[i].delay = (first.delay + after.delay) * float64(r.Output) / output
+		}
 	}
 	for i := range views {
 		if learned {
--- a/internal/traffic/cascader/cascader_test.go
+++ b/internal/traffic/cascader/cascader_test.go
@@ -204,3 +204,29 @@
 		})
 	}
 }
+
+// TestDelayOfTheRequest checks that the bound on judging holds for the request's
+// own length, not for the mean.
+func TestDelayOfTheRequest(t *testing.T) {
+	k, _ := newCascader()
+	for i := range 200 {
+		for _, step := range []Step{cheap, dear} {
+			cost := step.Quote(&ask)
+			o := Outcome{Team: "t", Class: "k", Version: step.Version, Quality: 0.7, Rated: true, Rating: 0.9, Output: 1000, Delay: time.Second, Cost: cost, Quoted: cost}
+			if step == cheap && i%2 == 0 {
+				o.Rating = 0.2
+			}
+			k.Learn(o)
+		}
+	}
+	bounded := alias
+	bounded.Delay = 1000
+	for _, tt := range []struct {
+		output int
+		want   string
+	}{{900, "small@v1 large@v1 "}, {1100, "large@v1 "}} {
+		r := ask
+		r.Output = tt.output
+		qt.Check(t, names(k.Plan(&r, &bounded, []Step{cheap, dear}, true, 0)), qt.Equals, tt.want)
+	}
+}
--- a/internal/traffic/cascader/estimate.go
+++ b/internal/traffic/cascader/estimate.go
@@ -27,6 +27,8 @@
 	// cost and quoted, in currency units, and delay, in seconds, are summed over
 	// runs.
 	cost, quoted, delay, runs float64
+	// output is the estimated output tokens, summed over runs.
+	output float64
 }
 
 // Learn takes in what became of a step. It may come long after the answer.
@@ -37,12 +39,13 @@
 	k := key{team: o.Team, class: o.Class, version: o.Version, quality: o.Quality, after: o.After}
 	e := c.touch(k, now)
 	decay := c.decay(now.Sub(e.at))
-	for _, f := range []*float64{&e.passed, &e.rated, &e.cost, &e.quoted, &e.delay, &e.runs} {
+	for _, f := range []*float64{&e.passed, &e.rated, &e.cost, &e.quoted, &e.delay, &e.runs, &e.output} {
 		*f *= decay
 	}
 	e.at = now
 	e.cost += o.Cost
 	e.quoted += o.Quoted
+	e.output += float64(o.Output)
 	e.delay += o.Delay.Seconds()
 	e.runs++
 	c.book(o, e, now)
--- a/internal/traffic/receiver/cascade.go
+++ b/internal/traffic/receiver/cascade.go
@@ -159,6 +159,7 @@
 		After:   after,
 		Cost:    cost,
 		Quoted:  step.Quote(t.work),
+		Output:  t.work.Output,
 		Delay:   delay,
 		Alias:   t.alias.Name,
 		Target:  t.alias.Target,
