cascader: spend a surplus on cheap runs where judging is not possible

Cause: where judging would take too long the dear step ran every time and reached 0.95 to 0.96 against a target of 0.9; Settle cannot spend that surplus, since there is no judged answer. Change: a plan of one dear step is replaced by the cheapest step, unjudged, while there is a surplus and the saving for each good answer lost is above the steered price. Guard removed: surplus above 0 -> TestCheapen/below_the_target.

--- a/internal/traffic/cascader/cascader.go
+++ b/internal/traffic/cascader/cascader.go
@@ -148,6 +148,7 @@
 			best = p
 		}
 	}
+	best = c.cheapen(best, r, alias, views)
 	if explore > 0 && c.rand() < explore {
 		c.explore(&best, views, alias, judge)
 	}
--- a/internal/traffic/cascader/cascader_test.go
+++ b/internal/traffic/cascader/cascader_test.go
@@ -230,3 +230,33 @@
 		qt.Check(t, names(k.Plan(&r, &bounded, []Step{cheap, dear}, true, 0)), qt.Equals, tt.want)
 	}
 }
+
+// TestCheapen checks that the cheap step runs unjudged in place of the dear one
+// only while there is a surplus.
+func TestCheapen(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		missed int
+		want   bool
+	}{{"above the target", 0, true}, {"below the target", 20, false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			k, _ := newCascader()
+			teach(k, cheap, 100, 50, false, time.Second)
+			teach(k, dear, 100, 97, false, time.Second)
+			final := Outcome{Team: "t", Class: "k", Version: dear.Version, Quality: 0.7, Target: 0.9, Rated: true, Final: true, Rating: 0.9}
+			for range 50 {
+				k.Learn(final)
+			}
+			for range 20 { // lowers the price
+				k.Plan(&ask, &alias, []Step{cheap, dear}, false, 0)
+			}
+			final.Rating = 0.1
+			for range tt.missed {
+				k.Learn(final)
+			}
+			teach(k, dear, 1000, 990, false, time.Second)
+			got := names(k.Plan(&ask, &alias, []Step{cheap, dear}, false, 0))
+			qt.Assert(t, got == "small@v1 ", qt.Equals, tt.want, qt.Commentf("%s", got))
+		})
+	}
+}
--- a/internal/traffic/cascader/pace.go
+++ b/internal/traffic/cascader/pace.go
@@ -53,12 +53,39 @@
 	}
 	gain := cost / max(c.rate(e, dearRate, c.now()).mean, 0.01)
 	t := c.pace(account{r.Team, r.Class, alias.Name})
+	return t.exceeds(gain) && t.surplus >= 0
+}
+
+// cheapen replaces a plan of one step that is not judged by the cheapest step,
+// not judged either, while the team's answers of this class are above their
+// target and the step saves much for what it loses.
+func (c *Cascader) cheapen(p Plan, r *samphireturn.Request, alias *samphireturn.Alias, views []view) Plan {
+	if len(p.Steps) != 1 || len(views) < 2 || p.Steps[0] == views[0].step {
+		return p
+	}
+	first := views[0]
+	lost := p.Reach - first.first.low
+	if lost <= 0 {
+		return p
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.pace(account{r.Team, r.Class, alias.Name})
+	if t.exceeds((p.Cost-first.cost)/lost) && t.surplus > 0 {
+		return Plan{Steps: []Step{first.step}, Cost: first.cost, Reach: first.first.mean}
+	}
+	return p
+}
+
+// exceeds steers the price and reports whether a good answer at the given cost
+// is above it.
+func (t *pace) exceeds(cost float64) bool {
 	if t.price == 0 {
-		t.price = gain
+		t.price = cost
 	}
 	move := priceStep * (keptSurplus - t.surplus)
 	t.price *= math.Exp(min(max(move, -maxMove), maxMove))
-	return t.surplus >= 0 && gain > t.price
+	return cost > t.price
 }
 
 // book accounts for a released answer. One that was not rated counts by its
