cascader: do not count unrated cheap answers as good

Answers of the cheap step that nobody rated were booked with the dear step's prior of 0.95, so the surplus grew from nothing. Change: the prior follows the step; cheap runs that stand in for the dear one are rated after their release.

--- a/internal/replay/player/request.go
+++ b/internal/replay/player/request.go
@@ -190,7 +190,7 @@
 	return cascader.Outcome{
 		Team: t.record.Team, Class: t.record.Class, Version: step.Version, Quality: t.alias.Quality,
 		After: after, Rating: run.Rating, Rated: rated, Cost: run.Cost,
-		Quoted: step.Quote(&t.request), Output: t.record.Output, Alias: t.alias.Name, Target: t.alias.Target,
+		Quoted: step.Quote(&t.request), Output: t.record.Output, Alias: t.alias,
 	}
 }
 
--- a/internal/traffic/cascader/cascader.go
+++ b/internal/traffic/cascader/cascader.go
@@ -60,11 +60,10 @@
 	Output int
 	// Delay is the time that the answer and its judgement took.
 	Delay time.Duration
-	// Alias and Target are those of the alias. Final says that the caller got
-	// this answer, so that it counts for the target.
-	Alias  string
-	Target float64
-	Final  bool
+	// Alias is what the caller asked for. Final says that the caller got this
+	// answer, so that it counts for the alias's target.
+	Alias *samphireturn.Alias
+	Final bool
 }
 
 // Quote returns the cost of a request on the step by its estimated tokens, in
--- a/internal/traffic/cascader/cascader_test.go
+++ b/internal/traffic/cascader/cascader_test.go
@@ -191,7 +191,7 @@
 			r.Class = tt.class
 			learn := func(n int, rating float64) {
 				for range n {
-					k.Learn(Outcome{Team: "t", Class: "k", Version: cheap.Version, Quality: 0.7, Target: 0.9, Rated: true, Final: true, Rating: rating})
+					k.Learn(Outcome{Team: "t", Class: "k", Version: cheap.Version, Quality: 0.7, Alias: &alias, Rated: true, Final: true, Rating: rating})
 				}
 			}
 			learn(tt.good, 0.9)
@@ -205,6 +205,23 @@
 	}
 }
 
+// TestUnratedAnswersEarnLittle checks that answers of the cheap step that nobody
+// rated do not count as good ones.
+func TestUnratedAnswersEarnLittle(t *testing.T) {
+	k, _ := newCascader()
+	steps := samphireturn.Alias{Name: "draft", Steps: []string{"small", "large"}, Quality: 0.7, Target: 0.8}
+	for range 50 {
+		k.Learn(Outcome{Team: "t", Class: "k", Version: cheap.Version, Quality: 0.7, Alias: &steps, Final: true})
+	}
+	settled := 0
+	for range 50 {
+		if k.Settle(&ask, &steps, Plan{Steps: []Step{cheap, dear}}, 0, 0.6) {
+			settled++
+		}
+	}
+	qt.Assert(t, settled, qt.Equals, 0)
+}
+
 // TestDelayOfTheRequest checks that the bound on judging holds for the request's
 // own length, not for the mean.
 func TestDelayOfTheRequest(t *testing.T) {
@@ -243,7 +260,7 @@
 			k, _ := newCascader()
 			teach(k, cheap, 100, 50, false, time.Second)
 			teach(k, dear, 100, 97, false, time.Second)
-			final := Outcome{Team: "t", Class: "k", Version: dear.Version, Quality: 0.7, Target: 0.9, Rated: true, Final: true, Rating: 0.9}
+			final := Outcome{Team: "t", Class: "k", Version: dear.Version, Quality: 0.7, Alias: &alias, Rated: true, Final: true, Rating: 0.9}
 			for range 50 {
 				k.Learn(final)
 			}
--- a/internal/traffic/cascader/pace.go
+++ b/internal/traffic/cascader/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	"samphireturn"
@@ -72,7 +73,7 @@
 	defer c.mu.Unlock()
 	t := c.pace(account{r.Team, r.Class, alias.Name})
 	if t.exceeds((p.Cost-first.cost)/lost) && t.surplus > 0 {
-		return Plan{Steps: []Step{first.step}, Cost: first.cost, Reach: first.first.mean}
+		return Plan{Steps: []Step{first.step}, Rate: true, Cost: first.cost, Reach: first.first.mean}
 	}
 	return p
 }
@@ -91,18 +92,28 @@
 // book accounts for a released answer. One that was not rated counts by its
 // estimate.
 func (c *Cascader) book(o Outcome, e *estimate, now time.Time) {
-	if !o.Final {
+	if !o.Final || o.Alias == nil {
 		return
 	}
-	good := c.rate(*e, dearRate, now).low
+	good := c.rate(*e, prior(o), now).low
 	if o.Rated {
 		good = 0
 		if o.Rating >= o.Quality {
 			good = 1
 		}
 	}
-	t := c.pace(account{o.Team, o.Class, o.Alias})
-	t.surplus = min(t.surplus+good-o.Target, maxSurplus)
+	t := c.pace(account{o.Team, o.Class, o.Alias.Name})
+	t.surplus = min(t.surplus+good-o.Alias.Target, maxSurplus)
+}
+
+// prior returns the pass rate assumed of a step before any rating.
+func prior(o Outcome) float64 {
+	if n := len(o.Alias.Steps); n > 0 {
+		if model, _, _ := strings.Cut(o.Alias.Steps[n-1], "@"); model == o.Version.Model {
+			return dearRate
+		}
+	}
+	return cheapRate
 }
 
 // pace returns the pace of an account, made if there is none.
--- a/internal/traffic/receiver/cascade.go
+++ b/internal/traffic/receiver/cascade.go
@@ -161,8 +161,7 @@
 		Quoted:  step.Quote(t.work),
 		Output:  t.work.Output,
 		Delay:   delay,
-		Alias:   t.alias.Name,
-		Target:  t.alias.Target,
+		Alias:   t.alias,
 	}
 }
 
