cascader: pause judging after three late ratings in a row, not one

Cause: 2 % of ratings come after 6 s; each stopped judging at the daemon for 5 s, at 3 requests a second a third of the time, and the dear step ran instead. Change: Judged and Judging in the cascader (used by receiver and replay alike) count failures in a row; the receiver's own copy is gone. Guard: TestFaultRatings is new with the rule; with a limit of one it fails at one_late and late_now_and_then.

--- a/internal/replay/player/player.go
+++ b/internal/replay/player/player.go
@@ -17,10 +17,9 @@
 )
 
 const (
-	// judgeWait, judgePause and rateWait are the receiver's times for ratings.
-	judgeWait  = 2 * time.Second
-	judgePause = 5 * time.Second
-	rateWait   = 30 * time.Second
+	// judgeWait and rateWait are the receiver's times for ratings.
+	judgeWait = 2 * time.Second
+	rateWait  = 30 * time.Second
 	// sharePeriod is the time between two exchanges of counts.
 	sharePeriod = time.Second
 	// dueCheck is the least time between two looks at what has come due.
@@ -73,7 +72,6 @@
 		counter  *guard.Counter
 		picker   *picker.Picker
 		held     map[samphireturn.VersionRef]bool
-		unrated  time.Time
 	}
 
 	// pending is something that a daemon learns at a time.
--- a/internal/replay/player/request.go
+++ b/internal/replay/player/request.go
@@ -89,8 +89,8 @@
 		}
 		return one(0)
 	}
-	judging := t.daemon.unrated.IsZero() || t.now.Sub(t.daemon.unrated) > judgePause
-	return t.daemon.cascader.Plan(&t.request, t.alias, steps, judging, s.Preset.Explore)
+	c := t.daemon.cascader
+	return c.Plan(&t.request, t.alias, steps, c.Judging(), s.Preset.Explore)
 }
 
 // coin draws a number from 0 to 1 that depends on the request alone.
@@ -155,9 +155,7 @@
 	d := t.daemon
 	t.later(t.spent, func() {
 		d.cascader.Learn(o)
-		if !rated {
-			d.unrated = t.now
-		}
+		d.cascader.Judged(rated)
 	})
 	if rated {
 		t.blame(step, run, begun+delay)
--- a/internal/traffic/cascader/cascader.go
+++ b/internal/traffic/cascader/cascader.go
@@ -100,7 +100,12 @@
 	// Max bounds the estimates that are kept; zero means 4096.
 	Max int
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// failed is the number of ratings before release that failed in a row, and
+	// failedAt when the last did.
+	failed   int
+	failedAt time.Time
+
 	paces map[account]*pace
 	known map[key]*list.Element
 	// recent lists estimates, the one learned last first.
--- a/internal/traffic/cascader/cascader_test.go
+++ b/internal/traffic/cascader/cascader_test.go
@@ -222,6 +222,34 @@
 	qt.Assert(t, settled, qt.Equals, 0)
 }
 
+// TestFaultRatings checks that one late rating does not stop judging, that
+// several in a row do, and that it is tried again.
+func TestFaultRatings(t *testing.T) {
+	tests := []struct {
+		name  string
+		came  []bool
+		after time.Duration
+		want  bool
+	}{
+		{"none asked", nil, 0, true},
+		{"one late", []bool{false}, 0, true},
+		{"late now and then", []bool{false, false, true, false, false}, 0, true},
+		{"three in a row", []bool{true, false, false, false}, 0, false},
+		{"after the pause", []bool{false, false, false}, judgePause + 1, true},
+		{"down still", []bool{false, false, false, false}, judgePause, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			k, now := newCascader()
+			for _, ok := range tt.came {
+				k.Judged(ok)
+			}
+			*now = now.Add(tt.after)
+			qt.Assert(t, k.Judging(), qt.Equals, tt.want)
+		})
+	}
+}
+
 // TestDelayOfTheRequest checks that the bound on judging holds for the request's
 // own length, not for the mean.
 func TestDelayOfTheRequest(t *testing.T) {
--- a/internal/traffic/receiver/cascade.go
+++ b/internal/traffic/receiver/cascade.go
@@ -15,7 +15,6 @@
 const (
 	judgeTimeout = 2 * time.Second // longest wait for a rating before release
 	rateTimeout  = 30 * time.Second
-	judgePause   = 5 * time.Second // time without judging after a failed rating
 )
 
 // answer is what one step of the cascade gave.
@@ -108,19 +107,15 @@
 	defer cancel()
 	rating, err := r.Rater.Rate(ctx, a.version, t.chat.Text, a.text)
 	if err != nil {
-		r.unrated.Store(time.Now().UnixNano())
+		r.Cascader.Judged(false)
 		ratings.Add("failed", 1)
 		return 0, false
 	}
+	r.Cascader.Judged(true)
 	ratings.Add("judged", 1)
 	return rating, true
 }
 
-// judging reports whether ratings can be expected in time.
-func (r *Receiver) judging() bool {
-	return time.Now().UnixNano()-r.unrated.Load() > int64(judgePause)
-}
-
 // learn tells the cascader of a released answer, and rates it in the background
 // if that is wanted.
 func (r *Receiver) learn(t *turn, a *answer, cost float64, delay time.Duration, after, rate bool) {
--- a/internal/traffic/receiver/chat.go
+++ b/internal/traffic/receiver/chat.go
@@ -226,7 +226,7 @@
 	if t.alias == nil || len(steps) == 1 {
 		return cascader.Plan{Steps: steps}, nil
 	}
-	return r.Cascader.Plan(t.work, t.alias, steps, r.judging(), t.snapshot.Preset.Explore), nil
+	return r.Cascader.Plan(t.work, t.alias, steps, r.Cascader.Judging(), t.snapshot.Preset.Explore), nil
 }
 
 // send returns the work of one step.
--- a/internal/traffic/receiver/receiver.go
+++ b/internal/traffic/receiver/receiver.go
@@ -100,12 +100,10 @@
 	// Dial opens connections to other daemons; nil means a plain dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
-	server  *http.Server
-	remote  http.RoundTripper
-	closing atomic.Bool
-	served  chan struct{}
-	// unrated is when a rating last failed, in nanoseconds since 1970.
-	unrated    atomic.Int64
+	server     *http.Server
+	remote     http.RoundTripper
+	closing    atomic.Bool
+	served     chan struct{}
 	background pond.Pool
 	rating     sync.WaitGroup
 }
