--- a/internal/traffic/cascader/cascader.go
+++ b/internal/traffic/cascader/cascader.go
@@ -56,13 +56,14 @@
 	Cost float64
 	// Quoted is the cost that Step.Quote gave before the run; zero if unknown.
 	Quoted float64
+	// Output is the output tokens estimated before the run; zero if unknown.
+	Output int
 	// Delay is the time that the answer and its judgement took.
 	Delay time.Duration
-	// Alias and Target are those of the alias. Final says that the caller got
-	// this answer, so that it counts for the target.
-	Alias  string
-	Target float64
-	Final  bool
+	// Alias is what the caller asked for. Final says that the caller got this
+	// answer, so that it counts for the alias's target.
+	Alias *samphireturn.Alias
+	Final bool
 }
 
 // Quote returns the cost of a request on the step by its estimated tokens, in
@@ -99,7 +100,12 @@
 	// Max bounds the estimates that are kept; zero means 4096.
 	Max int
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// failed is the number of ratings before release that failed in a row, and
+	// failedAt when the last did.
+	failed   int
+	failedAt time.Time
+
 	paces map[account]*pace
 	known map[key]*list.Element
 	// recent lists estimates, the one learned last first.
@@ -146,6 +152,7 @@
 			best = p
 		}
 	}
+	best = c.cheapen(best, r, alias, views)
 	if explore > 0 && c.rand() < explore {
 		c.explore(&best, views, alias, judge)
 	}
@@ -242,6 +249,9 @@
 			costs[i] = views[i].cost * (first.cost + after.cost) / quoted
 		}
 		views[i].delay = (first.delay + after.delay) / runs
+		if output := first.output + after.output; output > 0 {
+			views[i].delay = (first.delay + after.delay) * float64(r.Output) / output
+		}
 	}
 	for i := range views {
 		if learned {
--- a/internal/traffic/receiver/receiver.go
+++ b/internal/traffic/receiver/receiver.go
@@ -101,11 +101,9 @@
 
 	server *http.Server
 	// closing is true from Leave on, ended once Notice has passed.
-	closing atomic.Bool
-	ended   atomic.Bool
-	served  chan struct{}
-	// unrated is when a rating last failed, in nanoseconds since 1970.
-	unrated    atomic.Int64
+	closing    atomic.Bool
+	ended      atomic.Bool
+	served     chan struct{}
 	background pond.Pool
 	rating     sync.WaitGroup
 }
