--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -32,6 +32,7 @@
 	"samphireturn/internal/traffic/dispatcher"
 	"samphireturn/internal/traffic/limiter"
 	"samphireturn/internal/traffic/picker"
+	"samphireturn/internal/traffic/queuer"
 	"samphireturn/internal/traffic/receiver"
 	"samphireturn/internal/traffic/router"
 )
@@ -114,6 +115,7 @@
 	p.leaves = &announcer.Announcer{Peers: p.peers, Control: p.kernel, Self: self}
 	p.platform.WatchTime = watcher.WatchTime
 	p.platform.Transport = p.transport
+	p.platform.Centre = settings.Centre
 	p.peers.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return a.Dial(ctx, "tcp", addr) }
 	ln, err := a.Listen(settings.Peer)
 	if err != nil {
@@ -182,6 +184,7 @@
 	d.Staying = p.leaves.Staying
 	d.Client = &http.Client{Transport: p.transport}
 	d.Register()
+	p.kernel.Derive = d.Derive
 	return d, nil
 }
 
@@ -193,7 +196,9 @@
 }
 
 func (p *parts) granter() (kernel.Service, error) {
-	return &granter.Granter{Control: p.kernel, Clock: p.limiter.Clock}, nil
+	g := granter.New(p.kernel.Self, p.kernel, p.peers, p.limiter.Clock)
+	g.Register()
+	return g, nil
 }
 
 func (p *parts) claimer() (kernel.Service, error) {
@@ -240,6 +245,14 @@
 	if err != nil {
 		return nil, err
 	}
+	g, err := kernel.Find[*granter.Granter](p.kernel, Granter)
+	if err != nil {
+		return nil, err
+	}
+	d, err := kernel.Find[*detector.Detector](p.kernel, Detector)
+	if err != nil {
+		return nil, err
+	}
 	pick := &picker.Picker{Now: p.limiter.Clock, Prefixes: new(picker.Prefixes)}
 	limits := p.settings.Limits
 	ln, err := p.Listen(p.settings.Listen)
@@ -248,7 +261,6 @@
 	}
 	return &receiver.Receiver{
 		Listener: ln,
-		Dial:     p.Dial,
 		Body:     limits.Body,
 		Header:   int(limits.Header),
 		Idle:     time.Duration(limits.Idle) * time.Millisecond,
@@ -264,6 +276,8 @@
 			Limiter:    p.limiter,
 			Dispatcher: dispatcher.New(p.Dial),
 			Retries:    new(budgeter.Budgeter),
+			Observer:   observers{g, d},
+			Queue:      new(queuer.Queuer),
 		},
 		Picker:   pick,
 		Cascader: new(cascader.Cascader),
--- a/internal/traffic/receiver/chat.go
+++ b/internal/traffic/receiver/chat.go
@@ -82,6 +82,7 @@
 	if err := r.openSession(t); err != nil {
 		return err
 	}
+	x.affinity = &t.session
 	t.alias = findAlias(x.snapshot, t.chat.Model)
 	t.work = t.request(ctx)
 	ticket, err := r.admit(x, t.work.Prompt+t.work.Output)
@@ -90,7 +91,8 @@
 	}
 	defer func() { ticket.Close(t.prompt + t.output) }()
 	if x.options.Key != "" || x.options.Request != "" {
-		return r.once(ctx, x, body, func(ctx context.Context) (*reply, error) { return r.whole(ctx, t) })
+		versions := func() []samphireturn.VersionRef { return t.versions(r) }
+		return r.once(ctx, x, body, versions, func(ctx context.Context) (*reply, error) { return r.whole(ctx, t) })
 	}
 	err = r.answer(ctx, t)
 	if r.canOverflow(x, err) {
@@ -242,6 +244,8 @@
 		Path:       completionsPath,
 		Header:     http.Header{"Content-Type": {"application/json"}},
 		Body:       body,
+		Weight:     t.team.Weight,
+		Overflow:   t.overflows(),
 		Repeatable: true,
 	}, nil
 }
--- a/internal/traffic/receiver/service.go
+++ b/internal/traffic/receiver/service.go
@@ -37,7 +37,8 @@
 	defer ticket.Close(0)
 	w := r.serviceWork(ctx, x, name, body)
 	if x.options.Key != "" || x.options.Request != "" {
-		return r.once(ctx, x, body, func(ctx context.Context) (*reply, error) { return r.call(ctx, x, w) })
+		versions := func() []samphireturn.VersionRef { return []samphireturn.VersionRef{samphireturn.ServiceRef(name)} }
+		return r.once(ctx, x, body, versions, func(ctx context.Context) (*reply, error) { return r.call(ctx, x, w) })
 	}
 	a, err := r.call(ctx, x, w)
 	if r.canOverflow(x, err) {
@@ -69,6 +70,8 @@
 		Path:       target,
 		Header:     h,
 		Body:       body,
+		Weight:     x.team.Weight,
+		Overflow:   x.overflows(),
 		Repeatable: idempotent(findBackend(x.snapshot.Config, name), x.request.Method, path),
 	}
 }
