Prove grants under faults, and tell changes in steps

Cause: a home that misses daemons in its list did not set their static share aside (seen as 6402 of 6400 under way, TestFaultGrantTable, gap in list and two homes); an idle fleet's small changes were told each time. Change: asks and answers carry the number of listed daemons; a home holds back shares for those that it does not list, and a daemon that has met no other since its start counts twice as many. Wants and grants change in steps.

--- a/internal/fleet/granter/fleet_test.go
+++ b/internal/fleet/granter/fleet_test.go
@@ -37,13 +37,14 @@
 		warm   bool
 		over   string
 		refuse int
-		served int64
 		bytes  int64
 		calls  int64
 		stop   context.CancelFunc
 		ctx    context.Context
 		wait   sync.WaitGroup
-		life   time.Duration // longest request
+		// endpoints is the number of endpoints.
+		endpoints int
+		life      time.Duration // longest request
 	}
 
 	// node is one daemon: its granter and its traffic.
@@ -59,6 +60,7 @@
 		list    []samphireturn.VM // its own view; nil for the fleet's
 		load    float64           // part of the budget that it wants
 		gauge   *samphireturn.Gauge
+		ends    map[string]*samphireturn.Endpoint
 		limit   *limiter.Limiter
 		handler samphireturn.Handler
 	}
@@ -68,36 +70,55 @@
 func run(t *testing.T, n int, seed uint64, f func(f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
-		w := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]int]bool{}, used: map[*node]int64{}, start: 1, warm: true, life: 2 * time.Second}
-		w.bears = func() int64 { return budget }
-		w.ctx, w.stop = context.WithCancel(context.Background())
-		for i := range n {
-			w.list = append(w.list, samphireturn.VM{ID: fmt.Sprint("d", i), Role: samphireturn.RoleEntry, Centre: "x"})
-		}
-		w.nodes = make([]*node, n)
-		for i := range n {
-			w.boot(i)
-		}
-		w.wait.Go(w.sample)
+		w := newFleet(n, seed, 1)
 		f(w)
-		w.mu.Lock()
+		w.close()
+	})
+}
+
+// newFleet starts n daemons; only with one endpoint do they have traffic.
+func newFleet(n int, seed uint64, endpoints int) *fleet {
+	w := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]int]bool{}, used: map[*node]int64{}, start: 1, warm: true, life: 2 * time.Second}
+	w.bears = func() int64 { return budget }
+	w.endpoints = endpoints
+	w.ctx, w.stop = context.WithCancel(context.Background())
+	for i := range n {
+		w.list = append(w.list, samphireturn.VM{ID: fmt.Sprint("d", i), Role: samphireturn.RoleEntry, Centre: "x"})
+	}
+	w.nodes = make([]*node, n)
+	for i := range n {
+		w.boot(i)
+	}
+	w.wait.Go(w.sample)
+	return w
+}
+
+func (w *fleet) close() {
+	w.do(func() {
 		for _, d := range w.nodes {
 			d.paused = false
 		}
-		w.mu.Unlock()
-		for _, d := range w.nodes {
-			d.stop()
-			_ = d.Granter.Close()
-		}
-		w.stop()
-		w.wait.Wait()
 	})
+	for _, d := range w.nodes {
+		d.stop()
+		_ = d.Granter.Close()
+	}
+	w.stop()
+	w.wait.Wait()
 }
 
 // boot starts a new process of a daemon.
 func (w *fleet) boot(i int) {
 	d := &node{fleet: w, index: i, rand: rand.New(rand.NewPCG(w.rand.Uint64(), 2)), gauge: new(samphireturn.Gauge), load: 1.5 / float64(len(w.nodes))}
 	d.ctx, d.stop = context.WithCancel(w.ctx)
+	if w.endpoints > 1 {
+		d.ends = make(map[string]*samphireturn.Endpoint)
+		for j := range w.endpoints {
+			e := d.endpoint()
+			e.ID, e.Gauge = fmt.Sprint("e", j), new(samphireturn.Gauge)
+			d.ends[e.ID] = e
+		}
+	}
 	offset := time.Duration(i*7+int(w.start)) * time.Hour
 	d.limit = &limiter.Limiter{Now: func() time.Time { return time.Now().Add(offset) }}
 	d.Granter = New(w.list[i], d, d, d.limit.Clock)
@@ -107,7 +128,9 @@
 	w.nodes[i] = d
 	w.mu.Unlock()
 	_ = d.Run(d.ctx)
-	w.wait.Go(d.traffic)
+	if w.endpoints == 1 {
+		w.wait.Go(d.traffic)
+	}
 }
 
 func (d *node) Post(samphireturn.Event) {}
@@ -122,6 +145,9 @@
 	if d.list != nil {
 		list = d.list
 	}
+	if d.ends != nil {
+		return &samphireturn.Snapshot{Self: d.self, Members: list, Endpoints: d.ends}
+	}
 	return &samphireturn.Snapshot{Self: d.self, Members: list, Endpoints: map[string]*samphireturn.Endpoint{"e": d.endpoint()}}
 }
 
@@ -249,8 +275,9 @@
 func (d *node) request(e *samphireturn.Endpoint, work int64, life time.Duration) {
 	w := d.fleet
 	w.mu.Lock()
-	if d.ctx.Err() != nil {
+	if d.ctx.Err() != nil || e.Start != w.start {
 		w.mu.Unlock()
+		d.limit.Release(e, work)
 		return
 	}
 	total := work
@@ -275,8 +302,9 @@
 		return
 	}
 	w.mu.Lock()
-	w.used[d] -= work
-	w.served += work
+	if e.Start == w.start {
+		w.used[d] -= work
+	}
 	w.mu.Unlock()
 	d.awake()
 	d.limit.Release(e, work)
--- a/internal/fleet/granter/granter.go
+++ b/internal/fleet/granter/granter.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"expvar"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,6 +88,8 @@
 		listed []string
 		near   []samphireturn.VM
 		counts []count
+		// met is true once another daemon has told how many it lists.
+		met bool
 	}
 
 	// count is a number of daemons that was seen at a time.
@@ -195,6 +198,7 @@
 		g.view.listed = append(g.view.listed, g.self.ID)
 		g.view.near = append(g.view.near, g.self)
 	}
+	slices.Sort(g.view.listed)
 	g.view.add(len(g.view.listed), now)
 	known := make(map[uint32]bool)
 	for _, e := range s.Endpoints {
@@ -221,12 +225,23 @@
 	v.counts = append(kept, count{at: now, n: n})
 }
 
-// daemons returns the highest number of daemons seen of late, at least 1.
+// hear notes that another daemon lists n daemons.
+func (v *view) hear(n int, now int64) {
+	v.met = true
+	v.add(n, now)
+}
+
+// daemons returns the highest number of daemons seen of late, at least 1. A
+// daemon of several that has met no other since its start counts twice as many,
+// as its list may have gaps.
 func (v *view) daemons() int {
 	n := 1
 	for _, c := range v.counts {
 		n = max(n, c.n)
 	}
+	if !v.met && n > 1 {
+		n *= 2
+	}
 	return n
 }
 
--- a/internal/fleet/granter/home.go
+++ b/internal/fleet/granter/home.go
@@ -2,12 +2,15 @@
 
 import (
 	"slices"
-	"strings"
 )
 
 // never is before any reading of the clock.
 const never = -1 << 62
 
+// steadyPart is the part, as a divisor, by which a grant must change to be
+// changed, while it suffices.
+const steadyPart = 8
+
 type (
 	// borrower is a daemon that asks this one.
 	borrower struct {
@@ -80,8 +83,8 @@
 	}
 	b := g.meet(from, in)
 	b.heard = now
-	g.view.add(max(len(g.view.listed), in.Daemons), now)
-	out := &Answer{Instance: g.instance, Stamp: now}
+	g.view.hear(in.Daemons, now)
+	out := &Answer{Instance: g.instance, Stamp: now, Daemons: len(g.view.listed)}
 	if in.Home == g.instance {
 		b.stamp = min(in.Stamp, now)
 	}
@@ -268,9 +271,14 @@
 	var others, absent int64
 	var wants []want
 	unheard := false
-	for _, other := range g.everyone(k) {
+	everyone := g.everyone(k)
+	if missing := int64(g.view.daemons() - len(everyone)); missing > 0 {
+		// Others list daemons that we do not.
+		others, absent = missing*reserve, missing*reserve
+	}
+	for _, other := range everyone {
 		s, live := k.shares[other], g.live(k, other, now)
-		unheard = unheard || s == nil
+		unheard = unheard || s == nil || !s.told
 		committed := k.committed(s, live, reserve, now)
 		if other != id {
 			others += committed
@@ -289,11 +297,26 @@
 	if cold && id != g.self.ID {
 		return 0
 	}
-	part := total
-	if !cold {
-		part = fair(wants, max(total-absent, 0), id)
+	if cold {
+		return max(total-others, 0)
+	}
+	part := fair(wants, max(total-absent, 0), id)
+	return k.steady(id, wants, max(min(part, total-others), 0), total-others)
+}
+
+// steady keeps a daemon's last grant if it is close to the new one and suffices,
+// so that small changes need no message.
+func (k *book) steady(id string, wants []want, work, most int64) int64 {
+	old := k.shares[id].grant
+	if old > most || max(old-work, work-old) > old/steadyPart {
+		return work
+	}
+	for _, w := range wants {
+		if w.id == id && w.work > old {
+			return work
+		}
 	}
-	return max(min(part, total-others), 0)
+	return old
 }
 
 // committed returns the work that a daemon may have under way. One that does
@@ -315,13 +338,12 @@
 
 // everyone returns the ids of the daemons that are listed or have a share.
 func (g *Granter) everyone(k *book) []string {
-	ids := slices.Clone(g.view.listed)
+	ids := g.view.listed
 	for id := range k.shares {
-		if !slices.Contains(ids, id) {
-			ids = append(ids, id)
+		if _, ok := slices.BinarySearch(g.view.listed, id); !ok {
+			ids = append(slices.Clip(ids), id)
 		}
 	}
-	slices.SortFunc(ids, strings.Compare)
 	return ids
 }
 
--- a/internal/fleet/granter/member.go
+++ b/internal/fleet/granter/member.go
@@ -28,7 +28,9 @@
 		asked int64
 		// want decays towards what the gauge shows.
 		want, unit int64
-		loads      []load
+		// told is the want that is told; it follows want in steps.
+		told  int64
+		loads []load
 		// clear is set once reports show that no daemon has more than a static
 		// share under way.
 		clear  bool
@@ -128,8 +130,10 @@
 		out = max(out, gauge.Allowed.Load())
 	}
 	step := max(p.e.Budget/wantSteps, 1)
-	want := (p.want + step - 1) / step * step
-	return Need{Key: p.key, Out: out, Want: want, Unit: p.unit, Cold: g.suspect(p.e.ID, now)}
+	if p.want > p.told || p.want < p.told/4*3 {
+		p.told = (p.want + step - 1) / step * step
+	}
+	return Need{Key: p.key, Out: out, Want: p.told, Unit: p.unit, Cold: g.suspect(p.e.ID, now)}
 }
 
 // ask returns the message with the needs that the home does not know yet. The
@@ -174,6 +178,7 @@
 
 // adopt puts an answer in force. The caller holds mu.
 func (g *Granter) adopt(l *lender, answer *Answer, needs map[uint32]Need, asked int64) {
+	g.view.hear(answer.Daemons, g.Clock())
 	l.instance, l.stamp, l.seq = answer.Instance, answer.Stamp, answer.Seq
 	if answer.Resync {
 		l.full = true
--- a/internal/fleet/granter/wire.go
+++ b/internal/fleet/granter/wire.go
@@ -21,7 +21,7 @@
 		// Stamp and Seq are those of the last answer that was put in force.
 		Stamp int64  `cbor:"t,omitempty"`
 		Seq   uint64 `cbor:"s,omitempty"`
-		// Daemons is the number of daemons that the asking one counts.
+		// Daemons is the number of daemons that the asking one lists.
 		Daemons int `cbor:"n"`
 		// Full says that Needs is complete.
 		Full  bool   `cbor:"f,omitempty"`
@@ -50,6 +50,8 @@
 		// Stamp is the home's clock; the next ask brings it back.
 		Stamp int64  `cbor:"t"`
 		Seq   uint64 `cbor:"s"`
+		// Daemons is the number of daemons that the home lists.
+		Daemons int `cbor:"n"`
 		// Life is how long the grants last from when they were asked for, in
 		// milliseconds.
 		Life int64 `cbor:"l,omitempty"`
