--- a/internal/traffic/receiver/receiver.go
+++ b/internal/traffic/receiver/receiver.go
@@ -35,6 +35,7 @@
 	defaultIdle   = 2 * time.Minute
 	defaultRead   = 10 * time.Second
 	defaultDrain  = 30 * time.Second
+	refuseTime    = time.Second
 
 	backgroundRaters = 4
 	backgroundQueue  = 256
@@ -131,12 +132,14 @@
 // one is closed after it, so that its next request goes to another daemon.
 func (r *Receiver) Leave() { r.closing.Store(true) }
 
-// Close turns not ready, waits for Notice, stops listening and waits for
-// running requests until Drain has passed.
+// Close turns not ready, waits for Notice, refuses what still comes for a
+// moment, as a server that shuts down drops it without a word, stops listening
+// and waits for running requests until Drain has passed.
 func (r *Receiver) Close() error {
 	r.Leave()
 	time.Sleep(r.Notice)
 	r.ended.Store(true)
+	time.Sleep(min(r.Notice, refuseTime))
 	ctx, cancel := context.WithTimeout(context.Background(), or(r.Drain, defaultDrain))
 	defer cancel()
 	err := r.server.Shutdown(ctx)
--- a/internal/traffic/receiver/run_test.go
+++ b/internal/traffic/receiver/run_test.go
@@ -334,7 +334,7 @@
 }
 
 // whileClosing sends a request on a connection that was opened before the
-// daemon began to close.
+// daemon began to close, once the notice has passed.
 func (s *site) whileClosing() reply {
 	conn, err := s.Network.Dial("caller")(context.Background(), "tcp", s.north.VM.Addr)
 	s.c.Assert(err, qt.IsNil)
@@ -344,6 +344,7 @@
 	r.Notice = time.Second
 	synctest.Wait()
 	go s.north.Close()
+	time.Sleep(r.Notice)
 	synctest.Wait()
 	body := chat("large", "9", false)
 	_, err = io.WriteString(conn, "POST "+chatPath+" HTTP/1.1\r\nHost: x\r\nAuthorization: "+bearer+"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
