--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -19,6 +19,7 @@
 	"samphireturn/internal/fleet/announcer"
 	"samphireturn/internal/fleet/detector"
 	"samphireturn/internal/fleet/granter"
+	"samphireturn/internal/fleet/guard"
 	"samphireturn/internal/fleet/messenger"
 	"samphireturn/internal/fleet/ranker"
 	"samphireturn/internal/ledger/biller"
@@ -44,6 +45,7 @@
 	Watcher   = "watcher"
 	Detector  = "detector"
 	Granter   = "granter"
+	Guard     = "guard"
 	Claimer   = "claimer"
 	Biller    = "biller"
 	Reporter  = "reporter"
@@ -54,6 +56,7 @@
 	manifestHomes = 2 // daemons of a data centre that watch the manifest
 	manifestName  = "config/manifest"
 	statusName    = "status/"
+	holdsName     = "holds/"
 
 	dialTimeout = 2 * time.Second
 	idleTimeout = 30 * time.Second
@@ -131,6 +134,7 @@
 		{Detector, p.detector},
 		{Watcher, p.watcher},
 		{Granter, p.granter},
+		{Guard, p.guard},
 		{Claimer, p.claimer},
 		{Biller, p.biller},
 		{Reporter, p.reporter},
@@ -201,6 +205,13 @@
 	return g, nil
 }
 
+func (p *parts) guard() (kernel.Service, error) {
+	g := guard.New(p.kernel, p.peers, p.platform, p.instance)
+	g.Log = service(p.log, Guard)
+	g.Home = func() bool { return p.home(holdsName+p.settings.Centre, 1) }
+	return g, nil
+}
+
 func (p *parts) claimer() (kernel.Service, error) {
 	c := &claimer.Claimer{
 		Store: p.platform,
@@ -253,6 +264,10 @@
 	if err != nil {
 		return nil, err
 	}
+	judge, err := kernel.Find[*guard.Guard](p.kernel, Guard)
+	if err != nil {
+		return nil, err
+	}
 	pick := &picker.Picker{Now: p.limiter.Clock, Prefixes: new(picker.Prefixes)}
 	limits := p.settings.Limits
 	ln, err := p.Listen(p.settings.Listen)
@@ -276,7 +291,7 @@
 			Limiter:    p.limiter,
 			Dispatcher: dispatcher.New(p.Dial),
 			Retries:    new(budgeter.Budgeter),
-			Observer:   observers{g, d},
+			Observer:   router.Observers{g, d, judge},
 			Queue:      new(queuer.Queuer),
 		},
 		Picker:   pick,
@@ -286,7 +301,7 @@
 		Claimer:  c,
 		Minter:   &minter.Minter{Keys: p.keys, Instance: p.instance},
 		Runner:   &runner.Runner{Instance: p.instance},
-		Rater:    p.platform,
+		Rater:    &guard.Rater{Rater: p.platform, Guard: judge},
 		Ready:    w.Ready,
 	}, nil
 }
--- a/internal/fleet/detector/detector.go
+++ b/internal/fleet/detector/detector.go
@@ -33,6 +33,9 @@
 
 	// listHomes is the number of daemons of a data centre that read the VM list.
 	listHomes = 2
+	// secondTime is the least time between two reads of the second home, in
+	// halves of a list period, so that it reads every other period.
+	secondTime = 3
 	// reportLimit bounds the body of a report, in bytes.
 	reportLimit = 64 << 10
 	// failLimit is the number of failed reads after which an endpoint counts as
--- a/internal/fleet/detector/lists.go
+++ b/internal/fleet/detector/lists.go
@@ -33,13 +33,16 @@
 )
 
 // readList reads the VM list if self is one of its homes, or if no home has
-// sent it for a long time, and passes it on.
+// sent it for a long time, and passes it on. The second home reads every other
+// period: it stands by for the first and sees what the first may not.
 func (d *Detector) readList(ctx context.Context) {
 	d.mu.Lock()
 	home := d.first("vms/"+d.self.Centre, listHomes)
+	second := home && !d.first("vms/"+d.self.Centre, 1)
 	late := d.listed.IsZero() || d.Now().Sub(d.listed) > d.slow
+	recent := !d.read.IsZero() && d.Now().Sub(d.read) < secondTime*d.ListTime/2
 	d.mu.Unlock()
-	if !home && !late {
+	if !home && !late || second && recent {
 		return
 	}
 	limit, cancel := context.WithTimeout(ctx, 5*d.ListTime)
@@ -55,7 +58,11 @@
 		reasons.Add("empty_list", 1)
 		return
 	}
-	d.adopt(d.merge(vms))
+	periods := 1
+	if second {
+		periods = 2
+	}
+	d.adopt(d.merge(vms, periods))
 	d.mu.Lock()
 	d.read = d.Now()
 	d.mu.Unlock()
@@ -78,8 +85,8 @@
 
 // merge adds to a list that was read what it lacks but must not lose: a daemon
 // while its link lives, an endpoint while its report answers for up to gapLimit
-// lists.
-func (d *Detector) merge(vms []samphireturn.VM) []samphireturn.VM {
+// lists. Periods is the number of list periods since the last read.
+func (d *Detector) merge(vms []samphireturn.VM, periods int) []samphireturn.VM {
 	linked := d.Links.Connected()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -91,7 +98,7 @@
 		if _, ok := slices.BinarySearchFunc(vms[:listed], vm.ID, compare); ok {
 			continue
 		}
-		if d.alive(vm, linked) {
+		if d.alive(vm, linked, periods) {
 			vms = append(vms, vm)
 		}
 	}
@@ -125,12 +132,12 @@
 
 // alive reports whether a VM that a list lacks shows signs of life. The caller
 // holds mu.
-func (d *Detector) alive(vm samphireturn.VM, linked []string) bool {
+func (d *Detector) alive(vm samphireturn.VM, linked []string, periods int) bool {
 	if vm.Role == samphireturn.RoleEntry {
 		_, ok := slices.BinarySearch(linked, vm.ID)
 		return ok || vm.ID == d.self.ID
 	}
-	d.missing[vm.ID]++
+	d.missing[vm.ID] += periods
 	if d.missing[vm.ID] > gapLimit {
 		return false
 	}
--- a/internal/platform/accessor/accessor.go
+++ b/internal/platform/accessor/accessor.go
@@ -62,7 +62,7 @@
 
 	once   sync.Once
 	client *resty.Client
-	lists  lists
+	list   list
 }
 
 // New returns an accessor of the platform at the URL base.
--- a/internal/platform/accessor/vms_test.go
+++ b/internal/platform/accessor/vms_test.go
@@ -56,8 +56,8 @@
 	}
 	c.Check(ids(), qt.Equals, "d1 d2 e1")
 	c.Check(ids(), qt.Equals, "d1 d2 e1")
-	c.Check(counter.unchanged.Load(), qt.Equals, int64(2))
+	c.Check(counter.unchanged.Load(), qt.Equals, int64(1))
 	put("e3", "engine", "north")
 	c.Check(ids(), qt.Equals, "d1 d2 e1 e3")
-	c.Check(counter.unchanged.Load(), qt.Equals, int64(3))
+	c.Check(counter.unchanged.Load(), qt.Equals, int64(1))
 }
--- a/internal/standin/keeper/vms.go
+++ b/internal/standin/keeper/vms.go
@@ -42,17 +42,18 @@
 	_, _ = w.Write(body)
 }
 
-// matching returns the VMs that have the centre and the role of the query.
+// matching returns the VMs of the query's data centre, all VMs if it names none.
+// With "daemons" set to "all" it adds the daemons of the other data centres.
 func matching(vms []samphireturn.VM, query url.Values) []samphireturn.VM {
+	if !query.Has("centre") {
+		return vms
+	}
 	kept := vms[:0]
 	for _, vm := range vms {
-		if query.Has("centre") && vm.Centre != query.Get("centre") {
-			continue
-		}
-		if query.Has("role") && vm.Role != query.Get("role") {
-			continue
+		daemon := vm.Role == samphireturn.RoleEntry && query.Get("daemons") == "all"
+		if daemon || vm.Centre == query.Get("centre") {
+			kept = append(kept, vm)
 		}
-		kept = append(kept, vm)
 	}
 	return kept
 }
--- a/internal/traffic/cascader/cascader.go
+++ b/internal/traffic/cascader/cascader.go
@@ -54,8 +54,22 @@
 	Rated  bool
 	// Cost is in the currency unit of the prices.
 	Cost float64
+	// Quoted is the cost that Step.Quote gave before the run; zero if unknown.
+	Quoted float64
+	// Output is the output tokens estimated before the run; zero if unknown.
+	Output int
 	// Delay is the time that the answer and its judgement took.
 	Delay time.Duration
+	// Alias is what the caller asked for. Final says that the caller got this
+	// answer, so that it counts for the alias's target.
+	Alias *samphireturn.Alias
+	Final bool
+}
+
+// Quote returns the cost of a request on the step by its estimated tokens, in
+// the currency unit of the prices.
+func (s Step) Quote(r *samphireturn.Request) float64 {
+	return (float64(r.Prompt)*s.Input + float64(r.Output)*s.Output) / million
 }
 
 // Plan is the steps to run in order. Every step but the last is judged before
@@ -86,7 +100,13 @@
 	// Max bounds the estimates that are kept; zero means 4096.
 	Max int
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// failed is the number of ratings before release that failed in a row, and
+	// failedAt when the last did.
+	failed   int
+	failedAt time.Time
+
+	paces map[account]*pace
 	known map[key]*list.Element
 	// recent lists estimates, the one learned last first.
 	recent list.List
@@ -132,6 +152,7 @@
 			best = p
 		}
 	}
+	best = c.cheapen(best, r, alias, views)
 	if explore > 0 && c.rand() < explore {
 		c.explore(&best, views, alias, judge)
 	}
@@ -216,7 +237,7 @@
 			step:  s,
 			first: c.rate(first, prior, now),
 			after: c.rate(after, prior, now),
-			cost:  (float64(r.Prompt)*s.Input + float64(r.Output)*s.Output) / million,
+			cost:  s.Quote(r),
 			stale: now.Sub(first.ratedAt) >= c.stale(),
 		}
 		if runs == 0 {
@@ -224,7 +245,13 @@
 			continue
 		}
 		costs[i] = (first.cost + after.cost) / runs
+		if quoted := first.quoted + after.quoted; quoted > 0 {
+			costs[i] = views[i].cost * (first.cost + after.cost) / quoted
+		}
 		views[i].delay = (first.delay + after.delay) / runs
+		if output := first.output + after.output; output > 0 {
+			views[i].delay = (first.delay + after.delay) * float64(r.Output) / output
+		}
 	}
 	for i := range views {
 		if learned {
--- a/internal/traffic/cascader/cascader_test.go
+++ b/internal/traffic/cascader/cascader_test.go
@@ -164,3 +164,144 @@
 	c.Assert(float64(good)/float64(n) >= alias.Target, qt.IsTrue)
 	c.Assert(cost <= 1.15*best, qt.IsTrue)
 }
+
+// TestSettle checks that an answer below the bar is released only while the
+// team's answers of the class are above the target.
+func TestSettle(t *testing.T) {
+	plan := Plan{Steps: []Step{cheap, dear}}
+	tests := []struct {
+		name   string
+		rating float64
+		good   int // rated answers that reached the bar
+		missed int
+		class  string
+		at     int
+		want   bool
+	}{
+		{name: "above the target", rating: 0.6, good: 50, class: "k", want: true},
+		{name: "below the target", rating: 0.6, good: 50, missed: 10, class: "k"},
+		{name: "surplus of another class", rating: 0.6, good: 50, class: "z"},
+		{name: "worthless answer", rating: 0.3, good: 50, class: "k"},
+		{name: "last step", rating: 0.6, good: 50, class: "k", at: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			k, _ := newCascader()
+			r := ask
+			r.Class = tt.class
+			learn := func(n int, rating float64) {
+				for range n {
+					k.Learn(Outcome{Team: "t", Class: "k", Version: cheap.Version, Quality: 0.7, Alias: &alias, Rated: true, Final: true, Rating: rating})
+				}
+			}
+			learn(tt.good, 0.9)
+			for range 20 { // lowers the price if there is a surplus
+				k.Settle(&r, &alias, plan, tt.at, tt.rating)
+			}
+			learn(tt.missed, 0.1)
+			settled := k.Settle(&r, &alias, plan, tt.at, tt.rating)
+			qt.Assert(t, settled, qt.Equals, tt.want)
+		})
+	}
+}
+
+// TestUnratedAnswersEarnLittle checks that answers of the cheap step that nobody
+// rated do not count as good ones.
+func TestUnratedAnswersEarnLittle(t *testing.T) {
+	k, _ := newCascader()
+	steps := samphireturn.Alias{Name: "draft", Steps: []string{"small", "large"}, Quality: 0.7, Target: 0.8}
+	for range 50 {
+		k.Learn(Outcome{Team: "t", Class: "k", Version: cheap.Version, Quality: 0.7, Alias: &steps, Final: true})
+	}
+	settled := 0
+	for range 50 {
+		if k.Settle(&ask, &steps, Plan{Steps: []Step{cheap, dear}}, 0, 0.6) {
+			settled++
+		}
+	}
+	qt.Assert(t, settled, qt.Equals, 0)
+}
+
+// TestFaultRatings checks that one late rating does not stop judging, that
+// several in a row do, and that it is tried again.
+func TestFaultRatings(t *testing.T) {
+	tests := []struct {
+		name  string
+		came  []bool
+		after time.Duration
+		want  bool
+	}{
+		{"none asked", nil, 0, true},
+		{"one late", []bool{false}, 0, true},
+		{"late now and then", []bool{false, false, true, false, false}, 0, true},
+		{"three in a row", []bool{true, false, false, false}, 0, false},
+		{"after the pause", []bool{false, false, false}, judgePause + 1, true},
+		{"down still", []bool{false, false, false, false}, judgePause, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			k, now := newCascader()
+			for _, ok := range tt.came {
+				k.Judged(ok)
+			}
+			*now = now.Add(tt.after)
+			qt.Assert(t, k.Judging(), qt.Equals, tt.want)
+		})
+	}
+}
+
+// TestDelayOfTheRequest checks that the bound on judging holds for the request's
+// own length, not for the mean.
+func TestDelayOfTheRequest(t *testing.T) {
+	k, _ := newCascader()
+	for i := range 200 {
+		for _, step := range []Step{cheap, dear} {
+			cost := step.Quote(&ask)
+			o := Outcome{Team: "t", Class: "k", Version: step.Version, Quality: 0.7, Rated: true, Rating: 0.9, Output: 1000, Delay: time.Second, Cost: cost, Quoted: cost}
+			if step == cheap && i%2 == 0 {
+				o.Rating = 0.2
+			}
+			k.Learn(o)
+		}
+	}
+	bounded := alias
+	bounded.Delay = 1000
+	for _, tt := range []struct {
+		output int
+		want   string
+	}{{900, "small@v1 large@v1 "}, {1100, "large@v1 "}} {
+		r := ask
+		r.Output = tt.output
+		qt.Check(t, names(k.Plan(&r, &bounded, []Step{cheap, dear}, true, 0)), qt.Equals, tt.want)
+	}
+}
+
+// TestCheapen checks that the cheap step runs unjudged in place of the dear one
+// only while there is a surplus.
+func TestCheapen(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		missed int
+		want   bool
+	}{{"above the target", 0, true}, {"below the target", 20, false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			k, _ := newCascader()
+			teach(k, cheap, 100, 50, false, time.Second)
+			teach(k, dear, 100, 97, false, time.Second)
+			final := Outcome{Team: "t", Class: "k", Version: dear.Version, Quality: 0.7, Alias: &alias, Rated: true, Final: true, Rating: 0.9}
+			for range 50 {
+				k.Learn(final)
+			}
+			for range 20 { // lowers the price
+				k.Plan(&ask, &alias, []Step{cheap, dear}, false, 0)
+			}
+			final.Rating = 0.1
+			for range tt.missed {
+				k.Learn(final)
+			}
+			teach(k, dear, 1000, 990, false, time.Second)
+			got := names(k.Plan(&ask, &alias, []Step{cheap, dear}, false, 0))
+			qt.Assert(t, got == "small@v1 ", qt.Equals, tt.want, qt.Commentf("%s", got))
+		})
+	}
+}
--- a/internal/traffic/receiver/cascade.go
+++ b/internal/traffic/receiver/cascade.go
@@ -15,7 +15,6 @@
 const (
 	judgeTimeout = 2 * time.Second // longest wait for a rating before release
 	rateTimeout  = 30 * time.Second
-	judgePause   = 5 * time.Second // time without judging after a failed rating
 )
 
 // answer is what one step of the cascade gave.
@@ -45,18 +44,11 @@
 			continue // an engine's own refusal says nothing about quality
 		}
 		rating, rated := r.judge(ctx, t, a)
-		r.Cascader.Learn(cascader.Outcome{
-			Team:    t.team.Name,
-			Class:   t.options.Class,
-			Version: step.Version,
-			Quality: t.alias.Quality,
-			After:   i > 0,
-			Rating:  rating,
-			Rated:   rated,
-			Cost:    cost,
-			Delay:   time.Since(start),
-		})
-		if rated && rating >= t.alias.Quality {
+		passed := rated && (rating >= t.alias.Quality || r.Cascader.Settle(t.work, t.alias, plan, i, rating))
+		o := t.outcome(step, cost, time.Since(start), i > 0)
+		o.Rating, o.Rated, o.Final = rating, rated, passed
+		r.Cascader.Learn(o)
+		if passed {
 			return a, nil
 		}
 	}
@@ -118,34 +110,23 @@
 	defer cancel()
 	rating, err := r.Rater.Rate(ctx, a.version, t.chat.Text, a.text)
 	if err != nil {
-		r.unrated.Store(time.Now().UnixNano())
+		r.Cascader.Judged(false)
 		ratings.Add("failed", 1)
 		return 0, false
 	}
+	r.Cascader.Judged(true)
 	ratings.Add("judged", 1)
 	return rating, true
 }
 
-// judging reports whether ratings can be expected in time.
-func (r *Receiver) judging() bool {
-	return time.Now().UnixNano()-r.unrated.Load() > int64(judgePause)
-}
-
 // learn tells the cascader of a released answer, and rates it in the background
 // if that is wanted.
 func (r *Receiver) learn(t *turn, a *answer, cost float64, delay time.Duration, after, rate bool) {
 	if t.alias == nil || a.status != http.StatusOK {
 		return
 	}
-	o := cascader.Outcome{
-		Team:    t.team.Name,
-		Class:   t.options.Class,
-		Version: a.version,
-		Quality: t.alias.Quality,
-		After:   after,
-		Cost:    cost,
-		Delay:   delay,
-	}
+	o := t.outcome(priced(t.snapshot.Config, a.version), cost, delay, after)
+	o.Final = true
 	prompt := t.chat.Text
 	if !rate {
 		r.Cascader.Learn(o)
@@ -166,6 +147,22 @@
 	}
 }
 
+// outcome returns what the cascader learns of a run of a step.
+func (t *turn) outcome(step cascader.Step, cost float64, delay time.Duration, after bool) cascader.Outcome {
+	return cascader.Outcome{
+		Team:    t.team.Name,
+		Class:   t.options.Class,
+		Version: step.Version,
+		Quality: t.alias.Quality,
+		After:   after,
+		Cost:    cost,
+		Quoted:  step.Quote(t.work),
+		Output:  t.work.Output,
+		Delay:   delay,
+		Alias:   t.alias,
+	}
+}
+
 // passed reports an engine's own error answer that is passed on to the caller,
 // or nil.
 func passed(err error) *dispatcher.Answer {
--- a/internal/traffic/receiver/receiver.go
+++ b/internal/traffic/receiver/receiver.go
@@ -35,8 +35,8 @@
 	defaultIdle   = 2 * time.Minute
 	defaultRead   = 10 * time.Second
 	defaultDrain  = 30 * time.Second
-	refuseTime    = time.Second
 
+	linger           = 250 * time.Millisecond // time in which late requests are refused
 	backgroundRaters = 4
 	backgroundQueue  = 256
 	bytesPerToken    = 4
@@ -101,11 +101,9 @@
 
 	server *http.Server
 	// closing is true from Leave on, ended once Notice has passed.
-	closing atomic.Bool
-	ended   atomic.Bool
-	served  chan struct{}
-	// unrated is when a rating last failed, in nanoseconds since 1970.
-	unrated    atomic.Int64
+	closing    atomic.Bool
+	ended      atomic.Bool
+	served     chan struct{}
 	background pond.Pool
 	rating     sync.WaitGroup
 }
@@ -132,14 +130,16 @@
 // one is closed after it, so that its next request goes to another daemon.
 func (r *Receiver) Leave() { r.closing.Store(true) }
 
-// Close turns not ready, waits for Notice, refuses what still comes for a
-// moment, as a server that shuts down drops it without a word, stops listening
-// and waits for running requests until Drain has passed.
+// Close turns not ready, waits for Notice, stops listening and waits for
+// running requests until Drain has passed. Requests that come late on open
+// connections are refused for a short time before these are closed, since the
+// server would close them without an answer.
 func (r *Receiver) Close() error {
 	r.Leave()
 	time.Sleep(r.Notice)
 	r.ended.Store(true)
-	time.Sleep(min(r.Notice, refuseTime))
+	_ = r.Listener.Close()
+	time.Sleep(linger)
 	ctx, cancel := context.WithTimeout(context.Background(), or(r.Drain, defaultDrain))
 	defer cancel()
 	err := r.server.Shutdown(ctx)
--- a/internal/traffic/receiver/run_test.go
+++ b/internal/traffic/receiver/run_test.go
@@ -334,7 +334,7 @@
 }
 
 // whileClosing sends a request on a connection that was opened before the
-// daemon began to close, once the notice has passed.
+// daemon began to close.
 func (s *site) whileClosing() reply {
 	conn, err := s.Network.Dial("caller")(context.Background(), "tcp", s.north.VM.Addr)
 	s.c.Assert(err, qt.IsNil)
@@ -342,12 +342,13 @@
 	r, err := kernel.Find[*receiver.Receiver](s.north.Kernel, assembler.Receiver)
 	s.c.Assert(err, qt.IsNil)
 	r.Notice = time.Second
+	body := chat("large", "9", false)
+	_, err = io.WriteString(conn, "POST "+chatPath+" HTTP/1.1\r\n")
+	s.c.Assert(err, qt.IsNil)
 	synctest.Wait()
 	go s.north.Close()
-	time.Sleep(r.Notice)
-	synctest.Wait()
-	body := chat("large", "9", false)
-	_, err = io.WriteString(conn, "POST "+chatPath+" HTTP/1.1\r\nHost: x\r\nAuthorization: "+bearer+"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	time.Sleep(r.Notice + time.Millisecond)
+	_, err = io.WriteString(conn, "Host: x\r\nAuthorization: "+bearer+"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
 	s.c.Assert(err, qt.IsNil)
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	s.c.Assert(err, qt.IsNil)
