Start from seeds while no list holds the daemon; accept second fleet keys

Cause: only the platform's VM list told a daemon who its peers are, and of two daemons the one with the lower id dialled, so a daemon in no list that started while the platform was down stayed without a configuration (TestFaultConfigStartUnknown, known red until now).

Change: the setting `seeds` holds peer addresses. They are dialled until a list of members holds the daemon; the handshake may leave the other's id open, which the acceptor then names and proves. The daemon takes the configuration over the link and asks for the list of daemons (topic vms.get). A daemon that its list lacks is home of nothing, has no endpoints, so that it takes part in no grant and no majority, is not ready, and refuses with run: no. It dials all daemons of its data centre, as they may not know it. This holds for a list read from the platform too: before, such a daemon counted itself a member and asked for grants that the others had set nothing aside for. Two such daemons could lend their voices to a second majority of three listed ones.

The setting `fleets` holds fleet keys that are accepted beside the daemon's own, so that the key is changed in three rounds of restarts.

Ruled out: to let an unlisted daemon ask for grants. A home that hears of more daemons than its neighbours list cuts all shares, while the neighbours keep to the larger ones.

Tests: TestFaultUnlisted, TestFaultSeeds, TestFaultSeedSilent, TestFaultSeedLinked, TestFaultAcceptKeepsEndpoints, TestFaultFleetKeyChange, rows of TestRead. Guards taken out, one at a time, each of which failed them: self left out of members, no endpoints while unlisted, not ready, dialling of the seeds, asking for the list, endpoints kept, dialling lower ids, end of the dialling once listed, end of links to other data centres, own address, look for a link before a dial, proof of the dialler, second keys, their least size. docs/faults/config.md names what failed.

The tests' fleet and the assembler's services moved into files of their own.

--- a/internal/config/loader/loader.go
+++ b/internal/config/loader/loader.go
@@ -65,6 +65,12 @@
 		Platform string `toml:"platform"`
 		// Fleet is the key that all daemons share.
 		Fleet string `toml:"fleet"`
+		// Fleets are keys that other daemons may have instead, while the key is
+		// changed.
+		Fleets []string `toml:"fleets"`
+		// Seeds are peer addresses of other daemons, tried while no VM list holds
+		// this daemon.
+		Seeds []string `toml:"seeds"`
 		// Level is the least level of the log's lines.
 		Level  string `toml:"level"`
 		Limits Limits `toml:"limits"`
@@ -159,11 +165,15 @@
 	c.address("advertise.listen", s.Advertise.Listen, false)
 	c.address("advertise.peer", s.Advertise.Peer, false)
 	c.platform(s.Platform)
-	switch n := len(s.Fleet); {
-	case n == 0:
-		c.missing("fleet")
-	case n < FleetBytes:
-		c.add("fleet", fmt.Sprintf("must have at least %d bytes, not %d", FleetBytes, n))
+	c.fleet("fleet", s.Fleet)
+	for i, key := range s.Fleets {
+		c.fleet(fmt.Sprintf("fleets[%d]", i), key)
+	}
+	for i, addr := range s.Seeds {
+		c.address(fmt.Sprintf("seeds[%d]", i), addr, false)
+		if addr == "" || strings.HasPrefix(addr, ":") {
+			c.add(fmt.Sprintf("seeds[%d]", i), fmt.Sprintf("%q names no VM", addr))
+		}
 	}
 	if _, err := zerolog.ParseLevel(s.Level); err != nil || s.Level == "" {
 		c.add("level", fmt.Sprintf("%q is no log level; use debug, info, warn or error", s.Level))
@@ -178,6 +188,16 @@
 	}
 }
 
+// fleet checks a fleet key.
+func (c *check) fleet(key, v string) {
+	switch n := len(v); {
+	case n == 0:
+		c.missing(key)
+	case n < FleetBytes:
+		c.add(key, fmt.Sprintf("must have at least %d bytes, not %d", FleetBytes, n))
+	}
+}
+
 // name checks a value that is part of object names and ids.
 func (c *check) name(key, v string) {
 	if v == "" {
--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -13,29 +12,12 @@
 
 	"samphireturn"
 	"samphireturn/internal/config/loader"
-	"samphireturn/internal/config/reporter"
 	"samphireturn/internal/config/watcher"
 	"samphireturn/internal/core/kernel"
 	"samphireturn/internal/fleet/announcer"
-	"samphireturn/internal/fleet/detector"
-	"samphireturn/internal/fleet/granter"
-	"samphireturn/internal/fleet/guard"
 	"samphireturn/internal/fleet/messenger"
-	"samphireturn/internal/fleet/ranker"
-	"samphireturn/internal/ledger/biller"
-	"samphireturn/internal/ledger/claimer"
-	"samphireturn/internal/ledger/minter"
-	"samphireturn/internal/ledger/runner"
 	"samphireturn/internal/platform/accessor"
-	"samphireturn/internal/traffic/admitter"
-	"samphireturn/internal/traffic/budgeter"
-	"samphireturn/internal/traffic/cascader"
-	"samphireturn/internal/traffic/dispatcher"
 	"samphireturn/internal/traffic/limiter"
-	"samphireturn/internal/traffic/picker"
-	"samphireturn/internal/traffic/queuer"
-	"samphireturn/internal/traffic/receiver"
-	"samphireturn/internal/traffic/router"
 )
 
 // Names of the services.
@@ -125,6 +107,8 @@
 		return nil, err
 	}
 	p.peers.Listener = ln
+	p.peers.Seeds = settings.Seeds
+	p.peers.Keys = settings.Fleets
 	services := []struct {
 		name string
 		make func() (kernel.Service, error)
@@ -156,161 +140,3 @@
 func service(log zerolog.Logger, name string) zerolog.Logger {
 	return log.With().Str("service", name).Logger()
 }
-
-// home reports whether this daemon is among the first n homes of name among the
-// daemons of its data centre that it is linked with and that don't leave. While
-// no members are known it is.
-func (p *parts) home(name string, n int) bool {
-	var members []samphireturn.VM
-	linked := p.peers.Connected()
-	for _, m := range ranker.Within(p.settings.Centre, p.kernel.Snapshot().Members) {
-		if m.ID == p.settings.ID || slices.Contains(linked, m.ID) {
-			members = append(members, m)
-		}
-	}
-	if len(members) == 0 {
-		return true
-	}
-	ranks := ranker.Rank(name, p.leaves.Staying(members))
-	return slices.Contains(ranks[:min(n, len(ranks))], p.settings.ID)
-}
-
-func (p *parts) announcer() (kernel.Service, error) {
-	p.leaves.Register()
-	return p.leaves, nil
-}
-
-func (p *parts) detector() (kernel.Service, error) {
-	d := detector.New(p.kernel.Self, service(p.log, Detector))
-	d.Control = p.kernel
-	d.Lister = p.platform
-	d.Links = p.peers
-	d.Staying = p.leaves.Staying
-	d.Client = &http.Client{Transport: p.transport}
-	d.Register()
-	p.kernel.Derive = d.Derive
-	return d, nil
-}
-
-func (p *parts) watcher() (kernel.Service, error) {
-	w := watcher.New(p.kernel, p.platform, p.peers)
-	w.Log = service(p.log, Watcher)
-	w.Home = func() bool { return p.home(manifestName, manifestHomes) }
-	return w, nil
-}
-
-func (p *parts) granter() (kernel.Service, error) {
-	g := granter.New(p.kernel.Self, p.kernel, p.peers, p.limiter.Clock)
-	g.Register()
-	return g, nil
-}
-
-func (p *parts) guard() (kernel.Service, error) {
-	g := guard.New(p.kernel, p.peers, p.platform, p.instance)
-	g.Log = service(p.log, Guard)
-	g.Home = func() bool { return p.home(holdsName+p.settings.Centre, 1) }
-	return g, nil
-}
-
-func (p *parts) claimer() (kernel.Service, error) {
-	c := &claimer.Claimer{
-		Store: p.platform,
-		Peers: p.peers,
-		Self:  p.settings.ID,
-		Log:   service(p.log, Claimer),
-		Home: func(shard string) string {
-			return ranker.Home(shard, p.leaves.Staying(p.kernel.Snapshot().Members))
-		},
-	}
-	c.Register()
-	return c, nil
-}
-
-func (p *parts) biller() (kernel.Service, error) {
-	b := &biller.Biller{Store: p.platform, Peers: p.peers, Instance: p.instance, Log: service(p.log, Biller)}
-	b.Register()
-	return b, nil
-}
-
-func (p *parts) reporter() (kernel.Service, error) {
-	w, err := kernel.Find[*watcher.Watcher](p.kernel, Watcher)
-	if err != nil {
-		return nil, err
-	}
-	r := reporter.New(p.kernel, p.platform, p.peers, w)
-	r.Log = service(p.log, Reporter)
-	r.Home = func() bool { return p.home(statusName+p.settings.Centre, 1) }
-	return r, nil
-}
-
-func (p *parts) receiver() (kernel.Service, error) {
-	w, err := kernel.Find[*watcher.Watcher](p.kernel, Watcher)
-	if err != nil {
-		return nil, err
-	}
-	b, err := kernel.Find[*biller.Biller](p.kernel, Biller)
-	if err != nil {
-		return nil, err
-	}
-	c, err := kernel.Find[*claimer.Claimer](p.kernel, Claimer)
-	if err != nil {
-		return nil, err
-	}
-	g, err := kernel.Find[*granter.Granter](p.kernel, Granter)
-	if err != nil {
-		return nil, err
-	}
-	d, err := kernel.Find[*detector.Detector](p.kernel, Detector)
-	if err != nil {
-		return nil, err
-	}
-	judge, err := kernel.Find[*guard.Guard](p.kernel, Guard)
-	if err != nil {
-		return nil, err
-	}
-	pick := &picker.Picker{Now: p.limiter.Clock, Prefixes: new(picker.Prefixes)}
-	limits := p.settings.Limits
-	ln, err := p.Listen(p.settings.Listen)
-	if err != nil {
-		return nil, err
-	}
-	return &receiver.Receiver{
-		Listener: ln,
-		Body:     limits.Body,
-		Header:   int(limits.Header),
-		Idle:     time.Duration(limits.Idle) * time.Millisecond,
-		Read:     time.Duration(limits.Read) * time.Millisecond,
-		Drain:    time.Duration(limits.Drain) * time.Millisecond,
-		Notice:   time.Duration(limits.Notice) * time.Millisecond,
-		Log:      service(p.log, Receiver),
-		Self:     p.kernel.Self,
-		Control:  p.kernel,
-		Router: &router.Router{
-			Control:    p.kernel,
-			Picker:     pick,
-			Limiter:    p.limiter,
-			Dispatcher: dispatcher.New(p.Dial),
-			Retries:    new(budgeter.Budgeter),
-			Observer:   router.Observers{g, d, judge},
-			Queue:      new(queuer.Queuer),
-		},
-		Picker:   pick,
-		Cascader: new(cascader.Cascader),
-		Admitter: new(admitter.Admitter),
-		Biller:   b,
-		Claimer:  c,
-		Minter:   &minter.Minter{Keys: p.keys, Instance: p.instance},
-		Runner:   &runner.Runner{Instance: p.instance},
-		Rater:    &guard.Rater{Rater: p.platform, Guard: judge},
-		Ready:    w.Ready,
-	}, nil
-}
-
-// keys returns the token keys in force.
-func (p *parts) keys() []samphireturn.TokenKey {
-	cfg := p.kernel.Snapshot().Config
-	if cfg == nil {
-		return nil
-	}
-	return cfg.Keys
-}
--- a/internal/fleet/detector/detector.go
+++ b/internal/fleet/detector/detector.go
@@ -26,6 +26,8 @@
 const (
 	// TopicVMs is the topic of List messages.
 	TopicVMs = "vms"
+	// TopicAsk is the topic of ListAsk messages.
+	TopicAsk = "vms.get"
 	// TopicReports is the topic of Batch messages.
 	TopicReports = "reports"
 	// TopicServing is the topic of Serving messages.
@@ -177,6 +179,7 @@
 	d.instance = uint64(d.Now().UnixNano())
 	d.pool = pond.NewPool(d.Workers)
 	d.Links.Handle(TopicVMs, d.takeList)
+	d.Links.Handle(TopicAsk, d.takeAsk)
 	d.Links.Handle(TopicReports, d.takeBatch)
 	d.Links.Handle(TopicServing, d.takeServing)
 }
@@ -187,6 +190,7 @@
 	d.http = resty.NewWithClient(d.Client).SetResponseBodyLimit(reportLimit)
 	d.slow = time.Duration((0.5 + d.Rand()/2) * float64(d.SlowTime))
 	d.wait.Go(func() { d.every(ctx, d.ListTime, d.readList) })
+	d.wait.Go(func() { d.every(ctx, d.ListTime, d.askList) })
 	d.wait.Go(func() { d.every(ctx, d.ReportTime, d.readReports) })
 	d.wait.Go(func() { d.every(ctx, d.ServingTime, d.tellServing) })
 	return nil
@@ -217,25 +221,23 @@
 	}
 }
 
-// members returns the daemons in the list, self included. The caller holds mu.
+// members returns the daemons in the list; while there is none, self alone. The
+// caller holds mu.
 func (d *Detector) members() []samphireturn.VM {
 	var found []samphireturn.VM
-	self := false
 	for _, vm := range d.list {
-		if vm.Role != samphireturn.RoleEntry {
-			continue
+		if vm.Role == samphireturn.RoleEntry {
+			found = append(found, vm)
 		}
-		self = self || vm.ID == d.self.ID
-		found = append(found, vm)
 	}
-	if !self {
+	if len(d.list) == 0 {
 		found = append(found, d.self)
 	}
 	return found
 }
 
-// reachable returns the daemons of this data centre that are linked, and self.
-// The caller holds mu.
+// reachable returns the daemons of this data centre that are linked, and self
+// unless the list lacks it. If there are none, it is self. The caller holds mu.
 func (d *Detector) reachable() []samphireturn.VM {
 	linked := d.Links.Connected()
 	var found []samphireturn.VM
@@ -245,6 +247,9 @@
 			found = append(found, vm)
 		}
 	}
+	if len(found) == 0 {
+		found = append(found, d.self)
+	}
 	return found
 }
 
--- a/internal/fleet/detector/lists.go
+++ b/internal/fleet/detector/lists.go
@@ -108,6 +108,16 @@
 // adopt puts a sorted list in force.
 func (d *Detector) adopt(vms []samphireturn.VM) {
 	d.mu.Lock()
+	changed := d.put(vms)
+	d.mu.Unlock()
+	if changed {
+		d.tellMembers()
+	}
+}
+
+// put puts a sorted list in force and reports whether it differs. The caller
+// holds mu and calls tellMembers then.
+func (d *Detector) put(vms []samphireturn.VM) bool {
 	for _, vm := range d.list {
 		if _, ok := slices.BinarySearchFunc(vms, vm.ID, compare); !ok {
 			delete(d.missing, vm.ID)
@@ -119,13 +129,19 @@
 	if changed {
 		d.before = d.list
 	}
+	known := len(d.list) > 0 && d.unlisted()
 	d.list = vms
+	d.noteUnlisted(known)
+	return changed
+}
+
+// tellMembers passes the list in force on within this daemon.
+func (d *Detector) tellMembers() {
+	d.mu.Lock()
 	members := d.members()
 	d.mu.Unlock()
-	if changed {
-		d.Links.SetMembers(members)
-		d.publish()
-	}
+	d.Links.SetMembers(members)
+	d.publish()
 }
 
 func compare(vm samphireturn.VM, id string) int { return strings.Compare(vm.ID, id) }
--- a/internal/fleet/detector/publish.go
+++ b/internal/fleet/detector/publish.go
@@ -103,7 +103,7 @@
 	near := d.homes()
 	for _, vm := range d.list {
 		r := d.records[vm.ID]
-		if vm.Role == samphireturn.RoleEntry || r == nil {
+		if vm.Role == samphireturn.RoleEntry || r == nil || d.unlisted() {
 			continue
 		}
 		u.endpoints[vm.ID] = endpoint(vm, r, ranker.Home(vm.ID, near))
--- a/internal/fleet/messenger/dialer.go
+++ b/internal/fleet/messenger/dialer.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -34,9 +35,6 @@
 // caller holds mu.
 func (m *Messenger) wanted() map[string]samphireturn.VM {
 	all := m.members
-	if !slices.ContainsFunc(all, func(vm samphireturn.VM) bool { return vm.ID == m.self.ID }) {
-		all = append(slices.Clone(all), m.self)
-	}
 	want := make(map[string]samphireturn.VM)
 	relay := slices.Contains(relaysOf(m.self.Centre, all), m.self.ID)
 	relays := make(map[string][]string)
@@ -71,34 +69,77 @@
 		}
 		d.cancel()
 		delete(m.dialers, id)
-		listed := slices.ContainsFunc(m.members, func(vm samphireturn.VM) bool { return vm.ID == id })
-		if l := m.links[id]; l != nil && listed {
+		if l := m.links[id]; l != nil && m.holds(id) {
+			l.end()
+		}
+	}
+	for id, l := range m.links {
+		if _, ok := want[id]; m.listed && l.seed != "" && !ok {
 			l.end()
 		}
 	}
 	for id, vm := range want {
-		if m.dialers[id] != nil || id < m.self.ID {
+		if m.dialers[id] != nil || m.listed && id < m.self.ID {
 			continue
 		}
 		ctx, cancel := context.WithCancel(m.ctx)
 		d := &dialer{vm: vm, cancel: cancel}
 		m.dialers[id] = d
-		m.wait.Go(func() { m.keep(ctx, d.vm) })
+		m.wait.Go(func() { m.keep(ctx, d.vm, always) })
+	}
+}
+
+// holds reports whether a daemon is among the members. The caller holds mu.
+func (m *Messenger) holds(id string) bool {
+	return slices.ContainsFunc(m.members, func(vm samphireturn.VM) bool { return vm.ID == id })
+}
+
+// dialSeeds starts to dial the seeds until this daemon is listed. The caller
+// holds mu.
+func (m *Messenger) dialSeeds() {
+	for i, addr := range m.Seeds {
+		if addr == m.self.Peer || slices.Contains(m.Seeds[:i], addr) {
+			continue
+		}
+		m.wait.Go(func() { m.keep(m.ctx, samphireturn.VM{Peer: addr}, m.unlisted) })
+	}
+}
+
+// seeded reports whether the daemon at a seed's address is linked.
+func (m *Messenger) seeded(addr string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, l := range m.links {
+		at := slices.IndexFunc(m.members, func(vm samphireturn.VM) bool { return vm.ID == id })
+		if l.seed == addr || at >= 0 && m.members[at].Peer == addr {
+			return true
+		}
 	}
+	return false
 }
 
-// keep dials a peer until ctx ends, and again after each break. The wait
-// doubles with every failure up to RetryMax and is jittered by half.
-func (m *Messenger) keep(ctx context.Context, vm samphireturn.VM) {
+// unlisted reports whether no list of members has held this daemon so far.
+func (m *Messenger) unlisted() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.listed
+}
+
+func always() bool { return true }
+
+// keep dials a peer until ctx ends or it is not wanted any more, and again after
+// each break. The wait doubles with every failure up to RetryMax and is jittered
+// by half.
+func (m *Messenger) keep(ctx context.Context, vm samphireturn.VM, wanted func() bool) {
 	wait := m.RetryMin
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && wanted() {
 		start := m.Now()
 		err := m.connect(ctx, vm)
 		if m.Now().Sub(start) > m.RetryMax {
 			wait = m.RetryMin
 		}
 		if err != nil && ctx.Err() == nil {
-			m.refuse(vm.ID, err)
+			m.refuse(cmp.Or(vm.ID, vm.Peer), err)
 		}
 		pause := time.NewTimer(time.Duration((0.5 + m.Rand()/2) * float64(wait)))
 		select {
@@ -110,22 +151,28 @@
 	}
 }
 
-// connect dials a peer and serves the link until it breaks.
+// connect dials a peer and serves the link until it breaks. The peer's id may be
+// empty: then whoever proves the fleet key at the address is the peer.
 func (m *Messenger) connect(ctx context.Context, vm samphireturn.VM) error {
-	if m.linked(vm.ID) != nil {
+	seed := ""
+	if vm.ID == "" {
+		seed = vm.Peer
+	}
+	if m.linked(vm.ID) != nil || seed != "" && m.seeded(seed) {
 		return nil
 	}
 	limit, cancel := context.WithTimeout(ctx, m.HandshakeTime)
 	defer cancel()
 	c, err := m.dialSocket(limit, vm)
 	if err != nil {
-		return &Error{Op: "dial " + vm.ID, Kind: KindLink, Err: err}
+		return &Error{Op: "dial " + cmp.Or(vm.ID, vm.Peer), Kind: KindLink, Err: err}
 	}
-	if err := m.introduce(limit, c, vm.ID); err != nil {
+	id, err := m.introduce(limit, c, vm.ID)
+	if err != nil {
 		_ = c.CloseNow()
 		return err
 	}
-	m.serveLink(vm.ID, c, nil)
+	m.serveLink(id, seed, c, nil)
 	return nil
 }
 
@@ -174,7 +221,7 @@
 		m.refuse(id+" "+r.RemoteAddr, err)
 		return
 	}
-	m.serveLink(id, c, func() error { return send(limit, c, &welcome{OK: true}) })
+	m.serveLink(id, "", c, func() error { return send(limit, c, &welcome{OK: true}) })
 }
 
 // refuse counts and logs a link that was not made.
--- a/internal/fleet/messenger/link.go
+++ b/internal/fleet/messenger/link.go
@@ -30,7 +30,9 @@
 
 	// link is one proved connection.
 	link struct {
-		peer  string
+		peer string
+		// seed is the address that was dialled without knowing the peer's id.
+		seed  string
 		conn  *websocket.Conn
 		queue chan *item
 		// heard is when the last frame came, in nanoseconds since 1970.
@@ -52,10 +54,11 @@
 
 // serveLink registers a proved connection in place of an earlier one and
 // serves it until it breaks. The function ready, if any, runs in between.
-func (m *Messenger) serveLink(peer string, c *websocket.Conn, ready func() error) {
+func (m *Messenger) serveLink(peer, seed string, c *websocket.Conn, ready func() error) {
 	c.SetReadLimit(encoder.SizeLimit)
 	l := &link{
 		peer:    peer,
+		seed:    seed,
 		conn:    c,
 		queue:   make(chan *item, QueueLimit),
 		done:    make(chan struct{}),
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -89,6 +89,11 @@
 		Now func() time.Time
 		// Rand returns a number from 0 up to 1 for the jitter of retries.
 		Rand func() float64
+		// Keys are accepted as fleet keys of others beside this daemon's own.
+		Keys []string
+		// Seeds are peer addresses that are dialled while the members do not hold
+		// this daemon.
+		Seeds []string
 		// Nonces is the source of handshake nonces.
 		Nonces io.Reader
 		// PingTime is the period of pings.
@@ -116,6 +121,8 @@
 		mu      sync.Mutex
 		closed  bool
 		members []samphireturn.VM
+		// listed is true once the members have held this daemon.
+		listed  bool
 		links   map[string]*link
 		dialers map[string]*dialer
 	}
@@ -164,7 +171,8 @@
 
 // Run starts to accept and to dial peers.
 func (m *Messenger) Run(context.Context) error {
-	if len(m.key) < KeySize {
+	short := func(key string) bool { return len(key) < KeySize }
+	if len(m.key) < KeySize || slices.ContainsFunc(m.Keys, short) {
 		return &Error{Op: "run", Kind: KindKey}
 	}
 	if m.Listener == nil {
@@ -191,6 +199,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.dialWanted()
+	m.dialSeeds()
 	return nil
 }
 
@@ -212,12 +221,14 @@
 	return err
 }
 
-// SetMembers tells the daemons of the fleet, self included or not, and dials
-// those that this daemon is to be linked with.
+// SetMembers tells the daemons of the fleet and dials those that this daemon is
+// to be linked with. While they do not hold this daemon, which the others then
+// may not know either, it dials all of its data centre.
 func (m *Messenger) SetMembers(members []samphireturn.VM) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.members = slices.Clone(members)
+	m.listed = m.holds(m.self.ID)
 	if m.server != nil && !m.closed {
 		m.dialWanted()
 	}
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -45,6 +46,12 @@
 	Log io.Writer
 	// Notice is the daemons' setting limits.notice.
 	Notice time.Duration
+	// Fleet and Fleets are the daemons' settings of these names; an empty Fleet
+	// stands for FleetKey.
+	Fleet  string
+	Fleets []string
+	// Seeds is the daemons' setting seeds.
+	Seeds []string
 
 	servers []*http.Server
 	daemons []*Daemon
@@ -120,7 +127,9 @@
 		Peer:      vm.Peer,
 		Advertise: loader.Advertise{Listen: vm.Addr, Peer: vm.Peer},
 		Platform:  "http://" + PlatformAddr,
-		Fleet:     FleetKey,
+		Fleet:     cmp.Or(s.Fleet, FleetKey),
+		Fleets:    s.Fleets,
+		Seeds:     s.Seeds,
 		Limits:    loader.Limits{Drain: drain.Milliseconds(), Notice: s.Notice.Milliseconds()},
 	}
 	log := zerolog.Nop()
