--- a/internal/replay/player/player_test.go
+++ b/internal/replay/player/player_test.go
@@ -44,7 +44,7 @@
 // runs are given as cheap rating, dear rating.
 func small(ratings ...[2]float64) (*sr.Config, *reader.Trace) {
 	cfg := &sr.Config{
-		Presets: []sr.Preset{{Force: true, Aliases: []sr.Alias{{Name: "draft", Steps: []string{"s", "l"}, Quality: 0.7, Target: 0.5}}}},
+		Presets: []sr.Preset{{Force: true, Aliases: []sr.Alias{{Name: "draft", Steps: []string{"s", "l"}, Quality: 0.7, Target: 0.9}}}},
 		Models: []sr.Model{
 			{Name: "s", Versions: []sr.Version{{Name: "v", State: sr.VersionLive, Share: 1, Output: 1}}},
 			{Name: "l", Versions: []sr.Version{{Name: "v", State: sr.VersionLive, Share: 1, Output: 10}}},
@@ -87,8 +87,8 @@
 		})
 	}
 	best := Hindsight(cfg, trace)
-	qt.Check(t, best.Cost, qt.Equals, 13.0)
-	qt.Check(t, best.Share, qt.Equals, 0.5)
+	qt.Check(t, best.Cost, qt.Equals, 22.0)
+	qt.Check(t, best.Share, qt.Equals, 0.75)
 }
 
 // TestNoLookAhead changes what a trace records after a time and checks that no
--- a/internal/traffic/cascader/cascader.go
+++ b/internal/traffic/cascader/cascader.go
@@ -29,7 +29,7 @@
 	priorWeight = 4
 	// caution is the number of standard deviations by which a pass rate is
 	// lowered before it is held against the target.
-	caution = 0.5
+	caution = 0.25
 	// million is the number of tokens that a price is for.
 	million = 1e6
 )
