guard: divide the accepted false alarms among the daemons

Change: the share of a test is divided by the instances that count. Guard removed: the division -> TestFalseAlarmsShared.

--- a/internal/fleet/guard/guard.go
+++ b/internal/fleet/guard/guard.go
@@ -55,7 +55,9 @@
 // and begins anew at the lower one. The n-th test of an epoch spends
 // Alarm/(n(n+1)), so that all tests of an epoch together raise a false alarm
 // with a probability of at most Alarm. The boundaries are 1/alarm and Miss, a
-// little wider than Wald's, so that the bound is strict.
+// little wider than Wald's, so that the bound is strict. Since each daemon sees
+// its own calls before those of others, it runs a test of its own, and Alarm is
+// divided among the instances that count.
 type Counter struct {
 	// Instance names this daemon's process; it changes at each start.
 	Instance string
@@ -289,7 +291,7 @@
 	successes := float64(grown.Calls) - float64(grown.Failures)
 	s.ratio += float64(grown.Failures) * math.Log(g.Bad/g.Good)
 	s.ratio += successes * math.Log((1-g.Bad)/(1-g.Good))
-	alarm := g.Alarm / (s.test * (s.test + 1))
+	alarm := g.Alarm / (s.test * (s.test + 1)) / float64(max(len(s.instances), 1))
 	if s.ratio >= -math.Log(alarm) {
 		s.bad = true
 		return
--- a/internal/fleet/guard/guard_test.go
+++ b/internal/fleet/guard/guard_test.go
@@ -42,6 +42,40 @@
 	}
 }
 
+// TestFalseAlarmsShared has eight daemons share the counts of a good version: a
+// false alarm of any of them holds it everywhere.
+func TestFalseAlarmsShared(t *testing.T) {
+	const seeds, calls, daemons, every = 1000, 1500, 8, 200
+	alarms := 0
+	for seed := range uint64(seeds) {
+		r := rand.New(rand.NewPCG(seed, 4))
+		all := make([]*Counter, daemons)
+		for i := range all {
+			all[i] = &Counter{Instance: fmt.Sprint(i), Guard: rates}
+		}
+		for n := range calls {
+			all[r.IntN(daemons)].Count(v1, r.Float64() < rates.Good)
+			if n%every != 0 {
+				continue
+			}
+			for _, from := range all {
+				totals := from.Totals()
+				for _, to := range all {
+					to.Merge(totals...)
+				}
+			}
+		}
+		for _, g := range all {
+			if g.Verdict(v1) == SuspicionBad {
+				alarms++
+				break
+			}
+		}
+	}
+	t.Logf("%d false alarms in %d seeds", alarms, seeds)
+	qt.Assert(t, alarms <= seeds*5/100, qt.IsTrue, qt.Commentf("%d", alarms))
+}
+
 func TestBadVersionIsFound(t *testing.T) {
 	c := qt.New(t)
 	sum, worst, missed := 0, 0, 0
