--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,9 @@
 demo: build
 	bash scripts/demo.sh
 
-bench:
+bench: build
+	bash scripts/bench.sh
 	go test -run '^$$' -bench . -benchmem ./internal/traffic/...
 
-slopes:
-	go test -run '^$$' -bench Slope -benchmem ./...
+slopes: build
+	bash scripts/slopes.sh
--- a/cmd/samphirectl/main_test.go
+++ b/cmd/samphirectl/main_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"samphireturn"
+	"samphireturn/internal/config/publisher"
 	"samphireturn/internal/fleet/guard"
 )
 
@@ -21,6 +22,10 @@
 	objects map[string]samphireturn.Object
 	clock   uint64
 	down    bool
+	// accepted runs after each write of the manifest.
+	accepted func(s *memory)
+	// first is the manifest to go back to.
+	first []byte
 }
 
 func (s *memory) Get(_ context.Context, name string) (samphireturn.Object, error) {
@@ -44,7 +49,11 @@
 	}
 	s.clock++
 	s.objects[name] = samphireturn.Object{Name: name, Version: s.clock, Value: value}
-	return s.clock, nil
+	written := s.clock
+	if name == publisher.ManifestName && s.accepted != nil {
+		s.accepted(s)
+	}
+	return written, nil
 }
 
 func (s *memory) Delete(_ context.Context, name string, _ uint64) error {
@@ -70,6 +79,13 @@
 	defer func() { openStore = old }()
 	bad := filepath.Join(t.TempDir(), "bad.toml")
 	c.Assert(os.WriteFile(bad, []byte("foo = 1\n"), 0o600), qt.IsNil)
+	example, err := os.ReadFile("../../examples/config.toml")
+	c.Assert(err, qt.IsNil)
+	good := filepath.Join(t.TempDir(), "config.toml")
+	c.Assert(os.WriteFile(good, example, 0o600), qt.IsNil)
+	colleague := filepath.Join(t.TempDir(), "config.toml")
+	c.Assert(os.WriteFile(colleague, append(example, "# hers\n"...), 0o600), qt.IsNil)
+	saved := t.TempDir()
 	trace := filepath.Join(t.TempDir(), "trace.jsonl")
 	c.Assert(os.WriteFile(trace, []byte(strings.Join([]string{
 		`{"kind":"trace","trace":{"format":1,"name":"x","seed":1,"daemons":["d"]}}`,
@@ -77,9 +93,8 @@
 			`{"version":"small@v1","rating":0.1,"cost":1,"first":1,"whole":2,"late":0},{"version":"large@v1","rating":0.1,"cost":9,"first":1,"whole":2,"late":0}]}}`,
 		`{"kind":"expect","expect":{"name":"quality target","measure":"share","min":1}}`,
 	}, "\n")), 0o600), qt.IsNil)
-	_, err := guard.Save(t.Context(), s, guard.Hold{Version: samphireturn.VersionRef{Model: "small", Version: "v9"}, Epoch: 3})
+	_, err = guard.Save(t.Context(), s, guard.Hold{Version: samphireturn.VersionRef{Model: "small", Version: "v9"}, Epoch: 3})
 	c.Assert(err, qt.IsNil)
-	const good = "../../examples/config.toml"
 	steps := []struct {
 		args, want string
 		code       int
@@ -95,7 +110,12 @@
 		{"apply " + bad, "bad.toml:1: foo: unknown key", exitUsage},
 		{"apply missing.toml", "missing.toml", exitUsage},
 		{"apply -note first " + good, "accepted generation 1 by ann", exitOK},
+		{"apply " + good, "nothing to change in generation 1", exitOK},
 		{"preset use peak", "accepted generation 2 by ann", exitOK},
+		{"apply " + good, "made from generation 1, but 2 by ann is in force", exitConflict},
+		{"apply " + colleague, "names no generation that it was made from, but 2 by ann is in force", exitConflict},
+		{"show -save " + saved, "generation 2 by ann", exitOK},
+		{"apply " + saved + "/config.toml", "nothing to change in generation 2", exitOK},
 		{"apply -base 1 " + good, "This change came between; nothing of it or of your files is lost:\ngeneration 2 by ann", exitConflict},
 		{"preset use peak", "nothing to change in generation 2", exitOK},
 		{"preset use none", `no preset "none"`, exitUsage},
@@ -104,6 +124,8 @@
 		{"in south", "accepted generation 4", exitOK},
 		{"--json show", `"generation": 4`, exitOK},
 		{"--timeout 1ms out -wait north", "south has not reported", exitLate},
+		{"apply -base 5 " + colleague, "accepted generation 6", exitOK},
+		{"apply " + saved + "/config.toml", "made from generation 2, but 6 by ann is in force", exitConflict},
 		{"replay -config " + good, "TRACE is required", exitUsage},
 		{"replay -config " + good + " -trace " + bad, "bad.toml: read trace: line 1", exitUsage},
 		{"replay -config " + bad + " -trace " + trace, "foo: unknown key", exitUsage},
--- a/internal/core/kernel/kernel.go
+++ b/internal/core/kernel/kernel.go
@@ -65,11 +65,17 @@
 	Close() error
 }
 
+// Leaver is a service that acts before any service closes. Leave returns at
+// once.
+type Leaver interface{ Leave() }
+
 // Kernel is a registry of services and the owner of the control state. Set
 // the exported fields before Run.
 type Kernel struct {
 	Log  zerolog.Logger
 	Self samphireturn.VM
+	// Derive, if set, completes each new snapshot before it is published.
+	Derive func(old, next *samphireturn.Snapshot)
 
 	names    []string
 	services map[string]Service
@@ -136,10 +142,16 @@
 	return nil
 }
 
-// Close closes the started services in reverse order, then stops the control
-// goroutine and waits for it. It returns the first error.
+// Close tells the started services that are Leavers, closes all in reverse
+// order, then stops the control goroutine and waits for it. It returns the
+// first error.
 func (k *Kernel) Close() error {
 	var first error
+	for _, name := range k.names[:k.started] {
+		if l, ok := k.services[name].(Leaver); ok {
+			l.Leave()
+		}
+	}
 	for k.started > 0 {
 		k.started--
 		name := k.names[k.started]
@@ -181,10 +193,14 @@
 		batch := k.queue
 		k.queue = nil
 		k.mu.Unlock()
-		next := *k.current.Load()
+		old := k.current.Load()
+		next := *old
 		for _, e := range batch {
 			e.Apply(&next)
 		}
+		if k.Derive != nil {
+			k.Derive(old, &next)
+		}
 		k.current.Store(&next)
 		events.Add(int64(len(batch)))
 	}
--- a/internal/fleet/detector/detector.go
+++ b/internal/fleet/detector/detector.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -32,6 +33,9 @@
 
 	// listHomes is the number of daemons of a data centre that read the VM list.
 	listHomes = 2
+	// secondTime is the least time between two reads of the second home, in
+	// halves of a list period, so that it reads every other period.
+	secondTime = 3
 	// reportLimit bounds the body of a report, in bytes.
 	reportLimit = 64 << 10
 	// failLimit is the number of failed reads after which an endpoint counts as
@@ -40,6 +44,11 @@
 	// gapLimit is the number of lists in a row that an endpoint may be missing
 	// from while its report answers.
 	gapLimit = 2
+	// loadSteps is the number of steps of the load that are passed on.
+	loadSteps = 8
+	// leavingTime is how long an endpoint gets no work after a refusal that said
+	// that it is leaving.
+	leavingTime = 10 * time.Second
 	// freshLists is the number of list periods for which a home prefers the list
 	// that it read itself to another's.
 	freshLists = 3
@@ -60,6 +69,9 @@
 		Lister  samphireturn.Lister
 		Links   Links
 		Control samphireturn.Control
+		// Staying returns the members that may be home of something, at least
+		// one; nil stands for all.
+		Staying func(members []samphireturn.VM) []samphireturn.VM
 		// Client reads the endpoints' reports.
 		Client *http.Client
 		Now    func() time.Time
@@ -85,8 +97,10 @@
 		// slow jitters SlowTime; drawn once.
 		slow time.Duration
 
-		mu      sync.Mutex
-		list    []samphireturn.VM
+		mu   sync.Mutex
+		list []samphireturn.VM
+		// before is the list that was in force before list.
+		before  []samphireturn.VM
 		listed  time.Time
 		read    time.Time
 		missing map[string]int
@@ -96,6 +110,8 @@
 		serving map[string]remote
 		config  *samphireturn.Config
 		dirty   bool
+		// last is the state posted last.
+		last atomic.Pointer[update]
 	}
 
 	// record is what is known of one endpoint.
@@ -110,6 +126,10 @@
 		// cold holds a restarted endpoint back until a later report.
 		cold  bool
 		gauge *samphireturn.Gauge
+		// passed is the report that was last meant for the other daemons.
+		passed Report
+		// refused is when the endpoint refused a request as it is leaving.
+		refused time.Time
 	}
 
 	// peer is what another daemon has acknowledged.
@@ -228,6 +248,15 @@
 	return found
 }
 
+// homes returns the reachable daemons that may be home of something. The
+// caller holds mu.
+func (d *Detector) homes() []samphireturn.VM {
+	if d.Staying == nil {
+		return d.reachable()
+	}
+	return d.Staying(d.reachable())
+}
+
 // others returns the ids of reachable without self. The caller holds mu.
 func (d *Detector) others() []string {
 	var ids []string
@@ -242,6 +271,6 @@
 // first reports whether self is among the first n for name. The caller holds
 // mu.
 func (d *Detector) first(name string, n int) bool {
-	ids := ranker.Rank(name, d.reachable())
+	ids := ranker.Rank(name, d.homes())
 	return slices.Contains(ids[:min(n, len(ids))], d.self.ID)
 }
--- a/internal/fleet/detector/lists.go
+++ b/internal/fleet/detector/lists.go
@@ -13,12 +13,17 @@
 )
 
 type (
-	// List tells a peer the VM list, or only its digest.
+	// List tells a peer the VM list: only its digest, what has changed since
+	// another list, or all of it.
 	List struct {
 		Digest uint64 `cbor:"d"`
-		// VMs holds all daemons and the data centre's endpoints; empty if the
-		// peer should have them.
-		VMs []samphireturn.VM `cbor:"v,omitempty"`
+		// Base is the digest of the list that VMs and Gone change; zero if VMs is
+		// the whole list.
+		Base uint64 `cbor:"b,omitempty"`
+		// VMs holds all daemons and the data centre's endpoints, or the new and
+		// changed ones; empty if the peer should have them.
+		VMs  []samphireturn.VM `cbor:"v,omitempty"`
+		Gone []string          `cbor:"g,omitempty"`
 	}
 
 	// ListAnswer says which list the peer has.
@@ -28,13 +33,16 @@
 )
 
 // readList reads the VM list if self is one of its homes, or if no home has
-// sent it for a long time, and passes it on.
+// sent it for a long time, and passes it on. The second home reads every other
+// period: it stands by for the first and sees what the first may not.
 func (d *Detector) readList(ctx context.Context) {
 	d.mu.Lock()
 	home := d.first("vms/"+d.self.Centre, listHomes)
+	second := home && !d.first("vms/"+d.self.Centre, 1)
 	late := d.listed.IsZero() || d.Now().Sub(d.listed) > d.slow
+	recent := !d.read.IsZero() && d.Now().Sub(d.read) < secondTime*d.ListTime/2
 	d.mu.Unlock()
-	if !home && !late {
+	if !home && !late || second && recent {
 		return
 	}
 	limit, cancel := context.WithTimeout(ctx, 5*d.ListTime)
@@ -50,7 +58,11 @@
 		reasons.Add("empty_list", 1)
 		return
 	}
-	d.adopt(d.merge(vms))
+	periods := 1
+	if second {
+		periods = 2
+	}
+	d.adopt(d.merge(vms, periods))
 	d.mu.Lock()
 	d.read = d.Now()
 	d.mu.Unlock()
@@ -73,8 +85,8 @@
 
 // merge adds to a list that was read what it lacks but must not lose: a daemon
 // while its link lives, an endpoint while its report answers for up to gapLimit
-// lists.
-func (d *Detector) merge(vms []samphireturn.VM) []samphireturn.VM {
+// lists. Periods is the number of list periods since the last read.
+func (d *Detector) merge(vms []samphireturn.VM, periods int) []samphireturn.VM {
 	linked := d.Links.Connected()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -86,7 +98,7 @@
 		if _, ok := slices.BinarySearchFunc(vms[:listed], vm.ID, compare); ok {
 			continue
 		}
-		if d.alive(vm, linked) {
+		if d.alive(vm, linked, periods) {
 			vms = append(vms, vm)
 		}
 	}
@@ -104,6 +116,9 @@
 	}
 	d.listed = d.Now()
 	changed := !slices.Equal(d.list, vms)
+	if changed {
+		d.before = d.list
+	}
 	d.list = vms
 	members := d.members()
 	d.mu.Unlock()
@@ -117,12 +132,12 @@
 
 // alive reports whether a VM that a list lacks shows signs of life. The caller
 // holds mu.
-func (d *Detector) alive(vm samphireturn.VM, linked []string) bool {
+func (d *Detector) alive(vm samphireturn.VM, linked []string, periods int) bool {
 	if vm.Role == samphireturn.RoleEntry {
 		_, ok := slices.BinarySearch(linked, vm.ID)
 		return ok || vm.ID == d.self.ID
 	}
-	d.missing[vm.ID]++
+	d.missing[vm.ID] += periods
 	if d.missing[vm.ID] > gapLimit {
 		return false
 	}
@@ -130,19 +145,23 @@
 	return r != nil && r.known && r.fails == 0 && !r.Failed
 }
 
-// passList tells the data centre's daemons the list: its digest first, all of
-// it to those that have another.
+// passList tells the data centre's daemons the list: its digest first, then what
+// has changed to those that have the one before, all of it to the others.
 func (d *Detector) passList(ctx context.Context) {
 	d.mu.Lock()
-	list := d.list
+	list, before := d.list, d.before
 	to := d.others()
 	d.mu.Unlock()
-	digest := sum(list)
+	whole := List{Digest: sum(list), VMs: list}
+	changes := difference(before, list)
 	d.each(ctx, to, func(ctx context.Context, id string) {
 		var answer ListAnswer
-		err := d.Links.Call(ctx, id, TopicVMs, List{Digest: digest}, &answer)
-		if err == nil && answer.Digest != digest {
-			err = d.Links.Call(ctx, id, TopicVMs, List{Digest: digest, VMs: list}, &answer)
+		err := d.Links.Call(ctx, id, TopicVMs, List{Digest: whole.Digest}, &answer)
+		if err == nil && answer.Digest != whole.Digest && answer.Digest == changes.Base {
+			err = d.Links.Call(ctx, id, TopicVMs, changes, &answer)
+		}
+		if err == nil && answer.Digest != whole.Digest {
+			err = d.Links.Call(ctx, id, TopicVMs, whole, &answer)
 		}
 		if err != nil {
 			reasons.Add("pass_list", 1)
@@ -150,6 +169,35 @@
 	})
 }
 
+// difference returns what turns one sorted list into another.
+func difference(from, to []samphireturn.VM) List {
+	out := List{Digest: sum(to), Base: sum(from)}
+	for _, vm := range to {
+		i, ok := slices.BinarySearchFunc(from, vm.ID, compare)
+		if !ok || from[i] != vm {
+			out.VMs = append(out.VMs, vm)
+		}
+	}
+	for _, vm := range from {
+		if _, ok := slices.BinarySearchFunc(to, vm.ID, compare); !ok {
+			out.Gone = append(out.Gone, vm.ID)
+		}
+	}
+	return out
+}
+
+// changed returns a sorted list with the changes of in.
+func changed(list []samphireturn.VM, in List) []samphireturn.VM {
+	next := slices.Clone(in.VMs)
+	for _, vm := range list {
+		replaced := slices.ContainsFunc(in.VMs, func(v samphireturn.VM) bool { return v.ID == vm.ID })
+		if !replaced && !slices.Contains(in.Gone, vm.ID) {
+			next = append(next, vm)
+		}
+	}
+	return next
+}
+
 // each calls f for every id, all at once, and waits.
 func (d *Detector) each(ctx context.Context, ids []string, f func(context.Context, string)) {
 	limit, cancel := context.WithTimeout(ctx, 2*time.Second)
@@ -167,10 +215,13 @@
 	if err := encoder.Unmarshal(body, &in); err != nil {
 		return nil, &samphireturn.Error{Op: "take list", Kind: samphireturn.KindInvalid, Err: err}
 	}
-	if len(in.VMs) > 0 {
+	if in.Base == 0 && len(in.VMs) > 0 {
 		d.adopt(d.relevant(in.VMs))
 		return ListAnswer{Digest: in.Digest}, nil
 	}
+	if in.Base != 0 {
+		return d.takeChanges(in)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.read.IsZero() && d.Now().Sub(d.read) < freshLists*d.ListTime {
@@ -183,6 +234,25 @@
 	return ListAnswer{Digest: have}, nil
 }
 
+// takeChanges puts changes in force if they are made to the list in force here
+// and lead to the list that the sender has.
+func (d *Detector) takeChanges(in List) (any, error) {
+	d.mu.Lock()
+	list := d.list
+	d.mu.Unlock()
+	have := sum(list)
+	if have != in.Base {
+		return ListAnswer{Digest: have}, nil
+	}
+	next := d.relevant(changed(list, in))
+	if sum(next) != in.Digest {
+		reasons.Add("list_changes", 1)
+		return ListAnswer{Digest: have}, nil
+	}
+	d.adopt(next)
+	return ListAnswer{Digest: in.Digest}, nil
+}
+
 // sum returns a digest of a sorted list.
 func sum(list []samphireturn.VM) uint64 {
 	data, err := encoder.Marshal(list)
--- a/internal/standin/keeper/vms.go
+++ b/internal/standin/keeper/vms.go
@@ -1,10 +1,15 @@
 package keeper
 
 import (
+	"encoding/json"
 	"net/http"
+	"net/url"
 	"sort"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"samphireturn"
 )
 
@@ -21,7 +26,36 @@
 		refuse(w, err)
 		return
 	}
-	reply(w, s.shownVMs())
+	vms := matching(s.shownVMs(), r.URL.Query())
+	body, err := json.Marshal(vms)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+// matching returns the VMs of the query's data centre, all VMs if it names none.
+// With "daemons" set to "all" it adds the daemons of the other data centres.
+func matching(vms []samphireturn.VM, query url.Values) []samphireturn.VM {
+	if !query.Has("centre") {
+		return vms
+	}
+	kept := vms[:0]
+	for _, vm := range vms {
+		daemon := vm.Role == samphireturn.RoleEntry && query.Get("daemons") == "all"
+		if daemon || vm.Centre == query.Get("centre") {
+			kept = append(kept, vm)
+		}
+	}
+	return kept
 }
 
 func (s *Server) putVM(w http.ResponseWriter, r *http.Request) {
--- a/internal/traffic/dispatcher/stream.go
+++ b/internal/traffic/dispatcher/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -37,22 +36,23 @@
 
 // Open sends a call whose answer is a stream of events.
 func (d *Dispatcher) Open(ctx context.Context, c Call) (*Stream, error) {
-	inner, cancel := context.WithCancel(ctx)
-	res, err := d.roundTrip(inner, c)
+	a, err := d.roundTrip(ctx, c)
 	if err != nil {
-		cancel()
+		if c.Model && AsError(err).Run != samphireturn.RunNo {
+			d.Cancel(c.Endpoint, c.ID)
+		}
 		return nil, err
 	}
-	if res.StatusCode != http.StatusOK {
-		defer cancel()
-		answer, err := d.read(ctx, c, res)
+	if a.res.StatusCode != http.StatusOK {
+		defer a.cancel(nil)
+		answer, err := d.read(ctx, c, a)
 		if err != nil {
 			return nil, err
 		}
 		return nil, d.status(ctx, c, answer)
 	}
-	s := &Stream{Header: res.Header, d: d, ctx: ctx, call: c, cancel: cancel}
-	s.attach(res.Body)
+	s := &Stream{Header: a.res.Header, d: d, ctx: ctx, call: c, cancel: func() { a.cancel(nil) }}
+	s.attach(a.res.Body)
 	return s, nil
 }
 
@@ -104,15 +104,9 @@
 
 // check tests that an event belongs to this request and comes in order.
 func (s *Stream) check(ev streamer.Event) error {
-	var head struct {
-		ID string `json:"id"`
-	}
-	if err := json.Unmarshal(ev.Data, &head); err != nil {
-		return errors.Wrap(err, "decode event")
-	}
-	if head.ID != s.call.ID {
+	if !belongs(ev.Data, s.call.ID) {
 		failures.Add(KindCrossed.String(), 1)
-		return errors.Errorf("event of request %q", head.ID)
+		return errors.New("event of another request")
 	}
 	if ev.ID == "" {
 		s.last++
--- a/internal/traffic/receiver/exchange.go
+++ b/internal/traffic/receiver/exchange.go
@@ -36,6 +36,8 @@
 	// minted is the request id that the caller sent; zero if none.
 	minted minter.ID
 	log    zerolog.Logger
+	// affinity is the session that prefers a data centre; nil for services.
+	affinity *samphireturn.Session
 	// began is true once bytes of the answer's body were passed on.
 	began bool
 }
@@ -85,7 +87,7 @@
 
 // prepare finds the exchange's team and options.
 func (r *Receiver) prepare(x *exchange) error {
-	if r.closing.Load() {
+	if r.ended.Load() {
 		return &samphireturn.Refusal{Reason: samphireturn.ReasonClosing, Run: samphireturn.RunNo, RetryAfter: time.Second}
 	}
 	if !r.Ready() || x.snapshot.Config == nil {
--- a/internal/traffic/receiver/receiver.go
+++ b/internal/traffic/receiver/receiver.go
@@ -36,11 +36,11 @@
 	defaultRead   = 10 * time.Second
 	defaultDrain  = 30 * time.Second
 
+	linger           = 250 * time.Millisecond // time in which late requests are refused
 	backgroundRaters = 4
 	backgroundQueue  = 256
 	bytesPerToken    = 4
 	copyBuffer       = 16 << 10 // bytes
-	dialTimeout      = 2 * time.Second
 )
 
 var (
@@ -49,6 +49,7 @@
 	ratings  = expvar.NewMap("receiver_rating")
 	// overflows counts the requests passed on, by data centre.
 	overflows = expvar.NewMap("receiver_overflow")
+	hops      = expvar.NewMap("receiver_hop")
 )
 
 // Kind classifies an Error.
@@ -97,12 +98,11 @@
 	Rater    samphireturn.Rater
 	// Ready reports whether the daemon may serve.
 	Ready func() bool
-	// Dial opens connections to other daemons; nil means a plain dialer.
-	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
-	server     *http.Server
-	remote     http.RoundTripper
+	server *http.Server
+	// closing is true from Leave on, ended once Notice has passed.
 	closing    atomic.Bool
+	ended      atomic.Bool
 	served     chan struct{}
 	background pond.Pool
 	rating     sync.WaitGroup
@@ -110,9 +110,8 @@
 
 // Run listens and serves until Close.
 func (r *Receiver) Run(context.Context) error {
-	r.remote = &http.Transport{DialContext: r.dialer(), DisableCompression: true, MaxIdleConnsPerHost: 16}
 	r.server = &http.Server{
-		Handler:           r.routes(),
+		Handler:           r.parting(r.routes()),
 		MaxHeaderBytes:    or(r.Header, defaultHeader),
 		ReadHeaderTimeout: or(r.Read, defaultRead),
 		ReadTimeout:       or(r.Read, defaultRead),
@@ -127,11 +126,20 @@
 	return nil
 }
 
+// Leave turns not ready. Requests are still served; each connection that carries
+// one is closed after it, so that its next request goes to another daemon.
+func (r *Receiver) Leave() { r.closing.Store(true) }
+
 // Close turns not ready, waits for Notice, stops listening and waits for
-// running requests until Drain has passed.
+// running requests until Drain has passed. Requests that come late on open
+// connections are refused for a short time before these are closed, since the
+// server would close them without an answer.
 func (r *Receiver) Close() error {
-	r.closing.Store(true)
+	r.Leave()
 	time.Sleep(r.Notice)
+	r.ended.Store(true)
+	_ = r.Listener.Close()
+	time.Sleep(linger)
 	ctx, cancel := context.WithTimeout(context.Background(), or(r.Drain, defaultDrain))
 	defer cancel()
 	err := r.server.Shutdown(ctx)
@@ -159,6 +167,16 @@
 	return mux
 }
 
+// parting has connections closed after their request once the daemon leaves.
+func (r *Receiver) parting(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if r.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
 // readyz answers 200 once the daemon may serve and until it closes.
 func (r *Receiver) readyz(w http.ResponseWriter, _ *http.Request) {
 	if r.closing.Load() {
