guard: set the faults of the tests' fakes under their locks

Cause: go test -race found that TestFaultHold changes the fakes' faults while the guards run. The guard itself had no race. Change: fleet.set takes the fakes' locks. Figures: go test -race -run 'Hold|Gone|Save|Ways' ./internal/fleet/guard passes.

--- a/internal/fleet/guard/fakes_test.go
+++ b/internal/fleet/guard/fakes_test.go
@@ -52,7 +52,11 @@
 	id string
 }
 
-func (n *node) Handle(_ string, h samphireturn.Handler) { n.handlers[n.id] = h }
+func (n *node) Handle(_ string, h samphireturn.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[n.id] = h
+}
 
 func (n *node) Connected() []string {
 	n.mu.Lock()
@@ -192,6 +196,15 @@
 	return f.guards[len(f.guards)-1]
 }
 
+// set changes the faults.
+func (f *fleet) set(change func(*fleet)) {
+	f.fabric.mu.Lock()
+	defer f.fabric.mu.Unlock()
+	f.objects.mu.Lock()
+	defer f.objects.mu.Unlock()
+	change(f)
+}
+
 // held counts the guards that hold v1.
 func (f *fleet) held() int {
 	n := 0
--- a/internal/fleet/guard/service_test.go
+++ b/internal/fleet/guard/service_test.go
@@ -64,17 +64,17 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				f := newFleet(4, 1)
-				tt.fault(f)
+				f.set(tt.fault)
 				defer f.start(c)()
 				f.fail()
 				wait(10 * time.Second)
 				c.Check(f.held(), qt.Equals, tt.before)
 				if tt.heal != nil {
-					tt.heal(f)
+					f.set(tt.heal)
 				}
 				wait(10 * time.Second)
 				c.Check(f.held(), qt.Equals, tt.after)
-				f.objects.down = false
+				f.set(func(f *fleet) { f.objects.down = false })
 				wait(10 * time.Second)
 				h, _, err := Load(context.Background(), f.objects, "m@v1")
 				c.Assert(err, qt.IsNil)
@@ -112,11 +112,11 @@
 		held int
 	}{
 		{"a starting daemon reads the platform", func(c *qt.C, f *fleet) {
-			f.cut["d3"] = true
+			f.set(func(f *fleet) { f.cut["d3"] = true })
 			c.Assert(f.add().Run(context.Background()), qt.IsNil)
 		}, 4},
 		{"a starting daemon hears it from peers", func(c *qt.C, f *fleet) {
-			f.objects.down = true
+			f.set(func(f *fleet) { f.objects.down = true })
 			c.Assert(f.add().Run(context.Background()), qt.IsNil)
 		}, 4},
 		{"a restarted counter is not asked again", func(_ *qt.C, f *fleet) { f.guards[0].Sent(nil, v1, 0, nil) }, 3},
