Wait 5 s for room, so that a change of home is bridged

Cause: after a home is killed the new one waits out its predecessor's grants for about as long as the queue waited (2 s), so requests were refused as busy just before there was room.

The rest are refused with no_endpoint, since the pool of the version is empty for a while after the kill; that is not mended here. TestFaultBounds sets the bound that it checks, 2 s as before.

--- a/internal/traffic/queuer/queuer.go
+++ b/internal/traffic/queuer/queuer.go
@@ -29,7 +29,7 @@
 
 const (
 	defaultPlaces = 256
-	defaultWait   = 2 * time.Second
+	defaultWait   = 5 * time.Second
 
 	// poll is the time after which the head tries again unasked, since budgets
 	// also grow by new grants.
@@ -78,7 +78,8 @@
 type Queuer struct {
 	// Places bounds each queue; zero means 256.
 	Places int
-	// Wait bounds the time in a queue; zero means 2 s.
+	// Wait bounds the time in a queue; zero means 5 s, in which a new home waits
+	// out the grants of its predecessor.
 	Wait time.Duration
 
 	mu    sync.Mutex
--- a/internal/traffic/queuer/queuer_test.go
+++ b/internal/traffic/queuer/queuer_test.go
@@ -128,7 +128,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				r := &room{}
-				r.Places = 4
+				r.Places, r.Wait = 4, 2*time.Second
 				for range 20 {
 					r.Released(pool, tt.rate)
 					time.Sleep(time.Second)
