--- a/internal/fleet/granter/home.go
+++ b/internal/fleet/granter/home.go
@@ -312,7 +312,7 @@
 		return work
 	}
 	for _, w := range wants {
-		if w.id == id && w.work > old {
+		if w.id == id && w.work > old && work >= old+max(w.unit, 1) {
 			return work
 		}
 	}
@@ -350,7 +350,7 @@
 // wantOf returns what a live daemon wants.
 func (g *Granter) wantOf(k *book, id string) want {
 	if id == g.self.ID {
-		return want{id: id, work: k.p.want, unit: k.p.unit}
+		return want{id: id, work: k.p.told, unit: k.p.unit}
 	}
 	need := g.borrowers[id].needs[k.p.key]
 	return want{id: id, work: need.Want, unit: need.Unit}
--- a/internal/fleet/granter/member.go
+++ b/internal/fleet/granter/member.go
@@ -75,6 +75,10 @@
 	p.note(e.Used+e.Queued, now)
 	peak := max(e.Gauge.Wanted.Swap(0), e.Gauge.Outstanding.Load())
 	p.want = max(peak, p.want-p.want/8)
+	step := max(e.Budget/wantSteps, 1)
+	if p.want > p.told || p.want < p.told/4*3 {
+		p.told = (p.want + step - 1) / step * step
+	}
 	if unit := e.Gauge.Unit.Swap(0); unit > p.unit || unit > 0 && unit < p.unit/4*3 {
 		p.unit = max(unit, p.unit-p.unit/8)
 	}
@@ -129,10 +133,6 @@
 	} else if gauge.Lapse.Load() > now {
 		out = max(out, gauge.Allowed.Load())
 	}
-	step := max(p.e.Budget/wantSteps, 1)
-	if p.want > p.told || p.want < p.told/4*3 {
-		p.told = (p.want + step - 1) / step * step
-	}
 	return Need{Key: p.key, Out: out, Want: p.told, Unit: p.unit, Cold: g.suspect(p.e.ID, now)}
 }
 
