Mend races of the granter's test fakes and load warm-up tests fully

Cause: the fakes wrote fields that traffic reads, and a home with little load of its own could not show a missing ramp. Change: locks in the fakes; every daemon wants the whole budget in warm-ups.

--- a/internal/fleet/granter/fleet_test.go
+++ b/internal/fleet/granter/fleet_test.go
@@ -255,7 +255,7 @@
 	if full {
 		return false
 	}
-	d.gauge.Want(work)
+	e.Gauge.Want(work)
 	if !d.limit.Acquire(e, work) {
 		return false
 	}
--- a/internal/fleet/granter/granter_test.go
+++ b/internal/fleet/granter/granter_test.go
@@ -60,7 +60,7 @@
 		pauses := rapid.SliceOfN(rapid.IntRange(100, 6000), 10, 10).Draw(r, "milliseconds")
 		var over string
 		run(t, n, seed, func(w *fleet) {
-			w.life = time.Duration(1+seed%20) * time.Second
+			w.do(func() { w.life = time.Duration(1+seed%20) * time.Second })
 			time.Sleep(5 * time.Second)
 			for i, step := range steps {
 				w.fault(step, whom[i])
--- a/internal/fleet/granter/protocol_test.go
+++ b/internal/fleet/granter/protocol_test.go
@@ -43,6 +43,7 @@
 		g := New(vm, q, q, func() int64 { return q.now })
 		g.instance = 7
 		g.renew(c.Context())
+		g.wait.Wait()
 		if len(g.books) > 0 {
 			return g, q, append(append([]string{}, q.up[:i]...), q.up[i+1:]...)
 		}
--- a/internal/fleet/granter/warm_test.go
+++ b/internal/fleet/granter/warm_test.go
@@ -18,6 +18,9 @@
 		w.bears = func() int64 {
 			return min(budget, int64(budget/10)<<min(10, int(time.Since(began)/(1500*time.Millisecond))))
 		}
+		for _, d := range w.nodes {
+			d.load = 1
+		}
 		if !restarted {
 			return
 		}
@@ -46,7 +49,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			run(t, 8, 1, func(w *fleet) {
 				time.Sleep(10 * time.Second)
-				w.life = 500 * time.Millisecond
+				w.do(func() { w.life = 500 * time.Millisecond })
 				w.warming(tt.restarted)
 				w.do(func() { w.warm = !tt.restarted })
 				time.Sleep(100 * time.Millisecond)
