Copy usage in groups and take over what an unlisted owner left

Each record cost one message to the buddy. Copies of an owner that has left the list of VMs are written at the next look (10 s); before, only when a minute old, since nothing called Gone.

A first try held a mutex while a copy was under way; waiting for it stops fake time, and the test hung. A channel of one takes its place.

--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -196,11 +197,18 @@
 }
 
 func (p *parts) biller() (kernel.Service, error) {
-	b := &biller.Biller{Store: p.platform, Peers: p.peers, Instance: p.instance, Log: service(p.log, Biller)}
+	b := &biller.Biller{Store: p.platform, Peers: p.peers, Instance: p.instance, Log: service(p.log, Biller), Listed: p.listed}
 	b.Register()
 	return b, nil
 }
 
+// listed reports whether a daemon is in the list of VMs. While no members are
+// known all are.
+func (p *parts) listed(id string) bool {
+	members := p.kernel.Snapshot().Members
+	return len(members) <= 1 || slices.ContainsFunc(members, func(m samphireturn.VM) bool { return m.ID == id })
+}
+
 func (p *parts) reporter() (kernel.Service, error) {
 	w, err := kernel.Find[*watcher.Watcher](p.kernel, Watcher)
 	if err != nil {
--- a/internal/ledger/biller/biller.go
+++ b/internal/ledger/biller/biller.go
@@ -2,7 +2,8 @@
 //
 // A record goes into the open segment of the process that served the request
 // and, before Record returns, to a buddy: the connected daemon that ranks first
-// by rendezvous hashing. Segments are written as usage/<instance>/<number> by
+// by rendezvous hashing. Records that come while a copy is under way go together
+// with the next. Segments are written as usage/<instance>/<number> by
 // conditional create, by the owner every so often or when full, and by the buddy
 // when the owner is gone or a copy grows old.
 //
@@ -60,6 +61,9 @@
 	// Rank orders the connected daemons as buddies of an instance; nil means by
 	// rendezvous hashing.
 	Rank func(instance string, ids []string) []string
+	// Listed reports whether a daemon is in the list of VMs; the copies of one
+	// that is not are written. Nil means that all are.
+	Listed func(id string) bool
 	// Every, Age and Wait are times, Size and Limit are bytes; zero means the
 	// default.
 	Every, Age, Wait time.Duration
@@ -78,6 +82,13 @@
 	number uint64
 	bytes  int
 	copies copies
+	// next gathers records for the next copy.
+	next *group
+	// failing holds the buddies that did not take a copy, with the time.
+	failing map[string]time.Time
+
+	// sending holds one value while a copy is under way; mu guards its creation.
+	sending chan struct{}
 
 	wake   chan struct{}
 	cancel context.CancelFunc
@@ -189,28 +200,6 @@
 	}
 }
 
-// copy sends u to the first buddy that takes it.
-func (b *Biller) copy(ctx context.Context, s *segment, u samphireturn.Usage) bool {
-	rank := b.Rank
-	if rank == nil {
-		rank = rendezvous
-	}
-	ids := rank(b.Instance, b.Peers.Connected())
-	for _, id := range ids[:min(len(ids), maxBuddies)] {
-		b.mu.Lock()
-		s.buddies[id] = true
-		b.mu.Unlock()
-		call, cancel := context.WithTimeout(ctx, orTime(b.Wait, DefaultWait))
-		err := b.Peers.Call(call, id, TopicCopy, message{Instance: s.instance, Number: s.number, Records: []samphireturn.Usage{u}}, nil)
-		cancel()
-		if err == nil {
-			return true
-		}
-		retries.Add("copy failed", 1)
-	}
-	return false
-}
-
 // loop writes own segments and old copies until ctx ends.
 func (b *Biller) loop(ctx context.Context) {
 	tick := time.NewTicker(orTime(b.Every, DefaultEvery))
@@ -226,7 +215,7 @@
 			retries.Add("flush failed", 1)
 			b.Log.Warn().Err(err).Msg("usage segment not written")
 		}
-		b.writeCopies(ctx, b.oldCopies())
+		b.writeCopies(ctx, b.orphans())
 	}
 }
 
--- a/internal/ledger/biller/copies.go
+++ b/internal/ledger/biller/copies.go
@@ -75,11 +75,17 @@
 	b.writeCopies(ctx, b.copiesWhere(func(s *segment) bool { return s.instance == instance }))
 }
 
-// oldCopies returns the copies whose owner has not written them in time.
-func (b *Biller) oldCopies() []*segment {
+// orphans returns the copies whose owner has left the list of VMs or has not
+// written them in time.
+func (b *Biller) orphans() []*segment {
 	now := b.now()
 	age := orTime(b.Age, DefaultAge)
-	return b.copiesWhere(func(s *segment) bool { return now.Sub(s.since) >= age })
+	return b.copiesWhere(func(s *segment) bool {
+		if b.Listed != nil && !b.Listed(samphireturn.InstanceVM(s.instance)) {
+			return true
+		}
+		return now.Sub(s.since) >= age
+	})
 }
 
 func (b *Biller) copiesWhere(match func(*segment) bool) []*segment {
--- a/internal/ledger/biller/fakes_test.go
+++ b/internal/ledger/biller/fakes_test.go
@@ -6,10 +6,12 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"samphireturn"
+	"samphireturn/internal/ledger/biller"
 )
 
 // store is an in-memory store with faults: lose counts the next writes whose
@@ -72,6 +74,9 @@
 type fleet struct {
 	handlers map[string]map[string]samphireturn.Handler
 	cut      map[string]bool
+	// delay is the time that a daemon takes to answer; calls counts copies.
+	delay map[string]time.Duration
+	calls int
 }
 
 type peers struct {
@@ -87,6 +92,14 @@
 }
 
 func (p *peers) Call(ctx context.Context, to, topic string, body, _ any) error {
+	if topic == biller.TopicCopy {
+		p.calls++
+	}
+	select {
+	case <-time.After(p.delay[to]):
+	case <-ctx.Done():
+		return fail(samphireturn.KindUnknown)
+	}
 	if p.cut[to] || p.cut[p.self] || ctx.Err() != nil {
 		return fail(samphireturn.KindUnavailable)
 	}
--- /dev/null
+++ b/internal/ledger/claimer/rate_test.go
@@ -0,0 +1,36 @@
+package claimer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"samphireturn/internal/ledger/claimer"
+)
+
+// TestWriteRate claims and finishes keys at even rates for ten seconds. The
+// writes grow with shards and time: at most one for each shard and gathering
+// time.
+func TestWriteRate(t *testing.T) {
+	const seconds = 10
+	for _, rate := range []int{10, 50, 200, 800} {
+		run(t, func(w *world) {
+			a := w.add("a", "a")
+			a.Shards, a.Limit = claimer.DefaultShards, 1<<20
+			for n := range seconds * rate {
+				go func() {
+					if claim, err := w.claim(a, fmt.Sprint(n)); err == nil {
+						_ = a.Finish(w.t.Context(), claim, claimer.Outcome{Status: 201})
+					}
+				}()
+				time.Sleep(time.Second / time.Duration(rate))
+			}
+			time.Sleep(5 * time.Second)
+			most := seconds * claimer.DefaultShards * int(time.Second/claimer.DefaultGather)
+			t.Logf("%d claims a second: %.1f writes a second, largest window %d bytes", rate, float64(w.store.writes)/seconds, w.store.biggest)
+			w.Check(w.store.writes <= min(most, 2*seconds*rate), qt.IsTrue)
+		})
+	}
+}
