--- a/internal/ledger/claimer/fakes_test.go
+++ b/internal/ledger/claimer/fakes_test.go
@@ -118,6 +118,8 @@
 // fleet carries messages between the peers of a test. Those in cut are known to
 // be cut off, those in mute do what they are asked but their replies are lost.
 type fleet struct {
+	// mu guards calls and attempt.
+	mu        sync.Mutex
 	handlers  map[string]map[string]samphireturn.Handler
 	cut, mute map[string]bool
 	calls     int
@@ -138,14 +140,16 @@
 }
 
 func (p *peers) Call(ctx context.Context, to, topic string, body, reply any) error {
-	p.calls++
 	data, err := cbor.Marshal(body)
 	if err != nil {
 		return err
 	}
+	p.mu.Lock()
+	p.calls++
 	if topic == claimer.TopicClaim {
 		p.attempt = data
 	}
+	p.mu.Unlock()
 	answer, err := p.handlers[to][topic](ctx, p.self, data)
 	if err != nil || reply == nil {
 		return err
