--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,4 @@
 
 slopes: build
 	bash scripts/slopes.sh
+	go test -run '^$$' -bench Slope -benchtime 1x ./internal/...
