--- a/internal/core/assembler/services.go
+++ b/internal/core/assembler/services.go
@@ -46,10 +46,14 @@
 	return slices.Contains(ranks[:min(n, len(ranks))], p.settings.ID)
 }
 
-// listed reports whether the members, if any are known, hold this daemon.
-func (p *parts) listed() bool {
-	all := p.kernel.Snapshot().Members
-	return len(all) == 0 || slices.ContainsFunc(all, func(vm samphireturn.VM) bool { return vm.ID == p.settings.ID })
+// listed reports whether a daemon, self included, is in the list of VMs. While
+// no list is known all are.
+func (p *parts) listed(id string) bool {
+	members := p.kernel.Snapshot().Members
+	if len(members) == 0 || len(members) == 1 && members[0].ID == p.settings.ID {
+		return true
+	}
+	return slices.ContainsFunc(members, func(m samphireturn.VM) bool { return m.ID == id })
 }
 
 func (p *parts) announcer() (kernel.Service, error) {
@@ -104,7 +108,7 @@
 }
 
 func (p *parts) biller() (kernel.Service, error) {
-	b := &biller.Biller{Store: p.platform, Peers: p.peers, Instance: p.instance, Log: service(p.log, Biller)}
+	b := &biller.Biller{Store: p.platform, Peers: p.peers, Instance: p.instance, Log: service(p.log, Biller), Listed: p.listed}
 	b.Register()
 	return b, nil
 }
@@ -179,7 +183,7 @@
 		Minter:   &minter.Minter{Keys: p.keys, Instance: p.instance},
 		Runner:   &runner.Runner{Instance: p.instance},
 		Rater:    &guard.Rater{Rater: p.platform, Guard: judge},
-		Ready:    func() bool { return w.Ready() && p.listed() },
+		Ready:    func() bool { return w.Ready() && p.listed(p.settings.ID) },
 	}, nil
 }
 
--- a/samphireturn.go
+++ b/samphireturn.go
@@ -259,7 +259,8 @@
 	Preset *Preset
 	// Self is this daemon.
 	Self VM
-	// Members are the daemons of all data centres, this one included.
+	// Members are the daemons of all data centres, this one included once it is
+	// in the VM list.
 	Members []VM
 	// Endpoints are all known endpoints by id.
 	Endpoints map[string]*Endpoint
