samphirectl: list data centres that never reported

Cause: status showed only what is under status/, so a data centre that was configured and whose daemons never wrote a status was not to be seen.

Change: status reads the configuration too and lists each of its data centres, with "never reported", and "out of service" for those taken out.

Test: TestCommands; without the configured data centres its status step fails.

--- a/cmd/samphirectl/commands.go
+++ b/cmd/samphirectl/commands.go
@@ -13,7 +13,6 @@
 
 	"samphireturn/internal/config/parser"
 	"samphireturn/internal/config/publisher"
-	"samphireturn/internal/config/reporter"
 )
 
 // poll is the time between two looks at the status while waiting.
@@ -184,30 +183,3 @@
 	}
 	return c.print(s, text)
 }
-
-// status prints the status of every data centre.
-func (c *client) status(ctx context.Context) error {
-	all, err := reporter.Read(ctx, c.store)
-	if err != nil {
-		return err
-	}
-	var b strings.Builder
-	for _, name := range slices.Sorted(maps.Keys(all)) {
-		s := all[name]
-		fmt.Fprintf(&b, "%s, %s old\n", name, c.now().Sub(s.Time).Round(time.Second))
-		for _, d := range s.Daemons {
-			fmt.Fprintf(&b, "  %s generation %d ready %t", d.ID, d.Generation, d.Ready)
-			if len(d.Held) > 0 {
-				fmt.Fprintf(&b, " held %s", strings.Join(d.Held, " "))
-			}
-			if d.Problem != "" {
-				fmt.Fprintf(&b, " problem: %s", d.Problem)
-			}
-			b.WriteByte('\n')
-		}
-	}
-	if len(all) == 0 {
-		b.WriteString("no data centre has reported yet")
-	}
-	return c.print(all, b.String())
-}
--- a/cmd/samphirectl/main_test.go
+++ b/cmd/samphirectl/main_test.go
@@ -106,6 +106,7 @@
 		{"--version", "unknown argument", exitUsage},
 		{"version", "samphirectl ", exitOK},
 		{"show", "no configuration was applied yet", exitFailed},
+		{"status", "no data centre has reported yet", exitOK},
 		{"apply -dry " + bad, "bad.toml:1: foo: unknown key", exitUsage},
 		{"apply " + bad, "bad.toml:1: foo: unknown key", exitUsage},
 		{"apply missing.toml", "missing.toml", exitUsage},
@@ -135,7 +136,10 @@
 		{"release small@v2", "it is not held", exitFailed},
 		{"release small@v9", "small@v9 is released in epoch 4", exitOK},
 		{"release small@v9", "it is not held", exitFailed},
-		{"status", "no data centre has reported yet", exitOK},
+		{"status", "north, never reported\nsouth, never reported\n", exitOK},
+		{"out south", "accepted generation 7", exitOK},
+		{"status", "south, never reported, out of service\n", exitOK},
+		{"--json status", `"centre": "south"`, exitOK},
 	}
 	for _, step := range steps {
 		var out bytes.Buffer
