Pass the session on, so that another data centre keeps the version

Cause: the refusals "no_endpoint: pick endpoint of small@v2" after a kill did not come from the daemon that was asked, whose pools stay whole (looked at in each refusal), but from the other data centre. A request without a session is placed by the id of a session that the receiving daemon draws. While the first daemon had no grant it passed work for v1 on, the other one drew a new id, and placed one in ten on v2, which it does not serve.

Ruled out: reports marked as failed, an empty list, a late publish; all endpoints were in the pools of the survivor with their budgets.

Change: the daemon that passes a request on adds the session that began there. TestFaultShutdownKilled asks again that each request is answered, as it did before.

The bound from the constants, for a home whose links are seen to close: one period until the survivors ask the new home and a majority does (0.5 s each), the longest grant (2 s), one period until it lends: 3.5 s.

--- a/internal/core/assembler/fault_shutdown_test.go
+++ b/internal/core/assembler/fault_shutdown_test.go
@@ -211,20 +211,18 @@
 			c.Check(r.err, qt.Not(qt.IsNil))
 			c.Check(strings.Contains(r.body, "[DONE]"), qt.IsFalse)
 		}
-		// A new home waits out the grants of the one that was killed; until then
-		// a refusal says that nothing ran.
-		began, refused := time.Now(), time.Duration(0)
+		// A new home waits out the grants of the one that was killed; requests
+		// wait for that in the queue.
+		longest := time.Duration(0)
 		for range 40 {
+			began := time.Now()
 			r := <-ask(daemons[1], short)
+			longest = max(longest, time.Since(began))
 			c.Check(r.err, qt.IsNil)
-			if r.status != http.StatusOK {
-				c.Check(r.body, qt.Contains, `"run":"no"`)
-				refused = time.Since(began)
-			}
+			c.Check(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
 			time.Sleep(250 * time.Millisecond)
 		}
-		c.Check(refused < 5*time.Second, qt.IsTrue, qt.Commentf("refused for %s", refused))
-		t.Logf("last refusal %s after the kill", refused)
+		t.Logf("longest answer after the kill: %s", longest)
 		s.Network.Cut(nil)
 		c.Check(s.Close(), qt.IsNil)
 	})
--- a/internal/traffic/receiver/overflow.go
+++ b/internal/traffic/receiver/overflow.go
@@ -113,6 +113,7 @@
 			req.Header.Set(name, value)
 		}
 	}
+	r.passSession(x, req.Header)
 	req.Header.Set(HeaderHop, r.Self.ID)
 	if deadline, ok := ctx.Deadline(); ok {
 		req.Header.Set(decoder.HeaderDeadline, strconv.FormatFloat(time.Until(deadline).Seconds(), 'f', 3, 64))
@@ -129,6 +130,17 @@
 	return x.copy(res)
 }
 
+// passSession adds a session that began here to a request that is passed on, so
+// that the other daemon places it on the same version.
+func (r *Receiver) passSession(x *exchange, h http.Header) {
+	if x.affinity == nil || h.Get(decoder.HeaderSession) != "" {
+		return
+	}
+	if token, err := r.Minter.Session(*x.affinity); err == nil {
+		h.Set(decoder.HeaderSession, token)
+	}
+}
+
 // repeatable reports whether the exchange may run twice.
 func (r *Receiver) repeatable(x *exchange) bool {
 	name := x.request.PathValue("service")
--- a/internal/traffic/receiver/overflow_test.go
+++ b/internal/traffic/receiver/overflow_test.go
@@ -78,3 +78,18 @@
 		})
 	}
 }
+
+// TestOverflowKeepsVersion checks that a request without a session is passed on
+// for the version that it was placed on here, as the south lacks the other one.
+func TestOverflowKeepsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		s.c.Assert(s.Unlist("engine1"), qt.IsNil)
+		time.Sleep(2 * settle)
+		for range 60 {
+			r := s.post(chatPath, chat("small", "9", false))
+			s.c.Check(r.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", r))
+		}
+		s.end()
+	})
+}
