Send asks and answers of the granter as arrays with short ids

Cause: at 23 daemons and 630 endpoints an idle daemon's asks and answers were 176 messages a second of 59 bytes, most of it keys of maps, nanoseconds and 64-bit ids of processes.

Change: Ask and Answer are CBOR arrays; the id of a process has 32 bits; a stamp is in milliseconds, rounded down, so that a vote ends no later than before. The test that compared a stamp with the clock converts it; the fixture draws its ids in 32 bits.

Weighed and left: a longer life of grants with fewer asks.

--- a/internal/fleet/granter/fleet_test.go
+++ b/internal/fleet/granter/fleet_test.go
@@ -123,7 +123,7 @@
 	d.limit = &limiter.Limiter{Now: func() time.Time { return time.Now().Add(offset) }}
 	d.Granter = New(w.list[i], d, d, d.limit.Clock)
 	d.Register()
-	d.instance += uint64(i)<<32 + uint64(w.rand.Uint32())
+	d.instance = w.rand.Uint32() | 1
 	w.mu.Lock()
 	w.nodes[i] = d
 	w.mu.Unlock()
--- a/internal/fleet/granter/granter.go
+++ b/internal/fleet/granter/granter.go
@@ -62,7 +62,7 @@
 		Clock func() int64
 
 		self     samphireturn.VM
-		instance uint64
+		instance uint32
 		cancel   context.CancelFunc
 		wait     sync.WaitGroup
 
@@ -117,7 +117,8 @@
 // Register sets the handler of Topic. It must be called before the messenger
 // runs.
 func (g *Granter) Register() {
-	g.instance = uint64(time.Now().UnixNano())
+	// Zero stands for no process.
+	g.instance = max(uint32(time.Now().UnixNano()/int64(time.Microsecond)), 1)
 	g.Links.Handle(Topic, g.take)
 }
 
--- a/internal/fleet/granter/home.go
+++ b/internal/fleet/granter/home.go
@@ -2,10 +2,15 @@
 
 import (
 	"slices"
+	"time"
 )
 
-// never is before any reading of the clock.
-const never = -1 << 62
+const (
+	// never is before any reading of the clock.
+	never = -1 << 62
+	// millisecond is in nanoseconds, as the clock is.
+	millisecond = int64(time.Millisecond)
+)
 
 // steadyPart is the part, as a divisor, by which a grant must change to be
 // changed, while it suffices.
@@ -14,7 +19,7 @@
 type (
 	// borrower is a daemon that asks this one.
 	borrower struct {
-		instance uint64
+		instance uint32
 		seq      uint64
 		// stamp is our clock in the last answer that the daemon had when it asked.
 		stamp int64
@@ -84,9 +89,9 @@
 	b := g.meet(from, in)
 	b.heard = now
 	g.view.hear(in.Daemons, now)
-	out := &Answer{Instance: g.instance, Stamp: now, Daemons: len(g.view.listed)}
+	out := &Answer{Instance: g.instance, Stamp: now / millisecond, Daemons: len(g.view.listed)}
 	if in.Home == g.instance {
-		b.stamp = min(in.Stamp, now)
+		b.stamp = min(in.Stamp*millisecond, now)
 	}
 	if !in.Full && (in.Home != g.instance || in.Seq != b.seq) {
 		reasons.Add("resync", 1)
@@ -144,7 +149,7 @@
 		}
 	}
 	// Whole milliseconds, rounded down.
-	out.Life = life / 1e6
+	out.Life = life / millisecond
 	for key, work := range works {
 		if work >= 0 {
 			g.books[key].shares[from].until = now + life
--- a/internal/fleet/granter/member.go
+++ b/internal/fleet/granter/member.go
@@ -48,7 +48,7 @@
 		id       string
 		busy     bool
 		full     bool
-		instance uint64
+		instance uint32
 		stamp    int64
 		seq      uint64
 		told     map[uint32]Need
@@ -198,7 +198,7 @@
 	for _, grant := range answer.Grants {
 		l.grants[grant.Key] = grant.Work
 	}
-	lapse := asked + answer.Life*1e6
+	lapse := asked + answer.Life*millisecond
 	for key, need := range needs {
 		if need.Cold {
 			g.told(g.places[key])
--- a/internal/fleet/granter/protocol_test.go
+++ b/internal/fleet/granter/protocol_test.go
@@ -120,7 +120,7 @@
 		}},
 		{"a grant ends with the majority", func(c *qt.C, g *Granter, q *quiet, x, y *asker) {
 			rounds(g, q, 4*time.Second, x, y)
-			seen := x.last.Stamp
+			seen := x.last.Stamp * millisecond
 			rounds(g, q, Life-2*Period)
 			x.ask()
 			c.Check(x.last.Grants[0].Work >= 0, qt.IsTrue)
--- a/internal/fleet/granter/wire.go
+++ b/internal/fleet/granter/wire.go
@@ -15,17 +15,18 @@
 	// Ask asks a home for parts of its endpoints' budgets. Needs that are left out
 	// are those of the ask before it.
 	Ask struct {
+		_ struct{} `cbor:",toarray"`
 		// Instance names the asking process, Home the process asked last.
-		Instance uint64 `cbor:"i"`
-		Home     uint64 `cbor:"h,omitempty"`
+		Instance uint32
+		Home     uint32
 		// Stamp and Seq are those of the last answer that was put in force.
-		Stamp int64  `cbor:"t,omitempty"`
-		Seq   uint64 `cbor:"s,omitempty"`
+		Stamp int64
+		Seq   uint64
 		// Daemons is the number of daemons that the asking one lists.
-		Daemons int `cbor:"n"`
+		Daemons int
 		// Full says that Needs is complete.
-		Full  bool   `cbor:"f,omitempty"`
-		Needs []Need `cbor:"x,omitempty"`
+		Full  bool
+		Needs []Need
 	}
 
 	// Need is what one daemon has and wants at one endpoint. Work is in tokens,
@@ -46,20 +47,22 @@
 	// Answer carries the grants that differ from those of the answer before it.
 	// All others are renewed.
 	Answer struct {
-		Instance uint64 `cbor:"i"`
-		// Stamp is the home's clock; the next ask brings it back.
-		Stamp int64  `cbor:"t"`
-		Seq   uint64 `cbor:"s"`
+		_        struct{} `cbor:",toarray"`
+		Instance uint32
+		// Stamp is the home's clock in milliseconds, rounded down; the next ask
+		// brings it back.
+		Stamp int64
+		Seq   uint64
 		// Daemons is the number of daemons that the home lists.
-		Daemons int `cbor:"n"`
+		Daemons int
 		// Life is how long the grants last from when they were asked for, in
 		// milliseconds.
-		Life int64 `cbor:"l,omitempty"`
+		Life int64
 		// Resync asks for a full Ask; the answer grants nothing.
-		Resync bool `cbor:"r,omitempty"`
+		Resync bool
 		// Full says that Grants is complete.
-		Full   bool    `cbor:"f,omitempty"`
-		Grants []Grant `cbor:"x,omitempty"`
+		Full   bool
+		Grants []Grant
 	}
 
 	// Grant is the work that a daemon may have under way at one endpoint, or
