Start no goroutine to watch an attempt unless it is late

Cause: each send started a goroutine with a timer of its own, which is needed only once the endpoint is silent. Change: a timer that starts the watch when it fires. What the watch does is the same; TestFaultDispatch covers it.

--- a/internal/traffic/dispatcher/silence.go
+++ b/internal/traffic/dispatcher/silence.go
@@ -46,19 +46,25 @@
 		wait = min(wait, max(time.Until(deadline)/patience, pingTimeout))
 	}
 	done := make(chan struct{})
-	go func() {
-		for pause(done, wait) {
-			if d.working(a.ctx, c) {
-				continue
-			}
-			if asked := c.Model || c.Once; asked && !pause(done, pingTimeout) {
-				return
-			}
-			a.cancel(errSilent)
+	timer := time.AfterFunc(wait, func() { d.attend(a, c, wait, done) })
+	return func() {
+		timer.Stop()
+		close(done)
+	}
+}
+
+// attend waits while the endpoint works on the request, and ends the attempt
+// once it does not.
+func (d *Dispatcher) attend(a *attempt, c Call, wait time.Duration, done <-chan struct{}) {
+	for d.working(a.ctx, c) {
+		if !pause(done, wait) {
 			return
 		}
-	}()
-	return func() { close(done) }
+	}
+	if asked := c.Model || c.Once; asked && !pause(done, pingTimeout) {
+		return
+	}
+	a.cancel(errSilent)
 }
 
 // pause waits and reports whether done stayed open.
