Learn an endpoint's speed from its own answers

Cause: the picker estimates by the speed that an endpoint reports.

Two endpoints are compared by their learned speeds if both are known, else by the reported ones, since the learned speed of an endpoint that is not fully used is below what it could do. A learned speed is at most the reported one, and is forgotten 10 s after an endpoint fell idle. For streams the time spent waiting for the engine counts, not that of the caller.

TestSlowEndpoint now bounds the p99 by least outstanding and asks that an endpoint that recovered half way gets at least 0.8 of an even share of the last quarter.

Left: the first-token time has no part of its own; it counts within the whole. Answers that other daemons have under way there are not counted.

--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -66,6 +66,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Took is the time from the send to the end of the answer.
+	Took time.Duration
 }
 
 // Dispatcher sends calls. Set the exported fields before the first call.
@@ -108,7 +110,11 @@
 // Send sends a call and returns the whole answer. Errors are of type *Error. A
 // run that is given up on is cancelled at its engine.
 func (d *Dispatcher) Send(ctx context.Context, c Call) (*Answer, error) {
+	start := time.Now()
 	answer, err := d.send(ctx, c)
+	if err == nil {
+		answer.Took = time.Since(start)
+	}
 	if err == nil && c.Model && answer.Status >= http.StatusInternalServerError {
 		return nil, d.status(ctx, c, answer)
 	}
--- a/internal/traffic/dispatcher/stream.go
+++ b/internal/traffic/dispatcher/stream.go
@@ -22,6 +22,8 @@
 // Stream is a running answer of status 200. It is used by one goroutine.
 type Stream struct {
 	Header http.Header
+	// Took is the time spent waiting for the endpoint until now.
+	Took time.Duration
 
 	d       *Dispatcher
 	ctx     context.Context
@@ -36,6 +38,7 @@
 
 // Open sends a call whose answer is a stream of events.
 func (d *Dispatcher) Open(ctx context.Context, c Call) (*Stream, error) {
+	start := time.Now()
 	a, err := d.roundTrip(ctx, c)
 	if err != nil {
 		if c.Model && AsError(err).Run != samphireturn.RunNo {
@@ -51,7 +54,7 @@
 		}
 		return nil, d.status(ctx, c, answer)
 	}
-	s := &Stream{Header: a.res.Header, d: d, ctx: ctx, call: c, cancel: func() { a.cancel(nil) }}
+	s := &Stream{Header: a.res.Header, Took: time.Since(start), d: d, ctx: ctx, call: c, cancel: func() { a.cancel(nil) }}
 	s.attach(a.res.Body)
 	return s, nil
 }
@@ -60,6 +63,8 @@
 // closes a whole stream. A stream that breaks is resumed at the engine; if that
 // fails an *Error is returned and the stream is not whole.
 func (s *Stream) Next() ([]byte, error) {
+	start := time.Now()
+	defer func() { s.Took += time.Since(start) }()
 	for {
 		ev, err := s.read()
 		if err == nil && bytes.Equal(ev.Data, done) {
--- a/internal/traffic/picker/picker.go
+++ b/internal/traffic/picker/picker.go
@@ -22,6 +22,9 @@
 	// prefillCost is the time of reading a prompt token in units of the time of
 	// making an output token.
 	prefillCost = 0.25
+	// paceAge is the time after which the learned speed of an endpoint without work
+	// is no longer used, so that it is tried again.
+	paceAge = 10 * time.Second
 	// tokenBytes is the assumed length of a token.
 	tokenBytes = 4
 )
@@ -48,8 +51,8 @@
 	// now is in nanoseconds of the clock of Gauge.Lapse.
 	now  int64
 	best *samphireturn.Endpoint
-	// finish is the estimated time, in seconds, until best has answered.
-	finish float64
+	// work is what best has to do until it has answered, in the unit of need.
+	work float64
 }
 
 // Endpoint returns the endpoint of this data centre that is estimated to
@@ -73,6 +76,13 @@
 	return c.best, nil
 }
 
+// Learn takes the speed of an endpoint from a whole answer that took so long while
+// this daemon had so many answers under way there, this one included.
+func (p *Picker) Learn(e *samphireturn.Endpoint, prompt, output int, answers int64, took time.Duration) {
+	tokens := prefillCost*float64(prompt) + float64(output)
+	e.Gauge.Pace.Learn(tokens, float64(answers), took, p.now())
+}
+
 // Service returns the less loaded of two sampled endpoints of a plain service
 // in this data centre, by the rules of Endpoint. The caller has asked
 // AllowedService before.
@@ -173,31 +183,60 @@
 }
 
 // offer takes a usable endpoint if it is estimated to finish before the best.
+// The two are compared by the speeds that were learned if both are known, else
+// by those that they report, since a learned speed is lower than the reported
+// one of an endpoint that is not fully used.
 func (p *Picker) offer(c *choice, e *samphireturn.Endpoint) {
-	finish := p.estimate(c, e)
-	if c.best == nil || finish < c.finish {
-		c.best, c.finish = e, finish
+	work := p.work(c, e)
+	if c.best == nil || c.sooner(work, e) {
+		c.best, c.work = e, work
 	}
 }
 
-// estimate returns the seconds until the endpoint would finish the request.
-// For plain services it returns calls under way for each call of budget.
-func (p *Picker) estimate(c *choice, e *samphireturn.Endpoint) float64 {
+// sooner reports whether e, which has so much work, finishes before the best.
+func (c *choice) sooner(work float64, e *samphireturn.Endpoint) bool {
+	if c.request == nil {
+		return work/float64(max(e.Budget, 1)) < c.work/float64(max(c.best.Budget, 1))
+	}
+	mine, best := c.learned(e), c.learned(c.best)
+	if mine == 0 || best == 0 {
+		mine, best = reported(e), reported(c.best)
+	}
+	return work/mine < c.work/best
+}
+
+// learned returns the speed of an endpoint by its own answers, at most what it
+// reports, or zero if that is not known of late.
+func (c *choice) learned(e *samphireturn.Endpoint) float64 {
+	speed, at := e.Gauge.Pace.Speed()
+	if speed == 0 || e.Gauge.Calls.Load() == 0 && c.now-at > int64(paceAge) {
+		return 0
+	}
+	return min(speed, reported(e))
+}
+
+// reported returns the speed that an endpoint reports.
+func reported(e *samphireturn.Endpoint) float64 {
+	if e.Speed <= 0 {
+		return defaultSpeed
+	}
+	return e.Speed
+}
+
+// work returns the tokens that the endpoint has to make until it has answered
+// the request. For plain services it returns the calls under way.
+func (p *Picker) work(c *choice, e *samphireturn.Endpoint) float64 {
 	work := float64(e.Queued + e.Gauge.Outstanding.Load())
 	r := c.request
 	if r == nil {
-		return work / float64(max(e.Budget, 1))
-	}
-	speed := e.Speed
-	if speed <= 0 {
-		speed = defaultSpeed
+		return work
 	}
 	prompt := r.Prompt
 	if p.Prefixes != nil {
 		held := p.Prefixes.Held(e.ID, r.Prefixes) / tokenBytes
 		prompt = max(prompt-held, 0)
 	}
-	return (work + prefillCost*float64(prompt) + float64(r.Output)) / speed
+	return work + prefillCost*float64(prompt) + float64(r.Output)
 }
 
 // usable reports whether the endpoint may take the request.
--- a/internal/traffic/receiver/cascade.go
+++ b/internal/traffic/receiver/cascade.go
@@ -90,6 +90,7 @@
 	}
 	a.usage, a.text = *c.Usage, c.Choices[0].Message.Content
 	r.hold(e, t)
+	r.Picker.Learn(e, a.usage.Prompt, a.usage.Output, e.Gauge.Calls.Load()+1, got.Took)
 	return a, t.spend(step, a.usage), nil
 }
 
--- a/internal/traffic/receiver/stream.go
+++ b/internal/traffic/receiver/stream.go
@@ -81,6 +81,7 @@
 		return err
 	}
 	r.hold(s.Endpoint, t)
+	r.Picker.Learn(s.Endpoint, a.usage.Prompt, a.usage.Output, s.Endpoint.Gauge.Calls.Load(), s.Took)
 	r.learn(t, a, t.cost, time.Since(start), len(plan.Steps) > 1, plan.Rate)
 	return nil
 }
--- a/internal/traffic/router/slow_test.go
+++ b/internal/traffic/router/slow_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -27,6 +28,7 @@
 	speed, now float64 // now in seconds
 	jobs       []*job
 	endpoint   *sr.Endpoint
+	picker     *picker.Picker
 }
 
 // job is an answer under way.
@@ -47,8 +49,10 @@
 		}
 		took = append(took, s.now-next.start)
 		s.jobs = slices.DeleteFunc(s.jobs, func(j *job) bool { return j == next })
-		s.endpoint.Gauge.Outstanding.Add(-int64(next.size))
-		s.endpoint.Gauge.Calls.Add(-1)
+		g := s.endpoint.Gauge
+		s.picker.Learn(s.endpoint, 0, int(next.size), g.Calls.Load(), time.Duration((s.now-next.start)*1e9))
+		g.Outstanding.Add(-int64(next.size))
+		g.Calls.Add(-1)
 	}
 	s.now = to
 	return took
@@ -56,16 +60,19 @@
 
 // slowPool runs requests on a pool with one slow endpoint and returns the 50th
 // and 99th percentile of their durations in seconds. Told says whether the slow
-// endpoint reports its true speed.
-func slowPool(policy string, told bool, requests int) (median, high float64) {
+// endpoint reports its true speed. After mended requests it is sound again, and
+// again is its share of the last quarter of the requests.
+func slowPool(policy string, told bool, requests, mended int) (median, high, again float64) {
 	source := rand.New(rand.NewPCG(7, 11))
 	s := &sr.Snapshot{Config: &sr.Config{}, Pools: map[sr.VersionRef][]*sr.Endpoint{}, Endpoints: map[string]*sr.Endpoint{}}
+	now := 0.0
+	p := &picker.Picker{Rand: source.Uint64, Now: func() int64 { return int64(now * 1e9) }}
 	var pool []*server
 	for i := range servers {
 		e := &sr.Endpoint{VM: sr.VM{ID: fmt.Sprint(i)}, Budget: 1 << 30, Speed: speed, Warm: true, Gauge: new(sr.Gauge)}
 		e.Gauge.Allowed.Store(1 << 30)
 		e.Gauge.Lapse.Store(1 << 62)
-		pool = append(pool, &server{speed: speed, endpoint: e})
+		pool = append(pool, &server{speed: speed, endpoint: e, picker: p})
 		s.Pools[version] = append(s.Pools[version], e)
 		s.Endpoints[e.ID] = e
 	}
@@ -73,11 +80,13 @@
 	if told {
 		pool[0].endpoint.Speed = slowSpeed
 	}
-	p := &picker.Picker{Rand: source.Uint64, Now: func() int64 { return 0 }}
 	arrivals := load * ((servers-1)*speed + slowSpeed) / meanSize
 	var took []float64
-	now, turn := 0.0, 0
-	for range requests {
+	turn := 0
+	for n := range requests {
+		if n == mended {
+			pool[0].speed, pool[0].endpoint.Speed = speed, speed
+		}
 		now += source.ExpFloat64() / arrivals
 		for _, v := range pool {
 			took = v.advance(now, took)
@@ -92,6 +101,9 @@
 			e, _ := p.Endpoint(s, &sr.Request{Output: int(meanSize)}, version, nil)
 			at = slices.Index(s.Pools[version], e)
 		}
+		if at == 0 && n >= requests*3/4 {
+			again += 4 / float64(requests)
+		}
 		pool[at].jobs = append(pool[at].jobs, &job{size: size, left: size, start: now})
 		pool[at].endpoint.Gauge.Outstanding.Add(int64(size))
 		pool[at].endpoint.Gauge.Calls.Add(1)
@@ -100,16 +112,22 @@
 		took = v.advance(1e12, took)
 	}
 	slices.Sort(took)
-	return took[len(took)/2], took[len(took)*99/100]
+	return took[len(took)/2], took[len(took)*99/100], again
 }
 
-// TestSlowEndpoint bounds the 99th percentile against round robin.
+// TestSlowEndpoint bounds the 99th percentile against round robin and least
+// outstanding, and the share of an endpoint that has recovered.
 func TestSlowEndpoint(t *testing.T) {
 	c := qt.New(t)
+	const requests = 20000
 	for _, told := range []bool{true, false} {
-		_, ours := slowPool("picker", told, 20000)
-		_, robin := slowPool("round robin", told, 20000)
+		_, ours, _ := slowPool("picker", told, requests, requests)
+		_, robin, _ := slowPool("round robin", told, requests, requests)
 		c.Check(ours < robin/2, qt.IsTrue, qt.Commentf("told %t: %.2f s against %.2f s", told, ours, robin))
+		_, least, _ := slowPool("least outstanding", told, requests, requests)
+		c.Check(ours <= least, qt.IsTrue, qt.Commentf("told %t: %.2f s against %.2f s", told, ours, least))
+		_, _, again := slowPool("picker", told, requests, requests/2)
+		c.Check(again > 0.8/servers, qt.IsTrue, qt.Commentf("told %t: share %.3f after recovery", told, again))
 	}
 }
 
@@ -120,7 +138,7 @@
 			b.Run(fmt.Sprintf("%s/told=%t", policy, told), func(b *testing.B) {
 				var median, high float64
 				for b.Loop() {
-					median, high = slowPool(policy, told, 20000)
+					median, high, _ = slowPool(policy, told, 20000, 20000)
 				}
 				b.ReportMetric(median, "median-s")
 				b.ReportMetric(high, "p99-s")
--- a/samphireturn.go
+++ b/samphireturn.go
@@ -234,6 +234,8 @@
 	// Lapse is the time, in nanoseconds of the limiter's clock, when Allowed
 	// ends.
 	Lapse atomic.Int64
+	// Pace is the speed that this daemon saw.
+	Pace Pace
 }
 
 // Want notes that this daemon has work of the given size for the endpoint, in
