Give each judged step of a cascade an id of its own at engines

Cause: all steps of a cascade went to engines under the request's id, so a cancel of a cheaper step that came late could stop a later step at the same engine, and a resume could meet the other step's stream.

Change: judged steps run as <id>.1, <id>.2, ...; the step released as it comes keeps the id itself, so streams pass through unchanged. The body of a judged answer that is released gets the request's id back. Records, sessions, claims and the caller see one id as before.

--- a/internal/traffic/receiver/cascade.go
+++ b/internal/traffic/receiver/cascade.go
@@ -1,8 +1,11 @@
 package receiver
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,11 +31,13 @@
 }
 
 // judged runs the steps of the plan that are judged before release. It returns
-// the first answer that passes, or nil if none did.
+// the first answer that passes, or nil if none did. Each has an id of its own at
+// engines, so that a late cancel of one can't stop a later one there.
 func (r *Receiver) judged(ctx context.Context, t *turn, plan cascader.Plan) (*answer, error) {
 	for i, step := range plan.Steps[:len(plan.Steps)-1] {
 		start := time.Now()
-		a, cost, err := r.run(ctx, t, step)
+		id := t.id + "." + strconv.Itoa(i+1)
+		a, cost, err := r.run(ctx, t, step, id)
 		if ctx.Err() != nil {
 			return nil, err
 		}
@@ -49,6 +54,7 @@
 		o.Rating, o.Rated, o.Final = rating, rated, passed
 		r.Cascader.Learn(o)
 		if passed {
+			a.body = rename(a.body, id, t.id)
 			return a, nil
 		}
 	}
@@ -58,7 +64,7 @@
 // step runs the step whose answer is released as it is.
 func (r *Receiver) step(ctx context.Context, t *turn, step cascader.Step, after, rate bool) (*answer, error) {
 	start := time.Now()
-	a, cost, err := r.run(ctx, t, step)
+	a, cost, err := r.run(ctx, t, step, t.id)
 	if err != nil {
 		return nil, err
 	}
@@ -66,9 +72,9 @@
 	return a, nil
 }
 
-// run sends one step and reads its use.
-func (r *Receiver) run(ctx context.Context, t *turn, step cascader.Step) (*answer, float64, error) {
-	w, err := t.send(step.Version, false)
+// run sends one step under the id and reads its use.
+func (r *Receiver) run(ctx context.Context, t *turn, step cascader.Step, id string) (*answer, float64, error) {
+	w, err := t.send(step.Version, id, false)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -101,6 +107,22 @@
 	}
 }
 
+// rename returns an engine's answer with another id.
+func rename(body []byte, from, to string) []byte {
+	if rest, ok := bytes.CutPrefix(body, []byte(`{"id":"`+from+`",`)); ok {
+		return append([]byte(`{"id":"`+to+`",`), rest...)
+	}
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(body, &fields) != nil {
+		return body
+	}
+	fields["id"], _ = json.Marshal(to)
+	if renamed, err := json.Marshal(fields); err == nil {
+		return renamed
+	}
+	return body
+}
+
 // judge rates an answer before its release, within the alias's delay.
 func (r *Receiver) judge(ctx context.Context, t *turn, a *answer) (float64, bool) {
 	wait := judgeTimeout
--- a/internal/traffic/receiver/chat.go
+++ b/internal/traffic/receiver/chat.go
@@ -231,14 +231,16 @@
 	return r.Cascader.Plan(t.work, t.alias, steps, r.Cascader.Judging(), t.snapshot.Preset.Explore), nil
 }
 
-// send returns the work of one step.
-func (t *turn) send(v samphireturn.VersionRef, stream bool) (router.Work, error) {
+// send returns the work of one step, which engines know by the id.
+func (t *turn) send(v samphireturn.VersionRef, id string, stream bool) (router.Work, error) {
+	request := *t.work
+	request.ID = id
 	body, err := t.chat.Encode(v.String(), stream)
 	if err != nil {
 		return router.Work{}, err
 	}
 	return router.Work{
-		Request:    t.work,
+		Request:    &request,
 		Version:    v,
 		Method:     http.MethodPost,
 		Path:       completionsPath,
--- a/internal/traffic/receiver/stream.go
+++ b/internal/traffic/receiver/stream.go
@@ -61,7 +61,7 @@
 		return r.release(ctx, t, a)
 	}
 	last := plan.Steps[len(plan.Steps)-1]
-	w, err := t.send(last.Version, true)
+	w, err := t.send(last.Version, t.id, true)
 	if err != nil {
 		return err
 	}
