Tell a team at its concurrent limit when its next request should end

Cause: Retry-After at the concurrent limit was always 1 s, whatever ran.

Change: the admitter keeps the start of each running request and the decayed mean length of the team's requests, and tells when as many as needed are expected to have ended; one that runs for longer than usual is given half the usual time more. While no request has ended the wait is 1 s as before.

--- a/internal/traffic/admitter/admitter.go
+++ b/internal/traffic/admitter/admitter.go
@@ -5,6 +5,7 @@
 import (
 	"expvar"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +21,14 @@
 )
 
 const (
-	concurrentWait = time.Second // wait told to a team at its concurrent limit
-	minute         = 60.0        // seconds
+	// concurrentWait is the wait told to a team at its concurrent limit while the
+	// length of its requests is not known.
+	concurrentWait = time.Second
+	// minWait is the shortest wait told to a team at its concurrent limit.
+	minWait = 100 * time.Millisecond
+	// lengthDecay is the part of the mean length that each request replaces.
+	lengthDecay = 1.0 / 8
+	minute      = 60.0 // seconds
 )
 
 var refusals = expvar.NewMap("admitter_refusal")
@@ -62,9 +69,11 @@
 
 // use is what one team has under way and may still spend.
 type use struct {
-	running int
-	tokens  float64
-	filled  time.Time
+	running []*Ticket
+	// length is the decayed mean length of the team's requests; zero if unknown.
+	length time.Duration
+	tokens float64
+	filled time.Time
 }
 
 // Ticket is an admitted request. Close it once the request is over.
@@ -72,6 +81,7 @@
 	a        *Admitter
 	team     string
 	estimate int
+	began    time.Time
 }
 
 // Admit admits a request of about the given number of tokens. Scale multiplies
@@ -84,8 +94,8 @@
 	defer a.mu.Unlock()
 	u := a.use(team.Name)
 	limit := int(math.Ceil(float64(team.Concurrent) * scale))
-	if limit > 0 && u.running >= limit {
-		return nil, refuse(team, KindConcurrent, concurrentWait)
+	if limit > 0 && len(u.running) >= limit {
+		return nil, refuse(team, KindConcurrent, u.wait(a.now(), len(u.running)-limit+1))
 	}
 	rate := float64(team.Tokens) * scale
 	if rate > 0 && tokens > 0 {
@@ -96,8 +106,9 @@
 		}
 		u.tokens -= float64(tokens)
 	}
-	u.running++
-	return &Ticket{a: a, team: team.Name, estimate: tokens}, nil
+	t := &Ticket{a: a, team: team.Name, estimate: tokens, began: a.now()}
+	u.running = append(u.running, t)
+	return t, nil
 }
 
 // Close ends the request, which used the given number of tokens, and corrects
@@ -106,10 +117,44 @@
 	t.a.mu.Lock()
 	defer t.a.mu.Unlock()
 	u := t.a.use(t.team)
-	u.running--
+	if i := slices.Index(u.running, t); i >= 0 {
+		u.running = slices.Delete(u.running, i, i+1)
+	}
+	took := t.a.now().Sub(t.began)
+	if u.length == 0 {
+		u.length = took
+	}
+	u.length += time.Duration(lengthDecay * float64(took-u.length))
 	u.tokens += float64(t.estimate - used)
 }
 
+// wait returns when so many of the running requests are expected to have ended.
+// One that runs for longer than usual is expected to end after half the usual
+// time.
+func (u *use) wait(now time.Time, ends int) time.Duration {
+	if u.length == 0 {
+		return concurrentWait
+	}
+	left := make([]time.Duration, 0, len(u.running))
+	for _, t := range u.running {
+		rest := u.length - now.Sub(t.began)
+		if rest <= 0 {
+			rest = u.length / 2
+		}
+		left = append(left, rest)
+	}
+	slices.Sort(left)
+	return max(left[ends-1], minWait)
+}
+
+// now tells the time.
+func (a *Admitter) now() time.Time {
+	if a.Now != nil {
+		return a.Now()
+	}
+	return time.Now()
+}
+
 // use returns the record of a team, made when first asked for.
 func (a *Admitter) use(team string) *use {
 	if a.teams == nil {
@@ -125,10 +170,7 @@
 
 // fill adds the tokens earned since the last call, up to one minute's worth.
 func (a *Admitter) fill(u *use, rate float64) {
-	now := time.Now()
-	if a.Now != nil {
-		now = a.Now()
-	}
+	now := a.now()
 	if !u.filled.IsZero() {
 		u.tokens += now.Sub(u.filled).Seconds() * rate / minute
 	}
