receiver: split chat.go by job

Cause: 354 lines with the choice of versions, the engine's answer, the reply and the request's path in one file. Change: plan.go chooses versions and steps, completion.go reads engines' answers, reply.go writes whole answers; chat.go keeps the path of a request (204 lines). No code is changed.

--- a/internal/traffic/receiver/chat.go
+++ b/internal/traffic/receiver/chat.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,7 +11,6 @@
 	"samphireturn"
 	"samphireturn/internal/traffic/cascader"
 	"samphireturn/internal/traffic/decoder"
-	"samphireturn/internal/traffic/picker"
 	"samphireturn/internal/traffic/router"
 )
 
@@ -35,39 +31,6 @@
 	cost           float64
 }
 
-// reply is a whole answer that is ready to be written.
-type reply struct {
-	status  int
-	kind    string // content type
-	body    []byte
-	version samphireturn.VersionRef
-	token   string // session token
-	run     string
-}
-
-// completion is the part of an engine's answer that the router reads.
-type completion struct {
-	ID      string   `json:"id"`
-	Choices []choice `json:"choices"`
-	Usage   *usage   `json:"usage"`
-}
-
-// choice is one answer of a completion, whole or a part of a stream.
-type choice struct {
-	Message content `json:"message"`
-}
-
-// content is the text of a message.
-type content struct {
-	Content string `json:"content"`
-}
-
-// usage counts the tokens of a completion.
-type usage struct {
-	Prompt int `json:"prompt_tokens"`
-	Output int `json:"completion_tokens"`
-}
-
 // chat answers a chat completion request.
 func (r *Receiver) chat(ctx context.Context, x *exchange) error {
 	body, err := r.body(x)
@@ -181,56 +144,6 @@
 	}
 }
 
-// models returns what the request may run on, cheapest first. A session that is
-// on a model of the alias stays with it.
-func (t *turn) models() []string {
-	if t.alias == nil {
-		return []string{t.chat.Model}
-	}
-	for _, name := range t.alias.Steps {
-		model, _, _ := strings.Cut(name, "@")
-		if t.session.Model == model {
-			return []string{name}
-		}
-	}
-	return t.alias.Steps
-}
-
-// versions returns the versions that the request would run on; those that can't
-// be chosen are left out.
-func (t *turn) versions(r *Receiver) []samphireturn.VersionRef {
-	var refs []samphireturn.VersionRef
-	for _, model := range t.models() {
-		if v, err := r.Picker.Version(t.snapshot, t.work, model); err == nil {
-			refs = append(refs, v)
-		}
-	}
-	return refs
-}
-
-// plan chooses the steps of the cascade.
-func (r *Receiver) plan(t *turn) (cascader.Plan, error) {
-	var (
-		steps []cascader.Step
-		last  error
-	)
-	for _, model := range t.models() {
-		v, err := r.Picker.Version(t.snapshot, t.work, model)
-		if err != nil {
-			last = err
-			continue
-		}
-		steps = append(steps, priced(t.snapshot.Config, v))
-	}
-	if len(steps) == 0 {
-		return cascader.Plan{}, pickRefusal(last)
-	}
-	if t.alias == nil || len(steps) == 1 {
-		return cascader.Plan{Steps: steps}, nil
-	}
-	return r.Cascader.Plan(t.work, t.alias, steps, r.Cascader.Judging(), t.snapshot.Preset.Explore), nil
-}
-
 // send returns the work of one step, which engines know by the id.
 func (t *turn) send(v samphireturn.VersionRef, id string, stream bool) (router.Work, error) {
 	request := *t.work
@@ -289,66 +202,3 @@
 	}
 	return token, nil
 }
-
-// write answers with a reply.
-func (x *exchange) write(a *reply) {
-	h := x.Header()
-	h.Set("Content-Type", a.kind)
-	if a.token != "" {
-		h.Set(decoder.HeaderSession, a.token)
-	}
-	if a.version.Model != "" {
-		h.Set(decoder.HeaderVersion, a.version.String())
-	}
-	x.WriteHeader(a.status)
-	_, _ = x.Write(a.body)
-}
-
-// findAlias returns the alias of the preset in force with the name, or nil.
-func findAlias(s *samphireturn.Snapshot, name string) *samphireturn.Alias {
-	i := slices.IndexFunc(s.Preset.Aliases, func(a samphireturn.Alias) bool { return a.Name == name })
-	if i < 0 {
-		return nil
-	}
-	return &s.Preset.Aliases[i]
-}
-
-// priced returns the step of a version with its configured price.
-func priced(cfg *samphireturn.Config, v samphireturn.VersionRef) cascader.Step {
-	step := cascader.Step{Version: v}
-	for _, m := range cfg.Models {
-		if m.Name != v.Model {
-			continue
-		}
-		for _, version := range m.Versions {
-			if version.Name == v.Version {
-				step.Input, step.Output = version.Input, version.Output
-			}
-		}
-	}
-	return step
-}
-
-// pickRefusal turns an error of the picker into a refusal.
-func pickRefusal(err error) *samphireturn.Refusal {
-	var e *picker.Error
-	if !errors.As(err, &e) {
-		return refusal(samphireturn.ReasonEmpty, err)
-	}
-	switch e.Kind {
-	case picker.KindUnknown:
-		return refusal(samphireturn.ReasonModel, err)
-	case picker.KindForbidden:
-		return refusal(samphireturn.ReasonForbidden, err)
-	}
-	return &samphireturn.Refusal{Reason: samphireturn.ReasonEmpty, Run: samphireturn.RunNo, RetryAfter: time.Second, Err: err}
-}
-
-// decodeCompletion reads an engine's answer as far as the router needs it.
-func decodeCompletion(body []byte) (completion, error) {
-	var c completion
-	if err := json.Unmarshal(body, &c); err != nil {
-		return c, errors.Wrap(err, "decode completion")
-	}
-	return c, nil
-}
