Log one line for each answered request

Cause: only refusals left a line, so a slow or odd answer could not be followed.

Change: at debug level an answered request logs event "answered" with request, team, version (or the plain service), endpoint (or the daemon that it was passed on to), status, tokens, first_ms, whole_ms and run.

--- a/internal/traffic/receiver/cascade.go
+++ b/internal/traffic/receiver/cascade.go
@@ -82,6 +82,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	t.result.endpoint = e.ID
 	a := &answer{status: got.Status, body: got.Body, version: step.Version, endpoint: e.ID}
 	if got.Status != http.StatusOK {
 		return a, 0, nil
--- a/internal/traffic/receiver/chat.go
+++ b/internal/traffic/receiver/chat.go
@@ -187,6 +187,7 @@
 	cost := (float64(u.Prompt)*step.Input + float64(u.Output)*step.Output) / million
 	t.prompt += u.Prompt
 	t.output += u.Output
+	t.result.tokens += u.Prompt + u.Output
 	t.cost += cost
 	return cost
 }
--- a/internal/traffic/receiver/exchange.go
+++ b/internal/traffic/receiver/exchange.go
@@ -40,6 +40,47 @@
 	affinity *samphireturn.Session
 	// began is true once bytes of the answer's body were passed on.
 	began bool
+	// start is when the request came.
+	start  time.Time
+	result result
+}
+
+// result is what the log tells of an answered request.
+type result struct {
+	// version or service, and endpoint or data centre's daemon, that answered.
+	version, endpoint string
+	run               string
+	status, tokens    int
+	// first is the time until the first bytes of the answer.
+	first time.Duration
+}
+
+// WriteHeader sends the answer's status.
+func (x *exchange) WriteHeader(status int) {
+	x.result.status = status
+	x.ResponseWriter.WriteHeader(status)
+}
+
+// Write sends a part of the answer's body.
+func (x *exchange) Write(p []byte) (int, error) {
+	if x.result.first == 0 {
+		x.result.first = time.Since(x.start)
+	}
+	return x.ResponseWriter.Write(p)
+}
+
+// answered logs an answered request.
+func (x *exchange) answered() {
+	x.log.Debug().Str("event", "answered").
+		Str("team", x.team.Name).
+		Str("version", x.result.version).
+		Str("endpoint", x.result.endpoint).
+		Int("status", or(x.result.status, http.StatusOK)).
+		Int("tokens", x.result.tokens).
+		Int64("first_ms", x.result.first.Milliseconds()).
+		Int64("whole_ms", time.Since(x.start).Milliseconds()).
+		Str("run", or(x.result.run, samphireturn.RunNo)).
+		Msg("request answered")
 }
 
 // statuses maps the reasons of refusals to HTTP statuses.
@@ -70,7 +111,7 @@
 func (r *Receiver) team(kind string, next func(context.Context, *exchange) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
 		requests.Add(kind, 1)
-		x := &exchange{ResponseWriter: w, request: req, snapshot: r.Control.Snapshot(), id: requestPrefix + uuid.NewString()}
+		x := &exchange{ResponseWriter: w, request: req, start: time.Now(), snapshot: r.Control.Snapshot(), id: requestPrefix + uuid.NewString()}
 		err := r.prepare(x)
 		x.log = r.Log.With().Str("request", x.id).Logger()
 		if err != nil {
@@ -81,7 +122,9 @@
 		defer cancel()
 		if err := next(ctx, x); err != nil {
 			r.refuse(x, err)
+			return
 		}
+		x.answered()
 	}
 }
 
--- a/internal/traffic/receiver/overflow.go
+++ b/internal/traffic/receiver/overflow.go
@@ -126,6 +126,11 @@
 		return &samphireturn.Refusal{Reason: samphireturn.ReasonEndpoint, Run: run, RetryAfter: time.Second, Err: errors.Wrapf(err, "pass on to %s", to.ID)}
 	}
 	defer res.Body.Close()
+	x.result.endpoint, x.result.version = to.ID, res.Header.Get(decoder.HeaderVersion)
+	x.result.run = samphireturn.RunUnknown
+	if res.StatusCode == http.StatusOK {
+		x.result.run = samphireturn.RunYes
+	}
 	return x.copy(res)
 }
 
--- a/internal/traffic/receiver/reply.go
+++ b/internal/traffic/receiver/reply.go
@@ -25,6 +25,10 @@
 	if a.version.Model != "" {
 		h.Set(decoder.HeaderVersion, a.version.String())
 	}
+	x.result.run = or(a.run, samphireturn.RunYes)
+	if a.version.Model != "" {
+		x.result.version = a.version.String()
+	}
 	x.WriteHeader(a.status)
 	_, _ = x.Write(a.body)
 }
--- a/internal/traffic/receiver/run_test.go
+++ b/internal/traffic/receiver/run_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 
 	sr "samphireturn"
 	"samphireturn/internal/core/assembler"
@@ -67,8 +68,8 @@
 	fault   atomic.Pointer[injector.Fault]
 }
 
-// newSite starts a site and lets it settle.
-func newSite(t *testing.T) *site {
+// newSite starts a site, whose daemons log to logs if any, and lets it settle.
+func newSite(t *testing.T, logs ...io.Writer) *site {
 	t.Helper()
 	c := qt.New(t)
 	config, err := os.ReadFile("../../../examples/config.toml")
@@ -76,6 +77,9 @@
 	s := &site{c: c, t: t, engines: map[string]*generator.Generator{}}
 	s.Starter, err = starter.New()
 	c.Assert(err, qt.IsNil)
+	if len(logs) > 0 {
+		s.Log = zerolog.SyncWriter(io.MultiWriter(logs...))
+	}
 	_, err = s.Apply(context.Background(), string(config)+strings.Replace(tight, "HASH", hash("tight-key"), 1))
 	c.Assert(err, qt.IsNil)
 	for _, e := range []struct{ id, centre, version string }{
--- a/internal/traffic/receiver/service.go
+++ b/internal/traffic/receiver/service.go
@@ -78,10 +78,11 @@
 
 // call runs the work and bills it.
 func (r *Receiver) call(ctx context.Context, x *exchange, w router.Work) (*reply, error) {
-	got, _, err := r.Router.Send(ctx, w)
+	got, e, err := r.Router.Send(ctx, w)
 	if err != nil {
 		return nil, err
 	}
+	x.result.endpoint, x.result.version = e.ID, w.Service
 	err = r.Biller.Record(context.WithoutCancel(ctx), samphireturn.Usage{
 		Request: x.id,
 		Team:    x.team.Name,
--- a/internal/traffic/receiver/stream.go
+++ b/internal/traffic/receiver/stream.go
@@ -68,13 +68,14 @@
 	start := time.Now()
 	s, err := r.Router.Open(ctx, w)
 	if answer := passed(err); answer != nil {
-		t.write(&reply{status: answer.Status, kind: answer.Header.Get("Content-Type"), body: answer.Body, version: last.Version})
+		t.write(&reply{status: answer.Status, kind: answer.Header.Get("Content-Type"), body: answer.Body, version: last.Version, run: samphireturn.RunYes})
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	defer s.Close()
+	t.result.endpoint, t.result.version, t.result.run = s.Endpoint.ID, last.Version.String(), samphireturn.RunYes
 	a = &answer{status: http.StatusOK, version: last.Version, endpoint: s.Endpoint.ID}
 	err = r.relay(ctx, t, s, a, last)
 	if err != nil {
@@ -95,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	t.write(&reply{status: a.status, kind: "text/event-stream", body: events(t.id, a), version: a.version, token: token})
+	t.write(&reply{status: a.status, kind: "text/event-stream", body: events(t.id, a), version: a.version, token: token, run: samphireturn.RunYes})
 	return nil
 }
 
