cascader: a judged plan reaches at least what its steps do alone

Cause: the pass rate of the dear step after a failed one rests on few ratings, since only explored answers of a last step are rated.

Ruled out: outage of ratings (105 such requests at most), the delay bound (dossier has none).

Change: the reach of a plan is at least that of each of its steps alone.

Guard taken out (the bound by single steps): TestPlanReachesWhatItsStepsDo fails with the dear step alone.

--- a/internal/traffic/cascader/cascader.go
+++ b/internal/traffic/cascader/cascader.go
@@ -190,10 +190,12 @@
 }
 
 // expect returns the plan that runs the steps in set, the longest delay that
-// its judging adds, and its reach lowered by caution.
+// its judging adds, and its reach lowered by caution. A plan reaches at least
+// what each of its steps does alone.
 func expect(views []view, set int) (Plan, time.Duration, float64) {
 	p := Plan{}
 	missed, low, delay, judged := 1.0, 1.0, 0.0, 0.0
+	alone := rate{}
 	for i := range views {
 		if set&(1<<i) == 0 {
 			continue
@@ -207,11 +209,12 @@
 		p.Cost += missed * v.cost
 		missed *= 1 - r.mean
 		low *= 1 - r.low
+		alone = rate{mean: max(alone.mean, v.first.mean), low: max(alone.low, v.first.low)}
 		judged = delay
 		delay += v.delay
 	}
-	p.Reach = 1 - missed
-	return p, time.Duration(judged * float64(time.Second)), 1 - low
+	p.Reach = max(1-missed, alone.mean)
+	return p, time.Duration(judged * float64(time.Second)), max(1-low, alone.low)
 }
 
 // views collects what is known of each step. Learned costs count only if every
--- a/internal/traffic/cascader/cascader_test.go
+++ b/internal/traffic/cascader/cascader_test.go
@@ -85,6 +85,18 @@
 	}
 }
 
+// TestPlanReachesWhatItsStepsDo checks that a few failed ratings of the dear
+// step after the cheap one do not make the dear step alone look better.
+func TestPlanReachesWhatItsStepsDo(t *testing.T) {
+	k, _ := newCascader()
+	teach(k, cheap, 100, 30, false, time.Second)
+	teach(k, dear, 100, 97, false, time.Second)
+	teach(k, dear, 6, 3, true, time.Second)
+	p := k.Plan(&ask, &alias, []Step{cheap, dear}, true, 0)
+	qt.Check(t, names(p), qt.Equals, "small@v1 large@v1 ")
+	qt.Check(t, p.Reach >= 0.95, qt.IsTrue, qt.Commentf("%.3f", p.Reach))
+}
+
 func TestExploreStale(t *testing.T) {
 	c := qt.New(t)
 	k, now := newCascader()
