cascader: estimate answers apart that only one step could give

Cause: later turns of a session stay with its model and were never rated. Each such turn made the team judge and escalate others to make up for answers that were good.

Change: Outcome.Kept and an estimate of its own; Cascader.Follow has such an answer rated after release until 30 decayed ratings are known, and not while judging pauses. Receiver and replay call it.

Guards taken out: one estimate for both -> TestFollow, rating asked for for ever and the plan changed; rating while judging pauses -> TestFollow, last check.

--- a/internal/replay/player/request.go
+++ b/internal/replay/player/request.go
@@ -22,6 +22,8 @@
 	spent time.Duration
 	// exposed is true once a run was on a bad version.
 	exposed bool
+	// kept is true if only one step was left.
+	kept bool
 }
 
 // request runs one recorded request.
@@ -79,6 +81,9 @@
 	one := func(i int) cascader.Plan { return cascader.Plan{Steps: steps[i : i+1]} }
 	last := len(steps) - 1
 	switch {
+	case t.Policy == Configured && last == 0:
+		t.kept = true
+		return t.daemon.cascader.Follow(&t.request, t.alias, steps[0])
 	case t.Policy == Cheap || last == 0:
 		return one(0)
 	case t.Policy == Dear:
@@ -187,7 +192,7 @@
 func (t *turn) outcome(step cascader.Step, run *reader.Run, after, rated bool) cascader.Outcome {
 	return cascader.Outcome{
 		Team: t.record.Team, Class: t.record.Class, Version: step.Version, Quality: t.alias.Quality,
-		After: after, Rating: run.Rating, Rated: rated, Cost: run.Cost,
+		After: after, Kept: t.kept, Rating: run.Rating, Rated: rated, Cost: run.Cost,
 		Quoted: step.Quote(&t.request), Output: t.record.Output, Alias: t.alias,
 	}
 }
--- a/internal/traffic/cascader/cascader.go
+++ b/internal/traffic/cascader/cascader.go
@@ -49,6 +49,9 @@
 	Quality float64
 	// After says that an earlier step of the request had failed.
 	After bool
+	// Kept says that no other step could run, as when the session keeps the
+	// request on this model. Such answers are estimated apart.
+	Kept bool
 	// Rating is the answer's rating, from 0 to 1. It counts only if Rated.
 	Rating float64
 	Rated  bool
--- a/internal/traffic/cascader/cascader_test.go
+++ b/internal/traffic/cascader/cascader_test.go
@@ -97,6 +97,27 @@
 	qt.Check(t, p.Reach >= 0.95, qt.IsTrue, qt.Commentf("%.3f", p.Reach))
 }
 
+// TestFollow checks that answers of requests that only one step can run are
+// rated until enough is known, and that they count for their own estimate.
+func TestFollow(t *testing.T) {
+	c := qt.New(t)
+	k, now := newCascader()
+	follow := func() bool { return k.Follow(&ask, &alias, cheap).Rate }
+	c.Check(follow(), qt.IsTrue)
+	kept := Outcome{Team: "t", Class: "k", Version: cheap.Version, Quality: 0.7, Kept: true, Rated: true, Rating: 0.9}
+	for range enough {
+		k.Learn(kept)
+	}
+	c.Check(follow(), qt.IsFalse)
+	c.Check(names(k.Plan(&ask, &alias, []Step{cheap, dear}, true, 0)), qt.Equals, "small@v1 large@v1 ")
+	*now = now.Add(defaultHalfLife)
+	c.Check(follow(), qt.IsTrue)
+	for range failLimit {
+		k.Judged(false)
+	}
+	c.Check(follow(), qt.IsFalse)
+}
+
 func TestExploreStale(t *testing.T) {
 	c := qt.New(t)
 	k, now := newCascader()
--- a/internal/traffic/cascader/estimate.go
+++ b/internal/traffic/cascader/estimate.go
@@ -13,7 +13,7 @@
 	team, class string
 	version     samphireturn.VersionRef
 	quality     float64
-	after       bool
+	after, kept bool
 }
 
 // estimate holds decayed sums.
@@ -36,7 +36,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	k := key{team: o.Team, class: o.Class, version: o.Version, quality: o.Quality, after: o.After}
+	k := key{team: o.Team, class: o.Class, version: o.Version, quality: o.Quality, after: o.After, kept: o.Kept}
 	e := c.touch(k, now)
 	decay := c.decay(now.Sub(e.at))
 	for _, f := range []*float64{&e.passed, &e.rated, &e.cost, &e.quoted, &e.delay, &e.runs, &e.output} {
--- a/internal/traffic/cascader/judging.go
+++ b/internal/traffic/cascader/judging.go
@@ -1,6 +1,10 @@
 package cascader
 
-import "time"
+import (
+	"time"
+
+	"samphireturn"
+)
 
 const (
 	// failLimit is the number of ratings in a row that may fail before judging
@@ -8,6 +12,9 @@
 	failLimit = 3
 	// judgePause is the time without judging after that.
 	judgePause = 5 * time.Second
+	// enough is the number of decayed ratings from which an estimate needs no
+	// more ratings of released answers than exploration asks for.
+	enough = 30
 )
 
 // Judged notes whether a rating asked for before release came in time.
@@ -29,3 +36,20 @@
 	defer c.mu.Unlock()
 	return c.failed < failLimit || c.now().Sub(c.failedAt) > judgePause
 }
+
+// Follow returns the plan of a request that only one step can run, as when its
+// session keeps it on one model. Its answer is rated after release until enough
+// ratings are known.
+func (c *Cascader) Follow(r *samphireturn.Request, alias *samphireturn.Alias, step Step) Plan {
+	k := key{team: r.Team, class: r.Class, version: step.Version, quality: alias.Quality, kept: true}
+	return Plan{Steps: []Step{step}, Rate: c.thin(k)}
+}
+
+// thin reports whether an estimate rests on few ratings and more can be had.
+func (c *Cascader) thin(k key) bool {
+	judging := c.Judging()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.lookup(k)
+	return judging && c.decay(c.now().Sub(e.at))*e.rated < enough
+}
--- a/internal/traffic/receiver/cascade.go
+++ b/internal/traffic/receiver/cascade.go
@@ -155,6 +155,7 @@
 		Version: step.Version,
 		Quality: t.alias.Quality,
 		After:   after,
+		Kept:    t.kept,
 		Cost:    cost,
 		Quoted:  step.Quote(t.work),
 		Output:  t.work.Output,
--- a/internal/traffic/receiver/chat.go
+++ b/internal/traffic/receiver/chat.go
@@ -33,6 +33,8 @@
 	// prompt, output and cost sum up all steps that ran.
 	prompt, output int
 	cost           float64
+	// kept is true if only one step could run.
+	kept bool
 }
 
 // reply is a whole answer that is ready to be written.
@@ -225,9 +227,13 @@
 	if len(steps) == 0 {
 		return cascader.Plan{}, pickRefusal(last)
 	}
-	if t.alias == nil || len(steps) == 1 {
+	if t.alias == nil {
 		return cascader.Plan{Steps: steps}, nil
 	}
+	if len(steps) == 1 {
+		t.kept = true
+		return r.Cascader.Follow(t.work, t.alias, steps[0]), nil
+	}
 	return r.Cascader.Plan(t.work, t.alias, steps, r.Cascader.Judging(), t.snapshot.Preset.Explore), nil
 }
 
