--- a/internal/traffic/receiver/plan.go
+++ b/internal/traffic/receiver/plan.go
@@ -56,9 +56,13 @@
 	if len(steps) == 0 {
 		return cascader.Plan{}, pickRefusal(last)
 	}
-	if t.alias == nil || len(steps) == 1 {
+	if t.alias == nil {
 		return cascader.Plan{Steps: steps}, nil
 	}
+	if len(steps) == 1 {
+		t.kept = true
+		return r.Cascader.Follow(t.work, t.alias, steps[0]), nil
+	}
 	return r.Cascader.Plan(t.work, t.alias, steps, r.Cascader.Judging(), t.snapshot.Preset.Explore), nil
 }
 
