Take a data centre out and back under load, and tell what is served once linked

Cause: after a cut between data centres healed, each learned what the other serves only at the next period of 5 s, on top of the wait before the next dial; a data centre that was out refused its callers for up to 10 s although the other could be reached.

Change: the detector tells daemons of other data centres what its own serves as soon as they are linked, until they have it.

Not tried: sessions.

--- a/internal/fleet/detector/detector.go
+++ b/internal/fleet/detector/detector.go
@@ -110,6 +110,9 @@
 		serving map[string]remote
 		config  *samphireturn.Config
 		dirty   bool
+		// greeted are the linked daemons of other data centres; true if they have
+		// been told what this one serves.
+		greeted map[string]bool
 		// last is the state posted last.
 		last atomic.Pointer[update]
 	}
--- a/internal/fleet/detector/publish.go
+++ b/internal/fleet/detector/publish.go
@@ -164,6 +164,11 @@
 	for centre, members := range to {
 		ids = append(ids, ranker.Rank("serving/"+centre, members)[:min(listHomes, len(members))]...)
 	}
+	d.tell(ctx, ids, d.served())
+}
+
+// served returns what this data centre serves.
+func (d *Detector) served() Serving {
 	message := Serving{Centre: d.self.Centre}
 	for v, pool := range d.Control.Snapshot().Pools {
 		if len(pool) > 0 {
@@ -178,7 +183,41 @@
 	slices.SortFunc(message.Versions, func(a, b samphireturn.VersionRef) int {
 		return strings.Compare(a.String(), b.String())
 	})
-	d.tell(ctx, ids, message)
+	return message
+}
+
+// greet sends what this data centre serves to daemons of others that have just
+// been linked, until they have it, so that a healed cut does not last until the
+// next period.
+func (d *Detector) greet(ctx context.Context) {
+	linked := d.Links.Connected()
+	d.mu.Lock()
+	var ids []string
+	greeted := make(map[string]bool)
+	for _, vm := range d.members() {
+		if _, ok := slices.BinarySearch(linked, vm.ID); !ok || vm.Centre == d.self.Centre {
+			continue
+		}
+		greeted[vm.ID] = d.greeted[vm.ID]
+		if !greeted[vm.ID] {
+			ids = append(ids, vm.ID)
+		}
+	}
+	d.greeted = greeted
+	d.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
+	message := d.served()
+	d.each(ctx, ids, func(ctx context.Context, id string) {
+		if d.Links.Call(ctx, id, TopicServing, message, nil) != nil {
+			reasons.Add("pass_serving", 1)
+			return
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.greeted[id] = true
+	})
 }
 
 func (d *Detector) tell(ctx context.Context, ids []string, message Serving) {
--- a/internal/fleet/detector/reports.go
+++ b/internal/fleet/detector/reports.go
@@ -72,6 +72,7 @@
 		return
 	}
 	d.passReports(ctx)
+	d.greet(ctx)
 	d.mu.Lock()
 	stale := d.dirty || d.config != d.Control.Snapshot().Config
 	d.mu.Unlock()
