--- a/internal/core/assembler/fault_centre_test.go
+++ b/internal/core/assembler/fault_centre_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"samphireturn/internal/standin/generator"
+	"samphireturn/internal/standin/injector"
 	"samphireturn/internal/standin/starter"
 )
 
@@ -50,6 +51,10 @@
 		wait    sync.WaitGroup
 		mu      sync.Mutex
 		calls   []call
+		// arrived are the times of requests at the engine, refused or not.
+		arrived []time.Duration
+		// refuse makes the engine refuse all.
+		refuse bool
 	}
 )
 
@@ -75,6 +80,14 @@
 	l.calls = append(l.calls, call{at, d.VM.ID, status, body, north, err})
 }
 
+// arrive notes a request at the engine and returns its fault.
+func (l *load) arrive(string) injector.Fault {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrived = append(l.arrived, time.Since(l.began))
+	return injector.Fault{Refuse: l.refuse}
+}
+
 // tally counts the calls of a time by how they ended.
 func (l *load) tally(from, to time.Duration) (answered, refused, failed, north int) {
 	for _, r := range l.calls {
@@ -192,8 +205,10 @@
 	t.Helper()
 	s, daemons := install(t, c)
 	engine := &generator.Generator{ID: "engine5", Start: 1, Versions: []string{"small@v1"}, Quality: 0.6}
+	l := &load{s: s, daemons: daemons, engine: engine}
+	engine.Injector.Hook = l.arrive
 	c.Assert(s.Unlist("engine1"), qt.IsNil)
 	c.Assert(s.Engine("north", engine), qt.IsNil)
 	time.Sleep(2 * settle)
-	return &load{s: s, daemons: daemons, engine: engine}
+	return l
 }
