Send events of a stream together if they came together

Cause: each event of a stream was flushed to the caller alone, although several were often read from the engine at once; the flush is a system call.

Change: an event is flushed unless the next one, whole and with data, has been read already. What is held back goes out before the end, an error or the copy of the record.

The flush before the end is tested by none.

--- a/internal/traffic/dispatcher/stream.go
+++ b/internal/traffic/dispatcher/stream.go
@@ -86,6 +86,9 @@
 	}
 }
 
+// Ready reports whether the next event has been read already.
+func (s *Stream) Ready() bool { return s.reader.Ready() }
+
 // Close ends the stream and cancels it at the engine unless it is whole.
 func (s *Stream) Close() error {
 	s.cancel()
--- a/internal/traffic/receiver/stream.go
+++ b/internal/traffic/receiver/stream.go
@@ -100,7 +100,7 @@
 	return nil
 }
 
-// relay passes the events of s on. The closing event goes out only after the
+// relay passes the events of s on; those that came together go out together. The closing event goes out only after the
 // use has been recorded. What was passed on before a break is billed too.
 func (r *Receiver) relay(ctx context.Context, t *turn, s *router.Stream, a *answer, step cascader.Step) error {
 	token, err := r.sign(t, a)
@@ -113,9 +113,15 @@
 	h.Set(decoder.HeaderSession, token)
 	h.Set(decoder.HeaderVersion, a.version.String())
 	flush := http.NewResponseController(t.ResponseWriter)
-	var text bytes.Buffer
+	var (
+		text            bytes.Buffer
+		events, flushed int
+	)
 	for {
 		data, err := s.Next()
+		if err != nil && flushed < events {
+			_ = flush.Flush()
+		}
 		if err == io.EOF {
 			break
 		}
@@ -127,7 +133,11 @@
 		if err := writeEvent(t, data); err != nil {
 			return r.broken(ctx, t, a, step, text.Len(), err)
 		}
-		_ = flush.Flush()
+		events++
+		if !s.Ready() {
+			_ = flush.Flush()
+			flushed = events
+		}
 	}
 	a.text = text.String()
 	t.spend(step, a.usage)
--- a/internal/traffic/router/router.go
+++ b/internal/traffic/router/router.go
@@ -96,6 +96,9 @@
 	return s.Stream.Next()
 }
 
+// Ready reports whether the next event has been read already.
+func (s *Stream) Ready() bool { return s.first != nil || s.Stream.Ready() }
+
 // Close ends the stream and returns its reservation.
 func (s *Stream) Close() error {
 	err := s.Stream.Close()
--- a/internal/traffic/streamer/streamer.go
+++ b/internal/traffic/streamer/streamer.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// Ready reports whether Next will surely return an event without waiting: a
+// whole one with data has been read from the source.
+func (r *Reader) Ready() bool {
+	read, _ := r.src.Peek(r.src.Buffered())
+	block, _, whole := bytes.Cut(read, []byte("\n\n"))
+	return whole && (bytes.HasPrefix(block, []byte("data:")) || bytes.Contains(block, []byte("\ndata:")))
+}
+
 // line returns one line without its end, of at most limit bytes.
 func (r *Reader) line(limit int) ([]byte, error) {
 	var line []byte
--- a/internal/traffic/streamer/streamer_test.go
+++ b/internal/traffic/streamer/streamer_test.go
@@ -26,6 +26,28 @@
 	}
 }
 
+// TestReady checks that an event counts as ready only if it is there whole.
+func TestReady(t *testing.T) {
+	tests := []struct {
+		rest string
+		want bool
+	}{
+		{"", false},
+		{"data: b\n", false},
+		{"id: 2\ndata: b\n\n", true},
+		{"data: b\n\ndata", true},
+		{": ping\n\n", false},
+		{": ping\n\ndata: b\n\n", false},
+		{"id: 2\n\n", false},
+	}
+	for _, tt := range tests {
+		r := streamer.NewReader(strings.NewReader("data: a\n\n" + tt.rest))
+		_, err := r.Next()
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, r.Ready(), qt.Equals, tt.want, qt.Commentf("%q", tt.rest))
+	}
+}
+
 func TestNext(t *testing.T) {
 	tests := []struct {
 		name, src string
