--- a/internal/traffic/receiver/chat.go
+++ b/internal/traffic/receiver/chat.go
@@ -29,6 +29,8 @@
 	// prompt, output and cost sum up all steps that ran.
 	prompt, output int
 	cost           float64
+	// kept is true if only one step could run.
+	kept bool
 }
 
 // chat answers a chat completion request.
