cascader: rate released answers while their estimate rests on few ratings

Cause: the answer of a last step was rated only when explored (2 %), so the dear step's pass rate stayed near its prior and answers were booked lowered by the caution for few ratings: a bias of about 0.025 on a third of the answers, which shows as share above the target.

Change: Plan asks for a rating of its last step's answer until 30 decayed ratings are known; not while judging pauses.

Guard taken out (the least number of ratings): TestRateThinEstimates.

--- a/internal/traffic/cascader/cascader.go
+++ b/internal/traffic/cascader/cascader.go
@@ -79,8 +79,8 @@
 // release; the last is released as it is.
 type Plan struct {
 	Steps []Step
-	// Rate asks that the answer of the last step be rated after its release, to
-	// keep estimates fresh.
+	// Rate asks that the answer of the last step be rated after its release, since
+	// its estimate is stale or rests on few ratings.
 	Rate bool
 	// Cost is the expected cost and Reach the expected share of answers that
 	// reach the quality bar.
@@ -159,6 +159,10 @@
 	if explore > 0 && c.rand() < explore {
 		c.explore(&best, views, alias, judge)
 	}
+	if n := len(best.Steps); n > 0 && !best.Rate {
+		last := best.Steps[n-1]
+		best.Rate = c.thin(key{team: r.Team, class: r.Class, version: last.Version, quality: alias.Quality, after: n > 1})
+	}
 	return best
 }
 
--- a/internal/traffic/cascader/cascader_test.go
+++ b/internal/traffic/cascader/cascader_test.go
@@ -118,6 +118,20 @@
 	c.Check(follow(), qt.IsFalse)
 }
 
+// TestRateThinEstimates checks that answers of the last step are rated after
+// release until enough ratings are known.
+func TestRateThinEstimates(t *testing.T) {
+	c := qt.New(t)
+	k, _ := newCascader()
+	teach(k, cheap, 100, 50, false, time.Second)
+	plan := func() Plan { return k.Plan(&ask, &alias, []Step{cheap, dear}, true, 0) }
+	c.Check(plan().Rate, qt.IsTrue)
+	teach(k, dear, enough, enough, false, time.Second)
+	c.Check(plan().Rate, qt.IsTrue)
+	teach(k, dear, enough, enough, true, time.Second)
+	c.Check(plan().Rate, qt.IsFalse)
+}
+
 func TestExploreStale(t *testing.T) {
 	c := qt.New(t)
 	k, now := newCascader()
