guard: only relays pass on the counts of others

Cause: each daemon pushed on to its data centre's daemons whatever it had heard of other data centres. In a busy second (all daemons ran calls of two versions) an ordinary daemon of 19 data centres of 23 sends 731,654 bytes of messages, against an allowance of 5,000 for all control.

Change: counts of others are passed on only by a daemon that has links to other data centres. Holds are passed on by all, as before.

TestMessageVolume, bytes a second, ordinary and relay: 1 x 8 931, 931; 3 x 3 1226 -> 266, 3358; 1 x 23 2926, 2926; 19 x 23 731,654 -> within 5,000 (asserted), relay 1,926,026. The relay's volume isn't mended: counts have to be summed up by data centre.

Guard taken out (the condition on relays): TestMessageVolume 731,654 bytes, and TestCountsCross, first row.

--- a/internal/fleet/guard/share.go
+++ b/internal/fleet/guard/share.go
@@ -92,8 +92,9 @@
 	peers := g.Peers.Connected()
 	g.forget(peers)
 	totals := g.Counter.Totals()
+	relay := relays(g.Control.Snapshot(), peers)
 	for _, id := range peers {
-		m, keys := g.news(id, totals)
+		m, keys := g.news(id, totals, relay)
 		if len(m.Totals) == 0 && len(m.Holds) == 0 {
 			continue
 		}
@@ -140,8 +141,17 @@
 	g.sent[id] = keys
 }
 
+// relays reports whether a daemon with links to the peers passes on counts
+// between data centres.
+func relays(s *samphireturn.Snapshot, peers []string) bool {
+	return slices.ContainsFunc(s.Members, func(m samphireturn.VM) bool {
+		return m.Centre != s.Self.Centre && slices.Contains(peers, m.ID)
+	})
+}
+
 // news returns the message for a peer and the counts that it will then have.
-func (g *Guard) news(id string, totals []Totals) (message, map[entryKey]Total) {
+// Only a relay passes on counts of others.
+func (g *Guard) news(id string, totals []Totals, relay bool) (message, map[entryKey]Total) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.Control.Snapshot()
@@ -155,8 +165,8 @@
 		news := Totals{Version: t.Version, Epoch: t.Epoch, Instances: make(map[string]Total)}
 		for instance, n := range t.Instances {
 			owner := samphireturn.InstanceVM(instance)
-			direct := owner != s.Self.ID && centres[owner] != "" && centres[owner] == centres[id]
-			if owner == id || direct {
+			direct := centres[owner] != "" && centres[owner] == centres[id]
+			if owner == id || owner != s.Self.ID && (direct || !relay) {
 				continue
 			}
 			k := entryKey{t.Version, t.Epoch, instance}
