cascader: move the price of a good answer by smaller steps

Cause: the price above which a failed answer is released moved by up to a tenth for each answer of surplus at each decision. It swung instead of settling, so that answers other than the dearest were released.

Change: priceStep 0.1 -> 0.02.

--- a/internal/traffic/cascader/pace.go
+++ b/internal/traffic/cascader/pace.go
@@ -16,7 +16,7 @@
 	keptSurplus = 0.5
 	// priceStep is how far the logarithm of the price moves for one answer of
 	// surplus, and maxMove the farthest that it moves at once.
-	priceStep = 0.1
+	priceStep = 0.02
 	maxMove   = 0.3
 	// worthless is the part of the bar below which an answer is never released
 	// while another step is left.
