Order engines to load the wanted versions under a lease of the data centre

Cause: nothing ordered engines to load versions; a roll-out needed each engine to be told by hand, and nothing bounded loads over the daemons.

Change: `engines = N` in [[model.version]] is the wanted number of engines of a data centre. internal/fleet/orderer, a service on every daemon, works under the lease orders/<centre> while something is missing: it reads the engines' own reports, draws the weights (Retry-After kept, through samphireturn.Error.Retry), renews the lease, writes its intent to orders/<centre> by conditional update and sends one order. An order goes out only while the lease outlives its time-out of 2 s, checked again when the body is written, and a new holder waits that long. Empty engines go first, then those with withdrawn versions, then those of the same model; a version in use keeps an engine and its wanted number. samphirectl status prints wanted, loaded and the problem. The engine stand-in takes LoadTime to load, reports what it is loading, and knows the order "replace".

Ruled out: refusing `engines` on a withdrawn version, since a withdrawal would then need one more edit (TestFaultSession/chain_withdrawn met it); it counts as 0.

--- a/cmd/samphirectl/commands.go
+++ b/cmd/samphirectl/commands.go
@@ -14,6 +14,7 @@
 	"samphireturn/internal/config/parser"
 	"samphireturn/internal/config/publisher"
 	"samphireturn/internal/config/reporter"
+	"samphireturn/internal/fleet/orderer"
 )
 
 // poll is the time between two looks at the status while waiting.
@@ -185,12 +186,23 @@
 	return c.print(s, text)
 }
 
+// centreStatus is the status of one data centre.
+type centreStatus struct {
+	reporter.Status
+	Loads   []orderer.Version `json:"loads,omitempty"`
+	Problem string            `json:"problem,omitempty"`
+}
+
 // status prints the status of every data centre.
 func (c *client) status(ctx context.Context) error {
 	all, err := reporter.Read(ctx, c.store)
 	if err != nil {
 		return err
 	}
+	loads, err := orderer.Read(ctx, c.store)
+	if err != nil {
+		return err
+	}
 	var b strings.Builder
 	for _, name := range slices.Sorted(maps.Keys(all)) {
 		s := all[name]
@@ -205,9 +217,20 @@
 			}
 			b.WriteByte('\n')
 		}
+		for _, v := range loads[name].Versions {
+			fmt.Fprintf(&b, "  %s wanted %d loaded %d", v.Name, v.Wanted, v.Loaded)
+			if problem := loads[name].Problem; problem != "" && v.Loaded < v.Wanted {
+				fmt.Fprintf(&b, " problem: %s", problem)
+			}
+			b.WriteByte('\n')
+		}
 	}
 	if len(all) == 0 {
 		b.WriteString("no data centre has reported yet")
 	}
-	return c.print(all, b.String())
+	states := make(map[string]centreStatus)
+	for name, s := range all {
+		states[name] = centreStatus{Status: s, Loads: loads[name].Versions, Problem: loads[name].Problem}
+	}
+	return c.print(states, b.String())
 }
--- a/cmd/samphirectl/main_test.go
+++ b/cmd/samphirectl/main_test.go
@@ -14,6 +14,7 @@
 	"samphireturn"
 	"samphireturn/internal/config/publisher"
 	"samphireturn/internal/fleet/guard"
+	"samphireturn/internal/fleet/orderer"
 )
 
 // memory is an object API without faults but for down.
@@ -145,6 +146,12 @@
 		c.Assert(out.String(), qt.Contains, step.want, note)
 		c.Assert(code, qt.Equals, step.code, note)
 	}
+	var out bytes.Buffer
+	s.report("north")
+	s.objects[orderer.Prefix+"north"] = samphireturn.Object{Name: orderer.Prefix + "north", Value: []byte(
+		`{"centre":"north","versions":[{"name":"a@1","wanted":2,"loaded":1},{"name":"a@2","wanted":1,"loaded":1}],"problem":"none free"}`)}
+	c.Check(run(t.Context(), []string{"--platform", "x", "status"}, &out, &out), qt.Equals, exitOK)
+	c.Check(out.String(), qt.Contains, "  a@1 wanted 2 loaded 1 problem: none free\n  a@2 wanted 1 loaded 1\n")
 	svg, err := os.ReadFile(trace + ".svg")
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(svg), qt.Contains, "</svg>")
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -55,6 +55,7 @@
 	EventGap  uint64        `arg:"--event-gap" default:"10" help:"every n-th cache event is lost; 0 for none"`
 	ReportLag time.Duration `arg:"--report-lag" default:"200ms" help:"age of the reported load"`
 	Resume    time.Duration `arg:"--resume" default:"30s" help:"time in which an answer can be resumed"`
+	Load      time.Duration `arg:"--load" default:"5s" help:"time that loading a version takes"`
 	Fenced    bool          `arg:"--fenced" help:"refuse orders with an old fencing number"`
 	Quality   float64       `arg:"--quality" default:"0.8" help:"mean rating of answers, 0 to 1"`
 	Spread    float64       `arg:"--spread" default:"0.3" help:"rating of the easiest prompt above the hardest"`
@@ -161,7 +162,7 @@
 		g := &generator.Generator{
 			ID: c.ID, Start: start, Versions: c.Versions, Budget: c.Budget, Queue: c.Queue, Speed: c.Speed,
 			Prefill: c.Prefill, Word: c.Word, WarmTime: c.Warm, WarmShare: c.WarmShare, CacheSize: c.Cache,
-			EventLag: c.EventLag, ResumeTime: c.Resume, EventGap: c.EventGap, ReportLag: c.ReportLag, Fenced: c.Fenced,
+			EventLag: c.EventLag, ResumeTime: c.Resume, EventGap: c.EventGap, ReportLag: c.ReportLag, Fenced: c.Fenced, LoadTime: c.Load,
 			Quality: c.Quality, Spread: c.Spread,
 		}
 		return c.Listen, g, g.Close
--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,10 @@
 package samphireturn
 
-import "github.com/go-faster/errors"
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+)
 
 // Kinds of errors at the platform's and the peers' interfaces.
 const (
@@ -40,6 +44,8 @@
 	Op   string
 	Kind Kind
 	Err  error
+	// Retry is how long the other side asked to wait; zero if it did not say.
+	Retry time.Duration
 }
 
 // Error returns the operation, the kind and the cause.
@@ -53,6 +59,15 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// RetryOf returns how long err asks to wait, or zero.
+func RetryOf(err error) time.Duration {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Retry
+	}
+	return 0
+}
+
 // KindOf returns the kind of err, or KindOther if it holds no *Error.
 func KindOf(err error) Kind {
 	var e *Error
--- a/internal/config/validator/models.go
+++ b/internal/config/validator/models.go
@@ -38,6 +38,7 @@
 		c.between(at+".share", v.Share, 0, 1)
 		c.least(at+".input", v.Input)
 		c.least(at+".output", v.Output)
+		c.least(at+".engines", float64(v.Engines))
 		c.state(at, m, v)
 		if v.State == samphireturn.VersionLive || v.State == samphireturn.VersionCanary {
 			sum += v.Share
--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -20,7 +20,9 @@
 	"samphireturn/internal/fleet/detector"
 	"samphireturn/internal/fleet/granter"
 	"samphireturn/internal/fleet/guard"
+	"samphireturn/internal/fleet/leaser"
 	"samphireturn/internal/fleet/messenger"
+	"samphireturn/internal/fleet/orderer"
 	"samphireturn/internal/fleet/ranker"
 	"samphireturn/internal/ledger/biller"
 	"samphireturn/internal/ledger/claimer"
@@ -46,6 +48,7 @@
 	Detector  = "detector"
 	Granter   = "granter"
 	Guard     = "guard"
+	Orderer   = "orderer"
 	Claimer   = "claimer"
 	Biller    = "biller"
 	Reporter  = "reporter"
@@ -135,6 +138,7 @@
 		{Watcher, p.watcher},
 		{Granter, p.granter},
 		{Guard, p.guard},
+		{Orderer, p.orderer},
 		{Claimer, p.claimer},
 		{Biller, p.biller},
 		{Reporter, p.reporter},
@@ -212,6 +216,18 @@
 	return g, nil
 }
 
+func (p *parts) orderer() (kernel.Service, error) {
+	return &orderer.Orderer{
+		Control: p.kernel,
+		Store:   p.platform,
+		Weights: p.platform,
+		Leaser:  &leaser.Leaser{Store: p.platform, Holder: p.instance},
+		Client:  &http.Client{Transport: p.transport},
+		Home:    func() bool { return p.home(orderer.Prefix+p.settings.Centre, 1) },
+		Log:     service(p.log, Orderer),
+	}, nil
+}
+
 func (p *parts) claimer() (kernel.Service, error) {
 	c := &claimer.Claimer{
 		Store: p.platform,
--- a/internal/platform/accessor/accessor.go
+++ b/internal/platform/accessor/accessor.go
@@ -142,13 +142,22 @@
 }
 
 // Weights asks the weight store for the weights of name. It returns an error of
-// KindLimited while the store's rate limit is reached.
+// KindLimited, with the store's Retry-After, while its rate limit is reached.
 func (a *Accessor) Weights(ctx context.Context, name string) error {
 	c := call{op: "weights", name: name, method: http.MethodGet, path: "/v1/weights/" + escape(name)}
 	_, err := a.send(ctx, &c)
 	return err
 }
 
+// retryAfter returns the wait in seconds that an answer asks for, or zero.
+func retryAfter(header http.Header) time.Duration {
+	n, err := strconv.ParseUint(header.Get("Retry-After"), 10, 16)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
+
 type rateRequest struct {
 	Version string `json:"version"`
 	Prompt  string `json:"prompt"`
@@ -207,7 +216,9 @@
 	}
 	kind, ok := c.kind(resp.StatusCode())
 	if !ok {
-		return nil, c.fail(kind, errors.New(resp.Status()))
+		err := c.fail(kind, errors.New(resp.Status()))
+		err.Retry = retryAfter(resp.Header())
+		return nil, err
 	}
 	return resp, nil
 }
--- a/internal/platform/accessor/call.go
+++ b/internal/platform/accessor/call.go
@@ -24,7 +24,7 @@
 }
 
 // fail counts and returns an error of the call.
-func (c *call) fail(kind samphireturn.Kind, err error) error {
+func (c *call) fail(kind samphireturn.Kind, err error) *samphireturn.Error {
 	failures.Add(c.op+" "+kind.String(), 1)
 	return &samphireturn.Error{Op: strings.TrimSpace(c.op + " " + c.name), Kind: kind, Err: err}
 }
--- a/internal/standin/generator/budget.go
+++ b/internal/standin/generator/budget.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// load returns the load of ReportLag ago. The caller holds mu.
-func (g *Generator) load() sample {
+// reported returns the load of ReportLag ago. The caller holds mu.
+func (g *Generator) reported() sample {
 	limit := g.Now().Add(-g.ReportLag)
 	var s sample
 	for _, next := range g.samples {
--- a/internal/standin/generator/generator.go
+++ b/internal/standin/generator/generator.go
@@ -1,11 +1,19 @@
 // Package generator is the stand-in of a model engine: it batches requests
 // within a budget of tokens, warms up, caches prompt prefixes, and makes answers
 // that depend on the prompt and the version only.
+//
+// Orders come as POST /orders with {"fence", "kind", "name"}; the kinds are
+// "load", "replace", "adapter" and "role". A load or replace is answered at once
+// and takes LoadTime, during which GET /report has the version as "loading"; a
+// later order takes its place. With "replace" the engine drops its other versions
+// at once and finishes the requests under way. An engine that is Fenced answers
+// 409 with the highest number seen to an order with a lower one.
 package generator
 
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +66,11 @@
 	ReportLag time.Duration
 	// ResumeTime is how long a run can be resumed after its end.
 	ResumeTime time.Duration
+	// LoadTime is how long the engine takes to load a version.
+	LoadTime time.Duration
+	// RefuseOrder, if not nil, says which orders are answered with status 500 and
+	// not carried out.
+	RefuseOrder func(kind, name string) bool
 	// Fenced makes the engine refuse orders with an old fencing number.
 	Fenced bool
 	// Quality is the rating, from 0 to 1, that answers get on average; Spread is
@@ -85,6 +98,8 @@
 	started  map[string]int
 	last     *run
 	fence    uint64
+	loading  string
+	loaded   time.Time // when loading ends
 	adapters []string
 	role     string
 }
@@ -96,6 +111,15 @@
 	return g.started[id]
 }
 
+// Loaded returns the loaded versions, and the one being loaded if any.
+func (g *Generator) Loaded() (versions []string, loading string) {
+	g.once.Do(g.setUp)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settle()
+	return slices.Clone(g.Versions), g.loading
+}
+
 // Close cancels the runs and waits for them.
 func (g *Generator) Close() {
 	g.once.Do(g.setUp)
--- a/internal/standin/generator/handler.go
+++ b/internal/standin/generator/handler.go
@@ -91,6 +91,7 @@
 func (g *Generator) refusal(req *chatRequest, f injector.Fault) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.settle()
 	switch {
 	case f.Refuse:
 		return codeOverloaded
--- a/internal/standin/generator/protocol.go
+++ b/internal/standin/generator/protocol.go
@@ -77,6 +77,8 @@
 	Warm     bool     `json:"warm"`
 	Leaving  bool     `json:"leaving"`
 	Fenced   bool     `json:"fenced"`
+	// Loading is the version that is being loaded, if any.
+	Loading string `json:"loading,omitempty"`
 }
 
 type eventsReply struct {
@@ -84,6 +86,8 @@
 	Events []Event `json:"events"`
 }
 
+// order tells the engine to load a version beside the others ("load") or in
+// their place ("replace"), to load an adapter, or to change its role.
 type order struct {
 	Fence uint64 `json:"fence"`
 	Kind  string `json:"kind"`
--- a/samphireturn.go
+++ b/samphireturn.go
@@ -91,6 +91,10 @@
 	// Successor names the version of the same model that inherits the sessions
 	// of a withdrawn version.
 	Successor string `toml:"successor" json:"successor"`
+	// Engines is the number of engines of each data centre that should have the
+	// version loaded; zero, or a withdrawn
+	// version, means that none is ordered to load it.
+	Engines int `toml:"engines" json:"engines"`
 	// Input and Output are the price of a million tokens.
 	Input  float64 `toml:"input" json:"input"`
 	Output float64 `toml:"output" json:"output"`
