Mend races of the orderer tests' fakes

Cause: TestFaultOrder set a daemon's fault, and TestFaultOrderWeights its weight store, after the daemon's goroutine had started; go test -race told so at TestFaultOrder/intent/killed_after. The product's code was not in the reports.

Change: the fault is set under the fake's lock, the store before the start.

--- a/internal/fleet/orderer/fault_test.go
+++ b/internal/fleet/orderer/fault_test.go
@@ -156,8 +156,10 @@
 	w.config = config(version("v1", live, 1), version("v2", live, 2), version("v0", withdrawn, 0))
 	stop := w.watch("m@v1")
 	a := w.add("a", "north")
+	a.mu.Lock()
 	a.step = step
 	a.fault = func(effect func() error) error { return faults[fault](a, effect) }
+	a.mu.Unlock()
 	time.Sleep(time.Second)
 	b := w.add("b", "north")
 	b.jump(24 * time.Hour)
@@ -197,9 +199,8 @@
 			w := newWorld(t, true, "m@v1", "", "")
 			w.config = config(version("v1", live, 1), version("v2", live, 2))
 			worlds = append(worlds, w)
-			n := w.add("a", "north")
-			n.Orderer.Weights = &sharedStore{limit: limit, asked: &asked, granted: &granted}
-			nodes = append(nodes, n)
+			w.weights = &sharedStore{limit: limit, asked: &asked, granted: &granted}
+			nodes = append(nodes, w.add("a", "north"))
 		}
 		start := time.Now()
 		missing := func() (n int) {
--- a/internal/fleet/orderer/world_test.go
+++ b/internal/fleet/orderer/world_test.go
@@ -33,6 +33,7 @@
 		store   rate.Limiter
 		retry   time.Duration // Retry-After of the weight store
 		engines map[string]*generator.Generator
+		weights *sharedStore // replaces store if set
 
 		mu              sync.Mutex
 		config          *samphireturn.Config
@@ -159,7 +160,10 @@
 }
 
 // Weights implements orderer.Weights.
-func (n *node) Weights(context.Context, string) error {
+func (n *node) Weights(ctx context.Context, name string) error {
+	if n.w.weights != nil {
+		return n.w.weights.Weights(ctx, name)
+	}
 	return n.do("weights", func() error {
 		n.w.mu.Lock()
 		defer n.w.mu.Unlock()
