--- a/cmd/samphirectl/status.go
+++ b/cmd/samphirectl/status.go
@@ -11,8 +11,16 @@
 	"samphireturn"
 	"samphireturn/internal/config/publisher"
 	"samphireturn/internal/config/reporter"
+	"samphireturn/internal/fleet/orderer"
 )
 
+// centreStatus is the status of one data centre.
+type centreStatus struct {
+	reporter.Status
+	Loads   []orderer.Version `json:"loads,omitempty"`
+	Problem string            `json:"problem,omitempty"`
+}
+
 // status prints the status of every data centre that has reported or is in the
 // configuration.
 func (c *client) status(ctx context.Context) error {
@@ -20,6 +28,10 @@
 	if err != nil {
 		return err
 	}
+	loads, err := orderer.Read(ctx, c.store)
+	if err != nil {
+		return err
+	}
 	out, err := c.centres(ctx)
 	if err != nil {
 		return err
@@ -39,11 +51,18 @@
 		for _, d := range all[name].Daemons {
 			fmt.Fprintf(&b, "  %s\n", line(d))
 		}
+		for _, v := range loads[name].Versions {
+			fmt.Fprintf(&b, "  %s\n", load(v, loads[name].Problem))
+		}
 	}
 	if len(all) == 0 {
 		b.WriteString("no data centre has reported yet")
 	}
-	return c.print(all, b.String())
+	states := make(map[string]centreStatus)
+	for name, s := range all {
+		states[name] = centreStatus{Status: s, Loads: loads[name].Versions, Problem: loads[name].Problem}
+	}
+	return c.print(states, b.String())
 }
 
 // centres returns the data centres of the configuration in force and whether
@@ -83,3 +102,12 @@
 	}
 	return text
 }
+
+// load returns how far a version is loaded, in words.
+func load(v orderer.Version, problem string) string {
+	text := fmt.Sprintf("%s wanted %d loaded %d", v.Name, v.Wanted, v.Loaded)
+	if problem != "" && v.Loaded < v.Wanted {
+		text += " problem: " + problem
+	}
+	return text
+}
--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -28,6 +28,7 @@
 	Detector  = "detector"
 	Granter   = "granter"
 	Guard     = "guard"
+	Orderer   = "orderer"
 	Claimer   = "claimer"
 	Biller    = "biller"
 	Reporter  = "reporter"
@@ -119,6 +120,7 @@
 		{Watcher, p.watcher},
 		{Granter, p.granter},
 		{Guard, p.guard},
+		{Orderer, p.orderer},
 		{Claimer, p.claimer},
 		{Biller, p.biller},
 		{Reporter, p.reporter},
--- a/internal/core/assembler/services.go
+++ b/internal/core/assembler/services.go
@@ -12,6 +12,8 @@
 	"samphireturn/internal/fleet/detector"
 	"samphireturn/internal/fleet/granter"
 	"samphireturn/internal/fleet/guard"
+	"samphireturn/internal/fleet/leaser"
+	"samphireturn/internal/fleet/orderer"
 	"samphireturn/internal/fleet/ranker"
 	"samphireturn/internal/ledger/biller"
 	"samphireturn/internal/ledger/claimer"
@@ -93,6 +95,18 @@
 	return g, nil
 }
 
+func (p *parts) orderer() (kernel.Service, error) {
+	return &orderer.Orderer{
+		Control: p.kernel,
+		Store:   p.platform,
+		Weights: p.platform,
+		Leaser:  &leaser.Leaser{Store: p.platform, Holder: p.instance},
+		Client:  &http.Client{Transport: p.transport},
+		Home:    func() bool { return p.home(orderer.Prefix+p.settings.Centre, 1) },
+		Log:     service(p.log, Orderer),
+	}, nil
+}
+
 func (p *parts) claimer() (kernel.Service, error) {
 	c := &claimer.Claimer{
 		Store: p.platform,
