--- /dev/null
+++ b/cmd/samphirectl/docs_test.go
@@ -0,0 +1,265 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"samphireturn"
+	"samphireturn/internal/config/publisher"
+	"samphireturn/internal/config/reporter"
+	"samphireturn/internal/fleet/guard"
+)
+
+const (
+	root   = "../.."
+	edited = "edit/config.toml"
+)
+
+var (
+	exitNote = regexp.MustCompile(`\s*# exit (\d)$`)
+	word     = regexp.MustCompile(`"([^"]*)"|'([^']*)'|(\S+)`)
+	ticked   = regexp.MustCompile("`([^`]+)`")
+)
+
+// commands returns the samphirectl lines of a page's code blocks, which are fenced
+// or indented.
+func commands(page string) []string {
+	var found []string
+	fence := false
+	for _, text := range strings.Split(page, "\n") {
+		if strings.HasPrefix(text, "```") {
+			fence = !fence
+			continue
+		}
+		if !fence && !strings.HasPrefix(text, "    ") {
+			continue
+		}
+		if text = strings.TrimSpace(text); strings.HasPrefix(text, "samphirectl ") {
+			found = append(found, text)
+		}
+	}
+	return found
+}
+
+// pages returns the text of the operators' pages by path.
+func pages(c *qt.C) map[string]string {
+	paths, err := filepath.Glob(root + "/docs/*.md")
+	c.Assert(err, qt.IsNil)
+	all := make(map[string]string)
+	for _, path := range append(paths, root+"/README.md") {
+		data, err := os.ReadFile(path)
+		c.Assert(err, qt.IsNil)
+		all[path] = string(data)
+	}
+	return all
+}
+
+// living is a platform whose data centres report what is in force whenever their
+// status is read.
+type living struct{ *memory }
+
+func (s living) List(ctx context.Context, prefix string) ([]samphireturn.Object, error) {
+	if prefix == reporter.Prefix {
+		s.report()
+	}
+	return s.memory.List(ctx, prefix)
+}
+
+func (s living) report() {
+	o, ok := s.objects[publisher.ManifestName]
+	if !ok {
+		return
+	}
+	m, err := publisher.Decode(o.Value)
+	if err != nil {
+		panic(err)
+	}
+	for _, name := range []string{"north", "south"} {
+		status := reporter.Status{Centre: name, Time: time.Now(), Daemons: []reporter.Daemon{
+			{ID: name + "1", Generation: m.Generation, Digest: publisher.Hash(o.Value), Ready: true},
+		}}
+		data, err := json.Marshal(status)
+		if err != nil {
+			panic(err)
+		}
+		s.clock++
+		s.objects[reporter.Prefix+name] = samphireturn.Object{Name: reporter.Prefix + name, Version: s.clock, Value: data}
+	}
+}
+
+// TestPagesCommands runs every samphirectl line of the pages, each page from the
+// example configuration, which is in force, with small@v2 held. A line must end
+// with 0, or with N if it ends with "# exit N".
+func TestPagesCommands(t *testing.T) {
+	c := qt.New(t)
+	all := pages(c)
+	example, err := os.ReadFile(root + "/examples/config.toml")
+	c.Assert(err, qt.IsNil)
+	trace, err := os.ReadFile(root + "/testdata/counter.jsonl.gz")
+	c.Assert(err, qt.IsNil)
+	old := openStore
+	defer func() { openStore = old }()
+	t.Setenv("SAMPHIRE_PLATFORM", "http://10.0.0.1:7000")
+	ran := 0
+	for _, path := range slices.Sorted(maps.Keys(all)) {
+		s := &memory{objects: make(map[string]samphireturn.Object)}
+		openStore = func(string) (samphireturn.Store, error) { return living{s}, nil }
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			t.Chdir(t.TempDir())
+			c := qt.New(t)
+			c.Assert(os.WriteFile("config.toml", example, 0o600), qt.IsNil)
+			c.Assert(os.WriteFile("trace.jsonl.gz", trace, 0o600), qt.IsNil)
+			c.Assert(os.Mkdir("edit", 0o700), qt.IsNil)
+			c.Assert(run(t.Context(), []string{"apply", "config.toml"}, &bytes.Buffer{}, &bytes.Buffer{}), qt.Equals, exitOK)
+			_, err := guard.Save(t.Context(), s, guard.Hold{Version: samphireturn.VersionRef{Model: "small", Version: "v2"}, Epoch: 1})
+			c.Assert(err, qt.IsNil)
+			for _, text := range commands(all[path]) {
+				ran++
+				want := exitOK
+				if m := exitNote.FindStringSubmatch(text); m != nil {
+					want, _ = strconv.Atoi(m[1])
+					text = strings.TrimSuffix(text, m[0])
+				}
+				var args []string
+				for _, m := range word.FindAllStringSubmatch(text, -1) {
+					args = append(args, m[1]+m[2]+m[3])
+				}
+				if args[1] == "apply" && slices.Contains(args, edited) {
+					change(c, ran)
+				}
+				var out bytes.Buffer
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				code := run(ctx, args[1:], &out, &out)
+				cancel()
+				c.Check(code, qt.Equals, want, qt.Commentf("%s: %s", text, out.String()))
+			}
+		})
+	}
+	c.Check(ran > 20, qt.IsTrue, qt.Commentf("only %d commands were found", ran))
+}
+
+// change edits the saved configuration, as an operator does before it is applied.
+func change(c *qt.C, n int) {
+	f, err := os.OpenFile(edited, os.O_APPEND|os.O_WRONLY, 0)
+	c.Assert(err, qt.IsNil)
+	_, err = fmt.Fprintf(f, "# change %d\n", n)
+	c.Assert(err, qt.IsNil)
+	c.Assert(f.Close(), qt.IsNil)
+}
+
+// names are what the program's code calls its counters and log events.
+type names struct{ counters, messages, reasons map[string]bool }
+
+// readNames reads the product's code without its tests and stand-ins.
+func readNames(c *qt.C) names {
+	n := names{make(map[string]bool), make(map[string]bool), make(map[string]bool)}
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		skip := strings.Contains(path, "standin")
+		if err != nil || d.IsDir() || skip || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(file, func(node ast.Node) bool {
+			n.note(node)
+			return true
+		})
+		return nil
+	})
+	c.Assert(err, qt.IsNil)
+	return n
+}
+
+// note keeps the name that a call or a literal gives.
+func (n names) note(node ast.Node) {
+	if l, ok := node.(*ast.BasicLit); ok && l.Kind == token.STRING {
+		if text, err := strconv.Unquote(l.Value); err == nil {
+			n.reasons[text] = true
+		}
+	}
+	call, ok := node.(*ast.CallExpr)
+	if !ok || len(call.Args) == 0 {
+		return
+	}
+	f, ok := call.Fun.(*ast.SelectorExpr)
+	l, literal := call.Args[0].(*ast.BasicLit)
+	if !ok || !literal {
+		return
+	}
+	text, err := strconv.Unquote(l.Value)
+	if err != nil {
+		return
+	}
+	of, _ := f.X.(*ast.Ident)
+	switch {
+	case f.Sel.Name == "Msg":
+		n.messages[text] = true
+	case of != nil && of.Name == "expvar":
+		n.counters[text] = true
+	}
+}
+
+// table returns the names in backquotes of the first column of the table that
+// begins with a heading.
+func table(page, heading string) map[string]bool {
+	found := make(map[string]bool)
+	_, rest, _ := strings.Cut(page, "| "+heading+" |")
+	for i, row := range strings.Split(rest, "\n") {
+		if i > 0 && !strings.HasPrefix(row, "|") {
+			break
+		}
+		if cells := strings.Split(row, "|"); i > 1 && len(cells) > 1 {
+			for _, m := range ticked.FindAllStringSubmatch(cells[1], -1) {
+				found[m[1]] = true
+			}
+		}
+	}
+	return found
+}
+
+// TestPagesNames compares the counters and log events of the code with the
+// tables of docs/OPERATING.md, both ways, and what docs/RUNBOOKS.md names with
+// the code.
+func TestPagesNames(t *testing.T) {
+	c := qt.New(t)
+	all := pages(c)
+	page := all[root+"/docs/OPERATING.md"]
+	n := readNames(c)
+	c.Check(len(n.counters) > 30 && len(n.messages) > 30, qt.IsTrue)
+	c.Check(slices.Sorted(maps.Keys(table(page, "Counter"))), qt.DeepEquals, slices.Sorted(maps.Keys(n.counters)))
+	c.Check(slices.Sorted(maps.Keys(table(page, "Message"))), qt.DeepEquals, slices.Sorted(maps.Keys(n.messages)))
+	counter := regexp.MustCompile(`^([a-z]+_[a-z_]+)(?:\.([a-z_ ]+))?$`)
+	for _, m := range ticked.FindAllStringSubmatch(all[root+"/docs/RUNBOOKS.md"], -1) {
+		name := m[1]
+		if text, ok := strings.CutPrefix(name, `"`); ok {
+			c.Check(n.messages[strings.TrimSuffix(text, `"`)], qt.IsTrue, qt.Commentf("no log event %s", name))
+			continue
+		}
+		if p := counter.FindStringSubmatch(name); p != nil {
+			c.Check(n.counters[p[1]] || p[2] == "" && n.reasons[p[1]], qt.IsTrue, qt.Commentf("no counter or code %s", name))
+			for _, part := range strings.Fields(p[2]) {
+				known := n.reasons[p[2]] || n.reasons[part]
+				c.Check(known, qt.IsTrue, qt.Commentf("no reason of %s", name))
+			}
+		}
+	}
+}
--- a/internal/core/assembler/fleet_test.go
+++ b/internal/core/assembler/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"strings"
@@ -40,11 +41,15 @@
 	homes []string
 }
 
-func newFleet(c *qt.C) *fleet {
+func newFleet(c *qt.C) *fleet { return newFleetLog(c, nil) }
+
+// newFleetLog is newFleet with a writer of the daemons' log lines.
+func newFleetLog(c *qt.C, log io.Writer) *fleet {
 	data, err := os.ReadFile("../../../examples/config.toml")
 	c.Assert(err, qt.IsNil)
 	s, err := starter.New()
 	c.Assert(err, qt.IsNil)
+	s.Log = log
 	f := &fleet{Starter: s, c: c, config: string(data), daemons: make(map[string]*starter.Daemon), seen: make(map[string]uint64)}
 	f.change("first")
 	var north []samphireturn.VM
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -120,6 +120,7 @@
 peer = "$peer"
 platform = "$platform"
 fleet = "the fleet key of the demo"
+seeds = ["$(addr 7)", "$(addr 11)"]
 level = "info"
 
 [limits]
