--- a/internal/traffic/receiver/stream.go
+++ b/internal/traffic/receiver/stream.go
@@ -61,26 +61,28 @@
 		return r.release(ctx, t, a)
 	}
 	last := plan.Steps[len(plan.Steps)-1]
-	w, err := t.send(last.Version, true)
+	w, err := t.send(last.Version, t.id, true)
 	if err != nil {
 		return err
 	}
 	start := time.Now()
 	s, err := r.Router.Open(ctx, w)
 	if answer := passed(err); answer != nil {
-		t.write(&reply{status: answer.Status, kind: answer.Header.Get("Content-Type"), body: answer.Body, version: last.Version})
+		t.write(&reply{status: answer.Status, kind: answer.Header.Get("Content-Type"), body: answer.Body, version: last.Version, run: samphireturn.RunYes})
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	defer s.Close()
+	t.result.endpoint, t.result.version, t.result.run = s.Endpoint.ID, last.Version.String(), samphireturn.RunYes
 	a = &answer{status: http.StatusOK, version: last.Version, endpoint: s.Endpoint.ID}
 	err = r.relay(ctx, t, s, a, last)
 	if err != nil {
 		return err
 	}
 	r.hold(s.Endpoint, t)
+	r.Picker.Learn(s.Endpoint, a.usage.Prompt, a.usage.Output, s.Endpoint.Gauge.Calls.Load(), s.Took)
 	r.learn(t, a, t.cost, time.Since(start), len(plan.Steps) > 1, plan.Rate)
 	return nil
 }
@@ -94,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	t.write(&reply{status: a.status, kind: "text/event-stream", body: events(t.id, a), version: a.version, token: token})
+	t.write(&reply{status: a.status, kind: "text/event-stream", body: events(t.id, a), version: a.version, token: token, run: samphireturn.RunYes})
 	return nil
 }
 
