Redial a broken peer link after at most 3 s

Cause: after a cut between data centres healed, the next dial came up to 5 s later and the other side's versions up to a second after it, so a request could still be refused 6 s after the cut (TestFaultCentreOutAndIn, north cut off from the south: 5 of 6 runs had one refusal at 6.0 s). Ruled out: the pools and grants of the other data centre, which served its own callers all along. Change: the longest wait before another dial is 3 s instead of 5 s.

--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -157,7 +157,7 @@
 		HandshakeTime: 5 * time.Second,
 		CallTime:      10 * time.Second,
 		RetryMin:      100 * time.Millisecond,
-		RetryMax:      5 * time.Second,
+		RetryMax:      3 * time.Second,
 		Workers:       64,
 		self:          self,
 		key:           []byte(key),
