--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,7 @@
 package samphireturn
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -49,12 +50,7 @@
 }
 
 // Error returns the operation, the kind and the cause.
-func (e *Error) Error() string {
-	if e.Err == nil {
-		return e.Op + ": " + e.Kind.String()
-	}
-	return e.Op + ": " + e.Kind.String() + ": " + e.Err.Error()
-}
+func (e *Error) Error() string { return ErrorText(e.Op, e.Kind, e.Err) }
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
@@ -76,3 +72,11 @@
 	}
 	return KindOther
 }
+
+// ErrorText returns "op: kind: cause", without the cause if err is nil.
+func ErrorText(op string, kind fmt.Stringer, err error) string {
+	if err == nil {
+		return op + ": " + kind.String()
+	}
+	return op + ": " + kind.String() + ": " + err.Error()
+}
--- /dev/null
+++ b/fleet.go
@@ -0,0 +1,129 @@
+package samphireturn
+
+import (
+	"strings"
+	"sync/atomic"
+)
+
+const (
+	// RoleEntry is the role of a VM that runs samphireturnd.
+	RoleEntry = "entry"
+	// RoleEngine is the role of a VM that serves a model.
+	RoleEngine = "engine"
+	// RoleService is the role of a VM that serves a plain service.
+	RoleService = "service"
+)
+
+// Instance returns the name of one process of the daemon with the id. No two
+// processes share a name.
+func Instance(id, start string) string { return id + "." + start }
+
+// InstanceVM returns the id of the daemon whose process has the name.
+func InstanceVM(instance string) string {
+	i := strings.LastIndexByte(instance, '.')
+	if i < 0 {
+		return instance
+	}
+	return instance[:i]
+}
+
+// VM is one entry of the platform's VM list.
+type VM struct {
+	ID      string `json:"id"`
+	Leaving bool   `json:"leaving,omitempty"`
+	Centre  string `json:"centre"`
+	Role    string `json:"role"`
+	// Addr is the host:port for callers' or endpoint traffic.
+	Addr string `json:"addr"`
+	// Peer is the host:port for links between daemons; empty for endpoints.
+	Peer string `json:"peer,omitempty"`
+	// Service is the name of the plain service that the VM serves.
+	Service string `json:"service,omitempty"`
+}
+
+// Endpoint is an engine or a plain service's VM as this daemon sees it. The
+// value is immutable; Gauge is shared with traffic.
+type Endpoint struct {
+	// The fields that each decision reads come first, so that they share a cache
+	// line.
+	Gauge *Gauge
+	// Home is the daemon that reads the endpoint's reports and grants budget.
+	Home string
+	// Budget is the concurrent work, in tokens, that the endpoint bears when
+	// warm; zero until its first report.
+	Budget int64
+	// Used is the work under way at the endpoint, from all daemons, at its last
+	// report, which lags.
+	Used int64
+	// Queued is the work waiting at the endpoint at its last report, in tokens.
+	Queued int64
+	// Speed is the tokens a second that the endpoint makes; zero if unknown.
+	Speed float64
+	// Warm is false while the endpoint is being ramped up.
+	Warm bool
+	// Fenced is true if the endpoint checks the fencing number of orders.
+	Fenced bool
+	VM
+	// Start changes when the endpoint's process starts anew.
+	Start uint64
+	// Versions lists what an engine has loaded.
+	Versions []VersionRef
+}
+
+// Gauge counts one daemon's work at one endpoint. The zero value allows
+// nothing. It is safe for concurrent use.
+type Gauge struct {
+	// Outstanding is the work under way from this daemon, in tokens.
+	Outstanding atomic.Int64
+	// Calls is the number of requests under way from this daemon.
+	Calls atomic.Int64
+	// Allowed is the work that this daemon may have under way, in tokens.
+	Allowed atomic.Int64
+	// Wanted is the most work that this daemon would have had under way since the
+	// granter last looked, and Unit the largest request among it.
+	Wanted, Unit atomic.Int64
+	// Lapse is the time, in nanoseconds of the limiter's clock, when Allowed
+	// ends.
+	Lapse atomic.Int64
+	// Pace is the speed that this daemon saw.
+	Pace Pace
+}
+
+// Want notes that this daemon has work of the given size for the endpoint, in
+// tokens, whether the grant has room for it or not.
+func (g *Gauge) Want(work int64) {
+	raise(&g.Wanted, g.Outstanding.Load()+work)
+	raise(&g.Unit, work)
+}
+
+// raise sets v to at least n.
+func raise(v *atomic.Int64, n int64) {
+	for old := v.Load(); old < n; old = v.Load() {
+		if v.CompareAndSwap(old, n) {
+			return
+		}
+	}
+}
+
+// Snapshot is what traffic sees of the control state. It is immutable.
+type Snapshot struct {
+	Config *Config
+	// Preset is the preset in force.
+	Preset *Preset
+	// Self is this daemon.
+	Self VM
+	// Members are the daemons of all data centres, this one included once it is
+	// in the VM list.
+	Members []VM
+	// Endpoints are all known endpoints by id.
+	Endpoints map[string]*Endpoint
+	// Pools holds the endpoints of this data centre that serve a version.
+	Pools map[VersionRef][]*Endpoint
+	// Services holds this data centre's endpoints of each plain service.
+	Services map[string][]*Endpoint
+	// Remote holds, for each version, the data centres not taken out that serve
+	// it, this one excluded.
+	Remote map[VersionRef][]string
+	// Held lists versions that take no new sessions until released.
+	Held map[VersionRef]bool
+}
--- a/internal/ledger/minter/errors.go
+++ b/internal/ledger/minter/errors.go
@@ -1,6 +1,10 @@
 package minter
 
-import "expvar"
+import (
+	"expvar"
+
+	"samphireturn"
+)
 
 // Kinds of errors.
 const (
@@ -44,12 +48,7 @@
 }
 
 // Error returns the operation, the kind and the cause.
-func (e *Error) Error() string {
-	if e.Err == nil {
-		return e.Op + ": " + e.Kind.String()
-	}
-	return e.Op + ": " + e.Kind.String() + ": " + e.Err.Error()
-}
+func (e *Error) Error() string { return samphireturn.ErrorText(e.Op, e.Kind, e.Err) }
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/request.go
@@ -0,0 +1,47 @@
+package samphireturn
+
+import "time"
+
+// Request is one caller's request as the decision code sees it.
+type Request struct {
+	ID   string
+	Team string
+	// Class groups requests of a team that are alike; empty is a class too.
+	Class string
+	// Model is what the caller asked for: a model, a version or an alias.
+	Model string
+	// Session is the verified session; nil for the first request of one.
+	Session *Session
+	// Prompt and Output estimate the request's tokens.
+	Prompt, Output int
+	// Prefixes are hashes of the prompt's leading blocks, longest last.
+	Prefixes []uint64
+	Priority int
+	Deadline time.Time
+	Stream   bool
+}
+
+// Session is the content of a session token.
+type Session struct {
+	ID       string `cbor:"i"`
+	Team     string `cbor:"t"`
+	Model    string `cbor:"m"`
+	Version  string `cbor:"v"`
+	Endpoint string `cbor:"e"`
+	// Issued is in seconds since 1970 UTC.
+	Issued int64 `cbor:"a"`
+}
+
+// Usage is the record of one billed request.
+type Usage struct {
+	Request string     `cbor:"r" json:"request"`
+	Team    string     `cbor:"t" json:"team"`
+	Version VersionRef `cbor:"v" json:"version"`
+	Service string     `cbor:"s,omitempty" json:"service,omitempty"`
+	Prompt  int        `cbor:"p" json:"prompt"`
+	Output  int        `cbor:"o" json:"output"`
+	// Cost is in the currency unit of the configured prices.
+	Cost float64 `cbor:"c" json:"cost"`
+	// Time is in milliseconds since 1970 UTC.
+	Time int64 `cbor:"a" json:"time"`
+}
