Send peers only the parts of a configuration that they lack

Cause: a peer that had announced a new generation sent all of its parts to each daemon that asked. Ruled out: announcing less often, since a change must be in force in 5 s. Change: a daemon that asks a peer known to be newer names the parts that it has. Without the omission the test fails. A configuration in one file is still sent whole.

--- a/internal/config/watcher/exchanger.go
+++ b/internal/config/watcher/exchanger.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
+
+	"samphireturn/internal/config/publisher"
 )
 
 // handleGet answers a peer that asks for a configuration newer than its own.
@@ -22,7 +26,39 @@
 	if a.Generation >= b.Generation {
 		return Bundle{Generation: b.Generation}, nil
 	}
-	return b, nil
+	return b.without(a.Have), nil
+}
+
+// without returns the bundle without the parts that have the hashes.
+func (b Bundle) without(hashes []string) Bundle {
+	parts := make(map[string][]byte, len(b.Parts))
+	for hash, data := range b.Parts {
+		if !slices.Contains(hashes, hash) {
+			parts[hash] = data
+		}
+	}
+	b.Parts = parts
+	return b
+}
+
+// with returns the bundle with the parts that its manifest names and that it
+// lacks, as far as they are known.
+func (b Bundle) with(known map[string][]byte) Bundle {
+	m, err := publisher.Decode(b.Manifest)
+	if err != nil {
+		return b
+	}
+	parts := maps.Clone(b.Parts)
+	if parts == nil {
+		parts = make(map[string][]byte)
+	}
+	for _, p := range m.Parts {
+		if data, ok := known[p.Hash]; ok && parts[p.Hash] == nil {
+			parts[p.Hash] = data
+		}
+	}
+	b.Parts = parts
+	return b
 }
 
 // handleNew notes that a peer has put a generation in force.
@@ -61,7 +97,7 @@
 		case w.Generation() == 0:
 			w.askAll(peers)
 		default:
-			w.ask(peers[turn%len(peers)])
+			w.ask(peers[turn%len(peers)], false)
 		}
 		w.rest()
 	}
@@ -80,7 +116,7 @@
 		case <-w.ctx.Done():
 			return
 		case peer := <-w.kick:
-			w.ask(peer)
+			w.ask(peer, true)
 		case <-t.C:
 			return
 		}
@@ -91,24 +127,32 @@
 func (w *Watcher) askAll(peers []string) {
 	var all sync.WaitGroup
 	for _, p := range peers {
-		all.Go(func() { w.ask(p) })
+		all.Go(func() { w.ask(p, false) })
 	}
 	all.Wait()
 }
 
-// ask takes over the peer's configuration if it is newer.
-func (w *Watcher) ask(peer string) {
+// ask takes over the peer's configuration if it is newer. A peer that is known to
+// be newer is told which parts need not be sent.
+func (w *Watcher) ask(peer string, newer bool) {
 	ctx, cancel := context.WithTimeout(w.ctx, callTimeout)
 	defer cancel()
+	w.mu.Lock()
+	known := w.bundle.Parts
+	w.mu.Unlock()
 	var b Bundle
-	if err := w.Peers.Call(ctx, peer, TopicGet, Ask{Generation: w.Generation()}, &b); err != nil {
+	a := Ask{Generation: w.Generation()}
+	if newer {
+		a.Have = slices.Sorted(maps.Keys(known))
+	}
+	if err := w.Peers.Call(ctx, peer, TopicGet, a, &b); err != nil {
 		retries.Add("peer", 1)
 		return
 	}
 	if len(b.Manifest) == 0 {
 		return
 	}
-	if fresh, err := w.adopt(b, peer); err == nil && fresh {
+	if fresh, err := w.adopt(b.with(known), peer); err == nil && fresh {
 		w.announce(peer)
 	}
 }
--- a/internal/config/watcher/store_test.go
+++ b/internal/config/watcher/store_test.go
@@ -153,6 +153,8 @@
 type mesh struct {
 	mu    sync.Mutex
 	peers map[string]*peer
+	// sent is the size in bytes of the largest answer.
+	sent int
 }
 
 type peer struct {
@@ -222,6 +224,9 @@
 	if data, err = cbor.Marshal(v); err != nil {
 		return err
 	}
+	p.mesh.mu.Lock()
+	p.mesh.sent = max(p.mesh.sent, len(data))
+	p.mesh.mu.Unlock()
 	return cbor.Unmarshal(data, reply)
 }
 
--- a/internal/config/watcher/watcher.go
+++ b/internal/config/watcher/watcher.go
@@ -69,10 +69,12 @@
 		Generation uint64 `cbor:"g"`
 		// Blind says that the sender is home and does not reach the platform.
 		Blind bool `cbor:"b,omitempty"`
+		// Have are the hashes of the parts that the sender has.
+		Have []string `cbor:"h,omitempty"`
 	}
 
-	// Bundle is a manifest with its parts by hash; it is empty if there is
-	// nothing newer.
+	// Bundle is a manifest with its parts by hash, but for those that the asker
+	// has; it is empty if there is nothing newer.
 	Bundle struct {
 		Generation uint64            `cbor:"g"`
 		Manifest   []byte            `cbor:"m,omitempty"`
--- a/internal/config/watcher/watcher_test.go
+++ b/internal/config/watcher/watcher_test.go
@@ -151,6 +151,38 @@
 	})
 }
 
+// TestChangedPartsOnly checks that a change of a small part does not send the
+// others to peers again.
+func TestChangedPartsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s, m := newStore(), new(mesh)
+		files := example(c, strings.Repeat("a long remark ", 1000))
+		files["small.toml"] = []byte("# one\n")
+		p := publisher.Publisher{Store: s, Author: "a"}
+		_, err := p.Apply(ctx, files, 0)
+		c.Assert(err, qt.IsNil)
+		home := daemon(t, s, m, "n1", true)
+		defer home.Close()
+		time.Sleep(5 * time.Second)
+		other := daemon(t, s, m, "n2", false)
+		defer other.Close()
+		time.Sleep(5 * time.Second)
+		c.Assert(other.Generation(), qt.Equals, uint64(1))
+		m.mu.Lock()
+		m.sent = 0
+		m.mu.Unlock()
+		files["small.toml"] = []byte("# two\n")
+		_, err = p.Apply(ctx, files, 1)
+		c.Assert(err, qt.IsNil)
+		time.Sleep(5 * time.Second)
+		c.Assert(other.Generation(), qt.Equals, uint64(2))
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		c.Check(m.sent < 2000, qt.IsTrue, qt.Commentf("%d bytes", m.sent))
+	})
+}
+
 func TestWatcherKeepsLastGood(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
