--- a/internal/core/assembler/assembler_test.go
+++ b/internal/core/assembler/assembler_test.go
@@ -165,3 +165,24 @@
 		c.Check(s.Close(), qt.IsNil)
 	})
 }
+
+func TestHeaderAndIdleLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s, daemons := install(t, c)
+		status, _, _, err := daemons[0].Send(context.Background(), "GET", "/v1/models", "", "X-Long", strings.Repeat("x", 100<<10))
+		c.Check(err, qt.IsNil)
+		c.Check(status, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+		conn, err := s.Network.Dial("caller")(context.Background(), "tcp", daemons[0].VM.Addr)
+		c.Assert(err, qt.IsNil)
+		_, err = conn.Write([]byte("GET /livez HTTP/1.1\r\nHost: x\r\n\r\n"))
+		c.Assert(err, qt.IsNil)
+		start := time.Now()
+		buf := make([]byte, 1<<10)
+		for err == nil {
+			_, err = conn.Read(buf)
+		}
+		c.Check(time.Since(start), qt.Equals, 2*time.Minute)
+		c.Check(s.Close(), qt.IsNil)
+	})
+}
