Do not take the time of a whole answer for a first token's

Cause: the router told its observers the time of the whole answer as the time of the first token, so an endpoint whose answers grew long would have been ramped up anew as cold after three of them. Ruled out: the rule itself, which compares with a record of the same endpoint. Change: the time is told for streams alone; zero says that it is not known, and the granter passes over it. TestFirstToken failed before (chat: 25 s) and passes after.

--- a/internal/fleet/granter/ramp.go
+++ b/internal/fleet/granter/ramp.go
@@ -158,9 +158,12 @@
 	}
 }
 
-// late reports whether first-token times are far off the record. The caller
-// holds markMu.
+// late reports whether first-token times are far off the record. A time of zero
+// is not known and says nothing. The caller holds markMu.
 func (m *mark) late(first time.Duration) bool {
+	if first <= 0 {
+		return false
+	}
 	if m.record > 0 && first > slowFloor && first > slowFactor*m.record {
 		m.slow++
 		return m.slow == slowCount
--- a/internal/traffic/router/router.go
+++ b/internal/traffic/router/router.go
@@ -28,7 +28,8 @@
 // Observer learns how requests went. Its methods must not block.
 type Observer interface {
 	// Sent is called after each answer or failure of an endpoint. Err is nil
-	// after a success. First is the time until the answer's first bytes.
+	// after a success. First is the time until the first token; zero if it is not
+	// known, as for a whole answer.
 	Sent(e *samphireturn.Endpoint, v samphireturn.VersionRef, first time.Duration, err *dispatcher.Error)
 }
 
@@ -110,11 +111,11 @@
 // Errors are of type *samphireturn.Refusal.
 func (r *Router) Send(ctx context.Context, w Work) (*dispatcher.Answer, *samphireturn.Endpoint, error) {
 	var answer *dispatcher.Answer
-	e, err := r.attempt(ctx, w, func(e *samphireturn.Endpoint) error {
+	e, err := r.attempt(ctx, w, func(e *samphireturn.Endpoint) (time.Duration, error) {
 		defer r.release(e, w)
 		var err error
 		answer, err = r.Dispatcher.Send(ctx, r.call(e, w))
-		return err
+		return 0, err
 	})
 	return answer, e, err
 }
@@ -124,27 +125,29 @@
 // are of type *samphireturn.Refusal.
 func (r *Router) Open(ctx context.Context, w Work) (*Stream, error) {
 	var s *Stream
-	_, err := r.attempt(ctx, w, func(e *samphireturn.Endpoint) error {
+	_, err := r.attempt(ctx, w, func(e *samphireturn.Endpoint) (time.Duration, error) {
 		release := func() { r.release(e, w) }
+		start := time.Now()
 		inner, err := r.Dispatcher.Open(ctx, r.call(e, w))
 		if err != nil {
 			release()
-			return err
+			return 0, err
 		}
 		first, err := inner.Next()
 		if err != nil {
 			_ = inner.Close()
 			release()
-			return err
+			return 0, err
 		}
 		s = &Stream{Stream: inner, Endpoint: e, first: first, release: release}
-		return nil
+		return time.Since(start), nil
 	})
 	return s, err
 }
 
-// attempt sends w to one endpoint after another until one answers.
-func (r *Router) attempt(ctx context.Context, w Work, send func(*samphireturn.Endpoint) error) (*samphireturn.Endpoint, error) {
+// attempt sends w to one endpoint after another until one answers. Send returns
+// the time until the first token, if it knows it.
+func (r *Router) attempt(ctx context.Context, w Work, send func(*samphireturn.Endpoint) (time.Duration, error)) (*samphireturn.Endpoint, error) {
 	var (
 		tried []string
 		last  *dispatcher.Error
@@ -162,15 +165,14 @@
 			return nil, refusal
 		}
 		tried = append(tried, e.ID)
-		start := time.Now()
-		err := send(e)
+		first, err := send(e)
 		if err == nil {
-			r.observe(e, w, time.Since(start), nil)
+			r.observe(e, w, first, nil)
 			return e, nil
 		}
 		last = dispatcher.AsError(err)
 		run = samphireturn.WorseRun(run, last.Run)
-		r.observe(e, w, time.Since(start), last)
+		r.observe(e, w, 0, last)
 		if last.Kind == dispatcher.KindStatus && last.Answer.Status < http.StatusInternalServerError {
 			break
 		}
