Space the batches of a claims' shard

Cause: a shard gathered for 20 ms and committed without a pause, so sixteen busy shards wrote up to 800 times a second, more than the platform takes. Ruled out: fewer shards, which would keep fewer claims. Change: a shard begins a batch at most every 100 ms; an idle one still answers after 20 ms. A claim of a busy shard waits up to 100 ms.

--- a/internal/ledger/claimer/claimer.go
+++ b/internal/ledger/claimer/claimer.go
@@ -64,6 +64,8 @@
 	DefaultShards = 16
 	// DefaultGather is the time that a batch waits for more.
 	DefaultGather = 20 * time.Millisecond
+	// DefaultSpacing is the least time between two batches of a shard.
+	DefaultSpacing = 100 * time.Millisecond
 	// DefaultFinish is the longest time that an outcome waits for a batch.
 	DefaultFinish = time.Second
 	// DefaultWait bounds one peer call and the commit of one batch.
@@ -137,9 +139,11 @@
 	// mean the default.
 	Shards                  int
 	Gather, Finishing, Wait time.Duration
-	Slack, WindowAge        time.Duration
-	WindowSize              int
-	Limit, Batch            int
+	// Spacing is the least time between two batches of a shard.
+	Spacing          time.Duration
+	Slack, WindowAge time.Duration
+	WindowSize       int
+	Limit, Batch     int
 
 	mu     sync.Mutex
 	closed bool
--- a/internal/ledger/claimer/rate_test.go
+++ b/internal/ledger/claimer/rate_test.go
@@ -30,7 +30,7 @@
 			time.Sleep(5 * time.Second)
 			w.store.mu.Lock()
 			defer w.store.mu.Unlock()
-			most := seconds * claimer.DefaultShards * int(time.Second/claimer.DefaultGather)
+			most := (seconds + 1) * claimer.DefaultShards * int(time.Second/claimer.DefaultSpacing)
 			t.Logf("%d claims a second: %.1f writes a second, largest window %d bytes", rate, float64(w.store.writes)/seconds, w.store.biggest)
 			w.Check(w.store.writes <= min(most, 2*seconds*rate), qt.IsTrue)
 		})
--- a/internal/ledger/claimer/shard.go
+++ b/internal/ledger/claimer/shard.go
@@ -35,6 +35,8 @@
 
 	log     *log
 	trimmed time.Time
+	// begun is when the last batch was begun.
+	begun time.Time
 }
 
 // attempt is one claim that waits for its batch.
@@ -139,6 +141,7 @@
 			c.mu.Unlock()
 			return
 		}
+		s.begun = c.now()
 		c.mu.Unlock()
 		ctx, cancel := context.WithTimeout(context.Background(), orTime(c.Wait, DefaultWait))
 		doubt, err := c.decide(ctx, s, attempts, finished)
@@ -182,9 +185,11 @@
 }
 
 // gather waits until a batch is worth its write: shortly for an attempt or a
-// release, longer if only outcomes wait or the last batch failed.
+// release, longer if only outcomes wait or the last batch failed. Batches of a
+// busy shard keep their spacing, so that its writes have a bound.
 func (c *Claimer) gather(s *shard) {
 	c.mu.Lock()
+	since := c.now().Sub(s.begun)
 	hurry := len(s.attempts) > 0 || !s.wait && slices.ContainsFunc(s.finished, func(e *ending) bool { return e.record.Freed })
 	idle := len(s.attempts)+len(s.finished) == 0
 	s.wait = false
@@ -201,7 +206,8 @@
 			return
 		}
 	}
-	time.Sleep(orTime(c.Gather, DefaultGather))
+	rest := orTime(c.Spacing, DefaultSpacing) - max(since, 0)
+	time.Sleep(max(orTime(c.Gather, DefaultGather), rest))
 	select {
 	case <-s.soon:
 	default:
