Count a data centre again at once when it is heard of after a long cut

Cause: after four periods of silence what another data centre serves was left out of the pools; when it told the same versions again, nothing was published, as they equalled the remembered ones, until the next period. Change: hearing of a forgotten data centre publishes.

--- a/internal/fleet/detector/detector.go
+++ b/internal/fleet/detector/detector.go
@@ -38,6 +38,9 @@
 	// secondTime is the least time between two reads of the second home, in
 	// halves of a list period, so that it reads every other period.
 	secondTime = 3
+	// servingPeriods is the number of periods after which what another data centre
+	// serves is forgotten.
+	servingPeriods = 4
 	// reportLimit bounds the body of a report, in bytes.
 	reportLimit = 64 << 10
 	// failLimit is the number of failed reads after which an endpoint counts as
--- a/internal/fleet/detector/lists_test.go
+++ b/internal/fleet/detector/lists_test.go
@@ -1,15 +1,18 @@
 package detector
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"samphireturn"
+	"samphireturn/internal/fleet/encoder"
 )
 
 // drawList draws a sorted VM list of data centre x.
@@ -61,3 +64,26 @@
 		c.Check(w.largest < 1000, qt.IsTrue, qt.Commentf("largest message %d bytes", w.largest))
 	})
 }
+
+// TestServingAfterSilence checks that a data centre that is heard of again after
+// it was forgotten counts at once, though it serves what it served before.
+func TestServingAfterSilence(t *testing.T) {
+	run(t, func(c *qt.C, w *world) {
+		d := w.daemons["a"]
+		v := samphireturn.VersionRef{Model: "m", Version: "1"}
+		tell := func() {
+			body, err := encoder.Marshal(Serving{Centre: "q", Versions: []samphireturn.VersionRef{v}, Local: true})
+			c.Assert(err, qt.IsNil)
+			_, err = d.handlers[TopicServing](context.Background(), "q1", body)
+			c.Assert(err, qt.IsNil)
+			synctest.Wait()
+		}
+		known := func() bool { return slices.Contains(d.Snapshot().Remote[v], "q") }
+		tell()
+		c.Check(known(), qt.IsTrue)
+		time.Sleep(30 * time.Second)
+		c.Check(known(), qt.IsFalse)
+		tell()
+		c.Check(known(), qt.IsTrue)
+	})
+}
--- a/internal/fleet/detector/publish.go
+++ b/internal/fleet/detector/publish.go
@@ -112,7 +112,7 @@
 		u.left[vm.ID] = vm.Leaving || r.Leaving || r.Failed || leaving
 	}
 	for centre, s := range d.serving {
-		if d.Now().Sub(s.at) < 4*d.ServingTime {
+		if d.current(s) {
 			u.remote[centre] = s.versions
 		}
 	}
@@ -228,6 +228,11 @@
 	})
 }
 
+// current reports whether what another data centre serves still counts.
+func (d *Detector) current(r remote) bool {
+	return d.Now().Sub(r.at) < servingPeriods*d.ServingTime
+}
+
 // takeServing handles TopicServing and passes the message on within the data
 // centre.
 func (d *Detector) takeServing(ctx context.Context, _ string, body []byte) (any, error) {
@@ -237,10 +242,11 @@
 	}
 	d.mu.Lock()
 	old := d.serving[in.Centre]
+	forgotten := !d.current(old)
 	d.serving[in.Centre] = remote{versions: in.Versions, at: d.Now()}
 	to := d.others()
 	d.mu.Unlock()
-	if !slices.Equal(old.versions, in.Versions) {
+	if forgotten || !slices.Equal(old.versions, in.Versions) {
 		d.publish()
 	}
 	if !in.Local {
