Work out grants without new slices

Cause: in a profile of a daemon at 23 daemons and 630 endpoints 30 % of the processor time went to working out grants and 16 % to garbage collection; each grant made two slices and counted the daemons of the data centre three times. Ruled out: the polls of reports (0.5 % of a core) and the encoding of messages. Change: the slices are used anew under the granter's lock, the daemons are counted once.

--- a/internal/fleet/granter/granter.go
+++ b/internal/fleet/granter/granter.go
@@ -77,6 +77,9 @@
 		borrowers map[string]*borrower
 		// books are the endpoints that this daemon is home of, by key.
 		books map[uint32]*book
+		// votes and wants are used anew for each grant.
+		votes []int64
+		wants []want
 
 		markMu sync.Mutex
 		marks  map[string]*mark
--- a/internal/fleet/granter/home.go
+++ b/internal/fleet/granter/home.go
@@ -231,13 +231,14 @@
 // ends, by our own clock: a daemon's ask counts from the time of the answer that
 // it brings back, so that a late ask counts for as long as it should.
 func (g *Granter) majority(k *book, now int64) int64 {
-	votes := []int64{now}
+	votes := append(g.votes[:0], now)
 	n := g.view.daemons()
 	for id, b := range g.borrowers {
 		if _, ok := b.needs[k.p.key]; ok && id != g.self.ID {
 			votes = append(votes, b.stamp)
 		}
 	}
+	g.votes = votes
 	n = max(n, len(votes))
 	need := n/2 + 1
 	if len(votes) < need {
--- a/internal/fleet/granter/share.go
+++ b/internal/fleet/granter/share.go
@@ -11,15 +11,16 @@
 func (g *Granter) split(k *book, id string, now int64) int64 {
 	total := k.ramp.work(k.p.e)
 	cold := k.ramp.cold(k.p.e)
-	reserve := staticBudget(k.p.e) / int64(g.view.daemons())
+	daemons := int64(g.view.daemons())
+	reserve := staticBudget(k.p.e) / daemons
 	if cold {
-		reserve = coldWork(k.p.e) / int64(g.view.daemons())
+		reserve = coldWork(k.p.e) / daemons
 	}
 	var others, absent int64
-	var wants []want
+	wants := g.wants[:0]
 	unheard := false
 	everyone := g.everyone(k)
-	if missing := int64(g.view.daemons() - len(everyone)); missing > 0 {
+	if missing := daemons - int64(len(everyone)); missing > 0 {
 		// Others list daemons that we do not.
 		others, absent = missing*reserve, missing*reserve
 	}
@@ -36,6 +37,7 @@
 		}
 		wants = append(wants, g.wantOf(k, other))
 	}
+	g.wants = wants
 	if unheard {
 		load := k.p.load()
 		others += load
