--- a/errors.go
+++ b/errors.go
@@ -33,10 +33,7 @@
 // String returns the kind in words.
 func (k Kind) String() string {
 	names := [...]string{"error", "missing", "conflict", "unavailable", "unknown outcome", "timeout", "limited", "invalid"}
-	if k < 0 || int(k) >= len(names) {
-		return "error"
-	}
-	return names[k]
+	return KindText(names[:], int(k))
 }
 
 // Error is an error of a Store, Lister, Rater or Peers.
@@ -80,3 +77,12 @@
 	}
 	return op + ": " + kind.String() + ": " + err.Error()
 }
+
+// KindText returns the name of the kind with the number k, or "error" if it has
+// none.
+func KindText(names []string, k int) string {
+	if k < 0 || k >= len(names) {
+		return "error"
+	}
+	return names[k]
+}
--- a/internal/fleet/leaser/errors.go
+++ b/internal/fleet/leaser/errors.go
@@ -29,12 +29,7 @@
 type Kind int
 
 // String returns the kind in one word.
-func (k Kind) String() string {
-	if k < 0 || int(k) >= len(kinds) {
-		return "error"
-	}
-	return kinds[k]
-}
+func (k Kind) String() string { return samphireturn.KindText(kinds[:], int(k)) }
 
 // Error is an error of the leaser.
 type Error struct {
--- a/internal/ledger/biller/biller.go
+++ b/internal/ledger/biller/biller.go
@@ -15,6 +15,7 @@
 package biller
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -174,10 +175,10 @@
 	if b.closed {
 		return nil, refuse(op, KindClosed, nil)
 	}
-	if b.bytes+size > or(b.Limit, DefaultLimit) {
+	if b.bytes+size > cmp.Or(b.Limit, DefaultLimit) {
 		return nil, refuse(op, KindFull, nil)
 	}
-	if b.open != nil && b.open.bytes+size > or(b.Size, DefaultSize) {
+	if b.open != nil && b.open.bytes+size > cmp.Or(b.Size, DefaultSize) {
 		b.seal()
 		b.nudge()
 	}
@@ -202,7 +203,7 @@
 
 // loop writes own segments and old copies until ctx ends.
 func (b *Biller) loop(ctx context.Context) {
-	tick := time.NewTicker(orTime(b.Every, DefaultEvery))
+	tick := time.NewTicker(cmp.Or(b.Every, DefaultEvery))
 	defer tick.Stop()
 	for {
 		select {
@@ -233,17 +234,3 @@
 	}
 	return b.Now()
 }
-
-func or(n, standard int) int {
-	if n == 0 {
-		return standard
-	}
-	return n
-}
-
-func orTime(d, standard time.Duration) time.Duration {
-	if d == 0 {
-		return standard
-	}
-	return d
-}
--- a/internal/ledger/biller/copies.go
+++ b/internal/ledger/biller/copies.go
@@ -1,6 +1,7 @@
 package biller
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 
@@ -36,7 +37,7 @@
 	if b.closed {
 		return nil, refuse(op, KindClosed, nil)
 	}
-	if b.copies.bytes+len(body) > or(b.Limit, DefaultLimit) {
+	if b.copies.bytes+len(body) > cmp.Or(b.Limit, DefaultLimit) {
 		return nil, refuse(op, KindFull, nil)
 	}
 	if b.copies.segments == nil {
@@ -79,7 +80,7 @@
 // written them in time.
 func (b *Biller) orphans() []*segment {
 	now := b.now()
-	age := orTime(b.Age, DefaultAge)
+	age := cmp.Or(b.Age, DefaultAge)
 	return b.copiesWhere(func(s *segment) bool {
 		if b.Listed != nil && !b.Listed(samphireturn.InstanceVM(s.instance)) {
 			return true
--- a/internal/ledger/biller/flush.go
+++ b/internal/ledger/biller/flush.go
@@ -1,6 +1,7 @@
 package biller
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -62,7 +63,7 @@
 // is old, and found to be there.
 func (b *Biller) tell(ctx context.Context, s *segment, buddies []string) {
 	for _, id := range buddies {
-		call, cancel := context.WithTimeout(ctx, orTime(b.Wait, DefaultWait))
+		call, cancel := context.WithTimeout(ctx, cmp.Or(b.Wait, DefaultWait))
 		if err := b.Peers.Call(call, id, TopicDone, message{Instance: s.instance, Number: s.number}, nil); err != nil {
 			retries.Add("done failed", 1)
 		}
--- a/internal/ledger/biller/group.go
+++ b/internal/ledger/biller/group.go
@@ -62,7 +62,7 @@
 		b.mu.Lock()
 		g.segment.buddies[id] = true
 		b.mu.Unlock()
-		call, cancel := context.WithTimeout(ctx, orTime(b.Wait, DefaultWait))
+		call, cancel := context.WithTimeout(ctx, cmp.Or(b.Wait, DefaultWait))
 		err := b.Peers.Call(call, id, TopicCopy, message{Instance: g.segment.instance, Number: g.segment.number, Records: g.records}, nil)
 		cancel()
 		if err == nil {
--- a/internal/ledger/biller/segment.go
+++ b/internal/ledger/biller/segment.go
@@ -1,6 +1,7 @@
 package biller
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -35,7 +36,7 @@
 // name is taken, the records that it lacks go under the next number, and so on.
 // A second write with a lost answer finds the first.
 func (b *Biller) write(ctx context.Context, s *segment) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, orTime(b.Wait, DefaultWait))
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(b.Wait, DefaultWait))
 	defer cancel()
 	b.mu.Lock()
 	records := slices.Clone(s.records)
--- a/internal/ledger/claimer/claimer.go
+++ b/internal/ledger/claimer/claimer.go
@@ -37,6 +37,7 @@
 package claimer
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
@@ -238,7 +239,7 @@
 		return refuse("release", KindInvalid, nil)
 	}
 	counters.Add("released", 1)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*orTime(c.Wait, DefaultWait))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*cmp.Or(c.Wait, DefaultWait))
 	defer cancel()
 	r := claim.record
 	r.Freed = true
@@ -259,7 +260,7 @@
 // the home can't be reached.
 func (c *Claimer) end(ctx context.Context, name string, r record) error {
 	if home := c.home(name); home != c.Self && slices.Contains(c.Peers.Connected(), home) {
-		call, cancel := context.WithTimeout(ctx, orTime(c.Wait, DefaultWait))
+		call, cancel := context.WithTimeout(ctx, cmp.Or(c.Wait, DefaultWait))
 		defer cancel()
 		if c.Peers.Call(call, home, TopicFinish, r, nil) == nil {
 			return nil
@@ -281,7 +282,7 @@
 
 // shardOf returns the name of the key's shard.
 func (c *Claimer) shardOf(key [32]byte) string {
-	n := binary.BigEndian.Uint64(key[:]) % uint64(or(c.Shards, DefaultShards))
+	n := binary.BigEndian.Uint64(key[:]) % uint64(cmp.Or(c.Shards, DefaultShards))
 	return fmt.Sprintf("%04d", n)
 }
 
@@ -308,17 +309,3 @@
 	}
 	return c.Now()
 }
-
-func or(n, standard int) int {
-	if n == 0 {
-		return standard
-	}
-	return n
-}
-
-func orTime(d, standard time.Duration) time.Duration {
-	if d == 0 {
-		return standard
-	}
-	return d
-}
--- a/internal/ledger/claimer/errors.go
+++ b/internal/ledger/claimer/errors.go
@@ -33,12 +33,7 @@
 type Kind int
 
 // String returns the kind in one word.
-func (k Kind) String() string {
-	if k < 0 || int(k) >= len(kinds) {
-		return "error"
-	}
-	return kinds[k]
-}
+func (k Kind) String() string { return samphireturn.KindText(kinds[:], int(k)) }
 
 // Error is an error of the claimer.
 type Error struct {
--- a/internal/ledger/claimer/peer.go
+++ b/internal/ledger/claimer/peer.go
@@ -1,6 +1,7 @@
 package claimer
 
 import (
+	"cmp"
 	"context"
 	"slices"
 
@@ -19,7 +20,7 @@
 		retries.Add("home not connected", 1)
 		return c.commit(ctx, name, r)
 	}
-	call, cancel := context.WithTimeout(ctx, 2*orTime(c.Wait, DefaultWait))
+	call, cancel := context.WithTimeout(ctx, 2*cmp.Or(c.Wait, DefaultWait))
 	defer cancel()
 	var a answer
 	err = c.Peers.Call(call, home, TopicClaim, r, &a)
@@ -50,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	latest := c.now().Add(MaxLife + orTime(c.Slack, DefaultSlack)).Unix()
+	latest := c.now().Add(MaxLife + cmp.Or(c.Slack, DefaultSlack)).Unix()
 	if r.Done || r.Freed || r.Expires > latest {
 		return nil, refuse(op, KindInvalid, nil)
 	}
--- a/internal/ledger/claimer/shard.go
+++ b/internal/ledger/claimer/shard.go
@@ -1,6 +1,7 @@
 package claimer
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -102,7 +103,7 @@
 		s = &shard{name: name, soon: make(chan struct{}, 1)}
 		c.shards[name] = s
 	}
-	limit := or(c.Batch, DefaultBatch)
+	limit := cmp.Or(c.Batch, DefaultBatch)
 	if a != nil && len(s.attempts) >= limit || e != nil && len(s.finished) >= limit {
 		return refuse(op, KindFull, nil)
 	}
@@ -143,7 +144,7 @@
 		}
 		s.begun = c.now()
 		c.mu.Unlock()
-		ctx, cancel := context.WithTimeout(context.Background(), orTime(c.Wait, DefaultWait))
+		ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(c.Wait, DefaultWait))
 		doubt, err := c.decide(ctx, s, attempts, finished)
 		cancel()
 		c.answer(s, attempts, doubt, err)
@@ -175,7 +176,7 @@
 	defer c.mu.Unlock()
 	now := c.forgotten()
 	finished = slices.DeleteFunc(finished, func(e *ending) bool { return c.closed || e.record.Expires <= now })
-	room := max(0, or(c.Batch, DefaultBatch)-len(s.finished))
+	room := max(0, cmp.Or(c.Batch, DefaultBatch)-len(s.finished))
 	if len(finished) > room {
 		refused.Add(KindFull.String(), int64(len(finished)-room))
 		finished = finished[:room]
@@ -198,7 +199,7 @@
 		return
 	}
 	if !hurry {
-		timer := time.NewTimer(orTime(c.Finishing, DefaultFinish))
+		timer := time.NewTimer(cmp.Or(c.Finishing, DefaultFinish))
 		defer timer.Stop()
 		select {
 		case <-s.soon:
@@ -206,8 +207,8 @@
 			return
 		}
 	}
-	rest := orTime(c.Spacing, DefaultSpacing) - max(since, 0)
-	time.Sleep(max(orTime(c.Gather, DefaultGather), rest))
+	rest := cmp.Or(c.Spacing, DefaultSpacing) - max(since, 0)
+	time.Sleep(max(cmp.Or(c.Gather, DefaultGather), rest))
 	select {
 	case <-s.soon:
 	default:
@@ -235,7 +236,7 @@
 		if len(records) == 0 {
 			return false, nil
 		}
-		err = s.log.append(ctx, c.Store, records, c.now(), or(c.WindowSize, DefaultWindowSize), orTime(c.WindowAge, DefaultWindowAge))
+		err = s.log.append(ctx, c.Store, records, c.now(), cmp.Or(c.WindowSize, DefaultWindowSize), cmp.Or(c.WindowAge, DefaultWindowAge))
 		if err == nil {
 			c.settle(s.log, attempts, nil)
 			return false, nil
@@ -296,7 +297,7 @@
 		case ok && !released[found.Nonce]:
 			a.found = found
 		case taken[a.record.Key]:
-		case count >= or(c.Limit, DefaultLimit):
+		case count >= cmp.Or(c.Limit, DefaultLimit):
 			a.err = refuse("claim", KindFull, nil)
 		default:
 			taken[a.record.Key] = true
@@ -320,5 +321,5 @@
 // forgotten returns the expiry, in seconds since 1970 UTC, of claims that may
 // now be forgotten.
 func (c *Claimer) forgotten() int64 {
-	return c.now().Add(-orTime(c.Slack, DefaultSlack)).Unix()
+	return c.now().Add(-cmp.Or(c.Slack, DefaultSlack)).Unix()
 }
--- a/internal/ledger/runner/runner.go
+++ b/internal/ledger/runner/runner.go
@@ -7,6 +7,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"sync"
@@ -65,12 +66,7 @@
 type Kind int
 
 // String returns the kind in words.
-func (k Kind) String() string {
-	if k < 0 || int(k) >= len(kinds) {
-		return "error"
-	}
-	return kinds[k]
-}
+func (k Kind) String() string { return samphireturn.KindText(kinds[:], int(k)) }
 
 // Error is an error of the runner.
 type Error struct {
@@ -179,7 +175,7 @@
 		return e, false, nil
 	}
 	r.sweep()
-	if len(r.entries) >= or(r.Limit, DefaultLimit) {
+	if len(r.entries) >= cmp.Or(r.Limit, DefaultLimit) {
 		return nil, false, refuse(op, KindFull)
 	}
 	if r.entries == nil {
@@ -218,7 +214,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	size := len(o.Answer)
-	if size > or(r.Answer, DefaultAnswer) || r.bytes+size > or(r.Bytes, DefaultBytes) {
+	if size > cmp.Or(r.Answer, DefaultAnswer) || r.bytes+size > cmp.Or(r.Bytes, DefaultBytes) {
 		o.Answer, o.Cut, size = nil, true, 0
 	}
 	e.outcome = o
@@ -269,10 +265,3 @@
 	refused.Add(kind.String(), 1)
 	return &Error{Op: op, Kind: kind}
 }
-
-func or(n, standard int) int {
-	if n == 0 {
-		return standard
-	}
-	return n
-}
--- a/internal/traffic/receiver/exchange.go
+++ b/internal/traffic/receiver/exchange.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -75,11 +76,11 @@
 		Str("team", x.team.Name).
 		Str("version", x.result.version).
 		Str("endpoint", x.result.endpoint).
-		Int("status", or(x.result.status, http.StatusOK)).
+		Int("status", cmp.Or(x.result.status, http.StatusOK)).
 		Int("tokens", x.result.tokens).
 		Int64("first_ms", x.result.first.Milliseconds()).
 		Int64("whole_ms", time.Since(x.start).Milliseconds()).
-		Str("run", or(x.result.run, samphireturn.RunNo)).
+		Str("run", cmp.Or(x.result.run, samphireturn.RunNo)).
 		Msg("request answered")
 }
 
@@ -171,7 +172,7 @@
 
 // body reads the request's body up to the limit.
 func (r *Receiver) body(x *exchange) ([]byte, error) {
-	limit := or(r.Body, defaultBody)
+	limit := cmp.Or(r.Body, defaultBody)
 	body, err := io.ReadAll(http.MaxBytesReader(x.ResponseWriter, x.request.Body, limit))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
@@ -203,7 +204,7 @@
 	if f.Reason == samphireturn.ReasonAuth {
 		h.Set("WWW-Authenticate", "Bearer")
 	}
-	x.WriteHeader(or(statuses[f.Reason], http.StatusInternalServerError))
+	x.WriteHeader(cmp.Or(statuses[f.Reason], http.StatusInternalServerError))
 	_ = json.NewEncoder(x).Encode(errorBody{Error: errorDetail{
 		Message: f.Error(),
 		Type:    "samphireturn_error",
--- a/internal/traffic/receiver/receiver.go
+++ b/internal/traffic/receiver/receiver.go
@@ -3,6 +3,7 @@
 package receiver
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"net"
@@ -112,10 +113,10 @@
 func (r *Receiver) Run(context.Context) error {
 	r.server = &http.Server{
 		Handler:           r.parting(r.routes()),
-		MaxHeaderBytes:    or(r.Header, defaultHeader),
-		ReadHeaderTimeout: or(r.Read, defaultRead),
-		ReadTimeout:       or(r.Read, defaultRead),
-		IdleTimeout:       or(r.Idle, defaultIdle),
+		MaxHeaderBytes:    cmp.Or(r.Header, defaultHeader),
+		ReadHeaderTimeout: cmp.Or(r.Read, defaultRead),
+		ReadTimeout:       cmp.Or(r.Read, defaultRead),
+		IdleTimeout:       cmp.Or(r.Idle, defaultIdle),
 	}
 	r.background = pond.NewPool(backgroundRaters, pond.WithQueueSize(backgroundQueue), pond.WithNonBlocking(true))
 	r.served = make(chan struct{})
@@ -140,7 +141,7 @@
 	r.ended.Store(true)
 	_ = r.Listener.Close()
 	time.Sleep(linger)
-	ctx, cancel := context.WithTimeout(context.Background(), or(r.Drain, defaultDrain))
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(r.Drain, defaultDrain))
 	defer cancel()
 	err := r.server.Shutdown(ctx)
 	if err != nil {
@@ -196,12 +197,3 @@
 	w.WriteHeader(status)
 	_, _ = w.Write([]byte(text + "\n"))
 }
-
-// or returns v, or standard if v is zero.
-func or[T comparable](v, standard T) T {
-	var zero T
-	if v == zero {
-		return standard
-	}
-	return v
-}
