End a silent stream only where it can go on

Change: an endpoint that answers others is waited for; a repeat is paid before the old run is dropped; lapsed entries are kept only after an outage.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -27,8 +27,9 @@
 	// silent holds a change back, together with the time-out of a call.
 	TopicWait = 1500 * time.Millisecond
 	// LapseTime is how long entries that were gone after an outage of the source
-	// are kept: endpoints that live are listed again within two seconds of it.
-	LapseTime = 2300 * time.Millisecond
+	// are kept: endpoints that live are listed again within some two seconds of it,
+	// and those that left take no more work two seconds after they were gone.
+	LapseTime = 1800 * time.Millisecond
 
 	retryMin = 50 * time.Millisecond
 	retryMax = 500 * time.Millisecond
@@ -79,7 +80,7 @@
 		f.topics[i].name = samphireturn.Topic(i)
 		f.topics[i].entries = make(map[string]samphireturn.Entry)
 		f.topics[i].gone = make(map[string]time.Duration)
-		f.topics[i].trouble = -never
+		f.topics[i].trouble = -LapseTime
 	}
 	return f
 }
--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -89,9 +89,11 @@
 		reported   int
 		reportedAt time.Duration
 		since      int
-		faults     float64
-		faultAt    time.Duration
-		shunned    time.Duration
+		// heard is when the endpoint last sent anything.
+		heard   time.Duration
+		faults  float64
+		faultAt time.Duration
+		shunned time.Duration
 		// coldUntil is when the endpoint is warm; coldNext is when this daemon may
 		// send to it next.
 		coldUntil, coldNext time.Duration
@@ -157,6 +159,7 @@
 	defer b.mu.Unlock()
 	l := b.load(h)
 	now := b.Clock()
+	l.heard = now
 	if s.Slots > 0 {
 		l.reported, l.reportedAt, l.since = s.Running+s.Waiting, now, 0
 	}
@@ -165,6 +168,20 @@
 	}
 }
 
+// Heard notes that an endpoint sent something.
+func (b *Balancer) Heard(h *samphireturn.Host) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load(h).heard = b.Clock()
+}
+
+// Quiet returns how long an endpoint has sent nothing.
+func (b *Balancer) Quiet(h *samphireturn.Host) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Clock() - b.load(h).heard
+}
+
 // Fault notes that an endpoint failed a request; shun that it can't be reached.
 func (b *Balancer) Fault(h *samphireturn.Host, shun bool) {
 	b.mu.Lock()
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -25,7 +25,7 @@
 const (
 	// noticeTime is how long new connections still come after this daemon said
 	// that it leaves: two checks of the balancer, a second apart, and their way.
-	noticeTime = 3500 * time.Millisecond
+	noticeTime = 2400 * time.Millisecond
 	// exitMargin is what is left of the grace time for the end of the process.
 	exitMargin = 400 * time.Millisecond
 	// sweepTime is the period in which idle connections are looked through.
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,8 +28,11 @@
 	crowded = 500 * time.Millisecond
 	// spareSends bounds the sends beyond a route's attempts that were not run.
 	spareSends = 2
-	// middlePriority is for requests of pools that know no priorities.
+	// maxPriority is the rank of the least urgent requests at an engine.
 	maxPriority = 9
+	// quietTime is how long an endpoint that sends nothing to anyone is taken to
+	// work still: dozens of its steps.
+	quietTime = time.Second
 )
 
 var (
@@ -63,7 +67,7 @@
 	// run there.
 	sends, runs int
 	// paid is true if the next send was taken from the budget already.
-	paid bool
+	paid atomic.Bool
 	// run is what is known of the request's run.
 	run string
 	// step is the model of the cascade in use.
@@ -192,9 +196,11 @@
 	host   *samphireturn.Host
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
-	// patience is the longest wait for the next bytes.
+	// patience is the longest wait for the next bytes; zero is no bound.
 	patience time.Duration
-	done     func()
+	// heard notes that the endpoint makes progress.
+	heard func()
+	done  func()
 }
 
 // close ends the attempt.
@@ -208,6 +214,9 @@
 // Read reads on and postpones the end of the patience.
 func (a *attempt) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
+	if n > 0 {
+		a.heard()
+	}
 	if n > 0 && a.patience > 0 {
 		a.timer.Reset(a.patience)
 	}
@@ -225,11 +234,11 @@
 		if j.runs >= j.route.Attempts || j.sends >= j.route.Attempts+spareSends {
 			return nil, j.refusal(samphireturn.ReasonEndpoint, crowded, fault)
 		}
-		if j.sends > 0 && !j.paid && !j.budget.Spend() {
+		if j.sends > 0 && !j.paid.Load() && !j.budget.Spend() {
 			repeats.Add("no_budget", 1)
 			return nil, j.refusal(samphireturn.ReasonEndpoint, crowded, fault)
 		}
-		j.paid = false
+		j.paid.Store(false)
 		host := j.pick()
 		if host == nil {
 			return nil, j.refusal(samphireturn.ReasonEmpty, crowded, fault)
@@ -282,8 +291,13 @@
 // try sends the request to one endpoint.
 func (j *job) try(host *samphireturn.Host, patience time.Duration) (*attempt, error) {
 	ctx, cancel := context.WithCancelCause(j.ctx)
-	a := &attempt{host: host, cancel: cancel, done: func() { j.Balancer.Done(host, j.want.Tokens) }}
-	a.timer = time.AfterFunc(cmp.Or(patience, defaultLimit), func() { cancel(errStalled) })
+	a := &attempt{
+		host:   host,
+		cancel: cancel,
+		heard:  func() { j.Balancer.Heard(host) },
+		done:   func() { j.Balancer.Done(host, j.want.Tokens) },
+	}
+	a.timer = time.AfterFunc(cmp.Or(patience, defaultLimit), func() { j.stalled(a) })
 	send := samphireturn.Send{Ask: &j.ask, Left: j.left(), Host: host, Team: j.team, Last: j.last, Priority: -1}
 	if j.pool.Memory > 0 {
 		send.Priority = min(max(j.rank, 0), maxPriority)
@@ -325,6 +339,20 @@
 	return a, nil
 }
 
+// stalled ends an attempt that makes no progress, if the request can go on
+// elsewhere. An endpoint that answers others works on a stream that has begun and
+// is waited for; silence alone is no reason to end an answer.
+func (j *job) stalled(a *attempt) {
+	begun := a.patience > 0
+	if begun && j.Balancer.Quiet(a.host) < quietTime || !j.budget.Spend() {
+		a.timer.Reset(cmp.Or(a.patience, quietTime))
+		return
+	}
+	j.paid.Store(true)
+	repeats.Add("stalled", 1)
+	a.cancel(errStalled)
+}
+
 // kind names the requests whose answers take alike long.
 func (j *job) kind() string {
 	if len(j.route.Steps) > 0 {
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -105,7 +105,7 @@
 		repeats.Add("no_budget", 1)
 		return false
 	}
-	j.paid = true
+	j.paid.Store(true)
 	j.Log.Info().Str("event", "escalated").Str("id", j.ask.ID).Str("route", j.route.Name).Int("confidence", a.Sign.Confidence).
 		Int("from", j.step).Int("to", next).Send()
 	repeats.Add("escalated", 1)
