Let one daemon of a data centre watch the source for the others

Ruled out: longer watches alone, since proofs of recency then grow too old. Change: the first daemon in rank watches; the others poll it over the peer links with the age of each proof and watch by themselves once it is silent or its proofs are old.

--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -91,6 +91,8 @@
 	if err != nil {
 		return nil, err
 	}
+	follow.Peers, follow.Self = peers, b.Self
+	follow.Register()
 	load := balancer.New(b.Self.Centre, b.Clock)
 	stage := stager.New(b.Clock, service(b.Log, "stager"))
 	stage.Share, stage.Extra, stage.SessionTime = b.CanaryShare, b.CanaryExtra, b.SessionTime
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -1,9 +1,10 @@
 // Package follower keeps the view of a daemon up to the source of tables,
 // endpoints, roll-outs, closures and members.
 //
-// Each topic is listed once and then watched by short watches, so that each
-// answer is a proof of how recent the topic is. A proof is dated by when its
-// call was sent. The clock counts suspensions, so none outlives one.
+// A few daemons of a data centre watch the source; the others follow them. Each
+// answer is a proof of how recent a topic is, dated by when its call was sent and
+// passed on with its age. The clock counts suspensions, so no proof outlives one.
+// A daemon whose proofs grow old watches the source by itself.
 package follower
 
 import (
@@ -11,7 +12,6 @@
 	"expvar"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,16 +20,17 @@
 )
 
 const (
-	// TableWait is the longest wait of a watch of the table: a proof is at most
-	// twice as old, well within the time in which a removed key must rest.
-	TableWait = 1200 * time.Millisecond
-	// TopicWait is that of other topics. It bounds how long a connection that went
-	// silent holds a change back, together with the time-out of a call.
-	TopicWait = 1500 * time.Millisecond
 	// LapseTime is how long entries that were gone after an outage of the source
 	// are kept: endpoints that live are listed again within some two seconds of it,
 	// and those that left take no more work two seconds after they were gone.
 	LapseTime = 1800 * time.Millisecond
+	// OutageTime is a silence of the source in which entries may lapse: endpoints
+	// write about each second, and lapse after three times that.
+	OutageTime = 2500 * time.Millisecond
+	// watchers is the number of daemons of a data centre that watch the source.
+	watchers = 1
+	// parkTime is the period in which a daemon looks whether it must watch.
+	parkTime = 100 * time.Millisecond
 
 	retryMin = 50 * time.Millisecond
 	retryMax = 500 * time.Millisecond
@@ -37,50 +38,67 @@
 	never = time.Duration(1<<63 - 1)
 )
 
+// Waits and limits of the topics. A wait bounds a quiet watch and with it the age
+// of proofs, which is up to twice as long. Beyond the limit a daemon that follows
+// another watches by itself: within the two seconds in which tables and leaving
+// endpoints must be heeded, and the five of closures and roll-outs.
 var (
+	waits = [samphireturn.TopicCount]time.Duration{
+		samphireturn.TopicTable:    800 * time.Millisecond,
+		samphireturn.TopicHosts:    800 * time.Millisecond,
+		samphireturn.TopicRollouts: 1500 * time.Millisecond,
+		samphireturn.TopicClosures: 1500 * time.Millisecond,
+		samphireturn.TopicMembers:  3 * time.Second,
+	}
+	limits = [samphireturn.TopicCount]time.Duration{
+		samphireturn.TopicTable:    1800 * time.Millisecond,
+		samphireturn.TopicHosts:    1800 * time.Millisecond,
+		samphireturn.TopicRollouts: 3500 * time.Millisecond,
+		samphireturn.TopicClosures: 3500 * time.Millisecond,
+		samphireturn.TopicMembers:  8 * time.Second,
+	}
+
 	failures = expvar.NewMap("follower_failure")
 	faults   = expvar.NewMap("follower_fault")
 	changes  = expvar.NewMap("follower_change")
 )
 
-// Follower is a service. Set the exported fields before Run.
+// Follower is a service. Set the exported fields before Register and Run.
 type Follower struct {
 	Source  samphireturn.Source
 	Control samphireturn.Control
-	Log     zerolog.Logger
+	// Peers may be nil: then the daemon watches by itself.
+	Peers samphireturn.Peers
+	Self  samphireturn.VM
+	Log   zerolog.Logger
 	// Clock counts suspensions too.
 	Clock func() time.Duration
 	// Rand returns a number from 0 up to 1 for the jitter of retries.
 	Rand func() float64
 
+	mu     sync.Mutex
 	topics [samphireturn.TopicCount]topic
-	cancel context.CancelFunc
-	wait   sync.WaitGroup
-}
-
-// topic is what one goroutine knows of a topic.
-type topic struct {
-	name    samphireturn.Topic
-	entries map[string]samphireturn.Entry
-	// gone holds when entries were found missing after an outage.
-	gone map[string]time.Duration
-	// trouble is when the source last failed.
-	trouble time.Duration
-	failing bool
-	version uint64
-	listed  bool
-	// proof is the date of the newest proof, plus one so that zero means none.
-	proof atomic.Int64
+	// renewed is closed and replaced when any topic changes or is proved.
+	renewed chan struct{}
+	// following is the daemon that is followed, while it answers.
+	following string
+	cancel    context.CancelFunc
+	wait      sync.WaitGroup
 }
 
 // New returns a follower.
 func New(source samphireturn.Source, control samphireturn.Control, clock func() time.Duration, log zerolog.Logger) *Follower {
-	f := &Follower{Source: source, Control: control, Clock: clock, Log: log, Rand: rand.Float64}
+	f := &Follower{
+		Source: source, Control: control, Clock: clock, Log: log,
+		Rand:    rand.Float64,
+		renewed: make(chan struct{}),
+	}
 	for i := range f.topics {
-		f.topics[i].name = samphireturn.Topic(i)
-		f.topics[i].entries = make(map[string]samphireturn.Entry)
-		f.topics[i].gone = make(map[string]time.Duration)
-		f.topics[i].trouble = -LapseTime
+		t := &f.topics[i]
+		t.name = samphireturn.Topic(i)
+		t.entries = make(map[string]samphireturn.Entry)
+		t.gone = make(map[string]time.Duration)
+		t.trouble = -LapseTime
 	}
 	return f
 }
@@ -90,7 +108,10 @@
 	ctx, f.cancel = context.WithCancel(ctx)
 	for i := range f.topics {
 		t := &f.topics[i]
-		f.wait.Go(func() { f.follow(ctx, t) })
+		f.wait.Go(func() { f.watch(ctx, t) })
+	}
+	if f.Peers != nil {
+		f.wait.Go(func() { f.poll(ctx) })
 	}
 	return nil
 }
@@ -104,17 +125,29 @@
 
 // Age returns how old the newest proof of a topic is.
 func (f *Follower) Age(name samphireturn.Topic) time.Duration {
-	at := f.topics[name].proof.Load()
-	if at == 0 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.age(&f.topics[name])
+}
+
+// age is Age for callers that hold mu.
+func (f *Follower) age(t *topic) time.Duration {
+	if !t.proved {
 		return never
 	}
-	return f.Clock() - time.Duration(at-1)
+	return f.Clock() - t.proof
 }
 
-// follow lists and watches one topic until ctx ends.
-func (f *Follower) follow(ctx context.Context, t *topic) {
+// watch lists and watches one topic at the source until ctx ends, whenever this
+// daemon is to do so.
+func (f *Follower) watch(ctx context.Context, t *topic) {
 	wait := retryMin
 	for ctx.Err() == nil {
+		if !f.direct(t) {
+			f.rest(ctx, parkTime)
+			f.expire(t)
+			continue
+		}
 		err := f.step(ctx, t)
 		if ctx.Err() != nil {
 			return
@@ -122,165 +155,89 @@
 		if err == nil {
 			wait = retryMin
 			f.regained(t)
+			f.expire(t)
 			continue
 		}
 		if samphireturn.KindOf(err) == samphireturn.KindExpired {
-			f.Log.Info().Str("event", "history_gone").Stringer("topic", t.name).Uint64("version", t.version).Send()
-			t.listed = false
+			f.relist(t)
 			continue
 		}
 		f.lost(t, err)
 		if !f.rest(ctx, time.Duration((0.5+f.Rand()/2)*float64(wait))) {
 			return
 		}
-		f.expire(t)
 		wait = min(2*wait, retryMax)
 	}
 }
 
-// step makes one call and applies its answer.
+// direct reports whether this daemon is to watch a topic by itself.
+func (f *Follower) direct(t *topic) bool {
+	if f.Peers == nil || f.chosen() {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.following == "" || f.age(t) > limits[t.name]
+}
+
+// step makes one call to the source and applies its answer.
 func (f *Follower) step(ctx context.Context, t *topic) error {
+	f.mu.Lock()
+	listed, since := t.listed, t.version
+	f.mu.Unlock()
 	sent := f.Clock()
-	if !t.listed {
+	if !listed {
 		batch, err := f.Source.List(ctx, t.name)
 		if err != nil {
 			return err
 		}
-		t.listed = true
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.outage(t, sent)
 		f.replace(t, batch)
 		f.prove(t, sent)
 		return nil
 	}
-	limit := TopicWait
-	if t.name == samphireturn.TopicTable {
-		limit = TableWait
-	}
-	batch, err := f.Source.Watch(ctx, t.name, t.version, limit)
+	batch, err := f.Source.Watch(ctx, t.name, since, waits[t.name])
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outage(t, sent)
 	f.update(t, batch)
 	f.prove(t, sent)
 	return nil
 }
 
-// prove dates the newest proof, if it is newer.
-func (f *Follower) prove(t *topic, sent time.Duration) {
-	if at := int64(sent) + 1; at > t.proof.Load() {
-		t.proof.Store(at)
-	}
+// relist makes the next call a list, since the history is gone.
+func (f *Follower) relist(t *topic) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.listed = false
+	f.Log.Info().Str("event", "history_gone").Stringer("topic", t.name).Uint64("version", t.version).Send()
 }
 
 // lost notes that the source failed.
 func (f *Follower) lost(t *topic, err error) {
 	failures.Add(t.name.String(), 1)
-	t.trouble = f.Clock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if !t.failing {
 		t.failing = true
-		f.Log.Warn().Str("event", "source_lost").Stringer("topic", t.name).Err(err).Dur("age", f.Age(t.name)).Send()
+		f.Log.Warn().Str("event", "source_lost").Stringer("topic", t.name).Err(err).Dur("age", f.age(t)).Send()
 	}
 }
 
-// regained notes that the source answers again. Entries may have lapsed while
-// it was away, so that the topic is listed anew.
+// regained notes that the source answers again.
 func (f *Follower) regained(t *topic) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if !t.failing {
-		f.expire(t)
 		return
 	}
 	t.failing = false
-	f.Log.Info().Str("event", "source_regained").Stringer("topic", t.name).Dur("away", f.Clock()-t.trouble).Send()
-}
-
-// replace applies a whole list.
-func (f *Follower) replace(t *topic, batch samphireturn.Batch) {
-	seen := make(map[string]bool, len(batch.Entries))
-	for _, e := range batch.Entries {
-		seen[e.Name] = true
-		f.put(t, e)
-	}
-	for name := range t.entries {
-		if !seen[name] {
-			f.drop(t, name)
-		}
-	}
-	t.version = max(t.version, batch.Version)
-	f.publish(t)
-}
-
-// update applies changes.
-func (f *Follower) update(t *topic, batch samphireturn.Batch) {
-	t.version = max(t.version, batch.Version)
-	if len(batch.Entries) == 0 {
-		return
-	}
-	for _, e := range batch.Entries {
-		if e.Gone {
-			f.drop(t, e.Name)
-			continue
-		}
-		f.put(t, e)
-	}
-	f.publish(t)
-}
-
-// put takes an entry in, unless it can't be understood or is older than what is
-// known. An endpoint whose entry can't be understood any more is not used.
-func (f *Follower) put(t *topic, e samphireturn.Entry) {
-	if e.Fault != nil {
-		faults.Add(t.name.String(), 1)
-		f.Log.Warn().Str("event", "entry_ignored").Stringer("topic", t.name).Str("entry", e.Name).Err(e.Fault).Send()
-		if t.name == samphireturn.TopicHosts {
-			delete(t.entries, e.Name)
-		}
-		return
-	}
-	old, ok := t.entries[e.Name]
-	if ok && e.Version != 0 && e.Version < old.Version {
-		return
-	}
-	if ok && e.Table != nil && old.Table != nil && e.Table.Version < old.Table.Version {
-		f.Log.Warn().Str("event", "table_ignored").Int64("version", e.Table.Version).Int64("in_force", old.Table.Version).Send()
-		return
-	}
-	delete(t.gone, e.Name)
-	t.entries[e.Name] = e
-}
-
-// drop takes an entry out. Endpoints that went missing over an outage of the
-// source are kept for a while, since entries lapse meanwhile.
-func (f *Follower) drop(t *topic, name string) {
-	now := f.Clock()
-	if t.name == samphireturn.TopicHosts && (t.failing || now-t.trouble < LapseTime) {
-		if _, ok := t.gone[name]; !ok {
-			t.gone[name] = now
-		}
-		return
-	}
-	if t.name == samphireturn.TopicTable {
-		// The table in force stays until a newer one comes.
-		return
-	}
-	delete(t.entries, name)
-}
-
-// expire drops the entries that did not come back in time.
-func (f *Follower) expire(t *topic) {
-	if len(t.gone) == 0 || t.failing {
-		return
-	}
-	now := f.Clock()
-	dropped := false
-	for name, at := range t.gone {
-		if now-at >= LapseTime {
-			delete(t.gone, name)
-			delete(t.entries, name)
-			dropped = true
-		}
-	}
-	if dropped {
-		f.publish(t)
-	}
+	f.Log.Info().Str("event", "source_regained").Stringer("topic", t.name).Dur("age", f.age(t)).Send()
 }
 
 // rest waits; false once ctx has ended.
--- /dev/null
+++ b/internal/fleet/follower/peers.go
@@ -0,0 +1,228 @@
+package follower
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"samphireturn"
+	"samphireturn/internal/fleet/encoder"
+	"samphireturn/internal/fleet/ranker"
+)
+
+const (
+	// Topic is the topic of polls.
+	Topic = "follow"
+	// pollWait is the longest wait for news at a peer, and pollTime bounds a poll:
+	// a daemon whose peer falls silent watches by itself within a second.
+	pollWait = 350 * time.Millisecond
+	pollTime = 800 * time.Millisecond
+	// pollGap is the least time between two polls.
+	pollGap = 20 * time.Millisecond
+)
+
+type (
+	// poll asks a peer for what is newer than the asker's versions.
+	poll struct {
+		Known [samphireturn.TopicCount]uint64 `cbor:"1,keyasint"`
+	}
+
+	// news answers a poll.
+	news struct {
+		Topics [samphireturn.TopicCount]state `cbor:"1,keyasint"`
+	}
+
+	// state is a topic as a peer knows it.
+	state struct {
+		Version uint64 `cbor:"1,keyasint"`
+		// Age is how old the newest proof is, in milliseconds; negative for none.
+		Age int64 `cbor:"2,keyasint"`
+		// Whole is true if Entries holds all entries.
+		Whole   bool                 `cbor:"3,keyasint,omitempty"`
+		Entries []samphireturn.Entry `cbor:"4,keyasint,omitempty"`
+	}
+)
+
+// Register registers the handler of polls. It must be called before the peers
+// run.
+func (f *Follower) Register() { f.Peers.Handle(Topic, f.handle) }
+
+// chosen reports whether this daemon watches the source for its data centre.
+func (f *Follower) chosen() bool {
+	at := slices.Index(f.ranked(), f.Self.ID)
+	return at < 0 || at < watchers
+}
+
+// ranked returns the daemons of this data centre that are linked, this one
+// included, those that watch first.
+func (f *Follower) ranked() []string {
+	linked := f.Peers.Connected()
+	var near []samphireturn.VM
+	for _, m := range ranker.Within(f.Self.Centre, f.Control.Snapshot().Members) {
+		if m.ID == f.Self.ID || slices.Contains(linked, m.ID) {
+			near = append(near, m)
+		}
+	}
+	return ranker.Rank("follow/"+f.Self.Centre, near)
+}
+
+// leader returns the daemon to follow: the first of this data centre, or any
+// linked one if this is the first itself and the source does not answer it.
+func (f *Follower) leader() string {
+	ranked := f.ranked()
+	if len(ranked) > 0 && ranked[0] != f.Self.ID && slices.Contains(ranked, f.Self.ID) {
+		return ranked[0]
+	}
+	f.mu.Lock()
+	failing := f.topics[samphireturn.TopicTable].failing
+	f.mu.Unlock()
+	if linked := f.Peers.Connected(); failing && len(linked) > 0 {
+		return linked[int(f.Rand()*float64(len(linked)))]
+	}
+	return ""
+}
+
+// poll follows another daemon until ctx ends.
+func (f *Follower) poll(ctx context.Context) {
+	for ctx.Err() == nil {
+		id := f.leader()
+		if id == "" {
+			f.follow("")
+			f.rest(ctx, parkTime)
+			continue
+		}
+		if err := f.ask(ctx, id); err != nil && ctx.Err() == nil {
+			f.Log.Info().Str("event", "follow_failed").Str("peer", id).Err(err).Send()
+			f.follow("")
+			f.rest(ctx, parkTime)
+			continue
+		}
+		f.follow(id)
+		f.rest(ctx, pollGap)
+	}
+}
+
+// follow notes which daemon is followed.
+func (f *Follower) follow(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.following != id {
+		f.following = id
+		f.Log.Info().Str("event", "following").Str("peer", id).Send()
+	}
+}
+
+// ask makes one poll and applies its answer.
+func (f *Follower) ask(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTime)
+	defer cancel()
+	var (
+		ask   poll
+		reply news
+	)
+	f.mu.Lock()
+	for i := range f.topics {
+		if f.topics[i].listed {
+			ask.Known[i] = f.topics[i].version
+		}
+	}
+	f.mu.Unlock()
+	sent := f.Clock()
+	if err := f.Peers.Call(ctx, id, Topic, ask, &reply); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.topics {
+		f.hear(&f.topics[i], &reply.Topics[i], sent)
+	}
+	return nil
+}
+
+// hear applies what a peer knows of a topic. Its proof counts only together with
+// all that was known when it was made.
+func (f *Follower) hear(t *topic, s *state, sent time.Duration) {
+	if s.Age < 0 || !s.Whole && (!t.listed || s.Version < t.version) {
+		return
+	}
+	if s.Whole && s.Version < t.version {
+		return
+	}
+	at := sent - time.Duration(s.Age)*time.Millisecond
+	f.outage(t, at)
+	if s.Whole {
+		f.replace(t, samphireturn.Batch{Entries: s.Entries, Version: s.Version})
+	} else {
+		t.version = s.Version
+	}
+	f.prove(t, at)
+}
+
+// listedEntries returns the entries that the source holds; those that are kept
+// over an outage are not passed on.
+func (t *topic) listedEntries() []samphireturn.Entry {
+	entries := make([]samphireturn.Entry, 0, len(t.entries))
+	for name, e := range t.entries {
+		if _, gone := t.gone[name]; !gone {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
+
+// handle answers a poll once there is news or the wait is over.
+func (f *Follower) handle(ctx context.Context, _ string, body []byte) (any, error) {
+	var ask poll
+	if err := encoder.Unmarshal(body, &ask); err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(pollWait)
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		renewed := f.renewed
+		fresh := f.changedSince(&ask)
+		f.mu.Unlock()
+		if fresh {
+			return f.news(&ask), nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-timer.C:
+			return f.news(&ask), nil
+		case <-renewed:
+		}
+	}
+}
+
+// changedSince reports whether any topic changed after what the asker knows. The
+// caller holds mu.
+func (f *Follower) changedSince(ask *poll) bool {
+	for i := range f.topics {
+		if f.topics[i].changed > ask.Known[i] {
+			return true
+		}
+	}
+	return false
+}
+
+// news returns what is newer than the asker's versions, and all proofs.
+func (f *Follower) news(ask *poll) news {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var reply news
+	for i := range f.topics {
+		t := &f.topics[i]
+		s := state{Version: t.version, Age: -1}
+		if t.proved && t.listed {
+			s.Age = f.age(t).Milliseconds() + 1
+		}
+		if t.changed > ask.Known[i] || ask.Known[i] == 0 {
+			s.Whole = true
+			s.Entries = t.listedEntries()
+		}
+		reply.Topics[i] = s
+	}
+	return reply
+}
--- a/relay.go
+++ b/relay.go
@@ -146,7 +146,7 @@
 		Version uint64
 		Gone    bool
 		// Fault says why an entry can't be understood.
-		Fault   error
+		Fault   error `cbor:"-"`
 		Table   *Table
 		Host    *Host
 		Rollout *Rollout
