--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -23,17 +23,20 @@
 	// LapseTime is how long entries that were gone after an outage of the source
 	// are kept: endpoints that live are listed again within some two seconds of it,
 	// and those that left take no more work two seconds after they were gone.
-	LapseTime = 1800 * time.Millisecond
-	// OutageTime is a silence of the source in which entries may lapse: endpoints
+	LapseTime = 1700 * time.Millisecond
+	// OutageTime, beside a watch, is a silence in which entries may lapse: endpoints
 	// write about each second, and lapse after three times that.
-	OutageTime = 2500 * time.Millisecond
+	OutageTime = 1700 * time.Millisecond
 	// watchers is the number of daemons of a data centre that watch the source.
 	watchers = 1
 	// parkTime is the period in which a daemon looks whether it must watch.
 	parkTime = 100 * time.Millisecond
 
+	// retryMin and retryMax bound the wait before the next call after a failure, so
+	// that the end of an outage is seen within a quarter of a second. Only one topic
+	// tries; each call is paid for, refused or not.
 	retryMin = 50 * time.Millisecond
-	retryMax = 500 * time.Millisecond
+	retryMax = 250 * time.Millisecond
 	// never is the age of what was never proved.
 	never = time.Duration(1<<63 - 1)
 )
@@ -78,7 +81,8 @@
 
 	mu     sync.Mutex
 	topics [samphireturn.TopicCount]topic
-	// renewed is closed and replaced when any topic changes or is proved.
+	// renewed is closed and replaced when any topic changes, or one is proved whose
+	// proofs must be young.
 	renewed chan struct{}
 	// following is the daemon that is followed, while it answers.
 	following string
@@ -110,6 +114,11 @@
 		t := &f.topics[i]
 		f.wait.Go(func() { f.watch(ctx, t) })
 	}
+	f.wait.Go(func() {
+		for f.rest(ctx, parkTime) {
+			f.expire(&f.topics[samphireturn.TopicHosts])
+		}
+	})
 	if f.Peers != nil {
 		f.wait.Go(func() { f.poll(ctx) })
 	}
@@ -143,9 +152,8 @@
 func (f *Follower) watch(ctx context.Context, t *topic) {
 	wait := retryMin
 	for ctx.Err() == nil {
-		if !f.direct(t) {
+		if !f.direct(t) || f.waits(t) {
 			f.rest(ctx, parkTime)
-			f.expire(t)
 			continue
 		}
 		err := f.step(ctx, t)
@@ -155,7 +163,6 @@
 		if err == nil {
 			wait = retryMin
 			f.regained(t)
-			f.expire(t)
 			continue
 		}
 		if samphireturn.KindOf(err) == samphireturn.KindExpired {
@@ -180,10 +187,21 @@
 	return f.following == "" || f.age(t) > limits[t.name]
 }
 
+// waits reports whether a topic waits for the table's to see the source return.
+func (f *Follower) waits(t *topic) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return t.failing && t.name != samphireturn.TopicTable && f.topics[samphireturn.TopicTable].failing
+}
+
 // step makes one call to the source and applies its answer.
 func (f *Follower) step(ctx context.Context, t *topic) error {
 	f.mu.Lock()
-	listed, since := t.listed, t.version
+	listed, since, wait := t.listed, t.version, waits[t.name]
+	if t.failing {
+		// The first answer after a failure must not wait for a change.
+		wait = time.Millisecond
+	}
 	f.mu.Unlock()
 	sent := f.Clock()
 	if !listed {
@@ -198,7 +216,7 @@
 		f.prove(t, sent)
 		return nil
 	}
-	batch, err := f.Source.Watch(ctx, t.name, since, waits[t.name])
+	batch, err := f.Source.Watch(ctx, t.name, since, wait)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -19,12 +19,16 @@
 	pollTime = 800 * time.Millisecond
 	// pollGap is the least time between two polls.
 	pollGap = 20 * time.Millisecond
+	// newerBy is how much younger a proof must be to be passed on at once.
+	newerBy = 100 * time.Millisecond
 )
 
 type (
 	// poll asks a peer for what is newer than the asker's versions.
 	poll struct {
 		Known [samphireturn.TopicCount]uint64 `cbor:"1,keyasint"`
+		// Ages are how old the asker's proofs are, in milliseconds.
+		Ages [samphireturn.TopicCount]int64 `cbor:"2,keyasint"`
 	}
 
 	// news answers a poll.
@@ -125,6 +129,7 @@
 		if f.topics[i].listed {
 			ask.Known[i] = f.topics[i].version
 		}
+		ask.Ages[i] = f.age(&f.topics[i]).Milliseconds()
 	}
 	f.mu.Unlock()
 	sent := f.Clock()
@@ -170,37 +175,39 @@
 	return entries
 }
 
-// handle answers a poll once there is news or the wait is over.
+// handle answers a poll once there is news or a newer proof, or the wait is over.
 func (f *Follower) handle(ctx context.Context, _ string, body []byte) (any, error) {
 	var ask poll
 	if err := encoder.Unmarshal(body, &ask); err != nil {
 		return nil, err
 	}
+	f.mu.Lock()
+	renewed := f.renewed
+	fresh := f.changedSince(&ask)
+	f.mu.Unlock()
+	if fresh {
+		return f.news(&ask), nil
+	}
 	timer := time.NewTimer(pollWait)
 	defer timer.Stop()
-	for {
-		f.mu.Lock()
-		renewed := f.renewed
-		fresh := f.changedSince(&ask)
-		f.mu.Unlock()
-		if fresh {
-			return f.news(&ask), nil
-		}
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-timer.C:
-			return f.news(&ask), nil
-		case <-renewed:
-		}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-timer.C:
+	case <-renewed:
 	}
+	return f.news(&ask), nil
 }
 
-// changedSince reports whether any topic changed after what the asker knows. The
-// caller holds mu.
+// changedSince reports whether any topic changed after what the asker knows, or
+// was proved after. The caller holds mu.
 func (f *Follower) changedSince(ask *poll) bool {
 	for i := range f.topics {
-		if f.topics[i].changed > ask.Known[i] {
+		t := &f.topics[i]
+		if t.changed > ask.Known[i] {
+			return true
+		}
+		if t.urgent() && f.age(t) < time.Duration(ask.Ages[i])*time.Millisecond-newerBy {
 			return true
 		}
 	}
--- a/internal/fleet/follower/topic.go
+++ b/internal/fleet/follower/topic.go
@@ -29,7 +29,7 @@
 // source. It must come before what the answer says is applied. The caller holds
 // mu.
 func (f *Follower) outage(t *topic, sent time.Duration) {
-	if t.proved && sent-t.proof > OutageTime {
+	if t.proved && sent-t.proof > OutageTime+waits[t.name] {
 		t.trouble = f.Clock()
 		f.Log.Info().Str("event", "outage_over").Stringer("topic", t.name).Dur("away", sent-t.proof).Send()
 	}
@@ -41,6 +41,18 @@
 		return
 	}
 	t.proof, t.proved = sent, true
+	if t.urgent() {
+		f.renew()
+	}
+}
+
+// urgent reports whether the topic's proofs must be young.
+func (t *topic) urgent() bool {
+	return t.name == samphireturn.TopicTable || t.name == samphireturn.TopicHosts
+}
+
+// renew wakes the polls that wait. The caller holds mu.
+func (f *Follower) renew() {
 	close(f.renewed)
 	f.renewed = make(chan struct{})
 }
@@ -63,6 +75,7 @@
 	}
 	t.version, t.changed = batch.Version, batch.Version
 	f.publish(t)
+	f.renew()
 }
 
 // update applies changes, unless newer ones are known already. The caller holds
@@ -84,6 +97,7 @@
 	}
 	t.changed = batch.Version
 	f.publish(t)
+	f.renew()
 }
 
 // put takes an entry in, unless it can't be understood or is older than what is
