Choose endpoints by the time to the first event and probe unreachable ones

Cause: short requests waited 3.5 s behind long prompts of the largest model (busiest engine 1.66 of the mean), and each request found out by itself that a cut-off endpoint can't be reached (a second each). Change: daemons learn how long a token of each model takes to read and share the time that prompts wait to be read; the score is in parts of the objective; endpoints that can't be dialled are probed in the background.

--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -253,6 +253,7 @@
 		sum := r.Loads[id]
 		sum.Calls += l.Calls
 		sum.Tokens += l.Tokens
+		sum.Backlog += l.Backlog
 		r.Loads[id] = sum
 	}
 	r.Tallies = stager.Sum(r.Tallies, o.Tallies)
--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -13,30 +13,37 @@
 	"samphireturn"
 )
 
-// Weights of a choice. They are in units of a pool's slots in use: 1 stands for
-// an endpoint that is full.
+// Weights of a choice. They are in units of a request's worth: an answer that
+// comes as late as its objective costs 1.
 const (
-	// farCost is what an endpoint of another data centre costs: bytes between data
-	// centres are paid for, so it is used only if the own ones are half fuller.
-	farCost = 0.5
+	// farCost is what an endpoint of another data centre costs, for the bytes that
+	// are paid for: it is used where the own ones would take a fifth of the objective
+	// longer.
+	farCost = 0.04
+	// crowdCost multiplies the part of the slots in use, which slow each other down.
+	crowdCost = 0.1
 	// memoryCost multiplies the part of the memory in use beyond memoryRoom, where
 	// an engine begins to preempt.
-	memoryCost = 4
+	memoryCost = 2
 	memoryRoom = 0.75
-	// prefixGain is what a cached prompt of prefixTokens is worth: reading it takes
-	// as long as some ten requests more at the engine delay all others.
-	prefixGain   = 0.8
-	prefixTokens = 8000.0
+	// rereadCost is what reading rereadTokens of a shared prompt again costs; it is
+	// paid for by the token.
+	rereadCost   = 0.08
+	rereadTokens = 8000.0
 	// faultCost is what one fresh failure costs; it halves each faultHalf.
-	faultCost = 1.0
+	faultCost = 0.5
 	faultHalf = time.Second
+	// tieCost spreads requests over endpoints that are alike.
+	tieCost = 0.004
 	// reportTime is how long a report counts.
 	reportTime = 2 * time.Second
-	// shunTime is how long an endpoint that can't be reached is left out.
-	shunTime = 1500 * time.Millisecond
 	// spareDaemons is the number of daemons to allow for beside each known one,
 	// since new ones send before they are known.
 	spareDaemons = 0.5
+	// usualWork is the time of a whole answer before any came.
+	usualWork = 50 * time.Millisecond
+	// usualObjective stands for a route without an objective.
+	usualObjective = time.Second
 )
 
 var cold = expvar.NewInt("balancer_cold")
@@ -53,6 +60,7 @@
 
 		mu    sync.Mutex
 		loads map[string]*load
+		paces map[string]*pace
 	}
 
 	// Want describes what a request needs.
@@ -60,12 +68,18 @@
 		Pool *samphireturn.Pool
 		// Hosts are the endpoints to choose from.
 		Hosts []*samphireturn.Host
-		// Tokens is the memory that the request takes at an engine.
-		Tokens int
+		// Tokens is the memory that the request takes at an engine, and Prompt the
+		// part of it that is read.
+		Tokens, Prompt int
 		// Subject names what the prompt shares with others, and Shared how many
 		// tokens that is.
 		Subject string
 		Shared  int
+		// Kind names the requests whose answers take alike long, such as those to one
+		// model.
+		Kind string
+		// Objective is the time within which the answer should begin.
+		Objective time.Duration
 		// Avoid holds the endpoints that were tried.
 		Avoid map[string]bool
 		// Daemons is the number of daemons known.
@@ -76,6 +90,22 @@
 	Load struct {
 		Calls  int `cbor:"1,keyasint"`
 		Tokens int `cbor:"2,keyasint,omitempty"`
+		// Backlog is the time in microseconds that prompts will take that wait to be
+		// read.
+		Backlog int64 `cbor:"3,keyasint,omitempty"`
+	}
+
+	// Ticket is one request at an endpoint. Begin and Done may be called more than
+	// once.
+	Ticket struct {
+		Host *samphireturn.Host
+
+		balancer *Balancer
+		want     Want
+		sent     time.Duration
+		work     time.Duration
+		begun    bool
+		done     bool
 	}
 
 	// load is what is known of one endpoint.
@@ -93,7 +123,10 @@
 		heard   time.Duration
 		faults  float64
 		faultAt time.Duration
-		shunned time.Duration
+		// shunned is true while the endpoint can't be reached.
+		shunned bool
+		// read holds when prompts about subjects were last sent, by kind and subject.
+		read map[uint64]time.Duration
 		// coldUntil is when the endpoint is warm; coldNext is when this daemon may
 		// send to it next.
 		coldUntil, coldNext time.Duration
@@ -103,12 +136,12 @@
 
 // New returns a balancer of a daemon in a data centre.
 func New(centre string, clock func() time.Duration) *Balancer {
-	return &Balancer{Centre: centre, Clock: clock, Rand: rand.Float64, loads: make(map[string]*load)}
+	return &Balancer{Centre: centre, Clock: clock, Rand: rand.Float64, loads: make(map[string]*load), paces: make(map[string]*pace)}
 }
 
-// Pick returns the endpoint for a request and counts it as sent, or nil. The
-// request must be given back by Done.
-func (b *Balancer) Pick(w *Want) *samphireturn.Host {
+// Pick returns a ticket for the endpoint that suits a request best, or nil. It
+// must be given back by Done.
+func (b *Balancer) Pick(w *Want) *Ticket {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock()
@@ -121,7 +154,7 @@
 			continue
 		}
 		l := b.load(h)
-		if now < l.shunned || !l.admits(h, w, now) {
+		if l.shunned || !l.admits(now) {
 			continue
 		}
 		score := b.score(h, l, w, now)
@@ -132,34 +165,72 @@
 	if best == nil {
 		return nil
 	}
-	l := b.load(best)
+	return b.enter(best, w, now)
+}
+
+// enter counts a request at an endpoint. The caller holds mu.
+func (b *Balancer) enter(h *samphireturn.Host, w *Want, now time.Duration) *Ticket {
+	l := b.load(h)
+	t := &Ticket{Host: h, balancer: b, want: *w, sent: now, work: b.work(l, w, now)}
 	l.mine.Calls++
 	l.mine.Tokens += w.Tokens
+	l.mine.Backlog += t.work.Microseconds()
 	l.since++
+	if w.Subject != "" {
+		if l.read == nil {
+			l.read = make(map[uint64]time.Duration)
+		}
+		l.read[w.prefix()] = now
+	}
 	if now < l.coldUntil {
 		cold.Add(1)
 		l.coldNext = now + coldGap(w)
 	}
-	return best
+	return t
 }
 
-// Done gives a request back.
-func (b *Balancer) Done(h *samphireturn.Host, tokens int) {
+// Begin notes that the answer began, with what the endpoint told of its load.
+func (t *Ticket) Begin(s samphireturn.Sign) {
+	b := t.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.load(h)
-	l.mine.Calls--
-	l.mine.Tokens -= tokens
-	l.since--
+	l := b.load(t.Host)
+	if !t.begun && !t.done && !s.NotRun {
+		b.learn(&t.want, b.uncached(l, &t.want, t.sent), b.Clock()-t.sent, l)
+	}
+	t.begin(l)
+	b.report(l, s)
 }
 
-// Report takes in what an endpoint told of its load.
-func (b *Balancer) Report(h *samphireturn.Host, s samphireturn.Sign) {
+// begin ends the time in which the prompt waits or is read. The caller holds mu.
+func (t *Ticket) begin(l *load) {
+	if !t.begun && !t.done {
+		t.begun = true
+		l.mine.Backlog -= t.work.Microseconds()
+	}
+}
+
+// Done gives the request back.
+func (t *Ticket) Done() {
+	b := t.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.load(h)
+	if t.done {
+		return
+	}
+	l := b.load(t.Host)
+	t.begin(l)
+	t.done = true
+	l.mine.Calls--
+	l.mine.Tokens -= t.want.Tokens
+	l.since--
+}
+
+// report takes in what an endpoint told of its load. The caller holds mu.
+func (b *Balancer) report(l *load, s samphireturn.Sign) {
 	now := b.Clock()
 	l.heard = now
+	l.shunned = false
 	if s.Slots > 0 {
 		l.reported, l.reportedAt, l.since = s.Running+s.Waiting, now, 0
 	}
@@ -182,7 +253,8 @@
 	return b.Clock() - b.load(h).heard
 }
 
-// Fault notes that an endpoint failed a request; shun that it can't be reached.
+// Fault notes that an endpoint failed a request; shun that it can't be reached,
+// so that it gets nothing until Reached.
 func (b *Balancer) Fault(h *samphireturn.Host, shun bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -190,9 +262,31 @@
 	now := b.Clock()
 	l.faults = l.decayed(now) + 1
 	l.faultAt = now
-	if shun {
-		l.shunned = now + shunTime
+	l.shunned = l.shunned || shun
+}
+
+// Shunned returns those of the endpoints that can't be reached.
+func (b *Balancer) Shunned(pools map[string][]*samphireturn.Host) []*samphireturn.Host {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var shunned []*samphireturn.Host
+	for _, hosts := range pools {
+		for _, h := range hosts {
+			if b.load(h).shunned {
+				shunned = append(shunned, h)
+			}
+		}
 	}
+	return shunned
+}
+
+// Reached notes that an endpoint can be reached again.
+func (b *Balancer) Reached(h *samphireturn.Host) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.load(h)
+	l.shunned = false
+	l.faults = 0
 }
 
 // Chill counts the endpoints of a data centre as cold for a time, since they may
@@ -270,7 +364,7 @@
 }
 
 // admits reports whether the endpoint is warm or may get a request now.
-func (l *load) admits(h *samphireturn.Host, w *Want, now time.Duration) bool {
+func (l *load) admits(now time.Duration) bool {
 	return now >= l.coldUntil || now >= l.coldNext
 }
 
@@ -295,7 +389,13 @@
 // score is the cost of sending the request to an endpoint.
 func (b *Balancer) score(h *samphireturn.Host, l *load, w *Want, now time.Duration) float64 {
 	slots := max(h.Slots, 1)
-	score := float64(l.running(now)+1) / float64(slots)
+	running := l.running(now)
+	objective := w.Objective
+	if objective <= 0 {
+		objective = usualObjective
+	}
+	late := float64(b.delay(l, w, running, slots, now)) / float64(objective)
+	score := late*late + crowdCost*float64(running+1)/float64(slots)
 	if w.Pool.Memory > 0 {
 		used := float64(l.mine.Tokens+l.others.Tokens+w.Tokens) / float64(w.Pool.Memory)
 		score += memoryCost * max(used-memoryRoom, 0)
@@ -303,12 +403,12 @@
 	if h.Centre != b.Centre {
 		score += farCost
 	}
-	if w.Subject != "" {
-		gain := prefixGain * float64(w.Shared) / (float64(w.Shared) + prefixTokens)
-		score -= gain * affinity(w.Subject, h.ID)
+	if w.Subject != "" && !l.holds(w, now) {
+		// Where nobody is known to have read it, all daemons prefer the same endpoints.
+		score += rereadCost * float64(w.Shared) / rereadTokens * (1.5 - affinity(w.Subject, h.ID))
 	}
 	score += faultCost * l.decayed(now)
-	return score + 0.02*b.Rand()
+	return score + tieCost*b.Rand()
 }
 
 // decayed is the number of fresh failures.
@@ -324,9 +424,7 @@
 	return l.faults
 }
 
-// affinity is a number from 0 to 1 that all daemons derive alike. It is near 1
-// for few endpoints, so that requests about one subject meet there.
+// affinity is a number from 0 to 1 that all daemons derive alike.
 func affinity(subject, id string) float64 {
-	x := float64(xxhash.Sum64String(subject+"\x00"+id)) / (1 << 64)
-	return x * x * x
+	return float64(xxhash.Sum64String(subject+"\x00"+id)) / (1 << 64)
 }
--- /dev/null
+++ b/internal/forward/balancer/pace.go
@@ -0,0 +1,98 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// readTime is how long a prompt is taken to stay in an engine's cache after it
+	// was last sent there.
+	readTime = 20 * time.Second
+	// readLimit bounds the prompts remembered of one endpoint.
+	readLimit = 2000
+	// paceTokens is the least number of tokens that tell the speed of reading.
+	paceTokens = 300
+	// Samples below the pace count more than those above it, which have waited for
+	// other work: the pace is that of an endpoint that has nothing else to do.
+	paceDown, paceUp = 0.2, 0.02
+	// workDecay is the part of the usual time of a whole answer that each new one
+	// replaces.
+	workDecay = 0.1
+)
+
+// pace is what is learned of the requests of one kind.
+type pace struct {
+	// token is the time to read one token of a prompt.
+	token time.Duration
+	// answer is the time to the head of an answer.
+	answer time.Duration
+}
+
+// prefix names the shared part of a request's prompt as one kind reads it.
+func (w *Want) prefix() uint64 { return xxhash.Sum64String(w.Kind + "\x00" + w.Subject) }
+
+// holds reports whether the endpoint is likely to have the shared part cached.
+func (l *load) holds(w *Want, now time.Duration) bool {
+	at, ok := l.read[w.prefix()]
+	return ok && now-at < readTime
+}
+
+// uncached returns the tokens of the prompt that the endpoint must read.
+func (b *Balancer) uncached(l *load, w *Want, now time.Duration) int {
+	if w.Subject != "" && l.holds(w, now-1) {
+		return max(w.Prompt-w.Shared, 0)
+	}
+	return w.Prompt
+}
+
+// work estimates how long an engine reads the prompt; zero for other endpoints.
+// The caller holds mu.
+func (b *Balancer) work(l *load, w *Want, now time.Duration) time.Duration {
+	if w.Pool.Memory == 0 {
+		return 0
+	}
+	p := b.paces[w.Kind]
+	if p == nil {
+		return 0
+	}
+	return time.Duration(b.uncached(l, w, now)) * p.token
+}
+
+// delay estimates how long the answer takes to begin. The caller holds mu.
+func (b *Balancer) delay(l *load, w *Want, running, slots int, now time.Duration) time.Duration {
+	if w.Pool.Memory > 0 {
+		return time.Duration(l.mine.Backlog+l.others.Backlog)*time.Microsecond + b.work(l, w, now)
+	}
+	usual := usualWork
+	if p := b.paces[w.Kind]; p != nil && p.answer > 0 {
+		usual = p.answer
+	}
+	// Those that find no slot wait for one.
+	return time.Duration(max(running+1-slots, 0)) * usual / time.Duration(slots)
+}
+
+// learn takes in how long the head of an answer took.
+func (b *Balancer) learn(w *Want, tokens int, took time.Duration, l *load) {
+	p := b.paces[w.Kind]
+	if p == nil {
+		p = &pace{answer: took}
+		b.paces[w.Kind] = p
+	}
+	p.answer += time.Duration(workDecay * float64(took-p.answer))
+	if w.Pool.Memory > 0 && tokens >= paceTokens {
+		sample := took / time.Duration(tokens)
+		switch {
+		case p.token == 0:
+			p.token = sample
+		case sample < p.token:
+			p.token += time.Duration(paceDown * float64(sample-p.token))
+		default:
+			p.token += time.Duration(paceUp * float64(min(sample, 3*p.token)-p.token))
+		}
+	}
+	if len(l.read) > readLimit {
+		clear(l.read)
+	}
+}
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -28,8 +28,9 @@
 	noticeTime = 2400 * time.Millisecond
 	// exitMargin is what is left of the grace time for the end of the process.
 	exitMargin = 400 * time.Millisecond
-	// sweepTime is the period in which idle connections are looked through.
-	sweepTime = time.Second
+	// sweepTime is the period in which idle connections are looked through and
+	// endpoints probed that could not be reached.
+	sweepTime = 500 * time.Millisecond
 	// headerLimit, headerTime, idleTime and bodyLimit hold until a table says
 	// otherwise.
 	headerLimit = 16 << 10
@@ -160,10 +161,24 @@
 		f.Sender.Sweep()
 		if v := f.Control.Snapshot().View; v != nil && v.Hosts != nil {
 			f.Balancer.Retain(v.Hosts)
+			f.probe(ctx, v)
 		}
 	}
 }
 
+// probe tries to reach the endpoints that could not be reached, so that no
+// request has to find out.
+func (f *Forwarder) probe(ctx context.Context, v *samphireturn.View) {
+	for _, h := range f.Balancer.Shunned(v.Hosts) {
+		f.wait.Go(func() {
+			if f.Sender.Probe(ctx, h) == nil {
+				f.Balancer.Reached(h)
+				f.Log.Info().Str("event", "endpoint_reached").Str("endpoint", h.ID).Str("centre", h.Centre).Send()
+			}
+		})
+	}
+}
+
 // matcher returns the matcher of the table in force.
 func (f *Forwarder) matcher(t *samphireturn.Table) *matcher.Matcher {
 	if m := f.matched.Load(); m != nil && m.Table == t {
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -174,6 +174,9 @@
 		Pool:    j.pool,
 		Avoid:   make(map[string]bool),
 		Daemons: len(j.view.Members),
+
+		Prompt:    j.ask.Prompt,
+		Objective: j.route.Objective,
 	}
 	if j.pool.Memory > 0 {
 		j.want.Tokens = j.ask.Prompt + j.ask.Output/2
@@ -194,13 +197,13 @@
 type attempt struct {
 	*samphireturn.Reply
 	host   *samphireturn.Host
+	ticket *balancer.Ticket
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
 	// patience is the longest wait for the next bytes; zero is no bound.
 	patience time.Duration
 	// heard notes that the endpoint makes progress.
 	heard func()
-	done  func()
 }
 
 // close ends the attempt.
@@ -208,7 +211,7 @@
 	a.timer.Stop()
 	_ = a.Body.Close()
 	a.cancel(nil)
-	a.done()
+	a.ticket.Done()
 }
 
 // Read reads on and postpones the end of the patience.
@@ -239,11 +242,12 @@
 			return nil, j.refusal(samphireturn.ReasonEndpoint, crowded, fault)
 		}
 		j.paid.Store(false)
-		host := j.pick()
-		if host == nil {
+		ticket := j.pick()
+		if ticket == nil {
 			return nil, j.refusal(samphireturn.ReasonEmpty, crowded, fault)
 		}
-		a, err := j.try(host, patience)
+		host := ticket.Host
+		a, err := j.try(ticket, patience)
 		if err == nil {
 			return a, nil
 		}
@@ -280,22 +284,24 @@
 var errNotRun = errors.New("endpoint did not run the request")
 
 // pick chooses an endpoint by the newest view.
-func (j *job) pick() *samphireturn.Host {
+func (j *job) pick() *balancer.Ticket {
 	if v := j.Control.Snapshot().View; v != nil {
 		j.view = v
 	}
 	j.want.Hosts = j.Stager.Hosts(j.view, j.pool.Name, j.ask.Session, j.ask.ID)
+	j.want.Kind = j.kind()
 	return j.Balancer.Pick(&j.want)
 }
 
 // try sends the request to one endpoint.
-func (j *job) try(host *samphireturn.Host, patience time.Duration) (*attempt, error) {
+func (j *job) try(ticket *balancer.Ticket, patience time.Duration) (*attempt, error) {
 	ctx, cancel := context.WithCancelCause(j.ctx)
+	host := ticket.Host
 	a := &attempt{
 		host:   host,
+		ticket: ticket,
 		cancel: cancel,
 		heard:  func() { j.Balancer.Heard(host) },
-		done:   func() { j.Balancer.Done(host, j.want.Tokens) },
 	}
 	a.timer = time.AfterFunc(cmp.Or(patience, defaultLimit), func() { j.stalled(a) })
 	send := samphireturn.Send{Ask: &j.ask, Left: j.left(), Host: host, Team: j.team, Last: j.last, Priority: -1}
@@ -320,7 +326,7 @@
 	if err != nil {
 		a.timer.Stop()
 		cancel(nil)
-		a.done()
+		ticket.Done()
 		if !sender.AsError(err).NotRun() && j.r.Context().Err() == nil {
 			j.Stager.Answered(host, j.kind(), true, 0)
 		}
@@ -330,7 +336,7 @@
 	if !reply.Sign.NotRun {
 		j.Stager.Answered(host, j.kind(), reply.Status >= http.StatusInternalServerError, j.Clock()-sent)
 	}
-	j.Balancer.Report(host, reply.Sign)
+	ticket.Begin(reply.Sign)
 	if reply.Sign.NotRun {
 		a.close()
 		j.Balancer.Fault(host, reply.Sign.Moved)
--- a/internal/forward/sender/sender.go
+++ b/internal/forward/sender/sender.go
@@ -39,9 +39,10 @@
 )
 
 const (
-	// DialTime bounds the opening of a connection: two lost packets on a link of
-	// the region, whose round trip is a few milliseconds.
-	DialTime = time.Second
+	// DialTime bounds the opening of a connection. The round trip of the region is a
+	// few milliseconds; a lost packet is sent again after a second, and by then
+	// another endpoint has the request.
+	DialTime = 400 * time.Millisecond
 	// SilentTime is how long written bytes may stay unacknowledged.
 	SilentTime = 2500 * time.Millisecond
 	// keepMargin is the part of the endpoint's idle time in which a connection is
@@ -223,19 +224,34 @@
 		}
 		_ = cn.Close()
 	}
+	return s.open(ctx, c.Host)
+}
+
+// open opens a connection.
+func (s *Sender) open(ctx context.Context, h *samphireturn.Host) (*conn, error) {
 	dial := s.Dial
 	if dial == nil {
 		dial = DialTCP
 	}
 	limit, cancel := context.WithTimeout(ctx, DialTime)
 	defer cancel()
-	raw, err := dial(limit, "tcp", c.Host.Addr)
+	raw, err := dial(limit, "tcp", h.Addr)
 	if err != nil {
 		failures.Add(KindDial.String(), 1)
-		return nil, &Error{Op: "dial " + c.Host.ID, Kind: KindDial, Err: err}
+		return nil, &Error{Op: "dial " + h.ID, Kind: KindDial, Err: err}
 	}
 	opened.Add(1)
-	return &conn{Conn: raw, reader: bufio.NewReader(raw), key: key(c.Host)}, nil
+	return &conn{Conn: raw, reader: bufio.NewReader(raw), key: key(h)}, nil
+}
+
+// Probe opens a connection to an endpoint and keeps it for the next request.
+func (s *Sender) Probe(ctx context.Context, h *samphireturn.Host) error {
+	cn, err := s.open(ctx, h)
+	if err != nil {
+		return err
+	}
+	s.keep(cn, 0)
+	return nil
 }
 
 // pop returns the connection that was used last, or nil. Those whose time is
