--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,13 @@
-.PHONY: build fmt lint test demo bench slopes fuzz
+.PHONY: build system fmt lint test demo bench slopes fuzz
 
 build:
 	mkdir -p bin
 	go build -o bin/ ./cmd/...
 
+# The same command as in deploy/system.toml.
+system:
+	sh scripts/system.sh
+
 fmt:
 	gofmt -l -w .
 
--- a/cmd/samphirectl/docs_test.go
+++ b/cmd/samphirectl/docs_test.go
@@ -24,6 +24,7 @@
 	"samphireturn"
 	"samphireturn/internal/config/publisher"
 	"samphireturn/internal/config/reporter"
+	"samphireturn/internal/core/logger"
 	"samphireturn/internal/fleet/guard"
 )
 
@@ -237,16 +238,22 @@
 }
 
 // TestPagesNames compares the counters and log events of the code with the
-// tables of docs/OPERATING.md, both ways, and what docs/RUNBOOKS.md names with
+// tables of docs/OPERATIONS.md, both ways, and what docs/RUNBOOKS.md names with
 // the code.
 func TestPagesNames(t *testing.T) {
 	c := qt.New(t)
 	all := pages(c)
-	page := all[root+"/docs/OPERATING.md"]
+	page := all[root+"/docs/OPERATIONS.md"]
 	n := readNames(c)
 	c.Check(len(n.counters) > 30 && len(n.messages) > 30, qt.IsTrue)
 	c.Check(slices.Sorted(maps.Keys(table(page, "Counter"))), qt.DeepEquals, slices.Sorted(maps.Keys(n.counters)))
 	c.Check(slices.Sorted(maps.Keys(table(page, "Message"))), qt.DeepEquals, slices.Sorted(maps.Keys(n.messages)))
+	events := make(map[string]bool)
+	for _, e := range logger.Events {
+		events[e.Name] = true
+		c.Check(page, qt.Contains, fmt.Sprintf("| `%s` | %s | %s |", e.Name, e.Fields, e.Text))
+	}
+	c.Check(slices.Sorted(maps.Keys(table(page, "Event"))), qt.DeepEquals, slices.Sorted(maps.Keys(events)))
 	counter := regexp.MustCompile(`^([a-z]+_[a-z_]+)(?:\.([a-z_ ]+))?$`)
 	for _, m := range ticked.FindAllStringSubmatch(all[root+"/docs/RUNBOOKS.md"], -1) {
 		name := m[1]
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -1,10 +1,10 @@
 // Package sharer tells the daemons of a fleet of each other's work and of the
 // answers that releases gave.
 //
-// Daemons of a data centre exchange their own reports; relays exchange the sums
-// of their data centres and pass them on within. A report is sent as a call and
-// answered by the other's report, so that an answer is dated by when it was
-// asked for. Sums of counts that only grow are safe to hear twice or late.
+// Each daemon reports to the first one of its data centre in rank, its home, and
+// gets the sum of all others back; homes exchange the sums of their data centres.
+// A report is a call, so that an answer is dated by when it was asked for. Sums of
+// counts that only grow are safe to hear twice or late.
 package sharer
 
 import (
@@ -18,6 +18,7 @@
 	"samphireturn"
 	"samphireturn/internal/core/logger"
 	"samphireturn/internal/fleet/encoder"
+	"samphireturn/internal/fleet/ranker"
 	"samphireturn/internal/forward/balancer"
 	"samphireturn/internal/forward/stager"
 )
@@ -25,9 +26,15 @@
 const (
 	// Topic is the topic of reports.
 	Topic = "share"
-	// Period is the time between two reports to a peer: a few times shorter than
-	// the second within which endpoints fill up.
+	// Period is the time between two reports: a few times shorter than the second
+	// within which endpoints fill up.
 	Period = 300 * time.Millisecond
+	// periodDaemons is the number of daemons of a data centre up to which that
+	// holds; beyond it the time grows with their number, so that the home's work
+	// does not.
+	periodDaemons = 8
+	// failedTime is how long a daemon that did not answer is passed over as a home.
+	failedTime = 2 * time.Second
 	// CallTime bounds one exchange.
 	CallTime = time.Second
 	// FreshTime is how long a report counts.
@@ -42,18 +49,12 @@
 	Report struct {
 		Loads   map[string]balancer.Load `cbor:"1,keyasint,omitempty"`
 		Tallies []stager.Tally           `cbor:"2,keyasint,omitempty"`
-		// Age is how old the report was when it was sent, in milliseconds.
-		Age int64 `cbor:"3,keyasint,omitempty"`
 	}
 
-	// Message is what one daemon tells another.
+	// Message is a report of a daemon or of a data centre, or the answer to one.
 	Message struct {
 		Centre string `cbor:"1,keyasint"`
-		// Own is the sender's own report, to daemons of its data centre, or the sum
-		// of its data centre.
-		Own Report `cbor:"2,keyasint"`
-		// Far holds the sums of other data centres.
-		Far map[string]Report `cbor:"3,keyasint,omitempty"`
+		Report Report `cbor:"2,keyasint"`
 	}
 
 	// Sharer is a service. Set the exported fields before Run.
@@ -67,9 +68,13 @@
 		// Clock counts suspensions too.
 		Clock func() time.Duration
 
-		mu     sync.Mutex
-		near   map[string]dated
-		far    map[string]dated
+		mu sync.Mutex
+		// near holds the reports of daemons of this data centre, far the sums of
+		// others by data centre.
+		near, far map[string]dated
+		// total is what the home told.
+		total  dated
+		failed map[string]time.Duration
 		busy   map[string]bool
 		cancel context.CancelFunc
 		wait   sync.WaitGroup
@@ -85,7 +90,8 @@
 // Register registers the handler of reports. It must be called before the peers
 // run.
 func (s *Sharer) Register() {
-	s.near, s.far, s.busy = make(map[string]dated), make(map[string]dated), make(map[string]bool)
+	s.near, s.far = make(map[string]dated), make(map[string]dated)
+	s.failed, s.busy = make(map[string]time.Duration), make(map[string]bool)
 	s.Peers.Handle(Topic, s.handle)
 }
 
@@ -104,27 +110,59 @@
 }
 
 func (s *Sharer) loop(ctx context.Context) {
-	tick := time.NewTicker(Period)
-	defer tick.Stop()
 	for {
+		members := s.Control.Snapshot().Members
+		near := ranker.Within(s.Self.Centre, members)
+		timer := time.NewTimer(Period * time.Duration(max(1, len(near)/periodDaemons)))
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
-		case <-tick.C:
+		case <-timer.C:
 		}
-		for _, id := range s.Peers.Connected() {
-			s.exchange(ctx, id)
+		if home := s.home(s.Self.Centre, members); home != s.Self.ID {
+			s.exchange(ctx, home, Message{Centre: s.Self.Centre, Report: s.mine()})
+		} else {
+			s.shareAbroad(ctx, members)
 		}
 		s.merge()
 	}
 }
 
-// exchange calls a peer unless the last call to it still waits.
-func (s *Sharer) exchange(ctx context.Context, id string) {
-	centre := s.centre(id)
-	if centre == "" {
-		return
+// home returns the daemon of a data centre that adds the others' reports up.
+func (s *Sharer) home(centre string, members []samphireturn.VM) string {
+	for _, id := range ranker.Rank("share/"+centre, ranker.Within(centre, members)) {
+		if id == s.Self.ID || !s.failedLately(id) {
+			return id
+		}
 	}
+	return s.Self.ID
+}
+
+// shareAbroad exchanges sums with the homes of the other data centres.
+func (s *Sharer) shareAbroad(ctx context.Context, members []samphireturn.VM) {
+	told := map[string]bool{s.Self.Centre: true}
+	for _, m := range members {
+		if told[m.Centre] {
+			continue
+		}
+		told[m.Centre] = true
+		if home := s.home(m.Centre, members); home != s.Self.ID {
+			s.exchange(ctx, home, Message{Centre: s.Self.Centre, Report: s.sum("", false)})
+		}
+	}
+}
+
+// failedLately reports whether a daemon did not answer.
+func (s *Sharer) failedLately(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.failed[id]
+	return ok && s.Clock()-at < failedTime
+}
+
+// exchange calls a peer unless the last call to it still waits.
+func (s *Sharer) exchange(ctx context.Context, id string, m Message) {
 	s.mu.Lock()
 	busy := s.busy[id]
 	s.busy[id] = true
@@ -133,43 +171,47 @@
 		return
 	}
 	s.wait.Go(func() {
-		defer func() {
-			s.mu.Lock()
-			delete(s.busy, id)
-			s.mu.Unlock()
-		}()
 		ctx, cancel := context.WithTimeout(ctx, CallTime)
 		defer cancel()
 		sent := s.Clock()
 		var reply Message
-		if err := s.Peers.Call(ctx, id, Topic, s.message(centre), &reply); err != nil {
+		err := s.Peers.Call(ctx, id, Topic, m, &reply)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.busy, id)
+		if err != nil {
 			exchanges.Add("failed", 1)
+			s.failed[id] = s.Clock()
 			s.Log.Debug().Str("event", logger.EventShareFailed).Str("peer", id).Err(err).Send()
 			return
 		}
 		exchanges.Add("done", 1)
-		s.take(id, reply, sent)
+		got := dated{reply.Report, sent}
+		if reply.Centre == s.Self.Centre {
+			s.total = newer(s.total, got)
+			return
+		}
+		s.far[reply.Centre] = newer(s.far[reply.Centre], got)
 	})
 }
 
-// handle answers a peer's report with our own.
+// handle answers a report: a daemon of this data centre is told of all others, one
+// of another is told this one's sum.
 func (s *Sharer) handle(_ context.Context, from string, body []byte) (any, error) {
 	var m Message
 	if err := encoder.Unmarshal(body, &m); err != nil {
 		return nil, err
 	}
-	s.take(from, m, s.Clock())
-	return s.message(m.Centre), nil
-}
-
-// centre returns the data centre of a daemon, or "" if it is not known.
-func (s *Sharer) centre(id string) string {
-	for _, m := range s.Control.Snapshot().Members {
-		if m.ID == id {
-			return m.Centre
-		}
+	near := m.Centre == s.Self.Centre
+	got := dated{m.Report, s.Clock()}
+	s.mu.Lock()
+	if near {
+		s.near[from] = newer(s.near[from], got)
+	} else {
+		s.far[m.Centre] = newer(s.far[m.Centre], got)
 	}
-	return ""
+	s.mu.Unlock()
+	return Message{Centre: s.Self.Centre, Report: s.sum(from, near)}, nil
 }
 
 // mine returns this daemon's own report.
@@ -177,45 +219,27 @@
 	return Report{Loads: s.Balancer.Mine(), Tallies: s.Stager.Mine()}
 }
 
-// message returns what a daemon of a data centre is to be told.
-func (s *Sharer) message(centre string) Message {
-	m := Message{Centre: s.Self.Centre, Own: s.mine()}
+// sum returns the sum of this data centre without one daemon, with the others'
+// sums if abroad is true.
+func (s *Sharer) sum(without string, abroad bool) Report {
+	sum := s.mine()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock()
-	if centre != s.Self.Centre {
-		for _, r := range s.near {
-			if now-r.at < FreshTime {
-				m.Own.add(r.Report)
-			}
+	for id, r := range s.near {
+		if id != without && now-r.at < FreshTime {
+			sum.add(r.Report)
 		}
-		return m
 	}
-	m.Far = make(map[string]Report, len(s.far))
-	for name, r := range s.far {
-		if now-r.at < FreshTime {
-			out := r.Report
-			out.Age = (now - r.at).Milliseconds()
-			m.Far[name] = out
-		}
+	if !abroad {
+		return sum
 	}
-	return m
-}
-
-// take keeps what a daemon told.
-func (s *Sharer) take(from string, m Message, at time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if m.Centre != s.Self.Centre {
-		s.far[m.Centre] = newer(s.far[m.Centre], dated{m.Own, at})
-		return
-	}
-	s.near[from] = newer(s.near[from], dated{m.Own, at})
-	for name, r := range m.Far {
-		if name != s.Self.Centre {
-			s.far[name] = newer(s.far[name], dated{r, at - time.Duration(r.Age)*time.Millisecond})
+	for _, r := range s.far {
+		if now-r.at < FreshTime {
+			sum.add(r.Report)
 		}
 	}
+	return sum
 }
 
 // newer returns the newer of two reports.
@@ -231,13 +255,17 @@
 	s.mu.Lock()
 	now := s.Clock()
 	sum := Report{Loads: make(map[string]balancer.Load)}
-	for _, reports := range []map[string]dated{s.near, s.far} {
-		for name, r := range reports {
-			if now-r.at >= FreshTime {
-				delete(reports, name)
-				continue
+	if now-s.total.at < FreshTime {
+		sum.add(s.total.Report)
+	} else {
+		for _, reports := range []map[string]dated{s.near, s.far} {
+			for name, r := range reports {
+				if now-r.at >= FreshTime {
+					delete(reports, name)
+					continue
+				}
+				sum.add(r.Report)
 			}
-			sum.add(r.Report)
 		}
 	}
 	s.mu.Unlock()
