--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -37,6 +37,8 @@
 	// tries; each call is paid for, refused or not.
 	retryMin = 50 * time.Millisecond
 	retryMax = 250 * time.Millisecond
+	// followerRetryMax is that of a daemon which would hear from another.
+	followerRetryMax = time.Second
 	// never is the age of what was never proved.
 	never = time.Duration(1<<63 - 1)
 )
@@ -176,18 +178,27 @@
 		if !f.rest(ctx, time.Duration((0.5+f.Rand()/2)*float64(wait))) {
 			return
 		}
-		wait = min(2*wait, retryMax)
+		wait = min(2*wait, f.longest())
 	}
 }
 
-// direct reports whether this daemon is to watch a topic by itself.
+// longest returns the longest wait before a call is tried again.
+func (f *Follower) longest() time.Duration {
+	if f.Peers == nil || f.chosen() {
+		return retryMax
+	}
+	return followerRetryMax
+}
+
+// direct reports whether this daemon is to watch a topic by itself: as the one
+// that others follow, or while what it hears from another is too old.
 func (f *Follower) direct(t *topic) bool {
 	if f.Peers == nil || f.chosen() {
 		return true
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.following == "" || f.age(t) > limits[t.name]
+	return f.age(t) > limits[t.name]
 }
 
 // waits reports whether a topic waits for the table's to see the source return.
--- a/internal/forward/stager/stager.go
+++ b/internal/forward/stager/stager.go
@@ -71,9 +71,9 @@
 		length  time.Duration
 		state   string
 		// bad is true once the evidence speaks against the release.
-		bad bool
-		// halted is true while the share must not grow.
-		mine []Tally
+		bad   bool
+		rates rates
+		mine  []Tally
 	}
 
 	// session is where a session's last request went.
@@ -184,6 +184,7 @@
 	st := s.stages[r.Pool]
 	if st == nil || st.release != r.Release || ended(st.state) && r.State == samphireturn.RolloutOrdered {
 		st = &stage{release: r.Release, started: s.Clock(), length: r.Length}
+		st.rates = rates{seen: make(map[string]Tally), scores: make(map[string]float64)}
 		if !r.Started.IsZero() {
 			// Another daemon saw the order first, or this one did before it started anew.
 			st.started -= max(0, min(s.Now().Sub(r.Started), r.Length))
--- /dev/null
+++ b/internal/forward/stager/stager_test.go
@@ -0,0 +1,223 @@
+package stager_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"samphireturn"
+	"samphireturn/internal/forward/stager"
+)
+
+const length = 20 * time.Second
+
+// daemons are some stagers that hear of each other's tallies.
+type daemons struct {
+	now     time.Duration
+	stagers []*stager.Stager
+	view    *samphireturn.View
+	old     *samphireturn.Host
+	fresh   *samphireturn.Host
+}
+
+func newDaemons(n int) *daemons {
+	d := &daemons{
+		now:   time.Hour,
+		old:   &samphireturn.Host{ID: "old", Pool: "llm", Release: "v1"},
+		fresh: &samphireturn.Host{ID: "fresh", Pool: "llm", Release: "v2"},
+	}
+	for range n {
+		s := stager.New(func() time.Duration { return d.now }, zerolog.Nop())
+		s.Share, s.Extra, s.SessionTime = 0.13, 27, 5*time.Second
+		d.stagers = append(d.stagers, s)
+	}
+	d.view = &samphireturn.View{Hosts: map[string][]*samphireturn.Host{"llm": {d.old, d.fresh}}}
+	return d
+}
+
+// order orders the roll-out.
+func (d *daemons) order() {
+	d.view.Rollouts = map[string]*samphireturn.Rollout{"llm": {Pool: "llm", Release: "v2", Length: length, Version: 1}}
+}
+
+// share exchanges the tallies.
+func (d *daemons) share() {
+	for i, s := range d.stagers {
+		var sum []stager.Tally
+		for j, o := range d.stagers {
+			if i != j {
+				sum = stager.Sum(sum, o.Mine())
+			}
+		}
+		s.SetOthers(sum)
+	}
+}
+
+// TestSessions plays sessions whose requests reach any of eight daemons through a
+// good roll-out: hardly any is moved in the first half, and none is moved back.
+func TestSessions(t *testing.T) {
+	for seed := range uint64(10) {
+		c := qt.New(t)
+		d := newDaemons(8)
+		random := rand.New(rand.NewPCG(seed, 3))
+		last := make(map[string]string)
+		home := make(map[string]int)
+		early, back, fresh := 0, 0, 0
+		start := d.now + 5*time.Second
+		for i := range 1250 {
+			d.now += 20 * time.Millisecond
+			if d.now >= start && d.view.Rollouts == nil {
+				d.order()
+			}
+			if i%15 == 0 {
+				d.share()
+			}
+			// Sessions follow each other; callers keep to one daemon but for repeats.
+			name := fmt.Sprintf("s%d", i/80*10+random.IntN(10))
+			if _, ok := home[name]; !ok {
+				home[name] = random.IntN(8)
+			}
+			at := home[name]
+			if random.IntN(20) == 0 {
+				at = random.IntN(8)
+			}
+			hosts := d.stagers[at].Hosts(d.view, "llm", name, fmt.Sprint(i))
+			h := hosts[random.IntN(len(hosts))]
+			if d.view.Rollouts == nil {
+				h = d.old
+			}
+			passed := float64(d.now-start) / float64(length)
+			if last[name] == "old" && h == d.fresh && passed < 0.5 {
+				early++
+			}
+			if last[name] == "fresh" && h == d.old {
+				back++
+			}
+			if h == d.fresh {
+				fresh++
+			}
+			last[name] = h.ID
+			d.stagers[at].Answered(h, "r", false, 50*time.Millisecond)
+		}
+		c.Check(early <= 3, qt.IsTrue, qt.Commentf("seed %d: %d sessions moved early", seed, early))
+		c.Check(back <= 3, qt.IsTrue, qt.Commentf("seed %d: %d sessions moved back", seed, back))
+		c.Check(fresh > 100, qt.IsTrue)
+	}
+}
+
+// TestVerdict plays releases that are bad in each way, and good ones whose
+// endpoints fail now and then as those before do.
+func TestVerdict(t *testing.T) {
+	tests := []struct {
+		name string
+		// bad is the chance of a failure of the new release on a route at a part of
+		// the time; base that of all.
+		bad  func(passed float64, route string) float64
+		base float64
+		slow bool
+		want string
+	}{
+		{"good", func(float64, string) float64 { return 0 }, 0, false, samphireturn.RolloutDone},
+		{"good, both fail at times", func(float64, string) float64 { return 0 }, 0.05, false, samphireturn.RolloutDone},
+		{"failing", func(float64, string) float64 { return 0.5 }, 0, false, samphireturn.RolloutRolledBack},
+		{"failing on one route", func(_ float64, route string) float64 {
+			if route == "b" {
+				return 0.5
+			}
+			return 0
+		}, 0, false, samphireturn.RolloutRolledBack},
+		{"late", func(passed float64, _ string) float64 {
+			if passed > 0.2 {
+				return 0.5
+			}
+			return 0
+		}, 0.02, false, samphireturn.RolloutRolledBack},
+		{"under load", func(passed float64, _ string) float64 {
+			if passed > 0.55 {
+				return 0.5
+			}
+			return 0
+		}, 0.02, false, samphireturn.RolloutRolledBack},
+		{"slow", func(float64, string) float64 { return 0.5 }, 0, true, samphireturn.RolloutRolledBack},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				c := qt.New(t)
+				d := newDaemons(8)
+				random := rand.New(rand.NewPCG(seed, 5))
+				all, fresh := 0, 0
+				start := d.now + 3*time.Second
+				got := samphireturn.RolloutOrdered
+				for i := 0; d.now < start+length; i++ {
+					d.now += 20 * time.Millisecond
+					if d.now >= start && d.view.Rollouts == nil {
+						d.order()
+					}
+					if i%15 == 0 {
+						d.share()
+					}
+					route := string(rune('a' + random.IntN(3)))
+					s := d.stagers[random.IntN(8)]
+					h := d.old
+					if d.view.Rollouts != nil {
+						h = s.Hosts(d.view, "llm", "", fmt.Sprint(seed, i))[0]
+						all++
+					}
+					failed := random.Float64() < test.base
+					took := time.Duration(150+random.IntN(100)) * time.Millisecond
+					if h == d.fresh {
+						fresh++
+						bad := random.Float64() < test.bad(float64(d.now-start)/float64(length), route)
+						failed = failed || bad && !test.slow
+						if bad && test.slow {
+							took *= 8
+						}
+					}
+					s.Answered(h, route, failed, took)
+					if r := d.view.Rollouts["llm"]; r != nil {
+						if next, ok := s.Verdict(r, func(string) bool { return true }); ok {
+							got = next.State
+							next.Version++
+							d.view.Rollouts = map[string]*samphireturn.Rollout{"llm": &next}
+						}
+					}
+				}
+				c.Check(got, qt.Equals, test.want, qt.Commentf("seed %d", seed))
+				if test.want == samphireturn.RolloutRolledBack {
+					c.Check(float64(fresh) <= 0.15*float64(all)+30, qt.IsTrue, qt.Commentf("seed %d: %d of %d", seed, fresh, all))
+				}
+			}
+		})
+	}
+}
+
+// TestRestart begins a roll-out's time where it began for the first daemon, also at
+// one that starts later, and keeps to a verdict.
+func TestRestart(t *testing.T) {
+	c := qt.New(t)
+	d := newDaemons(2)
+	wall := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, s := range d.stagers {
+		s.Now = func() time.Time { return wall.Add(d.now) }
+	}
+	d.order()
+	first, ok := d.stagers[0].Verdict(d.view.Rollouts["llm"], func(string) bool { return true })
+	c.Assert(ok, qt.IsTrue)
+	c.Check(first.State, qt.Equals, samphireturn.RolloutRunning)
+	d.view.Rollouts["llm"] = &first
+	d.now += length * 98 / 100
+	last, ok := d.stagers[1].Verdict(&first, func(string) bool { return true })
+	c.Assert(ok, qt.IsTrue)
+	c.Check(last.State, qt.Equals, samphireturn.RolloutDone)
+	d.view.Rollouts["llm"] = &last
+	for _, s := range d.stagers {
+		c.Check(s.Hosts(d.view, "llm", "", "x"), qt.DeepEquals, []*samphireturn.Host{d.fresh})
+		_, ok := s.Verdict(&last, func(string) bool { return true })
+		c.Check(ok, qt.IsFalse)
+	}
+}
--- a/internal/forward/stager/tally.go
+++ b/internal/forward/stager/tally.go
@@ -14,14 +14,13 @@
 	slowLeast = 150 * time.Millisecond
 	// usualDecay is the part of the usual time that each answer replaces.
 	usualDecay = 0.05
-	// leastBad is the number of bad answers below which nothing is concluded: some
-	// failures come with any endpoint.
-	leastBad = 4
-	// badScore is how many standard deviations the new release's bad answers must
-	// stand above those of the old one.
-	badScore = 3.5
-	// badGap is the least difference of the rates of bad answers.
-	badGap = 0.08
+	// badGap is how much more of its answers are bad at a bad release, and mostBad
+	// the largest part that is tested for.
+	badGap  = 0.25
+	mostBad = 0.95
+	// badScore is the logarithm of how much likelier the answers of late are from a
+	// bad release than from a good one.
+	badScore = 9.0
 	// priorAsked and priorBad stand for what is known of endpoints before any
 	// answer: two in a hundred fail.
 	priorAsked, priorBad = 50, 1
@@ -78,54 +77,52 @@
 	return u.seen >= 10 && took > slowLeast && took > time.Duration(slowOver*float64(u.mean))
 }
 
-// worse reports whether a release fails clearly more often than the others, over
-// all routes or on one.
-func worse(tallies []Tally, pool, release string) bool {
-	var trial, base Tally
-	routes := make(map[string]*[2]Tally)
-	for _, t := range tallies {
-		if t.Pool != pool || t.Release != release {
+// rates is a cumulative-sum test of the answers that a release under trial gave
+// against those of the others, over all routes and on each.
+type rates struct {
+	seen   map[string]Tally
+	scores map[string]float64
+}
+
+// judge takes in what was counted since the last time and reports whether the
+// release fails clearly more often than the others.
+func (r *rates) judge(tallies []Tally, release string) bool {
+	base, trial := byRoute(tallies, release)
+	bad := false
+	for route, now := range trial {
+		before := r.seen[route]
+		asked, failed := now.Asked-before.Asked, now.Bad-before.Bad
+		if asked <= 0 || failed < 0 || failed > asked {
+			// A daemon's report is missing this time.
 			continue
 		}
-		pair := routes[t.Route]
-		if pair == nil {
-			pair = new([2]Tally)
-			routes[t.Route] = pair
+		r.seen[route] = now
+		good := float64(base[route].Bad+priorBad) / float64(base[route].Asked+priorAsked)
+		poor := min(good+badGap, mostBad)
+		step := float64(failed)*math.Log(poor/good) + float64(asked-failed)*math.Log((1-poor)/(1-good))
+		r.scores[route] = max(0, r.scores[route]+step)
+		bad = bad || r.scores[route] > badScore
+	}
+	return bad
+}
+
+// byRoute adds the tallies of a roll-out up by route, and over all under "".
+func byRoute(tallies []Tally, release string) (base, trial map[string]Tally) {
+	base, trial = make(map[string]Tally), make(map[string]Tally)
+	for _, t := range tallies {
+		if t.Release != release {
+			continue
 		}
+		sums := base
 		if t.New {
-			trial.Asked += t.Asked
-			trial.Bad += t.Bad
-			pair[1].Asked += t.Asked
-			pair[1].Bad += t.Bad
-			continue
+			sums = trial
 		}
-		base.Asked += t.Asked
-		base.Bad += t.Bad
-		pair[0].Asked += t.Asked
-		pair[0].Bad += t.Bad
-	}
-	if exceeds(trial, base) {
-		return true
-	}
-	for _, pair := range routes {
-		if exceeds(pair[1], pair[0]) {
-			return true
+		for _, route := range []string{"", t.Route} {
+			sum := sums[route]
+			sum.Asked += t.Asked
+			sum.Bad += t.Bad
+			sums[route] = sum
 		}
 	}
-	return false
-}
-
-// exceeds compares two rates of bad answers by their difference in standard
-// deviations.
-func exceeds(trial, base Tally) bool {
-	if trial.Bad < leastBad {
-		return false
-	}
-	p := float64(base.Bad+priorBad) / float64(base.Asked+priorAsked)
-	n := float64(trial.Asked)
-	rate := float64(trial.Bad) / n
-	if rate-p < badGap {
-		return false
-	}
-	return (rate-p)*math.Sqrt(n) > badScore*math.Sqrt(p*(1-p))
+	return base, trial
 }
--- a/internal/forward/stager/verdict.go
+++ b/internal/forward/stager/verdict.go
@@ -55,10 +55,16 @@
 		if ended(st.state) || st.bad {
 			continue
 		}
-		if worse(Sum(st.mine, s.others), pool, st.release) {
+		var tallies []Tally
+		for _, t := range Sum(st.mine, s.others) {
+			if t.Pool == pool {
+				tallies = append(tallies, t)
+			}
+		}
+		if st.rates.judge(tallies, st.release) {
 			st.bad = true
 			s.Log.Warn().Str("event", logger.EventReleaseBad).Str("pool", pool).Str("release", st.release).
-				Interface("tallies", Sum(st.mine, s.others)).Float64("passed", s.passed(st)).Send()
+				Interface("tallies", tallies).Float64("passed", s.passed(st)).Send()
 		}
 	}
 }
