--- /dev/null
+++ b/internal/forward/matcher/matcher_test.go
@@ -0,0 +1,71 @@
+package matcher_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"samphireturn"
+	"samphireturn/internal/forward/matcher"
+)
+
+func TestRoute(t *testing.T) {
+	c := qt.New(t)
+	m := matcher.New(&samphireturn.Table{Routes: []samphireturn.Route{
+		{Name: "root", Host: "a.example", Prefix: "/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}})
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/", "root"},
+		{"a.example", "/x", "root"},
+		{"a.example", "/x/", "short"},
+		{"a.example", "/x/yy", "short"},
+		{"a.example", "/x/y/z", "long"},
+		{"A.Example:8080", "/x/y/", "long"},
+		{"b.example", "/x/y/", "other"},
+		{"b.example", "/", ""},
+		{"c.example", "/", ""},
+	}
+	for _, test := range tests {
+		got := ""
+		if r := m.Route(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		c.Check(got, qt.Equals, test.want, qt.Commentf("%s%s", test.host, test.path))
+	}
+}
+
+func TestHolder(t *testing.T) {
+	c := qt.New(t)
+	m := matcher.New(&samphireturn.Table{Holders: []samphireturn.Holder{
+		{Name: "alpha", Keys: []string{"k1", "k2"}}, {Name: "beta", Keys: []string{"k3"}},
+	}})
+	for key, want := range map[string]string{"k1": "alpha", "k2": "alpha", "k3": "beta", "k4": "", "": ""} {
+		got := ""
+		if h := m.Holder(key); h != nil {
+			got = h.Name
+		}
+		c.Check(got, qt.Equals, want, qt.Commentf("key %q", key))
+	}
+}
+
+// TestTarget splits subjects by weight, and sends one subject to one pool.
+func TestTarget(t *testing.T) {
+	c := qt.New(t)
+	m := matcher.New(&samphireturn.Table{Pools: []samphireturn.Pool{{Name: "a"}, {Name: "b"}}})
+	r := &samphireturn.Route{Targets: []samphireturn.Target{{Pool: "a", Weight: 90}, {Pool: "b", Weight: 10}}}
+	n := 0
+	for i := range 1000 {
+		subject := fmt.Sprint("s", i)
+		first := m.Target(r, subject)
+		c.Check(m.Target(r, subject), qt.Equals, first)
+		if first.Name == "b" {
+			n++
+		}
+	}
+	c.Check(n > 60 && n < 140, qt.IsTrue, qt.Commentf("%d of 1000", n))
+	c.Check(m.Target(&samphireturn.Route{Targets: []samphireturn.Target{{Pool: "c", Weight: 1}}}, "s"), qt.IsNil)
+}
--- a/internal/forward/sender/sender.go
+++ b/internal/forward/sender/sender.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -338,18 +339,20 @@
 
 // quiet reports whether an idle connection is open and has nothing to read.
 func quiet(c net.Conn) bool {
+	var (
+		one  [1]byte
+		peek error
+	)
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+		_, peek = c.Read(one[:])
+		return errors.Is(peek, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
 		return false
 	}
-	var (
-		one  [1]byte
-		peek error
-	)
 	err = raw.Control(func(fd uintptr) {
 		_, _, peek = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
--- /dev/null
+++ b/internal/forward/sender/sender_test.go
@@ -0,0 +1,181 @@
+package sender_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"samphireturn"
+	"samphireturn/internal/forward/sender"
+)
+
+// wire reads the signs of the tests' endpoint.
+type wire struct{ samphireturn.Wire }
+
+func (wire) Sign(res *http.Response) samphireturn.Sign {
+	return samphireturn.Sign{ID: res.Header.Get("Id"), NotRun: res.Header.Get("Refused") != "", Idle: 10 * time.Second}
+}
+
+// script is what an endpoint does on one connection: it reads one request for each
+// entry and writes the entry. An entry that begins with ! is written at once,
+// before the body is read; one that ends with ! ends the connection.
+type script []string
+
+// endpoint serves one script for each connection.
+type endpoint struct {
+	scripts []script
+	dials   int
+	// bodies are the bodies read, by connection.
+	bodies []string
+}
+
+func (e *endpoint) dial(context.Context, string, string) (net.Conn, error) {
+	if e.dials >= len(e.scripts) {
+		return nil, io.ErrClosedPipe
+	}
+	near, far := net.Pipe()
+	s := e.scripts[e.dials]
+	e.dials++
+	go e.serve(far, s)
+	return near, nil
+}
+
+func (e *endpoint) serve(c net.Conn, s script) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for _, entry := range s {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		early := strings.HasPrefix(entry, "!")
+		entry = strings.TrimPrefix(entry, "!")
+		if !early {
+			body, _ := io.ReadAll(req.Body)
+			e.bodies = append(e.bodies, string(body))
+		}
+		ends := strings.HasSuffix(entry, "!")
+		_, _ = io.WriteString(c, strings.TrimSuffix(entry, "!"))
+		if ends {
+			return
+		}
+	}
+	_, _ = io.Copy(io.Discard, r)
+}
+
+// answer is a whole answer to a request.
+func answer(id, text string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
+}
+
+// TestSend sends two requests, r1 and r2, to an endpoint that does odd things.
+func TestSend(t *testing.T) {
+	long := strings.Repeat("x", 100<<10)
+	tests := []struct {
+		name    string
+		scripts []script
+		body    string
+		// first and second are the bodies, or the kinds of the errors.
+		first, second string
+		dials         int
+	}{
+		{"kept connection", []script{{answer("r1", "one"), answer("r2", "two")}}, "", "one", "two", 1},
+		{"closed after the answer", []script{{answer("r1", "one") + "!"}, {answer("r2", "two")}}, "", "one", "two", 2},
+		{"surplus bytes", []script{{answer("r1", "one") + "more"}, {answer("r2", "two")}}, "", "one", "two", 2},
+		{"an extra answer", []script{{answer("r1", "one") + answer("r1", "one")}, {answer("r2", "two")}}, "", "one", "two", 2},
+		{"a stray answer comes first", []script{{answer("r0", "old") + answer("r1", "one"), answer("r2", "two")}}, "", "one", "two", 1},
+		{"only stray answers", []script{{strings.Repeat(answer("r0", "old"), 3)}, {answer("r2", "two")}}, "", "crossed", "two", 2},
+		{"no id", []script{{answer("", "one")}, {answer("r2", "two")}}, "", "crossed", "two", 2},
+		{"interim answers", []script{{"HTTP/1.1 103 Early Hints\r\n\r\n" + answer("r1", "one"), answer("r2", "two")}}, "", "one", "two", 1},
+		{"no length, ends with the connection", []script{{"HTTP/1.1 200 OK\r\nId: r1\r\n\r\none!"}, {answer("r2", "two")}}, "", "one", "two", 2},
+		{"cut in the body", []script{{"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 9\r\n\r\none!"}, {answer("r2", "two")}}, "", "unexpected EOF", "two", 2},
+		{"cut in a chunk", []script{{"HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\none!"}, {answer("r2", "two")}}, "", "unexpected EOF", "two", 2},
+		{"not HTTP", []script{{"garbage\r\n\r\n!"}, {answer("r2", "two")}}, "", "broken", "two", 2},
+		{"closed without an answer", []script{{"!!"}, {answer("r2", "two")}}, "", "broken", "two", 2},
+		{"answered before the body was read", []script{{"!" + answer("r1", "one")}, {answer("r2", "two")}}, long, "one", "two", 2},
+		{"long body", []script{{answer("r1", "one"), answer("r2", "two")}}, long, "one", "two", 1},
+		{"can't be reached", nil, "", "dial", "dial", 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				e := &endpoint{scripts: test.scripts}
+				s := &sender.Sender{Wire: wire{}, Dial: e.dial}
+				host := &samphireturn.Host{ID: "h", Addr: "h:80"}
+				got := func(id, body string) string {
+					ctx, cancel := context.WithCancel(context.Background())
+					defer cancel()
+					reply, err := s.Send(ctx, &sender.Call{
+						Host: host, ID: id, Method: "POST", Target: "/p?q=1", Authority: "site", Header: http.Header{}, Body: []byte(body),
+					})
+					if err != nil {
+						return sender.AsError(err).Kind.String()
+					}
+					defer reply.Body.Close()
+					data, err := io.ReadAll(reply.Body)
+					if err != nil {
+						return err.Error()
+					}
+					return string(data)
+				}
+				c.Check(got("r1", test.body), qt.Equals, test.first)
+				synctest.Wait()
+				c.Check(got("r2", ""), qt.Equals, test.second)
+				c.Check(e.dials, qt.Equals, test.dials)
+				for _, b := range e.bodies {
+					c.Check(b == "" || b == test.body, qt.IsTrue, qt.Commentf("%d bytes of a body", len(b)))
+				}
+				c.Check(s.Close(), qt.IsNil)
+			})
+		})
+	}
+}
+
+// TestIdle uses a kept connection only for a part of the endpoint's idle time, and
+// for a request that can't be repeated only shortly after its last use.
+func TestIdle(t *testing.T) {
+	tests := []struct {
+		name  string
+		idle  time.Duration
+		once  bool
+		dials int
+	}{
+		{"at once", 0, false, 1},
+		{"half of the idle time", 5 * time.Second, false, 1},
+		{"nearly all of the idle time", 9 * time.Second, false, 2},
+		{"once, at once", 100 * time.Millisecond, true, 1},
+		{"once, later", time.Second, true, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Hour
+			e := &endpoint{scripts: []script{{answer("r", "one"), answer("r", "two")}, {answer("r", "two")}}}
+			s := &sender.Sender{Wire: wire{}, Dial: e.dial, Clock: func() time.Duration { return now }}
+			host := &samphireturn.Host{ID: "h", Addr: "h:80"}
+			for i := range 2 {
+				reply, err := s.Send(context.Background(), &sender.Call{
+					Host: host, ID: "r", Method: "GET", Target: "/", Authority: "site", Once: i == 1 && test.once,
+				})
+				c.Assert(err, qt.IsNil)
+				_, err = io.Copy(io.Discard, reply.Body)
+				c.Assert(err, qt.IsNil)
+				now += test.idle
+			}
+			c.Check(e.dials, qt.Equals, test.dials)
+			now += time.Minute
+			s.Sweep()
+			c.Check(s.Close(), qt.IsNil)
+		})
+	}
+}
