--- a/cmd/samphirectl/store.go
+++ b/cmd/samphirectl/store.go
@@ -2,7 +2,7 @@
 
 import (
 	"samphireturn"
-	"samphireturn/internal/platform/accessor"
+	"samphireturn/internal/store/accessor"
 )
 
 // openStore returns the platform's object API at a base URL.
--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -16,7 +16,7 @@
 	"samphireturn/internal/core/kernel"
 	"samphireturn/internal/fleet/announcer"
 	"samphireturn/internal/fleet/messenger"
-	"samphireturn/internal/platform/accessor"
+	"samphireturn/internal/store/accessor"
 	"samphireturn/internal/traffic/limiter"
 )
 
--- a/internal/platform/accessor/accessor_test.go
+++ b/internal/store/accessor/accessor_test.go
@@ -13,7 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"samphireturn"
-	"samphireturn/internal/platform/accessor"
+	"samphireturn/internal/store/accessor"
 	"samphireturn/internal/standin/keeper"
 )
 
--- a/internal/platform/accessor/vms_test.go
+++ b/internal/store/accessor/vms_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"samphireturn/internal/platform/accessor"
+	"samphireturn/internal/store/accessor"
 	"samphireturn/internal/standin/keeper"
 )
 
