Take callers' limits from the table; refuse slow bodies and repeated ids

Cause: header and idle limits of the table were ignored, a body that never came was waited for without end, and a second use of an id was run. Change: connections are served under the limits in force when they were accepted; a late body is refused with 408, a second use of the id of a request that runs once with 400.

--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -73,7 +73,9 @@
 	left      time.Time
 	active    atomic.Int64
 	matched   atomic.Pointer[matcher.Matcher]
-	server    *http.Server
+	fronts    []*front
+	closing   atomic.Bool
+	once      seen
 	checks    *http.Server
 	meters    *http.Server
 	cancel    context.CancelFunc
@@ -87,14 +89,8 @@
 func (f *Forwarder) Run(ctx context.Context) error {
 	ctx, f.cancel = context.WithCancel(ctx)
 	f.budgets = make(map[string]*budgeter.Budgeter)
-	f.server = &http.Server{
-		Handler:           http.HandlerFunc(f.serve),
-		ReadHeaderTimeout: headerTime,
-		IdleTimeout:       idleTime,
-		MaxHeaderBytes:    headerLimit,
-	}
 	f.checks = &http.Server{Handler: http.HandlerFunc(f.check), ReadHeaderTimeout: headerTime}
-	f.wait.Go(func() { f.listen(f.server, f.Listener) })
+	f.wait.Go(f.accept)
 	f.wait.Go(func() { f.listen(f.checks, f.Checks) })
 	f.wait.Go(func() { f.sweep(ctx) })
 	if f.Metrics != nil {
@@ -121,11 +117,7 @@
 	time.Sleep(time.Until(f.left.Add(min(noticeTime, f.Grace/2))))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	err := f.server.Shutdown(ctx)
-	if err != nil {
-		f.Log.Warn().Str("event", logger.EventCut).Int64("active", f.active.Load()).Err(err).Send()
-		err = f.server.Close()
-	}
+	err := f.shut(ctx)
 	_ = f.checks.Close()
 	if f.meters != nil {
 		_ = f.meters.Close()
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -107,8 +108,14 @@
 	j.last = j.ask.Last
 	j.describe()
 	j.budget = j.Forwarder.budget(j.pool.Name)
+	if refusal := j.read(); refusal != nil {
+		return refusal
+	}
+	if !j.route.Repeatable() && !j.once.add(j.ask.ID, j.start) {
+		return refusal(samphireturn.ReasonRequest, 0, errors.New("id of an earlier request"))
+	}
 	j.budget.Earn(j.RepeatShare)
-	return j.read()
+	return nil
 }
 
 // name returns the name of the request's route, or "none".
@@ -168,15 +175,26 @@
 // read reads the body whole, so that it can be sent again.
 func (j *job) read() *samphireturn.Refusal {
 	limit := int64(cmp.Or(j.view.Table.Limits.Body, bodyLimit))
+	control := http.NewResponseController(j.w)
+	if err := control.SetReadDeadline(time.Now().Add(j.limit)); err != nil {
+		return refusal(samphireturn.ReasonRequest, 0, err)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return refusal(samphireturn.ReasonLarge, 0, err)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refusal(samphireturn.ReasonSlow, 0, err)
+	}
 	if err != nil {
 		return refusal(samphireturn.ReasonRequest, 0, err)
 	}
 	j.body = body
+	// The rest of the connection's life has time-outs of its own.
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return refusal(samphireturn.ReasonRequest, 0, err)
+	}
 	return nil
 }
 
@@ -411,7 +429,8 @@
 func (j *job) refuse(refusal *samphireturn.Refusal) {
 	refusals.Add(refusal.Reason, 1)
 	meter.Refusal(refusal.Reason)
-	if j.r.Context().Err() != nil {
+	// A body that is late ends the request's context too, but its caller is there.
+	if j.r.Context().Err() != nil && refusal.Reason != samphireturn.ReasonSlow {
 		// The caller left; nobody reads an answer.
 		j.Log.Info().Str("event", logger.EventCallerLeft).Str("id", j.ask.ID).Str("route", j.name()).Int("sends", j.sends).
 			Dur("took", j.Clock()-j.start).Send()
--- a/internal/store/accessor/accessor_test.go
+++ b/internal/store/accessor/accessor_test.go
@@ -13,8 +13,8 @@
 	"github.com/go-faster/errors"
 
 	"samphireturn"
-	"samphireturn/internal/store/accessor"
 	"samphireturn/internal/standin/keeper"
+	"samphireturn/internal/store/accessor"
 )
 
 func start(c *qt.C, h http.Handler) *accessor.Accessor {
--- a/internal/store/accessor/vms_test.go
+++ b/internal/store/accessor/vms_test.go
@@ -10,8 +10,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"samphireturn/internal/store/accessor"
 	"samphireturn/internal/standin/keeper"
+	"samphireturn/internal/store/accessor"
 )
 
 // statusCounter counts the answers that say "not modified".
--- a/refusal.go
+++ b/refusal.go
@@ -37,6 +37,7 @@
 	ReasonClosing    = "closing"
 	ReasonBroken     = "stream_broken"
 	ReasonRoute      = "no_route"
+	ReasonSlow       = "request_slow"
 )
 
 // Refusal is an error that a caller is told of.
