Bound the daemons that send to a cold endpoint

Change: only those that come first in rank for the endpoint send, each at a fixed rate; half of the bound is left for daemons that know other members.

--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -93,7 +93,7 @@
 	}
 	follow.Peers, follow.Self = peers, b.Self
 	follow.Register()
-	load := balancer.New(b.Self.Centre, b.Clock)
+	load := balancer.New(b.Self.ID, b.Self.Centre, b.Clock)
 	stage := stager.New(b.Clock, service(b.Log, "stager"))
 	stage.Share, stage.Extra, stage.SessionTime = b.CanaryShare, b.CanaryExtra, b.SessionTime
 	forward, err := b.forwarder(k, follow)
--- a/internal/fleet/ranker/ranker.go
+++ b/internal/fleet/ranker/ranker.go
@@ -32,6 +32,24 @@
 	return ids
 }
 
+// Among reports whether the member with the id is one of the n best suited for
+// name.
+func Among(name string, members []samphireturn.VM, id string, n int) bool {
+	own := score{id: id, sum: weigh(name, id)}
+	listed, better := false, 0
+	for i := range members {
+		other := score{id: members[i].ID, sum: weigh(name, members[i].ID)}
+		listed = listed || other.id == id
+		if compare(other, own) < 0 {
+			better++
+		}
+		if better >= n {
+			return false
+		}
+	}
+	return listed
+}
+
 // Home returns the id of the member that is best suited for name, or "" if
 // there are no members.
 func Home(name string, members []samphireturn.VM) string {
--- a/internal/fleet/ranker/ranker_test.go
+++ b/internal/fleet/ranker/ranker_test.go
@@ -29,3 +29,19 @@
 	c.Assert(moved > 60 && moved < 140, qt.IsTrue)
 	c.Assert(Home("x", nil), qt.Equals, "")
 }
+
+// TestAmong agrees with Rank.
+func TestAmong(t *testing.T) {
+	c := qt.New(t)
+	var members []samphireturn.VM
+	for i := range 20 {
+		members = append(members, samphireturn.VM{ID: string(rune('a' + i))})
+	}
+	for n := range 22 {
+		ranked := Rank("name", members)
+		for i, id := range ranked {
+			c.Check(Among("name", members, id, n), qt.Equals, i < n)
+		}
+		c.Check(Among("name", members, "other", n), qt.IsFalse)
+	}
+}
--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -37,9 +37,6 @@
 	tieCost = 0.004
 	// reportTime is how long a report counts.
 	reportTime = 2 * time.Second
-	// spareDaemons is the number of daemons to allow for beside each known one,
-	// since new ones send before they are known.
-	spareDaemons = 0.5
 	// usualWork is the time of a whole answer before any came.
 	usualWork = 50 * time.Millisecond
 	// usualObjective stands for a route without an objective.
@@ -51,8 +48,8 @@
 type (
 	// Balancer chooses endpoints. Set the exported fields before the first call.
 	Balancer struct {
-		// Centre is the data centre of this daemon.
-		Centre string
+		// Self is this daemon, and Centre its data centre.
+		Self, Centre string
 		// Clock counts suspensions too.
 		Clock func() time.Duration
 		// Rand returns a number from 0 up to 1 that breaks ties.
@@ -82,8 +79,8 @@
 		Objective time.Duration
 		// Avoid holds the endpoints that were tried.
 		Avoid map[string]bool
-		// Daemons is the number of daemons known.
-		Daemons int
+		// Members are the daemons known.
+		Members []samphireturn.VM
 	}
 
 	// Load is the work of one daemon at one endpoint.
@@ -140,8 +137,8 @@
 )
 
 // New returns a balancer of a daemon in a data centre.
-func New(centre string, clock func() time.Duration) *Balancer {
-	return &Balancer{Centre: centre, Clock: clock, Rand: rand.Float64, loads: make(map[string]*load), paces: make(map[string]*pace)}
+func New(self, centre string, clock func() time.Duration) *Balancer {
+	return &Balancer{Self: self, Centre: centre, Clock: clock, Rand: rand.Float64, loads: make(map[string]*load), paces: make(map[string]*pace)}
 }
 
 // Pick returns a ticket for the endpoint that suits a request best, or nil. It
@@ -159,7 +156,7 @@
 			continue
 		}
 		l := b.load(h)
-		if l.shunned || !l.admits(now) {
+		if l.shunned || !b.admits(h, l, w, now) {
 			continue
 		}
 		score := b.score(h, l, w, now)
@@ -191,7 +188,7 @@
 	}
 	if now < l.coldUntil {
 		cold.Add(1)
-		l.coldNext = now + coldGap(w)
+		l.coldNext = now + coldGap(w.Pool.ColdRate)
 	}
 	return t
 }
@@ -370,17 +367,6 @@
 	return l
 }
 
-// admits reports whether the endpoint is warm or may get a request now.
-func (l *load) admits(now time.Duration) bool {
-	return now >= l.coldUntil || now >= l.coldNext
-}
-
-// coldGap is the time between two requests of one daemon to a cold endpoint.
-func coldGap(w *Want) time.Duration {
-	daemons := float64(max(w.Daemons, 1)) * (1 + spareDaemons)
-	return time.Duration(daemons / max(w.Pool.ColdRate, 1) * float64(time.Second))
-}
-
 // running estimates the requests at an endpoint.
 func (l *load) running(now time.Duration) int {
 	n := l.mine.Calls
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -203,7 +203,7 @@
 	j.want = balancer.Want{
 		Pool:    j.pool,
 		Avoid:   make(map[string]bool),
-		Daemons: len(j.view.Members),
+		Members: j.view.Members,
 
 		Prompt:    j.ask.Prompt,
 		Objective: j.route.Objective,
