--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -26,19 +26,19 @@
 	// are kept: endpoints that live are listed again within some two seconds of it,
 	// and those that left take no more work two seconds after they were gone.
 	LapseTime = 1700 * time.Millisecond
-	// OutageTime, beside a watch, is a silence in which entries may lapse: endpoints
+	// OutageTime is a silence, beside a watch, in which entries may lapse: endpoints
 	// write about each second, and lapse after three times that.
 	OutageTime = 1700 * time.Millisecond
 	// parkTime is the period in which a daemon looks whether it must watch.
 	parkTime = 100 * time.Millisecond
 
-	// retryMin and retryMax bound the wait before the next call after a failure, so
+	// retryLeast and retryMost bound the wait before the next call after a failure, so
 	// that the end of an outage is seen within a quarter of a second. Only one topic
 	// tries; each call is paid for, refused or not.
-	retryMin = 50 * time.Millisecond
-	retryMax = 250 * time.Millisecond
-	// followerRetryMax is that of a daemon which would hear from another.
-	followerRetryMax = time.Second
+	retryLeast = 50 * time.Millisecond
+	retryMost  = 250 * time.Millisecond
+	// followerRetryMost is that of a daemon which would hear from another.
+	followerRetryMost = time.Second
 	// never is the age of what was never proved.
 	never = time.Duration(1<<63 - 1)
 )
@@ -155,7 +155,7 @@
 // watch lists and watches one topic at the source until ctx ends, whenever this
 // daemon is to do so.
 func (f *Follower) watch(ctx context.Context, t *topic) {
-	wait := retryMin
+	wait := retryLeast
 	for ctx.Err() == nil {
 		if !f.direct(t) || f.waits(t) {
 			f.rest(ctx, parkTime)
@@ -166,7 +166,7 @@
 			return
 		}
 		if err == nil {
-			wait = retryMin
+			wait = retryLeast
 			f.regained(t)
 			continue
 		}
@@ -185,9 +185,9 @@
 // longest returns the longest wait before a call is tried again.
 func (f *Follower) longest() time.Duration {
 	if f.Peers == nil || f.chosen() {
-		return retryMax
+		return retryMost
 	}
-	return followerRetryMax
+	return followerRetryMost
 }
 
 // direct reports whether this daemon is to watch a topic by itself: as the one
