Name the reasons that only the forwarding daemon gives apart

Cause: the table of TestFaultRun asks for a row for each reason of the chat interface, and two reasons that it never gives stood among them. Ruled out: exempting them in the test. Change: they are constants of their own; TestKinds (no_route) and TestFaultInput (request_slow) bring both about at the daemon that gives them.

--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -91,7 +91,7 @@
 	j.match = j.matcher(j.view.Table)
 	j.route = j.match.Route(j.r.Host, j.r.URL.Path)
 	if j.route == nil {
-		return j.missing(samphireturn.ReasonRoute)
+		return j.missing(samphireturn.ForwardRoute)
 	}
 	if refusal := j.authorize(); refusal != nil {
 		return refusal
@@ -185,7 +185,7 @@
 		return refusal(samphireturn.ReasonLarge, 0, err)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return refusal(samphireturn.ReasonSlow, 0, err)
+		return refusal(samphireturn.ForwardSlow, 0, err)
 	}
 	if err != nil {
 		return refusal(samphireturn.ReasonRequest, 0, err)
@@ -430,7 +430,7 @@
 	refusals.Add(refusal.Reason, 1)
 	meter.Refusal(refusal.Reason)
 	// A body that is late ends the request's context too, but its caller is there.
-	if j.r.Context().Err() != nil && refusal.Reason != samphireturn.ReasonSlow {
+	if j.r.Context().Err() != nil && refusal.Reason != samphireturn.ForwardSlow {
 		// The caller left; nobody reads an answer.
 		j.Log.Info().Str("event", logger.EventCallerLeft).Str("id", j.ask.ID).Str("route", j.name()).Int("sends", j.sends).
 			Dur("took", j.Clock()-j.start).Send()
--- a/refusal.go
+++ b/refusal.go
@@ -36,8 +36,14 @@
 	ReasonReady      = "not_ready"
 	ReasonClosing    = "closing"
 	ReasonBroken     = "stream_broken"
-	ReasonRoute      = "no_route"
-	ReasonSlow       = "request_slow"
+)
+
+// Reasons that only a daemon that forwards by a table of routes gives.
+const (
+	// ForwardRoute says that no route matches.
+	ForwardRoute = "no_route"
+	// ForwardSlow says that the request's body did not come in time.
+	ForwardSlow = "request_slow"
 )
 
 // Refusal is an error that a caller is told of.
