Leave endpoints that went dark, and those that say nothing while time is short

Ruled out: leaving any endpoint that is silent for a second, since engines that read long prompts are. Change: an attempt that waits is looked at twice a second; an endpoint that is silent to all is dialled, and left if that fails; the first event is waited for at most 0.45 of the time left.

--- /dev/null
+++ b/internal/forward/forwarder/attempt.go
@@ -0,0 +1,101 @@
+package forwarder
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"samphireturn"
+	"samphireturn/internal/forward/balancer"
+)
+
+const (
+	// lookTime is the longest time between two looks at an attempt that waits.
+	lookTime = 500 * time.Millisecond
+	// leastLook is the shortest.
+	leastLook = 50 * time.Millisecond
+	// quietTime is how long an endpoint that sends nothing to anyone is taken to
+	// work still: dozens of its steps.
+	quietTime = time.Second
+)
+
+// attempt is one send of a request.
+type attempt struct {
+	*samphireturn.Reply
+	job    *job
+	host   *samphireturn.Host
+	ticket *balancer.Ticket
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+	// limit is the longest wait for the next bytes in nanoseconds; zero is no bound.
+	limit atomic.Int64
+	// begun is true once events were passed on; last is when bytes came last.
+	begun atomic.Bool
+	last  atomic.Int64
+}
+
+// watch looks after an attempt that waits, if the request can go on elsewhere.
+func (a *attempt) watch(ctx context.Context, limit time.Duration) {
+	a.limit.Store(int64(limit))
+	a.last.Store(int64(a.job.Clock()))
+	movable := a.job.route.Repeatable() && a.job.runs+1 < a.job.route.Attempts
+	if !movable {
+		a.timer = time.AfterFunc(defaultLimit, func() {})
+		return
+	}
+	a.timer = time.AfterFunc(a.next(0), func() { a.look(ctx) })
+}
+
+// next returns the time until the next look after a wait.
+func (a *attempt) next(waited time.Duration) time.Duration {
+	limit := time.Duration(a.limit.Load())
+	if limit <= 0 {
+		return lookTime
+	}
+	return min(max(limit-waited, leastLook), lookTime)
+}
+
+// look ends an attempt that makes no progress. An endpoint that answers others
+// works on a stream that has begun and is waited for; silence alone is no reason to
+// end an answer. One that is silent to all and can't be reached is dead.
+func (a *attempt) look(ctx context.Context) {
+	j := a.job
+	waited := j.Clock() - time.Duration(a.last.Load())
+	limit := time.Duration(a.limit.Load())
+	quiet := waited >= quietTime && j.Balancer.Quiet(a.host) >= quietTime
+	over := limit > 0 && waited >= limit && (quiet || !a.begun.Load())
+	if !over && quiet && j.Sender.Probe(ctx, a.host) != nil && ctx.Err() == nil {
+		j.Balancer.Fault(a.host, true)
+		over = true
+	}
+	if over && j.budget.Spend() {
+		j.paid.Store(true)
+		repeats.Add("stalled", 1)
+		a.cancel(errStalled)
+		return
+	}
+	a.timer.Reset(a.next(waited))
+}
+
+// end gives the attempt's place at the endpoint back.
+func (a *attempt) end() {
+	a.timer.Stop()
+	a.cancel(nil)
+	a.ticket.Done()
+}
+
+// close ends the attempt and what is left of its answer.
+func (a *attempt) close() {
+	_ = a.Body.Close()
+	a.end()
+}
+
+// Read reads on and notes that the endpoint makes progress.
+func (a *attempt) Read(p []byte) (int, error) {
+	n, err := a.Body.Read(p)
+	if n > 0 {
+		a.last.Store(int64(a.job.Clock()))
+		a.job.Balancer.Heard(a.host)
+	}
+	return n, err
+}
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -33,9 +33,6 @@
 	spareSends = 2
 	// maxPriority is the rank of the least urgent requests at an engine.
 	maxPriority = 9
-	// quietTime is how long an endpoint that sends nothing to anyone is taken to
-	// work still: dozens of its steps.
-	quietTime = time.Second
 )
 
 var (
@@ -223,39 +220,6 @@
 // left returns how long the caller still waits.
 func (j *job) left() time.Duration { return j.limit - (j.Clock() - j.start) }
 
-// attempt is one send whose answer has begun.
-type attempt struct {
-	*samphireturn.Reply
-	host   *samphireturn.Host
-	ticket *balancer.Ticket
-	cancel context.CancelCauseFunc
-	timer  *time.Timer
-	// patience is the longest wait for the next bytes; zero is no bound.
-	patience time.Duration
-	// heard notes that the endpoint makes progress.
-	heard func()
-}
-
-// close ends the attempt.
-func (a *attempt) close() {
-	a.timer.Stop()
-	_ = a.Body.Close()
-	a.cancel(nil)
-	a.ticket.Done()
-}
-
-// Read reads on and postpones the end of the patience.
-func (a *attempt) Read(p []byte) (int, error) {
-	n, err := a.Body.Read(p)
-	if n > 0 {
-		a.heard()
-	}
-	if n > 0 && a.patience > 0 {
-		a.timer.Reset(a.patience)
-	}
-	return n, err
-}
-
 // send sends the request to one endpoint after the other until one answers that
 // it runs it, or nothing more may be tried.
 func (j *job) send(patience time.Duration) (*attempt, *samphireturn.Refusal) {
@@ -327,13 +291,8 @@
 func (j *job) try(ticket *balancer.Ticket, patience time.Duration) (*attempt, error) {
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	host := ticket.Host
-	a := &attempt{
-		host:   host,
-		ticket: ticket,
-		cancel: cancel,
-		heard:  func() { j.Balancer.Heard(host) },
-	}
-	a.timer = time.AfterFunc(cmp.Or(patience, defaultLimit), func() { j.stalled(a) })
+	a := &attempt{job: j, host: host, ticket: ticket, cancel: cancel}
+	a.watch(ctx, patience)
 	send := samphireturn.Send{Ask: &j.ask, Left: j.left(), Host: host, Team: j.team, Last: j.last, Priority: -1}
 	if j.pool.Memory > 0 {
 		send.Priority = min(max(j.rank, 0), maxPriority)
@@ -355,9 +314,7 @@
 		Once:      !j.route.Repeatable(),
 	})
 	if err != nil {
-		a.timer.Stop()
-		cancel(nil)
-		ticket.Done()
+		a.end()
 		meter.Send(j.route.Name, j.sends+1, sender.AsError(err).Kind.String())
 		if !sender.AsError(err).NotRun() && j.r.Context().Err() == nil {
 			j.Stager.Answered(host, j.kind(), true, 0)
@@ -387,20 +344,6 @@
 		Dur("left", s.Left).Int64("table", j.view.Table.Version).Dur("age", j.Age()).Send()
 }
 
-// stalled ends an attempt that makes no progress, if the request can go on
-// elsewhere. An endpoint that answers others works on a stream that has begun and
-// is waited for; silence alone is no reason to end an answer.
-func (j *job) stalled(a *attempt) {
-	begun := a.patience > 0
-	if begun && j.Balancer.Quiet(a.host) < quietTime || !j.budget.Spend() {
-		a.timer.Reset(cmp.Or(a.patience, quietTime))
-		return
-	}
-	j.paid.Store(true)
-	repeats.Add("stalled", 1)
-	a.cancel(errStalled)
-}
-
 // kind names the requests whose answers take alike long.
 func (j *job) kind() string {
 	if len(j.route.Steps) > 0 {
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -16,6 +16,9 @@
 	// firstShare is the part of a stream's objective after which another endpoint
 	// is asked for the first event.
 	firstShare = 0.9
+	// leftPart is the part of the time left that one endpoint gets at most, where
+	// the caller leaves before the objective.
+	leftPart = 0.45
 	// pauseShare is the part of the longest pause after which a stream is resumed
 	// at another endpoint.
 	pauseShare = 0.75
@@ -55,7 +58,8 @@
 		if !begun && j.escalates(a) {
 			continue
 		}
-		a.patience = j.pausePatience()
+		a.limit.Store(int64(j.pausePatience()))
+		a.begun.Store(true)
 		err := j.flaw(a)
 		if err == nil {
 			begun, err = j.relay(a, begun)
@@ -121,7 +125,7 @@
 	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts || j.route.Objective <= 0 {
 		return 0
 	}
-	return time.Duration(firstShare * float64(j.route.Objective))
+	return min(time.Duration(firstShare*float64(j.route.Objective)), time.Duration(leftPart*float64(j.left())))
 }
 
 // pausePatience returns how long the next event is waited for; zero means to the
@@ -135,11 +139,6 @@
 
 // relay passes whole events on as they come until the stream ends.
 func (j *job) relay(a *attempt, begun bool) (bool, error) {
-	if a.patience == 0 {
-		a.timer.Stop()
-	} else {
-		a.timer.Reset(a.patience)
-	}
 	var pending []byte
 	buffer := make([]byte, readSize)
 	before := j.Clock()
--- a/internal/standin/connector/connector.go
+++ b/internal/standin/connector/connector.go
@@ -20,6 +20,7 @@
 	listeners map[string]*listener
 	conns     map[*conn]struct{}
 	cut       func(from, to string) bool
+	refuse    func(from, to string) bool
 	mute      func(from, to string) bool
 }
 
@@ -71,7 +72,7 @@
 	return func(ctx context.Context, _, to string) (net.Conn, error) {
 		n.mu.Lock()
 		l := n.listeners[to]
-		cut := n.cut != nil && n.cut(from, to)
+		cut := n.cut != nil && n.cut(from, to) || n.refuse != nil && n.refuse(from, to)
 		n.mu.Unlock()
 		if l == nil || cut {
 			return nil, errors.Wrapf(ErrRefused, "dial %s", to)
@@ -109,6 +110,14 @@
 	}
 }
 
+// Refuse refuses new connections that match, until the next Refuse; those that are
+// open stay. A nil match lets all work again.
+func (n *Network) Refuse(match func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refuse = match
+}
+
 // Silence lets the open connections that match carry nothing more in either
 // direction. New connections work.
 func (n *Network) Silence(match func(from, to string) bool) {
