Count endpoints of a reopened data centre as cold for a moment

Cause: endpoints of a data centre that comes back into use may have been restarted, and their entries say so up to a heartbeat late. Change: they count as cold for 1.5 s; pools that have no cold rate are left alone.

--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -27,6 +27,7 @@
 	EventHosts           = "hosts"
 	EventRollout         = "rollout"
 	EventCentreClosed    = "centre_closed"
+	EventCentreOpened    = "centre_opened"
 	EventMembers         = "members"
 	EventEntryIgnored    = "entry_ignored"
 	EventHistoryGone     = "history_gone"
@@ -78,6 +79,7 @@
 	{EventHosts, "hosts, leaving, lapsed, source_version", "the endpoints changed"},
 	{EventRollout, "pool, release, state, source_version", "a roll-out was ordered or changed"},
 	{EventCentreClosed, "centre, source_version", "a data centre is out of use"},
+	{EventCentreOpened, "centre", "a data centre is back in use; its endpoints count as cold for a moment"},
 	{EventMembers, "members", "the daemons changed"},
 	{EventEntryIgnored, "topic, entry, error", "an entry can't be understood"},
 	{EventHistoryGone, "topic, version", "changes were lost; the topic is listed again"},
--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -295,13 +295,15 @@
 
 // Chill counts the endpoints of a data centre as cold for a time, since they may
 // have been restarted while it was out of use.
-func (b *Balancer) Chill(hosts []*samphireturn.Host, d time.Duration) {
+func (b *Balancer) Chill(centre string, hosts []*samphireturn.Host, d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock()
 	for _, h := range hosts {
-		l := b.load(h)
-		l.coldUntil = max(l.coldUntil, now+d)
+		if h.Centre == centre {
+			l := b.load(h)
+			l.coldUntil = max(l.coldUntil, now+d)
+		}
 	}
 }
 
--- a/internal/forward/balancer/cold.go
+++ b/internal/forward/balancer/cold.go
@@ -22,7 +22,7 @@
 // one gets requests from the few daemons that come first in rank for it, so that
 // the bound on all of them holds whatever their number.
 func (b *Balancer) admits(h *samphireturn.Host, l *load, w *Want, now time.Duration) bool {
-	if now >= l.coldUntil {
+	if now >= l.coldUntil || w.Pool.ColdRate <= 0 {
 		return true
 	}
 	if now < l.coldNext {
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -33,6 +33,9 @@
 	// sweepTime is the period in which idle connections are looked through and
 	// endpoints probed that could not be reached.
 	sweepTime = 500 * time.Millisecond
+	// reopenTime is the time in which the entries of all endpoints are written anew:
+	// they are about once a second.
+	reopenTime = 1500 * time.Millisecond
 	// headerLimit, headerTime, idleTime and bodyLimit hold until a table says
 	// otherwise.
 	headerLimit = 16 << 10
@@ -72,6 +75,7 @@
 	leaving   atomic.Bool
 	left      time.Time
 	active    atomic.Int64
+	view      atomic.Pointer[samphireturn.View]
 	matched   atomic.Pointer[matcher.Matcher]
 	fronts    []*front
 	closing   atomic.Bool
@@ -205,6 +209,27 @@
 	}
 }
 
+// current returns the newest view. The endpoints of a data centre that was put
+// back into use count as cold until their entries tell, since they may have been
+// restarted meanwhile.
+func (f *Forwarder) current() *samphireturn.View {
+	v := f.Control.Snapshot().View
+	last := f.view.Swap(v)
+	if v == last || v == nil || last == nil {
+		return v
+	}
+	for centre := range last.Closed {
+		if v.Closed[centre] {
+			continue
+		}
+		for _, hosts := range v.Hosts {
+			f.Balancer.Chill(centre, hosts, reopenTime)
+		}
+		f.Log.Info().Str("event", logger.EventCentreOpened).Str("centre", centre).Send()
+	}
+	return v
+}
+
 // matcher returns the matcher of the table in force.
 func (f *Forwarder) matcher(t *samphireturn.Table) *matcher.Matcher {
 	if m := f.matched.Load(); m != nil && m.Table == t {
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -81,7 +81,7 @@
 // admit finds the route, the team and the pool, and reads the body.
 func (j *job) admit() *samphireturn.Refusal {
 	j.ask = j.Front.Read(j.r)
-	j.view = j.Control.Snapshot().View
+	j.view = j.current()
 	if j.view == nil || !j.view.Whole {
 		return refusal(samphireturn.ReasonReady, unready, nil)
 	}
@@ -279,7 +279,7 @@
 
 // pick chooses an endpoint by the newest view.
 func (j *job) pick() *balancer.Ticket {
-	if v := j.Control.Snapshot().View; v != nil {
+	if v := j.current(); v != nil {
 		j.view = v
 	}
 	j.want.Hosts = j.Stager.Hosts(j.view, j.pool.Name, j.ask.Session, j.ask.ID)
