Keep sessions on the release that took over when a roll-out is replaced

Change: an order knows the release that took the requests before it, from the order that it replaced or from its status, and requests that do not go to the new one go there.

--- a/internal/forward/stager/stager.go
+++ b/internal/forward/stager/stager.go
@@ -34,6 +34,9 @@
 	// exposedShare is the part of the bound on requests to a release under trial
 	// that is used as long as little is known of it.
 	exposedShare = 0.7
+	// mostShare is the share from which a release has taken over, should its roll-out
+	// be replaced by another.
+	mostShare = 0.5
 	// provenAsked is the number of answers from which a release without more
 	// failures than the others counts as good.
 	provenAsked = 30
@@ -70,6 +73,9 @@
 		started time.Duration
 		length  time.Duration
 		state   string
+		// before is the release that took the requests before, if known. Others than
+		// it and the new one may be left from an order that this one replaced.
+		before string
 		// bad is true once the evidence speaks against the release.
 		bad   bool
 		rates rates
@@ -99,13 +105,13 @@
 // Hosts returns the endpoints of a pool that a request may go to. Session may be
 // empty; id is the request's own.
 func (s *Stager) Hosts(v *samphireturn.View, pool, session, id string) []*samphireturn.Host {
-	release, moved := s.choose(v, pool, session, id)
+	only, not := s.choose(v, pool, session, id)
 	var hosts []*samphireturn.Host
 	for _, h := range v.Hosts[pool] {
 		if h.Leaving || v.Closed[h.Centre] {
 			continue
 		}
-		if release != "" && (h.Release == release) != moved {
+		if only != "" && h.Release != only || not != "" && h.Release == not {
 			continue
 		}
 		hosts = append(hosts, h)
@@ -113,29 +119,34 @@
 	return hosts
 }
 
-// choose returns the release under roll-out, if any, and whether the request
-// goes to it or to the others.
-func (s *Stager) choose(v *samphireturn.View, pool, name, id string) (release string, moved bool) {
+// choose returns the only release that the request goes to, or the one that it
+// does not go to; both are empty without a roll-out.
+func (s *Stager) choose(v *samphireturn.View, pool, name, id string) (only, not string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := v.Rollouts[pool]
 	if r == nil {
 		s.remember(name, session{})
-		return "", false
+		return "", ""
 	}
 	st := s.stage(r)
+	there := present(v.Hosts[pool], r.Release)
+	moved := there
 	switch {
 	case st.state == samphireturn.RolloutDone:
-		moved = present(v.Hosts[pool], r.Release)
 	case st.state == samphireturn.RolloutRolledBack || st.bad:
 		moved = false
-	case !present(v.Hosts[pool], r.Release):
-		moved = false
 	default:
-		moved = s.moved(st, name, id)
+		moved = there && s.moved(st, name, id)
 	}
 	s.remember(name, session{release: r.Release, moved: moved})
-	return r.Release, moved
+	if moved {
+		return r.Release, ""
+	}
+	if st.before != "" && present(v.Hosts[pool], st.before) {
+		return st.before, ""
+	}
+	return "", r.Release
 }
 
 // moved reports whether a request goes to the release under trial. The caller
@@ -183,7 +194,7 @@
 func (s *Stager) stage(r *samphireturn.Rollout) *stage {
 	st := s.stages[r.Pool]
 	if st == nil || st.release != r.Release || ended(st.state) && r.State == samphireturn.RolloutOrdered {
-		st = &stage{release: r.Release, started: s.Clock(), length: r.Length}
+		st = &stage{release: r.Release, started: s.Clock(), length: r.Length, before: s.before(st, r)}
 		st.rates = rates{seen: make(map[string]Tally), scores: make(map[string]float64)}
 		if !r.Started.IsZero() {
 			// Another daemon saw the order first, or this one did before it started anew.
@@ -197,6 +208,24 @@
 	return st
 }
 
+// before returns the release that took the requests before an order, by what a
+// daemon wrote or by the order that was replaced. The caller holds mu.
+func (s *Stager) before(last *stage, r *samphireturn.Rollout) string {
+	switch {
+	case r.Before != "":
+		return r.Before
+	case last == nil:
+		return ""
+	case last.release == r.Release:
+		return last.before
+	case last.state == samphireturn.RolloutDone:
+		return last.release
+	case last.state == samphireturn.RolloutRolledBack || last.bad || s.share(last) < mostShare:
+		return last.before
+	}
+	return last.release
+}
+
 // ended reports whether a roll-out is over.
 func ended(state string) bool {
 	return state == samphireturn.RolloutDone || state == samphireturn.RolloutRolledBack
--- a/internal/forward/stager/stager_test.go
+++ b/internal/forward/stager/stager_test.go
@@ -221,3 +221,58 @@
 		c.Check(ok, qt.IsFalse)
 	}
 }
+
+// TestReplaced has an order replaced by the next one before it was done: the
+// requests stay on the release that had taken them, or go to the newest, and none
+// goes back to the first, also at a daemon that starts after the change.
+func TestReplaced(t *testing.T) {
+	tests := []struct {
+		name string
+		// passed is the part of the first order's time at which it is replaced.
+		passed float64
+		want   string
+	}{
+		{"after the sessions moved", 0.8, "fresh"},
+		{"in the first half", 0.3, "old"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDaemons(2)
+			newest := &samphireturn.Host{ID: "newest", Pool: "llm", Release: "v3"}
+			d.view.Hosts["llm"] = append(d.view.Hosts["llm"], newest)
+			d.view.Rollouts = nil
+			first, late := d.stagers[0], d.stagers[1]
+			idle := func(string) bool { return false }
+			d.view.Rollouts = map[string]*samphireturn.Rollout{"llm": {Pool: "llm", Release: "v1x", Length: length, Version: 1}}
+			d.old.Release = "v1x"
+			// The first release was brought in by an order of its own.
+			d.now += length
+			if r, ok := first.Verdict(d.view.Rollouts["llm"], func(string) bool { return true }); ok {
+				d.view.Rollouts["llm"] = &r
+			}
+			first.Hosts(d.view, "llm", "", "x")
+			d.order()
+			for i := range 40 {
+				first.Hosts(d.view, "llm", "", fmt.Sprint(i))
+				first.Answered(d.fresh, "r", false, 50*time.Millisecond)
+			}
+			d.now += time.Duration(test.passed * float64(length))
+			first.Verdict(d.view.Rollouts["llm"], idle)
+			d.view.Rollouts = map[string]*samphireturn.Rollout{"llm": {Pool: "llm", Release: "v3", Length: length, Version: 3}}
+			next, ok := first.Verdict(d.view.Rollouts["llm"], idle)
+			c.Assert(ok, qt.IsTrue)
+			d.view.Rollouts["llm"] = &next
+			for _, s := range []*stager.Stager{first, late} {
+				seen := make(map[string]int)
+				for i := range 200 {
+					for _, h := range s.Hosts(d.view, "llm", "", fmt.Sprint("n", i)) {
+						seen[h.ID]++
+					}
+				}
+				c.Check(seen[test.want] > 150, qt.IsTrue, qt.Commentf("%v", seen))
+				c.Check(seen[test.want]+seen["newest"], qt.Equals, 200, qt.Commentf("%v", seen))
+			}
+		})
+	}
+}
--- a/relay.go
+++ b/relay.go
@@ -135,6 +135,8 @@
 		State string
 		// Started is when the first daemon saw the order; zero if none wrote it.
 		Started time.Time
+		// Before is the release that took the requests before, if a daemon wrote it.
+		Before string
 		// Version is the entry's version for conditional writes.
 		Version uint64
 	}
