--- a/internal/forward/stager/stager_test.go
+++ b/internal/forward/stager/stager_test.go
@@ -247,6 +247,7 @@
 			d.view.Rollouts = map[string]*samphireturn.Rollout{"llm": {Pool: "llm", Release: "v1x", Length: length, Version: 1}}
 			d.old.Release = "v1x"
 			// The first release was brought in by an order of its own.
+			first.Hosts(d.view, "llm", "", "x")
 			d.now += length
 			if r, ok := first.Verdict(d.view.Rollouts["llm"], func(string) bool { return true }); ok {
 				d.view.Rollouts["llm"] = &r
@@ -272,6 +273,9 @@
 				}
 				c.Check(seen[test.want] > 150, qt.IsTrue, qt.Commentf("%v", seen))
 				c.Check(seen[test.want]+seen["newest"], qt.Equals, 200, qt.Commentf("%v", seen))
+				delete(seen, test.want)
+				delete(seen, "newest")
+				c.Check(seen, qt.HasLen, 0, qt.Commentf("%s", test.name))
 			}
 		})
 	}
