Spread the times to come back of refused callers

Cause: all callers that were refused in a moment were told the same half second, and would come back together. Change: the time differs by a quarter either way.

--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -179,6 +180,7 @@
 		Fresh:    func() bool { return !b.Strict || follow.Age(samphireturn.TopicTable) < limit },
 		Age:      func() time.Duration { return follow.Age(samphireturn.TopicTable) },
 		Current:  func() bool { return follow.Age(samphireturn.TopicTable) < currentAge },
+		Rand:     rand.Float64,
 		Grace:    b.Grace,
 
 		RepeatShare: b.RepeatShare,
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -66,6 +66,8 @@
 	// Current reports whether the table is recent enough to say that it lacks a
 	// route or a key.
 	Current func() bool
+	// Rand returns a number from 0 up to 1 that spreads the times to come back.
+	Rand func() float64
 	// Grace is the time from Leave to the end of the process.
 	Grace time.Duration
 	// RepeatShare is the number of repeats that each request earns, and RepeatMost
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -29,6 +29,8 @@
 	unready = 700 * time.Millisecond
 	// crowded is when to come back where all endpoints are full.
 	crowded = 500 * time.Millisecond
+	// retrySpread is the part of a time to come back by which callers' differ.
+	retrySpread = 0.5
 	// spareSends bounds the sends beyond a route's attempts that were not run.
 	spareSends = 2
 	// maxPriority is the rank of the least urgent requests at an engine.
@@ -372,6 +374,8 @@
 func (j *job) refuse(refusal *samphireturn.Refusal) {
 	refusals.Add(refusal.Reason, 1)
 	meter.Refusal(refusal.Reason)
+	// Callers that are refused together must not come back together.
+	refusal.RetryAfter = time.Duration((1 - retrySpread/2 + retrySpread*j.Rand()) * float64(refusal.RetryAfter))
 	// A body that is late ends the request's context too, but its caller is there.
 	if j.r.Context().Err() != nil && refusal.Reason != samphireturn.ForwardSlow {
 		// The caller left; nobody reads an answer.
