--- a/internal/forward/stager/stager_test.go
+++ b/internal/forward/stager/stager_test.go
@@ -116,6 +116,7 @@
 	}{
 		{"good", func(float64, string) float64 { return 0 }, 0, false, samphireturn.RolloutDone},
 		{"good, both fail at times", func(float64, string) float64 { return 0 }, 0.05, false, samphireturn.RolloutDone},
+		{"good, but slower until it has read the prompts", func(float64, string) float64 { return 0.06 }, 0.05, true, samphireturn.RolloutDone},
 		{"failing", func(float64, string) float64 { return 0.5 }, 0, false, samphireturn.RolloutRolledBack},
 		{"failing on one route", func(_ float64, route string) float64 {
 			if route == "b" {
--- a/internal/forward/stager/tally.go
+++ b/internal/forward/stager/tally.go
@@ -8,10 +8,11 @@
 
 const (
 	// slowOver is how many times as long as usual a slow answer takes.
-	slowOver = 3.5
+	// Endpoints that have read no prompts yet are up to four times as slow.
+	slowOver = 5
 	// slowLeast is the least time of a slow answer: below it a few times as long
 	// as usual harms no caller.
-	slowLeast = 150 * time.Millisecond
+	slowLeast = 300 * time.Millisecond
 	// usualDecay is the part of the usual time that each answer replaces.
 	usualDecay = 0.05
 	// badGap is how much more of its answers are bad at a bad release, and mostBad
@@ -20,7 +21,7 @@
 	mostBad = 0.95
 	// badScore is the logarithm of how much likelier the answers of late are from a
 	// bad release than from a good one.
-	badScore = 9.0
+	badScore = 12.0
 	// priorAsked and priorBad stand for what is known of endpoints before any
 	// answer: two in a hundred fail.
 	priorAsked, priorBad = 50, 1
