--- a/internal/forward/stager/tally.go
+++ b/internal/forward/stager/tally.go
@@ -102,7 +102,9 @@
 			continue
 		}
 		r.seen[route] = now
-		good := float64(base[route].Bad+priorBad) / float64(base[route].Asked+priorAsked)
+		// The rate of the others is taken one standard deviation above what was seen.
+		seen := float64(base[route].Bad + priorBad)
+		good := (seen + math.Sqrt(seen)) / float64(base[route].Asked+priorAsked)
 		poor := min(good+badGap, mostBad)
 		step := float64(failed)*math.Log(poor/good) + float64(asked-failed)*math.Log((1-poor)/(1-good))
 		r.scores[route] = max(0, r.scores[route]+step)
