Wait for streams that pause while the daemon leaves

Ruled out: the end of the grace time, which was 3.7 s away. Change: a daemon that leaves moves a stream that has begun only off an endpoint that can't be reached.

--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -57,13 +57,15 @@
 
 // look ends an attempt that makes no progress. An endpoint that answers others
 // works on a stream that has begun and is waited for; silence alone is no reason to
-// end an answer. One that is silent to all and can't be reached is dead.
+// end an answer. One that is silent to all and can't be reached is dead. A daemon
+// that leaves has too few requests to tell by them whether an endpoint works.
 func (a *attempt) look(ctx context.Context) {
 	j := a.job
 	waited := j.Clock() - time.Duration(a.last.Load())
 	limit := time.Duration(a.limit.Load())
 	quiet := waited >= quietTime && j.Balancer.Quiet(a.host) >= quietTime
-	over := limit > 0 && waited >= limit && (quiet || !a.begun.Load())
+	moves := !a.begun.Load() || quiet && !j.leaving.Load()
+	over := limit > 0 && waited >= limit && moves
 	if !over && quiet && j.Sender.Probe(ctx, a.host) != nil && ctx.Err() == nil {
 		j.Balancer.Fault(a.host, true)
 		over = true
