Sum the lines that TestBound finds left out

Cause: TestBound failed once beside busy processes: the writer told of 2008 and 492 lines left out in two lines of its own, and the test asked for one of 2500. Change: the test asks for the sum, to the line.

--- a/internal/core/logger/logger_test.go
+++ b/internal/core/logger/logger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -49,7 +51,14 @@
 		text := out.String()
 		c.Check(strings.Count(text, "plain"), qt.Equals, logger.LineRate/2)
 		c.Check(strings.Count(text, "failed"), qt.Equals, logger.LineRate/4)
-		c.Check(text, qt.Contains, `"lines":2500`)
+		// The writer may count while lines still come, in more than one line.
+		left := 0
+		for _, m := range regexp.MustCompile(`"lines":(\d+)`).FindAllStringSubmatch(text, -1) {
+			n, err := strconv.Atoi(m[1])
+			c.Assert(err, qt.IsNil)
+			left += n
+		}
+		c.Check(left, qt.Equals, 3*logger.LineRate-logger.LineRate/2)
 		c.Check(text, qt.Contains, "next second")
 		_, err := w.Write([]byte("late"))
 		c.Check(err, qt.IsNil)
