--- a/internal/forward/sender/sender.go
+++ b/internal/forward/sender/sender.go
@@ -179,17 +179,6 @@
 	return nil
 }
 
-// Forget closes the idle connections to an endpoint.
-func (s *Sender) Forget(h *samphireturn.Host) {
-	s.mu.Lock()
-	conns := s.idle[key(h)]
-	delete(s.idle, key(h))
-	s.mu.Unlock()
-	for _, c := range conns {
-		_ = c.Close()
-	}
-}
-
 // AsError returns err as an *Error.
 func AsError(err error) *Error {
 	var e *Error
