Judge slow releases apart from failing ones, and agree on the verdict

No answer had failed: sessions that move have their prompts read anew, about one answer in eight is slow, and the test took slow answers for failures at a rate it was not made for. Daemons that saw different ends of the first order also kept different releases as the one before, though the writer of the next had recorded it.

Ruled out: failing endpoints (none of the failures of that time was a status), a daemon that restarted (it did so before the order), sharing of the moved part (it was 1 at all).

Change: slow answers and failures are two tests, the one of slow answers takes 0.12 of them for usual; a request whose time ran out counts as slow; a verdict of one daemon is a verdict of all; sessions that have moved go back once the verdict is recorded, or after a second when it can't be; the release before is the one that was written.

--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -318,8 +318,8 @@
 	if err != nil {
 		a.end()
 		meter.Send(j.route.Name, j.sends+1, sender.AsError(err).Kind.String())
-		if !sender.AsError(err).NotRun() && j.r.Context().Err() == nil {
-			j.Stager.Answered(host, j.kind(), true, 0)
+		if !sender.AsError(err).NotRun() {
+			j.broke(host)
 		}
 		return nil, err
 	}
@@ -338,6 +338,18 @@
 	return a, nil
 }
 
+// broke counts an answer that an endpoint did not give, or broke off.
+func (j *job) broke(h *samphireturn.Host) {
+	switch {
+	case j.r.Context().Err() != nil:
+		// The caller left.
+	case j.ctx.Err() != nil:
+		j.Stager.Late(h, j.kind())
+	default:
+		j.Stager.Answered(h, j.kind(), true, 0)
+	}
+}
+
 // sent logs where the request goes and what spoke for it.
 func (j *job) sent(t *balancer.Ticket, s samphireturn.Send) {
 	j.Log.Info().Str("event", logger.EventSent).Str("id", j.ask.ID).Str("route", j.route.Name).
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -69,9 +69,7 @@
 			a.close()
 			return nil
 		}
-		if j.r.Context().Err() == nil {
-			j.Stager.Answered(a.host, j.kind(), true, 0)
-		}
+		j.broke(a.host)
 		if !j.mayRepeat() || begun && j.last == j.ask.Last {
 			a.close()
 			if begun {
--- a/internal/forward/stager/stager.go
+++ b/internal/forward/stager/stager.go
@@ -42,6 +42,9 @@
 	// provenAsked is the number of answers from which a release without more
 	// failures than the others counts as good.
 	provenAsked = 30
+	// recordTime is how long a verdict takes to be written and seen by all: two tries of
+	// the writer.
+	recordTime = time.Second
 	// sessionLimit bounds the sessions remembered.
 	sessionLimit = 20000
 )
@@ -78,8 +81,9 @@
 		// before is the release that took the requests before, if known. Others than
 		// it and the new one may be left from an order that this one replaced.
 		before string
-		// bad is true once the evidence speaks against the release.
-		bad bool
+		// bad is true once the evidence speaks against the release, since judged.
+		bad    bool
+		judged time.Duration
 		// peak is the largest share so far.
 		peak  float64
 		rates rates
@@ -138,7 +142,7 @@
 	moved := there
 	switch {
 	case st.state == samphireturn.RolloutDone:
-	case st.state == samphireturn.RolloutRolledBack || st.bad:
+	case st.state == samphireturn.RolloutRolledBack || s.dropped(st):
 		moved = false
 	default:
 		moved = there && s.moved(st, name, id)
@@ -174,6 +178,13 @@
 	return point < share
 }
 
+// dropped reports whether a release that was found bad gets no more requests
+// although this is not written yet. Sessions that have moved go back once it is, at
+// all daemons alike, or when it can't be written. The caller holds mu.
+func (s *Stager) dropped(st *stage) bool {
+	return st.bad && (s.passed(st) < trialEnd || s.Clock()-st.judged > recordTime)
+}
+
 // remember notes where a session's request goes. The caller holds mu.
 func (s *Stager) remember(name string, last session) {
 	if name == "" {
@@ -199,7 +210,7 @@
 	st := s.stages[r.Pool]
 	if st == nil || st.release != r.Release || ended(st.state) && r.State == samphireturn.RolloutOrdered {
 		st = &stage{release: r.Release, started: s.Clock(), length: r.Length, before: s.before(st, r)}
-		st.rates = rates{seen: make(map[string]Tally), scores: make(map[string]float64)}
+		st.rates = newRates()
 		if !r.Started.IsZero() {
 			// Another daemon saw the order first, or this one did before it started anew.
 			st.started -= max(0, min(s.Now().Sub(r.Started), r.Length))
@@ -209,6 +220,10 @@
 	if !ended(st.state) {
 		st.state = r.State
 	}
+	if r.Before != "" {
+		// Daemons that saw different ends of the last order go by what was written.
+		st.before = r.Before
+	}
 	return st
 }
 
@@ -266,7 +281,7 @@
 	for _, t := range Sum(st.mine, s.others) {
 		if t.New && t.Release == st.release {
 			asked += t.Asked
-			bad += t.Bad
+			bad += t.Failed + t.Slow
 		}
 	}
 	return asked >= provenAsked && float64(bad) < 0.2*float64(asked)
--- a/internal/forward/stager/stager_test.go
+++ b/internal/forward/stager/stager_test.go
@@ -117,6 +117,12 @@
 		{"good", func(float64, string) float64 { return 0 }, 0, false, samphireturn.RolloutDone},
 		{"good, both fail at times", func(float64, string) float64 { return 0 }, 0.05, false, samphireturn.RolloutDone},
 		{"good, but slower until it has read the prompts", func(float64, string) float64 { return 0.06 }, 0.05, true, samphireturn.RolloutDone},
+		{"good, but sessions that move read their prompts anew", func(passed float64, _ string) float64 {
+			if passed > 0.52 {
+				return 0.14
+			}
+			return 0
+		}, 0.01, true, samphireturn.RolloutDone},
 		{"failing", func(float64, string) float64 { return 0.5 }, 0, false, samphireturn.RolloutRolledBack},
 		{"failing on one route", func(_ float64, route string) float64 {
 			if route == "b" {
@@ -137,6 +143,12 @@
 			return 0
 		}, 0.02, false, samphireturn.RolloutRolledBack},
 		{"slow", func(float64, string) float64 { return 0.5 }, 0, true, samphireturn.RolloutRolledBack},
+		{"slow under load", func(passed float64, _ string) float64 {
+			if passed > 0.55 {
+				return 0.5
+			}
+			return 0
+		}, 0.02, true, samphireturn.RolloutRolledBack},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -278,3 +290,94 @@
 		})
 	}
 }
+
+// TestVerdictOfOne has one daemon of two find a release bad after sessions moved to
+// it: they stay until that is written or can't be, and then both send none there.
+func TestVerdictOfOne(t *testing.T) {
+	tests := []struct {
+		name string
+		// written is true once the state is recorded, heard once the daemons exchanged
+		// their tallies; waited is the time since the verdict.
+		written, heard bool
+		waited         time.Duration
+		want           []string
+	}{
+		{"not written yet", false, false, 100 * time.Millisecond, []string{"fresh", "fresh"}},
+		{"heard, not written yet", false, true, 100 * time.Millisecond, []string{"fresh", "fresh"}},
+		{"written", true, true, 100 * time.Millisecond, []string{"old", "old"}},
+		{"can't be written", false, true, 3 * time.Second, []string{"old", "old"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDaemons(2)
+			d.order()
+			for _, s := range d.stagers {
+				s.Hosts(d.view, "llm", "", "x")
+			}
+			for range 40 {
+				d.stagers[0].Answered(d.fresh, "r", false, 50*time.Millisecond)
+				d.stagers[1].Answered(d.old, "r", false, 50*time.Millisecond)
+			}
+			d.share()
+			d.now += length * 8 / 10
+			for _, s := range d.stagers {
+				s.Hosts(d.view, "llm", "s", "y")
+			}
+			for range 20 {
+				d.stagers[0].Answered(d.fresh, "r", true, 0)
+			}
+			d.stagers[0].SetOthers(nil)
+			r := d.view.Rollouts["llm"]
+			next, ok := d.stagers[0].Verdict(r, func(string) bool { return false })
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(next.State, qt.Equals, samphireturn.RolloutRolledBack)
+			if test.heard {
+				d.share()
+				next, ok = d.stagers[1].Verdict(r, func(string) bool { return true })
+				c.Assert(ok, qt.IsTrue)
+				c.Check(next.State, qt.Equals, samphireturn.RolloutRolledBack)
+			}
+			if test.written {
+				next.Version++
+				d.view.Rollouts["llm"] = &next
+			}
+			d.now += test.waited
+			for i, s := range d.stagers {
+				c.Check(s.Hosts(d.view, "llm", "s", "z")[0].ID, qt.Equals, test.want[i])
+			}
+		})
+	}
+}
+
+// TestBefore has two daemons that saw different ends of the last order go by what
+// the writer of the next one recorded.
+func TestBefore(t *testing.T) {
+	c := qt.New(t)
+	d := newDaemons(2)
+	newest := &samphireturn.Host{ID: "newest", Pool: "llm", Release: "v3"}
+	d.view.Hosts["llm"] = append(d.view.Hosts["llm"], newest)
+	d.order()
+	for _, s := range d.stagers {
+		s.Hosts(d.view, "llm", "", "x")
+	}
+	// The second daemon hears nothing and sees the next order in the first half.
+	d.now += length * 8 / 10
+	d.stagers[0].Hosts(d.view, "llm", "", "y")
+	for range 60 {
+		d.stagers[1].Answered(d.fresh, "r", true, 0)
+	}
+	d.stagers[1].SetOthers(nil)
+	next := samphireturn.Rollout{Pool: "llm", Release: "v3", Length: length, Version: 3}
+	d.view.Rollouts["llm"] = &next
+	for _, s := range d.stagers {
+		s.Hosts(d.view, "llm", "s", "z")
+	}
+	written, ok := d.stagers[0].Verdict(&next, func(string) bool { return false })
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(written.Before, qt.Equals, "v2")
+	d.view.Rollouts["llm"] = &written
+	for i, s := range d.stagers {
+		c.Check(s.Hosts(d.view, "llm", "s", "z"), qt.DeepEquals, []*samphireturn.Host{d.fresh}, qt.Commentf("daemon %d", i))
+	}
+}
--- a/internal/forward/stager/tally.go
+++ b/internal/forward/stager/tally.go
@@ -15,10 +15,14 @@
 	slowLeast = 300 * time.Millisecond
 	// usualDecay is the part of the usual time that each answer replaces.
 	usualDecay = 0.05
-	// badGap is how much more of its answers are bad at a bad release, and mostBad
-	// the largest part that is tested for.
-	badGap  = 0.25
-	mostBad = 0.95
+	// failedGap is how much more of its answers fail at a bad release, slowGap how
+	// many more are slow, and mostBad the largest part that is tested for.
+	failedGap = 0.25
+	slowGap   = 0.4
+	mostBad   = 0.95
+	// coldSlow is the part of the answers that may be slow at a good release: the
+	// prompts of sessions that have just moved are read anew, for about one in eight.
+	coldSlow = 0.12
 	// badScore is the logarithm of how much likelier the answers of late are from a
 	// bad release than from a good one.
 	badScore = 12.0
@@ -35,10 +39,14 @@
 	// New is true for the release that is being rolled out.
 	New   bool `cbor:"4,keyasint,omitempty"`
 	Asked int  `cbor:"5,keyasint"`
-	Bad   int  `cbor:"6,keyasint,omitempty"`
+	// Failed and Slow are parts of Asked.
+	Failed int `cbor:"6,keyasint,omitempty"`
+	Slow   int `cbor:"8,keyasint,omitempty"`
 	// Peak is the largest share of sessions that any daemon gave the new release; it
 	// only grows too.
 	Peak float64 `cbor:"7,keyasint,omitempty"`
+	// Judged is true once any daemon found the new release bad.
+	Judged bool `cbor:"9,keyasint,omitempty"`
 }
 
 // same reports whether two tallies count the same thing.
@@ -56,8 +64,10 @@
 			continue
 		}
 		sum[at].Asked += b[i].Asked
-		sum[at].Bad += b[i].Bad
+		sum[at].Failed += b[i].Failed
+		sum[at].Slow += b[i].Slow
 		sum[at].Peak = max(sum[at].Peak, b[i].Peak)
+		sum[at].Judged = sum[at].Judged || b[i].Judged
 	}
 	return sum
 }
@@ -82,37 +92,53 @@
 	return u.seen >= 10 && took > slowLeast && took > time.Duration(slowOver*float64(u.mean))
 }
 
-// rates is a cumulative-sum test of the answers that a release under trial gave
+// rates are cumulative-sum tests of the answers that a release under trial gave
 // against those of the others, over all routes and on each.
 type rates struct {
 	seen   map[string]Tally
-	scores map[string]float64
+	failed map[string]float64
+	slow   map[string]float64
+}
+
+func newRates() rates {
+	return rates{seen: make(map[string]Tally), failed: make(map[string]float64), slow: make(map[string]float64)}
 }
 
 // judge takes in what was counted since the last time and reports whether the
-// release fails clearly more often than the others.
+// release fails, or is slow, clearly more often than the others.
 func (r *rates) judge(tallies []Tally, release string) bool {
 	base, trial := byRoute(tallies, release)
 	bad := false
 	for route, now := range trial {
 		before := r.seen[route]
-		asked, failed := now.Asked-before.Asked, now.Bad-before.Bad
-		if asked <= 0 || failed < 0 || failed > asked {
+		asked, failed, slow := now.Asked-before.Asked, now.Failed-before.Failed, now.Slow-before.Slow
+		if asked <= 0 || failed < 0 || slow < 0 || failed+slow > asked {
 			// A daemon's report is missing this time.
 			continue
 		}
 		r.seen[route] = now
-		// The rate of the others is taken one standard deviation above what was seen.
-		seen := float64(base[route].Bad + priorBad)
-		good := (seen + math.Sqrt(seen)) / float64(base[route].Asked+priorAsked)
-		poor := min(good+badGap, mostBad)
-		step := float64(failed)*math.Log(poor/good) + float64(asked-failed)*math.Log((1-poor)/(1-good))
-		r.scores[route] = max(0, r.scores[route]+step)
-		bad = bad || r.scores[route] > badScore
+		usual := base[route]
+		r.failed[route] = max(0, r.failed[route]+evidence(asked, failed, rate(usual.Failed, usual.Asked), failedGap))
+		r.slow[route] = max(0, r.slow[route]+evidence(asked, slow, max(coldSlow, rate(usual.Slow, usual.Asked)), slowGap))
+		bad = bad || max(r.failed[route], r.slow[route]) > badScore
 	}
 	return bad
 }
 
+// rate returns the part of the answers that are bad at a good release, one standard
+// deviation above what was seen.
+func rate(bad, asked int) float64 {
+	seen := float64(bad + priorBad)
+	return (seen + math.Sqrt(seen)) / float64(asked+priorAsked)
+}
+
+// evidence returns the logarithm of how much likelier the answers are at the rate
+// of a bad release than at that of a good one.
+func evidence(asked, bad int, good, gap float64) float64 {
+	poor := min(good+gap, mostBad)
+	return float64(bad)*math.Log(poor/good) + float64(asked-bad)*math.Log((1-poor)/(1-good))
+}
+
 // byRoute adds the tallies of a roll-out up by route, and over all under "".
 func byRoute(tallies []Tally, release string) (base, trial map[string]Tally) {
 	base, trial = make(map[string]Tally), make(map[string]Tally)
@@ -127,7 +153,8 @@
 		for _, route := range []string{"", t.Route} {
 			sum := sums[route]
 			sum.Asked += t.Asked
-			sum.Bad += t.Bad
+			sum.Failed += t.Failed
+			sum.Slow += t.Slow
 			sums[route] = sum
 		}
 	}
--- a/internal/forward/stager/verdict.go
+++ b/internal/forward/stager/verdict.go
@@ -17,18 +17,40 @@
 		u = new(usual)
 		s.usual[route] = u
 	}
-	bad := failed || u.slow(took)
-	st := s.stages[h.Pool]
-	trial := st != nil && h.Release == st.release
-	if !failed && !trial {
+	slow := !failed && u.slow(took)
+	if !failed && !s.trial(h) {
 		u.learn(took)
 	}
+	s.count(h, route, failed, slow)
+}
+
+// Late counts an answer that was still not there when the time of its request was
+// over.
+func (s *Stager) Late(h *samphireturn.Host, route string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(h, route, false, true)
+}
+
+// trial reports whether an endpoint has the release that is rolled out. The caller
+// holds mu.
+func (s *Stager) trial(h *samphireturn.Host) bool {
+	st := s.stages[h.Pool]
+	return st != nil && h.Release == st.release
+}
+
+// count adds an answer to the tallies of a roll-out under way. The caller holds mu.
+func (s *Stager) count(h *samphireturn.Host, route string, failed, slow bool) {
+	st := s.stages[h.Pool]
 	if st == nil || ended(st.state) {
 		return
 	}
-	t := Tally{Pool: h.Pool, Release: st.release, Route: route, New: trial, Asked: 1}
-	if bad {
-		t.Bad = 1
+	t := Tally{Pool: h.Pool, Release: st.release, Route: route, New: s.trial(h), Asked: 1}
+	if failed {
+		t.Failed = 1
+	}
+	if slow {
+		t.Slow = 1
 	}
 	st.mine = Sum(st.mine, []Tally{t})
 }
@@ -41,7 +63,7 @@
 	for pool, st := range s.stages {
 		if !ended(st.state) {
 			all = append(all, st.mine...)
-			all = append(all, Tally{Pool: pool, Release: st.release, New: true, Peak: st.peak})
+			all = append(all, Tally{Pool: pool, Release: st.release, New: true, Peak: st.peak, Judged: st.bad})
 		}
 	}
 	return all
@@ -57,20 +79,24 @@
 			continue
 		}
 		var tallies []Tally
+		judged := false
 		for _, t := range Sum(st.mine, s.others) {
 			if t.Pool != pool {
 				continue
 			}
 			tallies = append(tallies, t)
 			if t.Release == st.release {
-				// Sessions that moved at another daemon must not go back at this one.
+				// Sessions that moved at another daemon must not go back at this one, and
+				// a verdict of one is a verdict of all.
 				st.peak = max(st.peak, t.Peak)
+				judged = judged || t.Judged
 			}
 		}
-		if st.rates.judge(tallies, st.release) {
+		if st.rates.judge(tallies, st.release) || judged {
 			st.bad = true
+			st.judged = s.Clock()
 			s.Log.Warn().Str("event", logger.EventReleaseBad).Str("pool", pool).Str("release", st.release).
-				Interface("tallies", tallies).Float64("passed", s.passed(st)).Send()
+				Bool("heard", judged).Interface("tallies", tallies).Float64("passed", s.passed(st)).Send()
 		}
 	}
 }
