Let repeats come together, and keep some for failures

Ruled out: attempts of the route (three), the bound itself (0.9 of the requests of ten seconds and 56).

Change: budgeter.Window counts requests and repeats of the last ten seconds; each daemon takes its part of the number by the daemons known; larger models leave a fifth to failures, which lose more. A refusal says "no repeat left" or "no attempt left" with the last failure, an answer kept for want of repeats has a line of its own, a failed send says how long the endpoint had been silent, an answer its confidence and attempts.

--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -40,14 +40,10 @@
 	// currentAge is how old the table's proof may be for it to say that a route or
 	// a key does not exist.
 	currentAge = 3 * time.Second
-	// spareDaemons allows for daemons that are not known yet.
-	spareDaemons = 1.5
 	// handshakeTime bounds the making of a link, and redialTime the wait before the
 	// next try, so that daemons find each other again within two seconds of a cut.
 	handshakeTime = time.Second
 	redialTime    = time.Second
-	// typicalDaemons is assumed before the members are known.
-	typicalDaemons = 8
 )
 
 // Builder makes the kernel of a daemon. Set the exported fields before Kernel.
@@ -67,8 +63,9 @@
 	Strict bool
 	Revoke time.Duration
 	Grace  time.Duration
-	// RepeatShare and RepeatExtra bound the repeats of the fleet.
+	// RepeatShare and RepeatExtra bound the repeats of the fleet in each RepeatWindow.
 	RepeatShare, RepeatExtra float64
+	RepeatWindow             time.Duration
 	// CanaryShare and CanaryExtra bound the requests to a release under trial.
 	CanaryShare, CanaryExtra float64
 	// SessionTime is how long a session lasts after its last request.
@@ -184,7 +181,9 @@
 		Grace:    b.Grace,
 
 		RepeatShare: b.RepeatShare,
-		RepeatMost:  max(b.RepeatExtra/typicalDaemons/spareDaemons, 1),
+		RepeatExtra: b.RepeatExtra,
+
+		RepeatWindow: b.RepeatWindow,
 	}, nil
 }
 
--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -21,6 +21,7 @@
 	EventRepeat          = "repeat"
 	EventResumed         = "resumed"
 	EventEscalated       = "escalated"
+	EventKept            = "kept"
 	EventEndpointReached = "endpoint_reached"
 	EventTable           = "table"
 	EventTableIgnored    = "table_ignored"
@@ -65,14 +66,15 @@
 	{EventLinesLeftOut, "lines", "log lines that found no room"},
 	{EventReadiness, "ready, leaving, fresh, age", "the answer to readiness checks changed; age of the table's proof"},
 	{EventSent, "id, route, endpoint, centre, release, model, attempt, running, delay, cold, left, table, age", "a request goes to an endpoint; what spoke for it"},
-	{EventServed, "id, session, route, endpoint, status, sends, step, took", "a request was answered"},
+	{EventServed, "id, session, route, endpoint, status, sends, attempts, step, confidence, took", "a request was answered"},
 	{EventRefused, "id, route, reason, run, sends, took, table, age, retry, error", "a request was refused or failed"},
 	{EventBroken, "id, route, last, sends, took, error", "a stream was broken off behind an event"},
 	{EventCallerLeft, "id, route, sends, took", "a caller left before the end"},
-	{EventSendFailed, "id, endpoint, kind, error", "an endpoint did not run a request or failed it"},
+	{EventSendFailed, "id, endpoint, kind, quiet, error", "an endpoint did not run a request or failed it; how long it had been silent to this daemon"},
 	{EventRepeat, "id, endpoint, status, error", "a request is sent again"},
 	{EventResumed, "id, endpoint, last, sends, took, error", "a stream goes on at another endpoint"},
 	{EventEscalated, "id, route, confidence, from, to", "a larger model is asked"},
+	{EventKept, "id, route, confidence, step", "a poor answer is kept, as the repeats left are for failures"},
 	{EventEndpointReached, "endpoint, centre", "an endpoint that could not be reached can be"},
 	{EventTable, "version, routes, source_version", "a table of routes is in force"},
 	{EventTableIgnored, "version, in_force", "an older table was ignored"},
@@ -92,6 +94,6 @@
 	{EventJoinFailed, "error", "it was not; it is tried again"},
 	{EventLeft, "error", "the entry of this daemon was removed"},
 	{EventShareFailed, "peer, error", "a peer did not answer with its work"},
-	{EventReleaseBad, "pool, release, tallies, passed", "the answers speak against a release"},
+	{EventReleaseBad, "pool, release, heard, tallies, passed", "the answers speak against a release, here or at another daemon"},
 	{EventConcluded, "pool, release, state, version, error", "the state of a roll-out was written"},
 }
--- a/internal/forward/forwarder/answer.go
+++ b/internal/forward/forwarder/answer.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"time"
@@ -67,7 +68,7 @@
 	}
 	failed := err != nil || a.Status >= http.StatusInternalServerError
 	if failed && j.mayRepeat() {
-		j.want.Avoid[a.host.ID] = true
+		j.avoid(a.host, cmp.Or(err, error(errors.Errorf("status %d", a.Status))))
 		repeats.Add("failed", 1)
 		j.Log.Debug().Str("event", logger.EventRepeat).Str("id", j.ask.ID).Str("endpoint", a.host.ID).Int("status", a.Status).Err(err).Send()
 		return true, nil
@@ -118,7 +119,7 @@
 		j.outcome = meter.Failed
 	}
 	j.Log.Info().Str("event", logger.EventServed).Str("id", j.ask.ID).Str("session", j.ask.Session).Str("route", j.route.Name).Str("endpoint", a.host.ID).
-		Int("status", a.Status).Int("sends", j.sends).Int("step", j.step).Dur("took", j.Clock()-j.start).Send()
+		Int("status", a.Status).Int("sends", j.sends).Int("attempts", j.route.Attempts).Int("step", j.step).Int("confidence", a.Sign.Confidence).Dur("took", j.Clock()-j.start).Send()
 }
 
 // abort breaks the caller's connection, so that a part of an answer never looks
--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -70,7 +70,7 @@
 		j.Balancer.Fault(a.host, true)
 		over = true
 	}
-	if over && j.budget.Spend() {
+	if over && j.budget.Spend(0) {
 		j.paid.Store(true)
 		repeats.Add("stalled", 1)
 		a.cancel(errStalled)
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -42,6 +42,10 @@
 	headerTime  = 3 * time.Second
 	idleTime    = 15 * time.Second
 	bodyLimit   = 4 << 20
+	// typicalDaemons is assumed before the members are known, and spareDaemons allows
+	// for some that are not known yet.
+	typicalDaemons = 8
+	spareDaemons   = 1.5
 )
 
 // Forwarder is a service. Set the exported fields before Run.
@@ -70,9 +74,10 @@
 	Rand func() float64
 	// Grace is the time from Leave to the end of the process.
 	Grace time.Duration
-	// RepeatShare is the number of repeats that each request earns, and RepeatMost
-	// how many can be saved up.
-	RepeatShare, RepeatMost float64
+	// RepeatShare and RepeatExtra bound the repeats of all daemons in each RepeatWindow,
+	// as a part of the requests of a pool and a number.
+	RepeatShare, RepeatExtra float64
+	RepeatWindow             time.Duration
 
 	leaving   atomic.Bool
 	left      time.Time
@@ -87,14 +92,14 @@
 	cancel    context.CancelFunc
 	wait      sync.WaitGroup
 	mu        sync.Mutex
-	budgets   map[string]*budgeter.Budgeter
+	budgets   map[string]*budgeter.Window
 	readiness atomic.Bool
 }
 
 // Run starts to serve.
 func (f *Forwarder) Run(ctx context.Context) error {
 	ctx, f.cancel = context.WithCancel(ctx)
-	f.budgets = make(map[string]*budgeter.Budgeter)
+	f.budgets = make(map[string]*budgeter.Window)
 	f.checks = &http.Server{Handler: http.HandlerFunc(f.check), ReadHeaderTimeout: headerTime}
 	f.wait.Go(f.accept)
 	f.wait.Go(func() { f.listen(f.checks, f.Checks) })
@@ -243,17 +248,26 @@
 }
 
 // budget returns the budget of repeats of a pool.
-func (f *Forwarder) budget(pool string) *budgeter.Budgeter {
+func (f *Forwarder) budget(pool string) *budgeter.Window {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b := f.budgets[pool]
 	if b == nil {
-		b = &budgeter.Budgeter{Most: f.RepeatMost}
+		b = &budgeter.Window{Share: f.RepeatShare, Extra: f.repeatExtra, Length: f.RepeatWindow, Clock: f.Clock}
 		f.budgets[pool] = b
 	}
 	return b
 }
 
+// repeatExtra returns this daemon's part of the number of repeats beside the share.
+func (f *Forwarder) repeatExtra() float64 {
+	members := 0
+	if v := f.current(); v != nil {
+		members = len(v.Members)
+	}
+	return f.RepeatExtra / (float64(max(members, typicalDaemons)) * spareDaemons)
+}
+
 // serve takes one request through.
 func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -59,7 +59,7 @@
 	match  *matcher.Matcher
 	route  *samphireturn.Route
 	pool   *samphireturn.Pool
-	budget *budgeter.Budgeter
+	budget *budgeter.Window
 	team   string
 	rank   int
 	body   []byte
@@ -78,6 +78,8 @@
 	step int
 	// last is the last event passed on.
 	last string
+	// fault is the last failure that was an answer.
+	fault error
 }
 
 // admit finds the route, the team and the pool, and reads the body.
@@ -113,7 +115,7 @@
 	if !j.route.Repeatable() && !j.once.add(j.ask.ID, j.start) {
 		return refusal(samphireturn.ReasonRequest, 0, errors.New("id of an earlier request"))
 	}
-	j.budget.Earn(j.RepeatShare)
+	j.budget.Earn()
 	return nil
 }
 
@@ -231,18 +233,19 @@
 			return nil, j.over()
 		}
 		if j.runs >= j.route.Attempts || j.sends >= j.route.Attempts+spareSends {
-			return nil, j.refusal(samphireturn.ReasonEndpoint, crowded, fault)
+			return nil, j.refusal(samphireturn.ReasonEndpoint, crowded, errors.Wrap(cmp.Or(fault, j.fault), "no attempt left"))
 		}
-		if j.sends > 0 && !j.paid.Load() && !j.budget.Spend() {
+		if j.sends > 0 && !j.paid.Load() && !j.budget.Spend(0) {
 			repeats.Add("no_budget", 1)
-			return nil, j.refusal(samphireturn.ReasonEndpoint, crowded, fault)
+			return nil, j.refusal(samphireturn.ReasonEndpoint, crowded, errors.Wrap(cmp.Or(fault, j.fault), "no repeat left"))
 		}
 		j.paid.Store(false)
 		ticket := j.pick()
 		if ticket == nil {
-			return nil, j.refusal(samphireturn.ReasonEmpty, crowded, fault)
+			return nil, j.refusal(samphireturn.ReasonEmpty, crowded, cmp.Or(fault, j.fault))
 		}
 		host := ticket.Host
+		quiet := j.Balancer.Quiet(host)
 		a, err := j.try(ticket, patience)
 		if err == nil {
 			return a, nil
@@ -250,7 +253,8 @@
 		fault = err
 		e := sender.AsError(err)
 		j.want.Avoid[host.ID] = true
-		j.Log.Debug().Str("event", logger.EventSendFailed).Str("id", j.ask.ID).Str("endpoint", host.ID).Stringer("kind", e.Kind).Err(err).Send()
+		j.Log.Debug().Str("event", logger.EventSendFailed).Str("id", j.ask.ID).Str("endpoint", host.ID).Stringer("kind", e.Kind).
+			Dur("quiet", quiet).Err(err).Send()
 		if e.Kind == sender.KindDial {
 			j.Balancer.Fault(host, true)
 			continue
@@ -289,6 +293,12 @@
 	return j.Balancer.Pick(&j.want)
 }
 
+// avoid notes that an endpoint answered with a failure.
+func (j *job) avoid(h *samphireturn.Host, err error) {
+	j.want.Avoid[h.ID] = true
+	j.fault = err
+}
+
 // try sends the request to one endpoint.
 func (j *job) try(ticket *balancer.Ticket, patience time.Duration) (*attempt, error) {
 	ctx, cancel := context.WithCancelCause(j.ctx)
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -22,6 +22,9 @@
 	// pauseShare is the part of the longest pause after which a stream is resumed
 	// at another endpoint.
 	pauseShare = 0.75
+	// failureShare is the part of the repeats that larger models leave to failures: a
+	// failed request loses all its worth, and one in five is far more than fail.
+	failureShare = 0.2
 	// readSize is the size of reads of a stream; events are tens of bytes.
 	readSize = 4 << 10
 )
@@ -89,7 +92,7 @@
 func (j *job) fail(a *attempt, err error) {
 	a.close()
 	j.Balancer.Fault(a.host, false)
-	j.want.Avoid[a.host.ID] = true
+	j.avoid(a.host, err)
 	repeats.Add("resumed", 1)
 	j.Log.Info().Str("event", logger.EventResumed).Str("id", j.ask.ID).Str("endpoint", a.host.ID).Str("last", j.last).
 		Int("sends", j.sends).Dur("took", j.Clock()-j.start).Err(err).Send()
@@ -105,8 +108,10 @@
 	if !ok {
 		return false
 	}
-	if !j.budget.Spend() {
+	if !j.budget.Spend(failureShare) {
 		repeats.Add("no_budget", 1)
+		j.Log.Info().Str("event", logger.EventKept).Str("id", j.ask.ID).Str("route", j.route.Name).
+			Int("confidence", a.Sign.Confidence).Int("step", j.step).Send()
 		return false
 	}
 	j.paid.Store(true)
