Repeat at the only endpoint in reach

An endpoint that failed a request was not asked again for it, also if there was no other.

Change: if no other endpoint is left, those that failed by an answer are asked once more, within the attempts and the budget; what they answer is the caller's answer. Endpoints that don't answer stay avoided.

--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -78,8 +78,9 @@
 	step int
 	// last is the last event passed on.
 	last string
-	// fault is the last failure that was an answer.
-	fault error
+	// failed are the endpoints whose failure was an answer, and fault is the last one.
+	failed []string
+	fault  error
 }
 
 // admit finds the route, the team and the pool, and reads the body.
@@ -290,12 +291,21 @@
 	}
 	j.want.Hosts = j.Stager.Hosts(j.view, j.pool.Name, j.ask.Session, j.ask.ID)
 	j.want.Kind = j.kind()
+	ticket := j.Balancer.Pick(&j.want)
+	if ticket != nil || len(j.failed) == 0 {
+		return ticket
+	}
+	// No other endpoint is left: one that answers may do better the next time.
+	for _, id := range j.failed {
+		delete(j.want.Avoid, id)
+	}
 	return j.Balancer.Pick(&j.want)
 }
 
 // avoid notes that an endpoint answered with a failure.
 func (j *job) avoid(h *samphireturn.Host, err error) {
 	j.want.Avoid[h.ID] = true
+	j.failed = append(j.failed, h.ID)
 	j.fault = err
 }
 
