--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -32,13 +32,25 @@
 	// parkTime is the period in which a daemon looks whether it must watch.
 	parkTime = 100 * time.Millisecond
 
-	// retryLeast and retryMost bound the wait before the next call after a failure, so
-	// that the end of an outage is seen within a quarter of a second. Only one topic
-	// tries; each call is paid for, refused or not.
+	// retryLeast and retryMost bound the wait before the first daemon's next call after
+	// a failure, so that the end of an outage is seen within a quarter of a second.
+	// Daemons behind it wait longer by the square of their place, for they hear from
+	// those before them: of a hundred, few try.
+	// Only one topic tries; each call is paid for, refused or not.
 	retryLeast = 50 * time.Millisecond
 	retryMost  = 250 * time.Millisecond
-	// followerRetryMost is that of a daemon which would hear from another.
-	followerRetryMost = time.Second
+	// retryLast bounds the wait of all: an outage lasts seconds.
+	retryLast = 4 * time.Second
+	// maxDoublings bounds the doublings of a wait before it is cut.
+	maxDoublings = 8
+	// settleTime is how long a daemon that has listed a topic looks for another one to
+	// follow before it watches: members are known and links are made within some 600 ms
+	// of a start. With the wait of the watch after it, it stays below the least limit.
+	settleTime = 700 * time.Millisecond
+	// changeGap is the least time between two watches that answer with changes. Some
+	// entry changes at any moment in a large fleet, and each call is paid for; those
+	// that leave need be heeded within two seconds.
+	changeGap = 250 * time.Millisecond
 	// never is the age of what was never proved.
 	never = time.Duration(1<<63 - 1)
 )
@@ -88,7 +100,7 @@
 	renewed chan struct{}
 	// following is the daemon that is followed, while it answers.
 	following string
-	// failed holds when daemons could not be followed.
+	// failed holds until when daemons are not followed, since that failed.
 	failed map[string]time.Duration
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
@@ -155,19 +167,20 @@
 // watch lists and watches one topic at the source until ctx ends, whenever this
 // daemon is to do so.
 func (f *Follower) watch(ctx context.Context, t *topic) {
-	wait := retryLeast
+	tries := 0
 	for ctx.Err() == nil {
 		if !f.direct(t) || f.waits(t) {
 			f.rest(ctx, parkTime)
 			continue
 		}
-		err := f.step(ctx, t)
+		gap, err := f.step(ctx, t)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
-			wait = retryLeast
+			tries = 0
 			f.regained(t)
+			f.rest(ctx, gap)
 			continue
 		}
 		if samphireturn.KindOf(err) == samphireturn.KindExpired {
@@ -175,19 +188,18 @@
 			continue
 		}
 		f.lost(t, err)
-		if !f.rest(ctx, time.Duration((0.5+f.Rand()/2)*float64(wait))) {
+		if !f.rest(ctx, time.Duration((0.5+f.Rand()/2)*float64(f.backoff(tries)))) {
 			return
 		}
-		wait = min(2*wait, f.longest())
+		tries++
 	}
 }
 
-// longest returns the longest wait before a call is tried again.
-func (f *Follower) longest() time.Duration {
-	if f.Peers == nil || f.chosen() {
-		return retryMost
-	}
-	return followerRetryMost
+// backoff returns the wait after a number of tries that failed.
+func (f *Follower) backoff(tries int) time.Duration {
+	wait := min(retryLeast<<min(tries, maxDoublings), retryMost)
+	place := time.Duration(1 + f.place())
+	return min(wait*place*place, retryLast)
 }
 
 // direct reports whether this daemon is to watch a topic by itself: as the one
@@ -205,11 +217,12 @@
 func (f *Follower) waits(t *topic) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return t.failing && t.name != samphireturn.TopicTable && f.topics[samphireturn.TopicTable].failing
+	return t.name != samphireturn.TopicTable && f.topics[samphireturn.TopicTable].failing
 }
 
-// step makes one call to the source and applies its answer.
-func (f *Follower) step(ctx context.Context, t *topic) error {
+// step makes one call to the source and applies its answer. It returns the time to
+// wait before the next.
+func (f *Follower) step(ctx context.Context, t *topic) (gap time.Duration, _ error) {
 	f.mu.Lock()
 	listed, since, wait := t.listed, t.version, waits[t.name]
 	if t.failing {
@@ -222,26 +235,32 @@
 		batch, err := f.Source.List(ctx, t.name)
 		meter.Call(t.name.String(), outcome(err), f.Clock()-sent)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.outage(t, sent)
 		f.replace(t, batch)
 		f.prove(t, sent)
-		return nil
+		if t.name == samphireturn.TopicMembers {
+			return changeGap, nil
+		}
+		return settleTime, nil
 	}
 	batch, err := f.Source.Watch(ctx, t.name, since, wait)
 	meter.Call(t.name.String(), outcome(err), f.Clock()-sent)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.outage(t, sent)
 	f.update(t, batch)
 	f.prove(t, sent)
-	return nil
+	if len(batch.Entries) > 0 {
+		gap = changeGap
+	}
+	return gap, nil
 }
 
 // outcome names how a call ended, for the meters.
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -23,6 +23,9 @@
 	// failedTime is how long a daemon that fell silent, or whose proofs grew old, is
 	// not followed: an outage lasts seconds.
 	failedTime = 3 * time.Second
+	// unlinkedTime is the same for one to which there is no link, or whose link broke:
+	// another is made within half a second.
+	unlinkedTime = 500 * time.Millisecond
 	// newerBy is how much younger a proof must be to be passed on at once.
 	newerBy = 100 * time.Millisecond
 )
@@ -66,14 +69,12 @@
 	if near := f.near(members); len(near) > 0 && near[0] != f.Self.ID && slices.Contains(near, f.Self.ID) {
 		return near[0]
 	}
-	for _, centre := range ranker.Rank("follow", centres(members)) {
-		for _, id := range ranker.Rank("follow/"+centre, ranker.Within(centre, members)) {
-			if id == f.Self.ID {
-				return f.lender()
-			}
-			if !f.failedLately(id) {
-				return id
-			}
+	for _, id := range order(members) {
+		if id == f.Self.ID {
+			return f.lender()
+		}
+		if !f.failedLately(id) {
+			return id
 		}
 	}
 	return ""
@@ -104,6 +105,35 @@
 	return ranker.Rank("follow/"+f.Self.Centre, near)
 }
 
+// place returns how many daemons watch before this one: those of its data centre that
+// are linked, and one of each data centre before it.
+func (f *Follower) place() int {
+	if f.Peers == nil {
+		return 0
+	}
+	members := f.Control.Snapshot().Members
+	before := max(slices.Index(ranker.Rank("follow", centres(members)), f.Self.Centre), 0)
+	linked := f.Peers.Connected()
+	for _, id := range ranker.Rank("follow/"+f.Self.Centre, ranker.Within(f.Self.Centre, members)) {
+		if id == f.Self.ID {
+			break
+		}
+		if slices.Contains(linked, id) {
+			before++
+		}
+	}
+	return before
+}
+
+// order returns the daemons in the order in which they watch for others.
+func order(members []samphireturn.VM) []string {
+	var ids []string
+	for _, centre := range ranker.Rank("follow", centres(members)) {
+		ids = append(ids, ranker.Rank("follow/"+centre, ranker.Within(centre, members))...)
+	}
+	return ids
+}
+
 // centres returns one member for each data centre, with its name as the id.
 func centres(members []samphireturn.VM) []samphireturn.VM {
 	var found []samphireturn.VM
@@ -119,8 +149,7 @@
 func (f *Follower) failedLately(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	at, ok := f.failed[id]
-	return ok && f.Clock()-at < failedTime
+	return f.Clock() < f.failed[id]
 }
 
 // poll follows another daemon until ctx ends.
@@ -132,10 +161,15 @@
 			f.rest(ctx, parkTime)
 			continue
 		}
+		began := f.Clock()
 		if err := f.ask(ctx, id); err != nil && ctx.Err() == nil {
+			rest := unlinkedTime
+			if samphireturn.KindOf(err) == samphireturn.KindExpired || f.Clock()-began >= pollTime {
+				rest = failedTime
+			}
 			f.Log.Info().Str("event", logger.EventFollowFailed).Str("peer", id).Err(err).Send()
 			f.mu.Lock()
-			f.failed[id] = f.Clock()
+			f.failed[id] = f.Clock() + rest
 			f.mu.Unlock()
 			f.follow("")
 			f.rest(ctx, pollGap)
