Let requests about a subject meet at one endpoint of the fleet

Change: the endpoint with the highest affinity costs nothing, one known to hold the part a tenth, that of the own data centre 0.8, others all of the cost of reading it; the way to another data centre costs what it did.

--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -30,6 +30,11 @@
 	// paid for by the token.
 	rereadCost   = 0.08
 	rereadTokens = 8000.0
+	// ownPart is the part of that cost at an endpoint that this daemon alone knows to
+	// have read the prompt, and nearPart that at the one where requests about a subject
+	// meet in this data centre, if not all meet there.
+	ownPart  = 0.1
+	nearPart = 0.8
 	// faultCost is what one fresh failure costs; it halves each faultHalf.
 	faultCost = 0.5
 	faultHalf = time.Second
@@ -151,6 +156,7 @@
 		best  *samphireturn.Host
 		least float64
 	)
+	m := b.meet(w)
 	for _, h := range w.Hosts {
 		if w.Avoid[h.ID] {
 			continue
@@ -159,7 +165,7 @@
 		if l.shunned || !b.admits(h, l, w, now) {
 			continue
 		}
-		score := b.score(h, l, w, now)
+		score := b.score(h, l, w, now) + b.reread(h, l, w, m, now)
 		if best == nil || score < least {
 			best, least = h, score
 		}
@@ -398,14 +404,57 @@
 	if h.Centre != b.Centre {
 		score += farCost
 	}
-	if w.Subject != "" && !l.holds(w, now) {
-		// Where nobody is known to have read it, all daemons prefer the same endpoints.
-		score += rereadCost * float64(w.Shared) / rereadTokens * (1.5 - affinity(w.Subject, h.ID))
-	}
 	score += faultCost * l.decayed(now)
 	return score + tieCost*b.Rand()
 }
 
+// meeting is where requests about one subject meet: a daemon of a large fleet sees
+// too few of them to know by itself where they went.
+type meeting struct {
+	// any is the endpoint that all daemons prefer, near the one that those of this
+	// data centre do where the subject is not worth the way.
+	any, near *samphireturn.Host
+}
+
+// meet returns the endpoints at which requests about a subject meet.
+func (b *Balancer) meet(w *Want) (m meeting) {
+	if w.Subject == "" {
+		return m
+	}
+	var most, mostNear float64
+	for _, h := range w.Hosts {
+		if w.Avoid[h.ID] || b.load(h).shunned {
+			continue
+		}
+		a := affinity(w.Subject, h.ID)
+		if a > most {
+			m.any, most = h, a
+		}
+		if a > mostNear && h.Centre == b.Centre {
+			m.near, mostNear = h, a
+		}
+	}
+	return m
+}
+
+// reread is the cost of reading the shared part of a prompt again, which falls with
+// the chance that the endpoint read it lately.
+func (b *Balancer) reread(h *samphireturn.Host, l *load, w *Want, m meeting, now time.Duration) float64 {
+	if w.Subject == "" {
+		return 0
+	}
+	cost := rereadCost * float64(w.Shared) / rereadTokens
+	switch {
+	case h == m.any:
+		return 0
+	case l.holds(w, now):
+		return ownPart * cost
+	case h == m.near:
+		return nearPart * cost
+	}
+	return cost
+}
+
 // decayed is the number of fresh failures.
 func (l *load) decayed(now time.Duration) float64 {
 	if l.faults == 0 {
--- a/internal/forward/balancer/balancer_test.go
+++ b/internal/forward/balancer/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -172,6 +173,64 @@
 	c.Check(same >= 100, qt.IsTrue, qt.Commentf("%d of 120 met", same))
 }
 
+// TestSharedPrompts answers the pattern of a large fleet, in which a daemon sees few
+// of the requests about a subject: the engines that read the shared part before are
+// found nevertheless, and none gets far more than its part.
+func TestSharedPrompts(t *testing.T) {
+	const (
+		subjects, daemons, hosts = 96, 60, 60
+		rate                     = 56
+		// cached is how long an engine keeps what it read, runs how long a request runs.
+		cached, runs = 20 * time.Second, 1500 * time.Millisecond
+		// found is the part of the requests that have to find the shared part read.
+		found = 0.8
+	)
+	c := qt.New(t)
+	f := newFleet(daemons, hosts, "north", "south", "west")
+	f.teach("large", 20*time.Microsecond)
+	random := rand.New(rand.NewPCG(7, 8))
+	read := make(map[string]time.Duration)
+	got := make(map[string]int)
+	type run struct {
+		ticket *balancer.Ticket
+		end    time.Duration
+	}
+	var running []run
+	start := f.now
+	hits, asked := 0, 0
+	for i := 0; f.now < start+60*time.Second; i++ {
+		f.now += time.Second / rate
+		if i%17 == 0 {
+			f.share()
+		}
+		running = slices.DeleteFunc(running, func(r run) bool {
+			if f.now < r.end {
+				return false
+			}
+			r.ticket.Done()
+			return true
+		})
+		subject := fmt.Sprint("s", random.IntN(subjects))
+		ticket := f.daemons[random.IntN(daemons)].Pick(f.prompt("large", 6600, subject, 5400))
+		key := ticket.Host.ID + subject
+		if f.now > start+20*time.Second {
+			asked++
+			got[ticket.Host.ID]++
+			if last, ok := read[key]; ok && f.now-last < cached {
+				hits++
+			}
+		}
+		read[key] = f.now
+		running = append(running, run{ticket, f.now + runs})
+	}
+	most := 0
+	for _, n := range got {
+		most = max(most, n)
+	}
+	c.Check(float64(hits) >= found*float64(asked), qt.IsTrue, qt.Commentf("%d of %d found the shared part", hits, asked))
+	c.Check(most*hosts <= 4*asked, qt.IsTrue, qt.Commentf("the busiest endpoint had %d of %d", most, asked))
+}
+
 // TestCold answers the return of cold endpoints under a burst: all daemons
 // together, among them some that nobody knows yet and some that are cut off and
 // know old members, send no more in any second than an endpoint bears.
