--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -66,7 +66,7 @@
 	{EventLinesLeftOut, "lines", "log lines that found no room"},
 	{EventReadiness, "ready, leaving, fresh, age", "the answer to readiness checks changed; age of the table's proof"},
 	{EventSent, "id, route, endpoint, centre, release, model, attempt, running, delay, cold, left, table, age", "a request goes to an endpoint; what spoke for it"},
-	{EventServed, "id, session, route, endpoint, status, sends, attempts, step, confidence, took", "a request was answered"},
+	{EventServed, "id, session, route, endpoint, status, sends, attempts, step, confidence, first, late, took", "a request was answered; when the answer began, and whether after its objective"},
 	{EventRefused, "id, route, reason, run, sends, took, table, age, retry, error", "a request was refused or failed"},
 	{EventBroken, "id, route, last, sends, took, error", "a stream was broken off behind an event"},
 	{EventCallerLeft, "id, route, sends, took", "a caller left before the end"},
--- a/internal/forward/forwarder/answer.go
+++ b/internal/forward/forwarder/answer.go
@@ -119,7 +119,8 @@
 		j.outcome = meter.Failed
 	}
 	j.Log.Info().Str("event", logger.EventServed).Str("id", j.ask.ID).Str("session", j.ask.Session).Str("route", j.route.Name).Str("endpoint", a.host.ID).
-		Int("status", a.Status).Int("sends", j.sends).Int("attempts", j.route.Attempts).Int("step", j.step).Int("confidence", a.Sign.Confidence).Dur("took", j.Clock()-j.start).Send()
+		Int("status", a.Status).Int("sends", j.sends).Int("attempts", j.route.Attempts).Int("step", j.step).Int("confidence", a.Sign.Confidence).
+		Dur("first", j.first).Bool("late", j.route.Objective > 0 && j.first > j.route.Objective).Dur("took", j.Clock()-j.start).Send()
 }
 
 // abort breaks the caller's connection, so that a part of an answer never looks
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -78,6 +78,8 @@
 	step int
 	// last is the last event passed on.
 	last string
+	// first is when the caller got the first bytes of the answer, since the start.
+	first time.Duration
 	// failed are the endpoints whose failure was an answer, and fault is the last one.
 	failed []string
 	fault  error
@@ -431,6 +433,7 @@
 
 // head passes on the head of an answer.
 func (j *job) head(a *attempt) {
+	j.first = j.Clock() - j.start
 	h := j.w.Header()
 	for name, values := range a.Header {
 		if j.Front.Forwarded(name) {
