Tell other data centres sums of the guard's counts

Asked first: is sharing by instance still needed at all? On the users' platform no, the stager's tallies do it there. Across data centres a sum says the same.

Change: a daemon tells its own counts to its data centre; a relay tells one daemon of each other data centre the sum of its own, and its own the sum of all others. Sums only grow, instances that are gone included, and merge by the greatest; the false-alarm rate is divided among the daemons in them. A message leaves out what is zero and the sender's own name.

Ruled out: passing a third data centre's sum on, 324 entries more for each relay; holds still go everywhere.

Mixed with daemons of the version before, counts may be added twice until these are gone.

--- a/internal/fleet/guard/guard.go
+++ b/internal/fleet/guard/guard.go
@@ -3,6 +3,7 @@
 package guard
 
 import (
+	"maps"
 	"math"
 	"sync"
 
@@ -33,19 +34,24 @@
 type Suspicion int
 
 // Total counts the calls that one daemon instance ran on one version in one
-// epoch. Both counts only grow. Failures are errors, timeouts and answers
-// rated bad.
+// epoch, or the daemons of a data centre together. All counts only grow. Failures
+// are errors, timeouts and answers rated bad.
 type Total struct {
 	Calls    uint64 `cbor:"c"`
-	Failures uint64 `cbor:"f"`
+	Failures uint64 `cbor:"f,omitempty"`
+	// Daemons is the number of instances in a sum; zero stands for one instance.
+	Daemons uint64 `cbor:"d,omitempty"`
 }
 
-// Totals are the counts of one version in one epoch by daemon instance. An
-// epoch begins when the version is held or released.
+// Totals are the counts of one version in one epoch by daemon instance of this data
+// centre and by sums of others (see sum.go). An epoch begins when the version is
+// held or released.
 type Totals struct {
 	Version   samphireturn.VersionRef `cbor:"v"`
-	Epoch     uint64                  `cbor:"e"`
+	Epoch     uint64                  `cbor:"e,omitempty"`
 	Instances map[string]Total        `cbor:"i"`
+	// Gone is the sum of the instances that were folded. It is not told by itself.
+	Gone Total `cbor:"-"`
 }
 
 // Counter runs the sequential test. Set the exported fields before use. It is
@@ -72,8 +78,10 @@
 type state struct {
 	epoch     uint64
 	instances map[string]Total
-	// folded holds the counts of instances that are gone.
+	// folded holds the counts of instances that are gone, and gone those that it had
+	// no more room for.
 	folded map[string]Total
+	gone   Total
 	// ratio is the logarithm of the likelihood ratio of bad to good.
 	ratio float64
 	// test numbers the running test of the epoch, from 1.
@@ -133,9 +141,9 @@
 	defer c.mu.Unlock()
 	out := make([]Totals, 0, len(c.versions))
 	for v, s := range c.versions {
-		t := Totals{Version: v, Epoch: s.epoch, Instances: make(map[string]Total, len(s.instances))}
-		for id, n := range s.instances {
-			t.Instances[id] = n
+		t := Totals{Version: v, Epoch: s.epoch, Instances: maps.Clone(s.instances), Gone: s.gone}
+		for _, n := range s.folded {
+			t.Gone = t.Gone.plus(n)
 		}
 		out = append(out, t)
 	}
@@ -188,11 +196,14 @@
 	defer c.mu.Unlock()
 	for _, s := range c.versions {
 		for id, t := range s.instances {
-			if keep(id) {
+			if isSum(id) || keep(id) {
 				continue
 			}
 			delete(s.instances, id)
 			if s.folded == nil || len(s.folded) >= maxFolded {
+				for _, old := range s.folded {
+					s.gone = s.gone.plus(old)
+				}
 				s.folded = make(map[string]Total)
 			}
 			s.folded[id] = t
@@ -264,21 +275,35 @@
 // raise lifts an instance's counts to t and returns the growth.
 func (s *state) raise(id string, t Total) Total {
 	t.Failures = min(t.Failures, t.Calls)
+	if isSum(id) {
+		return s.raiseSum(id, t)
+	}
 	old, ok := s.instances[id]
 	if !ok {
 		old = s.folded[id]
 	}
-	next := Total{Calls: max(old.Calls, t.Calls), Failures: max(old.Failures, t.Failures)}
+	next := old.most(t)
 	if next == old {
 		return Total{}
 	}
 	s.instances[id] = next
 	delete(s.folded, id)
-	return Total{Calls: next.Calls - old.Calls, Failures: next.Failures - old.Failures}
+	return next.minus(old)
 }
 
+// plus adds the calls and failures, and the daemons of sums.
 func (t Total) plus(o Total) Total {
-	return Total{Calls: t.Calls + o.Calls, Failures: t.Failures + o.Failures}
+	return Total{Calls: t.Calls + o.Calls, Failures: t.Failures + o.Failures, Daemons: t.Daemons + o.Daemons}
+}
+
+// minus returns the growth from o to t.
+func (t Total) minus(o Total) Total {
+	return Total{Calls: t.Calls - o.Calls, Failures: t.Failures - o.Failures}
+}
+
+// most returns the greater of each count.
+func (t Total) most(o Total) Total {
+	return Total{Calls: max(t.Calls, o.Calls), Failures: max(t.Failures, o.Failures), Daemons: max(t.Daemons, o.Daemons)}
 }
 
 // judge moves the likelihood ratio by the growth and compares it with the
@@ -291,7 +316,7 @@
 	successes := float64(grown.Calls) - float64(grown.Failures)
 	s.ratio += float64(grown.Failures) * math.Log(g.Bad/g.Good)
 	s.ratio += successes * math.Log((1-g.Bad)/(1-g.Good))
-	alarm := g.Alarm / (s.test * (s.test + 1)) / float64(max(len(s.instances), 1))
+	alarm := g.Alarm / (s.test * (s.test + 1)) / float64(max(s.daemons(), 1))
 	if s.ratio >= -math.Log(alarm) {
 		s.bad = true
 		return
--- a/internal/fleet/guard/service.go
+++ b/internal/fleet/guard/service.go
@@ -84,8 +84,8 @@
 
 	// message is what daemons push to each other.
 	message struct {
-		Totals []Totals `cbor:"t"`
-		Holds  []Hold   `cbor:"h"`
+		Totals []Totals `cbor:"t,omitempty"`
+		Holds  []Hold   `cbor:"h,omitempty"`
 	}
 
 	// entryKey names one instance's counts of one epoch.
@@ -242,11 +242,14 @@
 }
 
 // receive takes in what a peer pushed.
-func (g *Guard) receive(_ context.Context, _ string, body []byte) (any, error) {
+func (g *Guard) receive(_ context.Context, from string, body []byte) (any, error) {
 	var m message
 	if err := encoder.Unmarshal(body, &m); err != nil {
 		return nil, err
 	}
+	for i := range m.Totals {
+		m.Totals[i].Instances = named(m.Totals[i].Instances, from)
+	}
 	for _, h := range m.Holds {
 		g.adopt(h)
 	}
--- a/internal/fleet/guard/share.go
+++ b/internal/fleet/guard/share.go
@@ -92,9 +92,8 @@
 	peers := g.Peers.Connected()
 	g.forget(peers)
 	totals := g.Counter.Totals()
-	relay := relays(g.Control.Snapshot(), peers)
 	for _, id := range peers {
-		m, keys := g.news(id, totals, relay)
+		m, keys := g.news(id, totals, peers)
 		if len(m.Totals) == 0 && len(m.Holds) == 0 {
 			continue
 		}
@@ -149,30 +148,43 @@
 	})
 }
 
-// news returns the message for a peer and the counts that it will then have.
-// Only a relay passes on counts of others.
-func (g *Guard) news(id string, totals []Totals, relay bool) (message, map[entryKey]Total) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	s := g.Control.Snapshot()
+// first reports whether a linked daemon of another data centre is the one there that
+// is told; it tells the others.
+func first(s *samphireturn.Snapshot, peers []string, id string) bool {
+	centres := centresOf(s)
+	return !slices.ContainsFunc(peers, func(other string) bool { return other < id && centres[other] == centres[id] })
+}
+
+// centresOf returns the data centre of each member.
+func centresOf(s *samphireturn.Snapshot) map[string]string {
 	centres := make(map[string]string, len(s.Members))
 	for _, m := range s.Members {
 		centres[m.ID] = m.Centre
 	}
+	return centres
+}
+
+// news returns the message for a peer and the counts that it will then have: this
+// daemon's own within its data centre, and sums across. Peers are those with a link.
+func (g *Guard) news(id string, totals []Totals, peers []string) (message, map[entryKey]Total) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.Control.Snapshot()
+	centre, ok := centresOf(s)[id]
+	near := !ok || centre == s.Self.Centre
+	relay := relays(s, peers)
 	got, keys := g.sent[id], make(map[entryKey]Total)
 	var m message
+	if !near && !first(s, peers, id) {
+		totals = nil
+	}
 	for _, t := range totals {
 		news := Totals{Version: t.Version, Epoch: t.Epoch, Instances: make(map[string]Total)}
-		for instance, n := range t.Instances {
-			owner := samphireturn.InstanceVM(instance)
-			direct := centres[owner] != "" && centres[owner] == centres[id]
-			if owner == id || owner != s.Self.ID && (direct || !relay) {
-				continue
-			}
-			k := entryKey{t.Version, t.Epoch, instance}
+		for name, n := range t.told(g.Counter.Instance, s.Self.Centre, near, relay) {
+			k := entryKey{t.Version, t.Epoch, name}
 			keys[k] = n
 			if got[k] != n {
-				news.Instances[instance] = n
+				news.Instances[name] = n
 			}
 		}
 		if len(news.Instances) > 0 {
