Take watches over by few daemons, with a proof at once

Their watches waited for a change as long as usual, so that the daemons which others asked next had no proof yet either and were passed over in turn.

Change: a watch by a daemon whose proof is too old is answered at once; the first two of a data centre take over when the limit is passed, the others half a second later, and proofs are heard from a daemon up to 0.3 s over the limit.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -51,6 +51,11 @@
 	// entry changes at any moment in a large fleet, and each call is paid for; those
 	// that leave need be heeded within two seconds.
 	changeGap = 250 * time.Millisecond
+	// earlyCount is the number of daemons of a data centre that watch by themselves as
+	// soon as what they hear is too old. The others hear from these within lateTime, or
+	// else do so too: hundreds must not call at the same moment.
+	earlyCount = 2
+	lateTime   = 500 * time.Millisecond
 	// never is the age of what was never proved.
 	never = time.Duration(1<<63 - 1)
 )
@@ -209,8 +214,9 @@
 		return true
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.age(t) > limits[t.name]
+	over := f.age(t) - limits[t.name]
+	f.mu.Unlock()
+	return over > lateTime || over > 0 && f.ahead() < earlyCount
 }
 
 // waits reports whether a topic waits for the table's to see the source return.
@@ -225,8 +231,8 @@
 func (f *Follower) step(ctx context.Context, t *topic) (gap time.Duration, _ error) {
 	f.mu.Lock()
 	listed, since, wait := t.listed, t.version, waits[t.name]
-	if t.failing {
-		// The first answer after a failure must not wait for a change.
+	if t.failing || f.age(t) > limits[t.name] {
+		// A proof that is wanted at once must not wait for a change.
 		wait = time.Millisecond
 	}
 	f.mu.Unlock()
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -26,6 +26,9 @@
 	// unlinkedTime is the same for one to which there is no link, or whose link broke:
 	// another is made within half a second.
 	unlinkedTime = 500 * time.Millisecond
+	// staleTime is how much older than the limit a followed daemon's proofs may be: it
+	// may be about to watch by itself.
+	staleTime = 300 * time.Millisecond
 	// newerBy is how much younger a proof must be to be passed on at once.
 	newerBy = 100 * time.Millisecond
 )
@@ -112,8 +115,14 @@
 		return 0
 	}
 	members := f.Control.Snapshot().Members
-	before := max(slices.Index(ranker.Rank("follow", centres(members)), f.Self.Centre), 0)
+	return f.ahead() + max(slices.Index(ranker.Rank("follow", centres(members)), f.Self.Centre), 0)
+}
+
+// ahead returns how many linked daemons of this data centre watch before this one.
+func (f *Follower) ahead() int {
 	linked := f.Peers.Connected()
+	members := f.Control.Snapshot().Members
+	before := 0
 	for _, id := range ranker.Rank("follow/"+f.Self.Centre, ranker.Within(f.Self.Centre, members)) {
 		if id == f.Self.ID {
 			break
@@ -217,7 +226,7 @@
 	}
 	for i := range f.topics {
 		t := &f.topics[i]
-		if t.urgent() && time.Duration(reply.Topics[i].Age)*time.Millisecond > limits[t.name] {
+		if t.urgent() && time.Duration(reply.Topics[i].Age)*time.Millisecond > limits[t.name]+staleTime {
 			return &samphireturn.Error{Op: "follow " + id, Kind: samphireturn.KindExpired}
 		}
 	}
