Leave no endpoint for want of time while it works

A draft whose caller waited a second was sent to three endpoints in turn, 0.46 s at each, and ended at its deadline: an endpoint got 0.45 of the time left before the next was asked, whether it was at work or not, and each new one began to read the prompt anew.

Ruled out: dark endpoints (each was sending events to others).

Change: that wait holds only for endpoints that send nothing to anyone meanwhile, and is at least twice as long as an answer of the kind is expected to take to begin. One that works is left after 0.9 of the objective, as before.

--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -102,9 +102,11 @@
 	Ticket struct {
 		Host *samphireturn.Host
 		// Running and Delay are what spoke for the endpoint: the requests there and
-		// the time until the answer should begin. Cold is true while it is cold.
+		// the time until the answer should begin. Usual is how long answers of the kind
+		// take to begin, zero before any. Cold is true while it is cold.
 		Running int
 		Delay   time.Duration
+		Usual   time.Duration
 		Cold    bool
 
 		balancer *Balancer
@@ -181,6 +183,9 @@
 	l := b.load(h)
 	t := &Ticket{Host: h, balancer: b, want: *w, sent: now, work: b.work(l, w, now)}
 	t.Running, t.Cold = l.running(now), now < l.coldUntil
+	if p := b.paces[w.Kind]; p != nil {
+		t.Usual = p.answer
+	}
 	t.Delay = b.delay(l, w, t.Running, max(h.Slots, 1), now)
 	l.mine.Calls++
 	l.mine.Tokens += w.Tokens
--- a/internal/forward/forwarder/answer.go
+++ b/internal/forward/forwarder/answer.go
@@ -43,11 +43,11 @@
 
 // patience returns how long a whole answer is waited for at one endpoint; zero
 // means to the end.
-func (j *job) patience() time.Duration {
+func (j *job) patience() patience {
 	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts {
-		return 0
+		return patience{}
 	}
-	return max(time.Duration(patienceShare*float64(j.route.Objective)), j.left()/leftShare)
+	return patience{most: max(time.Duration(patienceShare*float64(j.route.Objective)), j.left()/leftShare)}
 }
 
 // pass passes a whole answer on, or reports that the request is to be sent
--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -14,11 +14,21 @@
 	lookTime = 500 * time.Millisecond
 	// leastLook is the shortest.
 	leastLook = 50 * time.Millisecond
+	// usualTimes is how many times as long as expected an answer may take to begin at an
+	// endpoint that sends nothing to anyone: it may read a long prompt.
+	usualTimes = 2
 	// quietTime is how long an endpoint that sends nothing to anyone is taken to
 	// work still: dozens of its steps.
 	quietTime = time.Second
 )
 
+// patience says how long the first bytes of an answer are waited for.
+type patience struct {
+	// most is the longest wait, and mute the longest at an endpoint that sends nothing to
+	// anyone meanwhile; zero is no bound.
+	most, mute time.Duration
+}
+
 // attempt is one send of a request.
 type attempt struct {
 	*samphireturn.Reply
@@ -29,14 +39,21 @@
 	timer  *time.Timer
 	// limit is the longest wait for the next bytes in nanoseconds; zero is no bound.
 	limit atomic.Int64
+	// mute is the longest wait for the first bytes at an endpoint that has sent nothing
+	// to anyone meanwhile; zero is no bound.
+	mute time.Duration
 	// begun is true once events were passed on; last is when bytes came last.
 	begun atomic.Bool
 	last  atomic.Int64
 }
 
 // watch looks after an attempt that waits, if the request can go on elsewhere.
-func (a *attempt) watch(ctx context.Context, limit time.Duration) {
-	a.limit.Store(int64(limit))
+func (a *attempt) watch(ctx context.Context, p patience) {
+	a.limit.Store(int64(p.most))
+	a.mute = p.mute
+	if a.mute > 0 {
+		a.mute = max(a.mute, usualTimes*a.ticket.Delay, usualTimes*a.ticket.Usual)
+	}
 	a.last.Store(int64(a.job.Clock()))
 	movable := a.job.route.Repeatable() && a.job.runs+1 < a.job.route.Attempts
 	if !movable {
@@ -49,6 +66,9 @@
 // next returns the time until the next look after a wait.
 func (a *attempt) next(waited time.Duration) time.Duration {
 	limit := time.Duration(a.limit.Load())
+	if a.mute > waited && !a.begun.Load() {
+		limit = a.mute
+	}
 	if limit <= 0 {
 		return lookTime
 	}
@@ -66,6 +86,9 @@
 	quiet := waited >= quietTime && j.Balancer.Quiet(a.host) >= quietTime
 	moves := !a.begun.Load() || quiet && !j.leaving.Load()
 	over := limit > 0 && waited >= limit && moves
+	if a.mute > 0 && waited >= a.mute && !a.begun.Load() && j.Balancer.Quiet(a.host) >= waited {
+		over = true
+	}
 	if !over && quiet && j.Sender.Probe(ctx, a.host) != nil && ctx.Err() == nil {
 		j.Balancer.Fault(a.host, true)
 		over = true
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -229,7 +229,7 @@
 
 // send sends the request to one endpoint after the other until one answers that
 // it runs it, or nothing more may be tried.
-func (j *job) send(patience time.Duration) (*attempt, *samphireturn.Refusal) {
+func (j *job) send(p patience) (*attempt, *samphireturn.Refusal) {
 	var fault error
 	for {
 		if j.ctx.Err() != nil {
@@ -249,7 +249,7 @@
 		}
 		host := ticket.Host
 		quiet := j.Balancer.Quiet(host)
-		a, err := j.try(ticket, patience)
+		a, err := j.try(ticket, p)
 		if err == nil {
 			return a, nil
 		}
@@ -312,11 +312,11 @@
 }
 
 // try sends the request to one endpoint.
-func (j *job) try(ticket *balancer.Ticket, patience time.Duration) (*attempt, error) {
+func (j *job) try(ticket *balancer.Ticket, p patience) (*attempt, error) {
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	host := ticket.Host
 	a := &attempt{job: j, host: host, ticket: ticket, cancel: cancel}
-	a.watch(ctx, patience)
+	a.watch(ctx, p)
 	send := samphireturn.Send{Ask: &j.ask, Left: j.left(), Host: host, Team: j.team, Last: j.last, Priority: -1}
 	if j.pool.Memory > 0 {
 		send.Priority = min(max(j.rank, 0), maxPriority)
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -16,8 +16,7 @@
 	// firstShare is the part of a stream's objective after which another endpoint
 	// is asked for the first event.
 	firstShare = 0.9
-	// leftPart is the part of the time left that one endpoint gets at most, where
-	// the caller leaves before the objective.
+	// leftPart is the part of the time left that an endpoint gets which sends nothing.
 	leftPart = 0.45
 	// pauseShare is the part of the longest pause after which a stream is resumed
 	// at another endpoint.
@@ -123,12 +122,16 @@
 	return true
 }
 
-// firstPatience returns how long the first event is waited for at one endpoint.
-func (j *job) firstPatience() time.Duration {
+// firstPatience returns how long the first event is waited for at one endpoint. One
+// that works for others is not left for want of time: a new one would begin anew.
+func (j *job) firstPatience() patience {
 	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts || j.route.Objective <= 0 {
-		return 0
+		return patience{}
+	}
+	return patience{
+		most: time.Duration(firstShare * float64(j.route.Objective)),
+		mute: time.Duration(leftPart * float64(j.left())),
 	}
-	return min(time.Duration(firstShare*float64(j.route.Objective)), time.Duration(leftPart*float64(j.left())))
 }
 
 // pausePatience returns how long the next event is waited for; zero means to the
