Ask no larger model that can't answer in time

A dossier whose caller waited 5.4 s was asked of the largest model with 5.3 s left and broken off after 4.7 s of its answer; the smaller model's was dropped for it. The decision went by confidence alone.

Ruled out: the wait for the endpoint (it ran 0.6 s after it was sent).

Change: the time of whole answers is learned for each route and model; if less is left, the answer at hand is passed on. The log line "kept" says why and what was needed. The stand-in's models have paces.

Kept for the callers whose answer was broken off.

--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -74,7 +74,7 @@
 	{EventRepeat, "id, endpoint, status, error", "a request is sent again"},
 	{EventResumed, "id, endpoint, last, sends, took, error", "a stream goes on at another endpoint"},
 	{EventEscalated, "id, route, confidence, from, to", "a larger model is asked"},
-	{EventKept, "id, route, confidence, step", "a poor answer is kept, as the repeats left are for failures"},
+	{EventKept, "id, route, reason, confidence, step, left, need", "a poor answer is kept: no_budget, as the repeats left are for failures, or no_time, as a larger model needs more than is left"},
 	{EventEndpointReached, "endpoint, centre", "an endpoint that could not be reached can be"},
 	{EventTable, "version, routes, source_version", "a table of routes is in force"},
 	{EventTableIgnored, "version, in_force", "an older table was ignored"},
--- a/internal/forward/balancer/pace.go
+++ b/internal/forward/balancer/pace.go
@@ -26,8 +26,9 @@
 type pace struct {
 	// token is the time to read one token of a prompt.
 	token time.Duration
-	// answer is the time to the head of an answer.
-	answer time.Duration
+	// answer is the time to the head of an answer, and whole that to its end; zero
+	// before any.
+	answer, whole time.Duration
 }
 
 // prefix names the shared part of a request's prompt as one kind reads it.
@@ -73,12 +74,41 @@
 	return time.Duration(max(running+1-slots, 0)) * usual / time.Duration(slots)
 }
 
+// Whole notes that the answer came to its end.
+func (t *Ticket) Whole() {
+	b := t.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pace(t.want.Kind)
+	took := b.Clock() - t.sent
+	if p.whole == 0 {
+		p.whole = took
+	}
+	p.whole += time.Duration(workDecay * float64(took-p.whole))
+}
+
+// Whole returns how long whole answers of a kind take; zero before any.
+func (b *Balancer) Whole(kind string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pace(kind).whole
+}
+
+// pace returns what is known of a kind. The caller holds mu.
+func (b *Balancer) pace(kind string) *pace {
+	p := b.paces[kind]
+	if p == nil {
+		p = new(pace)
+		b.paces[kind] = p
+	}
+	return p
+}
+
 // learn takes in how long the head of an answer took.
 func (b *Balancer) learn(w *Want, tokens int, took time.Duration, l *load) {
-	p := b.paces[w.Kind]
-	if p == nil {
-		p = &pace{answer: took}
-		b.paces[w.Kind] = p
+	p := b.pace(w.Kind)
+	if p.answer == 0 {
+		p.answer = took
 	}
 	p.answer += time.Duration(workDecay * float64(took-p.answer))
 	if w.Pool.Memory > 0 && tokens >= paceTokens {
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -381,9 +381,12 @@
 }
 
 // kind names the requests whose answers take alike long.
-func (j *job) kind() string {
+func (j *job) kind() string { return j.kindAt(j.step) }
+
+// kindAt is kind with another model of the cascade.
+func (j *job) kindAt(step int) string {
 	if len(j.route.Steps) > 0 {
-		return j.route.Name + " " + j.route.Steps[j.step]
+		return j.route.Name + " " + j.route.Steps[step]
 	}
 	return j.route.Name
 }
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -67,6 +67,7 @@
 			begun, err = j.relay(a, begun)
 		}
 		if err == nil {
+			a.ticket.Whole()
 			j.served(a)
 			a.close()
 			return nil
@@ -107,10 +108,12 @@
 	if !ok {
 		return false
 	}
+	if need := j.Balancer.Whole(j.kindAt(next)); j.left() < need {
+		j.kept(a, "no_time", need)
+		return false
+	}
 	if !j.budget.Spend(failureShare) {
-		repeats.Add("no_budget", 1)
-		j.Log.Info().Str("event", logger.EventKept).Str("id", j.ask.ID).Str("route", j.route.Name).
-			Int("confidence", a.Sign.Confidence).Int("step", j.step).Send()
+		j.kept(a, "no_budget", 0)
 		return false
 	}
 	j.paid.Store(true)
@@ -122,6 +125,14 @@
 	return true
 }
 
+// kept notes that a poor answer is passed on, and why. Need is the time that a larger
+// model would take.
+func (j *job) kept(a *attempt, reason string, need time.Duration) {
+	repeats.Add(reason, 1)
+	j.Log.Info().Str("event", logger.EventKept).Str("id", j.ask.ID).Str("route", j.route.Name).Str("reason", reason).
+		Int("confidence", a.Sign.Confidence).Int("step", j.step).Dur("left", j.left()).Dur("need", need).Send()
+}
+
 // firstPatience returns how long the first event is waited for at one endpoint. One
 // that works for others is not left for want of time: a new one would begin anew.
 func (j *job) firstPatience() patience {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -51,6 +51,8 @@
 	Events int
 	// Pause is the time before each event, and Work that of a whole answer.
 	Pause, Work time.Duration
+	// Pace multiplies Pause by model; models that it lacks have 1.
+	Pace map[string]int
 	// Confidence is the model's confidence by model.
 	Confidence map[string]int
 	// Fault chooses the fault of a request, "" for none; n counts from 0.
@@ -200,7 +202,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(run.Last)
 	for i := first + 1; i <= s.Events; i++ {
-		if !s.wait(r, run, s.Pause) {
+		if !s.wait(r, run, s.Pause*time.Duration(max(s.Pace[run.Model], 1))) {
 			return
 		}
 		if fault == Cut && i > s.Events/2 {
