Log why a stream broke off, after five failures were traced by logs alone

The `resumed` line said "use of closed network connection": the reason for closing it was lost.
Not sufficient; mended.
The line's error hid it as above; mended.
Mended: since it was first known.

Change: an attempt that this daemon ended says why.

--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -128,7 +128,7 @@
 		reported   int
 		reportedAt time.Duration
 		since      int
-		// heard is when the endpoint last sent anything.
+		// heard is when the endpoint last sent anything, or was first known.
 		heard   time.Duration
 		faults  float64
 		faultAt time.Duration
@@ -370,7 +370,7 @@
 func (b *Balancer) load(h *samphireturn.Host) *load {
 	l := b.loads[h.ID]
 	if l == nil {
-		l = &load{}
+		l = &load{heard: b.Clock()}
 		b.loads[h.ID] = l
 	}
 	if h.Cold > 0 && l.coldSeen != h.Cold {
--- a/internal/forward/forwarder/answer.go
+++ b/internal/forward/forwarder/answer.go
@@ -62,7 +62,7 @@
 	}
 	held, err := io.ReadAll(io.LimitReader(a, heldBody))
 	if err != nil {
-		err = errors.Wrap(err, "read answer")
+		err = errors.Wrap(a.cause(err), "read answer")
 	} else {
 		err = j.flaw(a)
 	}
--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -33,6 +33,7 @@
 type attempt struct {
 	*samphireturn.Reply
 	job    *job
+	ctx    context.Context
 	host   *samphireturn.Host
 	ticket *balancer.Ticket
 	cancel context.CancelCauseFunc
@@ -115,6 +116,15 @@
 	a.end()
 }
 
+// cause returns why the answer broke off. Where this daemon ended the attempt, the
+// connection's own error would hide the reason.
+func (a *attempt) cause(err error) error {
+	if cause := context.Cause(a.ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
 // Read reads on and notes that the endpoint makes progress.
 func (a *attempt) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -315,7 +315,7 @@
 func (j *job) try(ticket *balancer.Ticket, p patience) (*attempt, error) {
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	host := ticket.Host
-	a := &attempt{job: j, host: host, ticket: ticket, cancel: cancel}
+	a := &attempt{job: j, ctx: ctx, host: host, ticket: ticket, cancel: cancel}
 	a.watch(ctx, p)
 	send := samphireturn.Send{Ask: &j.ask, Left: j.left(), Host: host, Team: j.team, Last: j.last, Priority: -1}
 	if j.pool.Memory > 0 {
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -66,6 +66,9 @@
 		if err == nil {
 			begun, err = j.relay(a, begun)
 		}
+		if err != nil {
+			err = a.cause(err)
+		}
 		if err == nil {
 			a.ticket.Whole()
 			j.served(a)
