Tidy what the change left unclear to a newcomer

The last failure of a request is kept in one place, not two; passing over a daemon that can't be followed has a function; a type and a method no longer share the name patience; struct literals have no gaps. No behaviour changes, but that a window without length no longer divides by zero.

--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -180,9 +180,8 @@
 		Rand:     rand.Float64,
 		Grace:    b.Grace,
 
-		RepeatShare: b.RepeatShare,
-		RepeatExtra: b.RepeatExtra,
-
+		RepeatShare:  b.RepeatShare,
+		RepeatExtra:  b.RepeatExtra,
 		RepeatWindow: b.RepeatWindow,
 	}, nil
 }
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -172,14 +172,7 @@
 		}
 		began := f.Clock()
 		if err := f.ask(ctx, id); err != nil && ctx.Err() == nil {
-			rest := unlinkedTime
-			if samphireturn.KindOf(err) == samphireturn.KindExpired || f.Clock()-began >= pollTime {
-				rest = failedTime
-			}
-			f.Log.Info().Str("event", logger.EventFollowFailed).Str("peer", id).Err(err).Send()
-			f.mu.Lock()
-			f.failed[id] = f.Clock() + rest
-			f.mu.Unlock()
+			f.passOver(id, f.Clock()-began, err)
 			f.follow("")
 			f.rest(ctx, pollGap)
 			continue
@@ -189,6 +182,19 @@
 	}
 }
 
+// passOver notes that a poll failed after a time: the daemon is not followed for long
+// if it was silent or its proofs were old, and for a moment if there was no link.
+func (f *Follower) passOver(id string, took time.Duration, err error) {
+	f.Log.Info().Str("event", logger.EventFollowFailed).Str("peer", id).Err(err).Send()
+	rest := unlinkedTime
+	if samphireturn.KindOf(err) == samphireturn.KindExpired || took >= pollTime {
+		rest = failedTime
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed[id] = f.Clock() + rest
+}
+
 // follow notes which daemon is followed.
 func (f *Follower) follow(id string) {
 	f.mu.Lock()
--- a/internal/forward/forwarder/answer.go
+++ b/internal/forward/forwarder/answer.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"cmp"
 	"io"
 	"net/http"
 	"time"
@@ -30,7 +29,7 @@
 		return j.stream()
 	}
 	for {
-		a, refusal := j.send(j.patience())
+		a, refusal := j.send(j.wholePatience())
 		if refusal != nil {
 			return refusal
 		}
@@ -41,9 +40,9 @@
 	}
 }
 
-// patience returns how long a whole answer is waited for at one endpoint; zero
+// wholePatience returns how long a whole answer is waited for at one endpoint; zero
 // means to the end.
-func (j *job) patience() patience {
+func (j *job) wholePatience() patience {
 	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts {
 		return patience{}
 	}
@@ -68,7 +67,11 @@
 	}
 	failed := err != nil || a.Status >= http.StatusInternalServerError
 	if failed && j.mayRepeat() {
-		j.avoid(a.host, cmp.Or(err, error(errors.Errorf("status %d", a.Status))))
+		fault := err
+		if fault == nil {
+			fault = errors.Errorf("status %d", a.Status)
+		}
+		j.avoid(a.host, fault)
 		repeats.Add("failed", 1)
 		j.Log.Debug().Str("event", logger.EventRepeat).Str("id", j.ask.ID).Str("endpoint", a.host.ID).Int("status", a.Status).Err(err).Send()
 		return true, nil
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -80,7 +80,8 @@
 	last string
 	// first is when the caller got the first bytes of the answer, since the start.
 	first time.Duration
-	// failed are the endpoints whose failure was an answer, and fault is the last one.
+	// failed are the endpoints whose failure was an answer. Fault is the last failure of
+	// any kind.
 	failed []string
 	fault  error
 }
@@ -230,22 +231,21 @@
 // send sends the request to one endpoint after the other until one answers that
 // it runs it, or nothing more may be tried.
 func (j *job) send(p patience) (*attempt, *samphireturn.Refusal) {
-	var fault error
 	for {
 		if j.ctx.Err() != nil {
 			return nil, j.over()
 		}
 		if j.runs >= j.route.Attempts || j.sends >= j.route.Attempts+spareSends {
-			return nil, j.refusal(samphireturn.ReasonEndpoint, crowded, errors.Wrap(cmp.Or(fault, j.fault), "no attempt left"))
+			return nil, j.refusal(samphireturn.ReasonEndpoint, crowded, errors.Wrap(j.fault, "no attempt left"))
 		}
 		if j.sends > 0 && !j.paid.Load() && !j.budget.Spend(0) {
 			repeats.Add("no_budget", 1)
-			return nil, j.refusal(samphireturn.ReasonEndpoint, crowded, errors.Wrap(cmp.Or(fault, j.fault), "no repeat left"))
+			return nil, j.refusal(samphireturn.ReasonEndpoint, crowded, errors.Wrap(j.fault, "no repeat left"))
 		}
 		j.paid.Store(false)
 		ticket := j.pick()
 		if ticket == nil {
-			return nil, j.refusal(samphireturn.ReasonEmpty, crowded, cmp.Or(fault, j.fault))
+			return nil, j.refusal(samphireturn.ReasonEmpty, crowded, j.fault)
 		}
 		host := ticket.Host
 		quiet := j.Balancer.Quiet(host)
@@ -253,7 +253,7 @@
 		if err == nil {
 			return a, nil
 		}
-		fault = err
+		j.fault = err
 		e := sender.AsError(err)
 		j.want.Avoid[host.ID] = true
 		j.Log.Debug().Str("event", logger.EventSendFailed).Str("id", j.ask.ID).Str("endpoint", host.ID).Stringer("kind", e.Kind).
--- a/internal/traffic/budgeter/window.go
+++ b/internal/traffic/budgeter/window.go
@@ -63,7 +63,7 @@
 // advance forgets what is older than the window and returns the part of now. The
 // caller holds mu.
 func (w *Window) advance() *count {
-	part := int64(w.Clock() / (w.Length / slices))
+	part := int64(w.Clock() / max(w.Length/slices, 1))
 	for gone := max(w.newest+1, part-slices); gone <= part; gone++ {
 		w.counts[gone%int64(len(w.counts))] = count{}
 	}
