Remove what the way onto the users' platform wrote twice or left behind

No behaviour changes.

- A list and a watch of the source take the same steps; they stand once.
- Waiting for a time or the end of a context was written three times; timekeeper.Sleep serves the follower, the joiner and the sharer.
- The stager added all tallies up twice for each request of a roll-out that may move on; the budget of repeats asked for the view, with its side effects, to count the members; the guard mapped daemons to data centres twice for each peer.
- An attempt has its context and is not handed it again; the default dialer is set in one place; a kind's pace is looked up without a twin for none.
- Gone: Budgeter.Most, Matcher.Pool, Ask.Model and the topic's name in an event, which nothing read any more.

--- a/errors.go
+++ b/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -72,6 +73,22 @@
 	return KindOther
 }
 
+// StatusKind returns the kind of error that an HTTP status stands for whatever the
+// call; ok is false for others.
+func StatusKind(status int) (kind Kind, ok bool) {
+	switch {
+	case status == http.StatusNotFound:
+		return KindMissing, true
+	case status == http.StatusTooManyRequests:
+		return KindLimited, true
+	case status == http.StatusServiceUnavailable:
+		return KindUnavailable, true
+	case status >= 400 && status < 500:
+		return KindInvalid, true
+	}
+	return KindOther, false
+}
+
 // ErrorText returns "op: kind: cause", without the cause if err is nil.
 func ErrorText(op string, kind fmt.Stringer, err error) string {
 	if err == nil {
--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -83,6 +83,9 @@
 	if b.Listen == nil {
 		b.Listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	}
+	if b.Dial == nil {
+		b.Dial = sender.DialTCP
+	}
 	k := kernel.New(b.Self, b.Log)
 	follow := follower.New(b.Source, k, b.Clock, service(b.Log, Follower))
 	peers, err := b.messenger()
@@ -138,11 +141,7 @@
 	m.HandshakeTime = handshakeTime
 	m.RetryMax = redialTime
 	m.Inline = []string{sharer.Topic}
-	dial := b.Dial
-	if dial == nil {
-		dial = sender.DialTCP
-	}
-	m.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, "tcp", addr) }
+	m.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return b.Dial(ctx, "tcp", addr) }
 	return m, nil
 }
 
--- a/internal/core/timekeeper/timekeeper.go
+++ b/internal/core/timekeeper/timekeeper.go
@@ -1,10 +1,11 @@
-// Package timekeeper reads a clock that goes on while the VM is suspended.
+// Package timekeeper reads a clock that goes on while the VM is suspended, and waits.
 //
 // The steady clock of the runtime does not count a suspension, so that a belief
 // dated by it would seem young after a long one.
 package timekeeper
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -19,3 +20,15 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Sleep waits and reports whether ctx lasted that long.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -19,6 +19,7 @@
 	"samphireturn"
 	"samphireturn/internal/core/logger"
 	"samphireturn/internal/core/meter"
+	"samphireturn/internal/core/timekeeper"
 )
 
 const (
@@ -137,7 +138,7 @@
 		f.wait.Go(func() { f.watch(ctx, t) })
 	}
 	f.wait.Go(func() {
-		for f.rest(ctx, parkTime) {
+		for timekeeper.Sleep(ctx, parkTime) {
 			f.expire(&f.topics[samphireturn.TopicHosts])
 		}
 	})
@@ -175,7 +176,7 @@
 	tries := 0
 	for ctx.Err() == nil {
 		if !f.direct(t) || f.waits(t) {
-			f.rest(ctx, parkTime)
+			timekeeper.Sleep(ctx, parkTime)
 			continue
 		}
 		gap, err := f.step(ctx, t)
@@ -185,7 +186,7 @@
 		if err == nil {
 			tries = 0
 			f.regained(t)
-			f.rest(ctx, gap)
+			timekeeper.Sleep(ctx, gap)
 			continue
 		}
 		if samphireturn.KindOf(err) == samphireturn.KindExpired {
@@ -193,7 +194,7 @@
 			continue
 		}
 		f.lost(t, err)
-		if !f.rest(ctx, time.Duration((0.5+f.Rand()/2)*float64(f.backoff(tries)))) {
+		if !timekeeper.Sleep(ctx, time.Duration((0.5+f.Rand()/2)*float64(f.backoff(tries)))) {
 			return
 		}
 		tries++
@@ -228,7 +229,7 @@
 
 // step makes one call to the source and applies its answer. It returns the time to
 // wait before the next.
-func (f *Follower) step(ctx context.Context, t *topic) (gap time.Duration, _ error) {
+func (f *Follower) step(ctx context.Context, t *topic) (time.Duration, error) {
 	f.mu.Lock()
 	listed, since, wait := t.listed, t.version, waits[t.name]
 	if t.failing || f.age(t) > limits[t.name] {
@@ -237,23 +238,15 @@
 	}
 	f.mu.Unlock()
 	sent := f.Clock()
-	if !listed {
-		batch, err := f.Source.List(ctx, t.name)
-		meter.Call(t.name.String(), outcome(err), f.Clock()-sent)
-		if err != nil {
-			return 0, err
-		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.outage(t, sent)
-		f.replace(t, batch)
-		f.prove(t, sent)
-		if t.name == samphireturn.TopicMembers {
-			return changeGap, nil
-		}
-		return settleTime, nil
+	var (
+		batch samphireturn.Batch
+		err   error
+	)
+	if listed {
+		batch, err = f.Source.Watch(ctx, t.name, since, wait)
+	} else {
+		batch, err = f.Source.List(ctx, t.name)
 	}
-	batch, err := f.Source.Watch(ctx, t.name, since, wait)
 	meter.Call(t.name.String(), outcome(err), f.Clock()-sent)
 	if err != nil {
 		return 0, err
@@ -261,12 +254,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.outage(t, sent)
-	f.update(t, batch)
+	if listed {
+		f.update(t, batch)
+	} else {
+		f.replace(t, batch)
+	}
 	f.prove(t, sent)
-	if len(batch.Entries) > 0 {
-		gap = changeGap
+	switch {
+	case !listed && t.name != samphireturn.TopicMembers:
+		return settleTime, nil
+	case !listed || len(batch.Entries) > 0:
+		return changeGap, nil
 	}
-	return gap, nil
+	return 0, nil
 }
 
 // outcome names how a call ended, for the meters.
@@ -306,15 +306,3 @@
 	t.failing = false
 	f.Log.Info().Str("event", logger.EventSourceRegained).Stringer("topic", t.name).Dur("age", f.age(t)).Send()
 }
-
-// rest waits; false once ctx has ended.
-func (f *Follower) rest(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -7,6 +7,7 @@
 
 	"samphireturn"
 	"samphireturn/internal/core/logger"
+	"samphireturn/internal/core/timekeeper"
 	"samphireturn/internal/fleet/encoder"
 	"samphireturn/internal/fleet/ranker"
 )
@@ -167,18 +168,18 @@
 		id := f.leader()
 		if id == "" {
 			f.follow("")
-			f.rest(ctx, parkTime)
+			timekeeper.Sleep(ctx, parkTime)
 			continue
 		}
 		began := f.Clock()
 		if err := f.ask(ctx, id); err != nil && ctx.Err() == nil {
 			f.passOver(id, f.Clock()-began, err)
 			f.follow("")
-			f.rest(ctx, pollGap)
+			timekeeper.Sleep(ctx, pollGap)
 			continue
 		}
 		f.follow(id)
-		f.rest(ctx, pollGap)
+		timekeeper.Sleep(ctx, pollGap)
 	}
 }
 
--- a/internal/fleet/follower/publish.go
+++ b/internal/fleet/follower/publish.go
@@ -9,10 +9,7 @@
 )
 
 // part replaces the part of the view that one topic makes.
-type part struct {
-	name samphireturn.Topic
-	set  func(v *samphireturn.View)
-}
+type part func(v *samphireturn.View)
 
 // Apply implements samphireturn.Event.
 func (p part) Apply(next *samphireturn.Snapshot) {
@@ -20,7 +17,7 @@
 	if next.View != nil {
 		view = *next.View
 	}
-	p.set(&view)
+	p(&view)
 	view.Whole = view.Table != nil && view.Hosts != nil && view.Rollouts != nil && view.Closed != nil
 	next.View = &view
 	next.Members = view.Members
@@ -29,12 +26,11 @@
 // publish posts the topic's part of the view.
 func (f *Follower) publish(t *topic) {
 	changes.Add(t.name.String(), 1)
-	set := f.part(t)
-	f.Control.Post(part{name: t.name, set: set})
+	f.Control.Post(f.part(t))
 }
 
 // part builds the topic's part of the view, on the topic's goroutine.
-func (f *Follower) part(t *topic) func(v *samphireturn.View) {
+func (f *Follower) part(t *topic) part {
 	switch t.name {
 	case samphireturn.TopicTable:
 		return f.table(t)
@@ -48,7 +44,7 @@
 	return f.members(t)
 }
 
-func (f *Follower) table(t *topic) func(v *samphireturn.View) {
+func (f *Follower) table(t *topic) part {
 	var newest *samphireturn.Table
 	for _, e := range t.entries {
 		if e.Table != nil && (newest == nil || e.Table.Version > newest.Version) {
@@ -62,7 +58,7 @@
 	return func(v *samphireturn.View) { v.Table = newest }
 }
 
-func (f *Follower) hosts(t *topic) func(v *samphireturn.View) {
+func (f *Follower) hosts(t *topic) part {
 	pools := make(map[string][]*samphireturn.Host)
 	leaving := 0
 	for _, e := range t.entries {
@@ -82,7 +78,7 @@
 	return func(v *samphireturn.View) { v.Hosts = pools }
 }
 
-func (f *Follower) rollouts(t *topic) func(v *samphireturn.View) {
+func (f *Follower) rollouts(t *topic) part {
 	rollouts := make(map[string]*samphireturn.Rollout)
 	for _, e := range t.entries {
 		if e.Rollout == nil {
@@ -95,7 +91,7 @@
 	return func(v *samphireturn.View) { v.Rollouts = rollouts }
 }
 
-func (f *Follower) closures(t *topic) func(v *samphireturn.View) {
+func (f *Follower) closures(t *topic) part {
 	closed := make(map[string]bool)
 	for name := range t.entries {
 		closed[name] = true
@@ -104,7 +100,7 @@
 	return func(v *samphireturn.View) { v.Closed = closed }
 }
 
-func (f *Follower) members(t *topic) func(v *samphireturn.View) {
+func (f *Follower) members(t *topic) part {
 	var members []samphireturn.VM
 	for _, e := range t.entries {
 		if e.Member != nil {
--- a/internal/fleet/guard/share.go
+++ b/internal/fleet/guard/share.go
@@ -150,8 +150,7 @@
 
 // first reports whether a linked daemon of another data centre is the one there that
 // is told; it tells the others.
-func first(s *samphireturn.Snapshot, peers []string, id string) bool {
-	centres := centresOf(s)
+func first(centres map[string]string, peers []string, id string) bool {
 	return !slices.ContainsFunc(peers, func(other string) bool { return other < id && centres[other] == centres[id] })
 }
 
@@ -170,12 +169,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.Control.Snapshot()
-	centre, ok := centresOf(s)[id]
+	centres := centresOf(s)
+	centre, ok := centres[id]
 	near := !ok || centre == s.Self.Centre
 	relay := relays(s, peers)
 	got, keys := g.sent[id], make(map[entryKey]Total)
 	var m message
-	if !near && !first(s, peers, id) {
+	if !near && !first(centres, peers, id) {
 		totals = nil
 	}
 	for _, t := range totals {
--- a/internal/fleet/joiner/joiner.go
+++ b/internal/fleet/joiner/joiner.go
@@ -12,6 +12,7 @@
 
 	"samphireturn"
 	"samphireturn/internal/core/logger"
+	"samphireturn/internal/core/timekeeper"
 )
 
 const (
@@ -73,14 +74,14 @@
 			return
 		}
 		j.Log.Warn().Str("event", logger.EventJoinFailed).Err(err).Send()
-		pause(ctx, retryTime)
+		timekeeper.Sleep(ctx, retryTime)
 	}
 }
 
 // look tells the messenger of changes.
 func (j *Joiner) look(ctx context.Context) {
 	var last []samphireturn.VM
-	for pause(ctx, lookTime) {
+	for timekeeper.Sleep(ctx, lookTime) {
 		members := j.Control.Snapshot().Members
 		if slices.Equal(members, last) {
 			continue
@@ -90,15 +91,3 @@
 		j.Log.Info().Str("event", logger.EventMembers).Int("members", len(members)).Send()
 	}
 }
-
-// pause waits; false once ctx has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -17,6 +17,7 @@
 
 	"samphireturn"
 	"samphireturn/internal/core/logger"
+	"samphireturn/internal/core/timekeeper"
 	"samphireturn/internal/fleet/encoder"
 	"samphireturn/internal/fleet/ranker"
 	"samphireturn/internal/forward/balancer"
@@ -113,12 +114,8 @@
 	for {
 		members := s.Control.Snapshot().Members
 		near := ranker.Within(s.Self.Centre, members)
-		timer := time.NewTimer(Period * time.Duration(max(1, len(near)/periodDaemons)))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !timekeeper.Sleep(ctx, Period*time.Duration(max(1, len(near)/periodDaemons))) {
 			return
-		case <-timer.C:
 		}
 		if home := s.home(s.Self.Centre, members); home != s.Self.ID {
 			s.exchange(ctx, home, Message{Centre: s.Self.Centre, Report: s.mine()})
--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -183,9 +183,7 @@
 	l := b.load(h)
 	t := &Ticket{Host: h, balancer: b, want: *w, sent: now, work: b.work(l, w, now)}
 	t.Running, t.Cold = l.running(now), now < l.coldUntil
-	if p := b.paces[w.Kind]; p != nil {
-		t.Usual = p.answer
-	}
+	t.Usual = b.pace(w.Kind).answer
 	t.Delay = b.delay(l, w, t.Running, max(h.Slots, 1), now)
 	l.mine.Calls++
 	l.mine.Tokens += w.Tokens
--- a/internal/forward/balancer/pace.go
+++ b/internal/forward/balancer/pace.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -54,11 +55,7 @@
 	if w.Pool.Memory == 0 {
 		return 0
 	}
-	p := b.paces[w.Kind]
-	if p == nil {
-		return 0
-	}
-	return time.Duration(b.uncached(l, w, now)) * p.token
+	return time.Duration(b.uncached(l, w, now)) * b.pace(w.Kind).token
 }
 
 // delay estimates how long the answer takes to begin. The caller holds mu.
@@ -66,10 +63,7 @@
 	if w.Pool.Memory > 0 {
 		return time.Duration(l.mine.Backlog+l.others.Backlog)*time.Microsecond + b.work(l, w, now)
 	}
-	usual := usualWork
-	if p := b.paces[w.Kind]; p != nil && p.answer > 0 {
-		usual = p.answer
-	}
+	usual := cmp.Or(b.pace(w.Kind).answer, usualWork)
 	// Those that find no slot wait for one.
 	return time.Duration(max(running+1-slots, 0)) * usual / time.Duration(slots)
 }
--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -49,7 +49,7 @@
 }
 
 // watch looks after an attempt that waits, if the request can go on elsewhere.
-func (a *attempt) watch(ctx context.Context, p patience) {
+func (a *attempt) watch(p patience) {
 	a.limit.Store(int64(p.most))
 	a.mute = p.mute
 	if a.mute > 0 {
@@ -61,7 +61,7 @@
 		a.timer = time.AfterFunc(defaultLimit, func() {})
 		return
 	}
-	a.timer = time.AfterFunc(a.next(0), func() { a.look(ctx) })
+	a.timer = time.AfterFunc(a.next(0), a.look)
 }
 
 // next returns the time until the next look after a wait.
@@ -80,7 +80,7 @@
 // works on a stream that has begun and is waited for; silence alone is no reason to
 // end an answer. One that is silent to all and can't be reached is dead. A daemon
 // that leaves has too few requests to tell by them whether an endpoint works.
-func (a *attempt) look(ctx context.Context) {
+func (a *attempt) look() {
 	j := a.job
 	waited := j.Clock() - time.Duration(a.last.Load())
 	limit := time.Duration(a.limit.Load())
@@ -90,7 +90,7 @@
 	if a.mute > 0 && waited >= a.mute && !a.begun.Load() && j.Balancer.Quiet(a.host) >= waited {
 		over = true
 	}
-	if !over && quiet && j.Sender.Probe(ctx, a.host) != nil && ctx.Err() == nil {
+	if !over && quiet && j.Sender.Probe(a.ctx, a.host) != nil && a.ctx.Err() == nil {
 		j.Balancer.Fault(a.host, true)
 		over = true
 	}
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -261,10 +261,7 @@
 
 // repeatExtra returns this daemon's part of the number of repeats beside the share.
 func (f *Forwarder) repeatExtra() float64 {
-	members := 0
-	if v := f.current(); v != nil {
-		members = len(v.Members)
-	}
+	members := len(f.Control.Snapshot().Members)
 	return f.RepeatExtra / (float64(max(members, typicalDaemons)) * spareDaemons)
 }
 
--- a/internal/forward/forwarder/job.go
+++ b/internal/forward/forwarder/job.go
@@ -316,7 +316,7 @@
 	ctx, cancel := context.WithCancelCause(j.ctx)
 	host := ticket.Host
 	a := &attempt{job: j, ctx: ctx, host: host, ticket: ticket, cancel: cancel}
-	a.watch(ctx, p)
+	a.watch(p)
 	send := samphireturn.Send{Ask: &j.ask, Left: j.left(), Host: host, Team: j.team, Last: j.last, Priority: -1}
 	if j.pool.Memory > 0 {
 		send.Priority = min(max(j.rank, 0), maxPriority)
--- a/internal/forward/matcher/matcher.go
+++ b/internal/forward/matcher/matcher.go
@@ -72,9 +72,6 @@
 // Keyed reports whether the table has teams at all.
 func (m *Matcher) Keyed() bool { return len(m.Table.Holders) > 0 }
 
-// Pool returns the pool with the name, or nil.
-func (m *Matcher) Pool(name string) *samphireturn.Pool { return m.pools[name] }
-
 // Target returns the pool that takes the request with the subject among the
 // targets of its route. Requests of one subject go to one pool.
 func (m *Matcher) Target(r *samphireturn.Route, subject string) *samphireturn.Pool {
--- a/internal/forward/stager/stager.go
+++ b/internal/forward/stager/stager.go
@@ -268,29 +268,16 @@
 	if passed >= trialEnd {
 		next = min(trial+(1-trial)*(passed-trialEnd)/(moveEnd-trialEnd), 1)
 	}
-	if next > st.peak && (st.peak == 0 || s.proven(st) || !s.exposed(st)) {
+	if next > st.peak && (st.peak == 0 || s.rises(st)) {
 		st.peak = next
 	}
 	return st.peak
 }
 
-// proven reports whether the release gave enough good answers. The caller holds
-// mu.
-func (s *Stager) proven(st *stage) bool {
-	asked, bad := 0, 0
-	for _, t := range Sum(st.mine, s.others) {
-		if t.New && t.Release == st.release {
-			asked += t.Asked
-			bad += t.Failed + t.Slow
-		}
-	}
-	return asked >= provenAsked && float64(bad) < 0.2*float64(asked)
-}
-
-// exposed reports whether the release had its part of all requests so far. The
-// caller holds mu.
-func (s *Stager) exposed(st *stage) bool {
-	all, trial := 0, 0
+// rises reports whether the release may get more: it gave enough good answers, or
+// has not had its part of all requests yet. The caller holds mu.
+func (s *Stager) rises(st *stage) bool {
+	all, trial, bad := 0, 0, 0
 	for _, t := range Sum(st.mine, s.others) {
 		if t.Release != st.release {
 			continue
@@ -298,9 +285,12 @@
 		all += t.Asked
 		if t.New {
 			trial += t.Asked
+			bad += t.Failed + t.Slow
 		}
 	}
-	return float64(trial) > exposedShare*(s.Share*float64(all)+s.Extra)
+	proven := trial >= provenAsked && float64(bad) < 0.2*float64(trial)
+	exposed := float64(trial) > exposedShare*(s.Share*float64(all)+s.Extra)
+	return proven || !exposed
 }
 
 // present reports whether any endpoint that stays has the release.
--- a/internal/store/accessor/call.go
+++ b/internal/store/accessor/call.go
@@ -51,16 +51,11 @@
 		return 0, true
 	case status == http.StatusNotModified:
 		return samphireturn.KindTimeout, false
-	case status == http.StatusNotFound:
-		return samphireturn.KindMissing, false
 	case status == http.StatusPreconditionFailed:
 		return samphireturn.KindConflict, false
-	case status == http.StatusTooManyRequests:
-		return samphireturn.KindLimited, false
-	case status == http.StatusServiceUnavailable:
-		return samphireturn.KindUnavailable, false
-	case status >= 400 && status < 500:
-		return samphireturn.KindInvalid, false
+	}
+	if kind, ok := samphireturn.StatusKind(status); ok {
+		return kind, false
 	}
 	return c.doubt(), false
 }
--- a/internal/traffic/budgeter/budgeter.go
+++ b/internal/traffic/budgeter/budgeter.go
@@ -2,10 +2,7 @@
 // pool is not buried under repeated work.
 package budgeter
 
-import (
-	"cmp"
-	"sync"
-)
+import "sync"
 
 const (
 	defaultShare = 0.1
@@ -15,9 +12,6 @@
 // Budgeter is a budget of retries. The zero value allows none until requests
 // have earned some.
 type Budgeter struct {
-	// Most bounds the retries that a quiet time can save up; zero means 10.
-	Most float64
-
 	mu    sync.Mutex
 	saved float64
 }
@@ -29,7 +23,7 @@
 		share = defaultShare
 	}
 	b.mu.Lock()
-	b.saved = min(b.saved+share, cmp.Or(b.Most, maxSaved))
+	b.saved = min(b.saved+share, maxSaved)
 	b.mu.Unlock()
 }
 
--- a/relay.go
+++ b/relay.go
@@ -182,8 +182,6 @@
 		ID, Key, Session string
 		// Wait is how long the caller waits; zero if it did not say.
 		Wait time.Duration
-		// Model is what the caller asked for.
-		Model string
 		// Prompt and Output are the numbers of tokens read and made at most.
 		Prompt, Output int
 		// Parts are the shared parts of the prompt in order.
