Keep the evidence on a release by the instance that counted it

Cause: the test of a release worked on sums of tallies over daemons.

Ruled out: beginning again from the fallen sum, which counts a report twice that is missing once and comes back (TestEvidenceCountsOnce).

Change: answers of a new release are counted by instance and route and merged by maximum; each exchange carries the counts that the other end lacks, by a number of changes. Answers of the other releases stay sums, as they only give a rate. During a roll-out evidence is exchanged more often than loads, and whoever finds a release faulty tells all linked daemons at once. Other sums over daemons: the guard merges by instance already, loads are levels and not counts, budgets of retries are each daemon's own.

Tests: TestEvidenceOfLostDaemons failed before in 3 of 8 orders; TestEvidenceReachesAll counts every answer at every daemon through restarts and cuts; TestVerdictReachesAll.

--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -106,6 +106,7 @@
 	viewFollower.Register()
 	loadBalancer := balancer.New(b.Self.ID, b.Self.Centre, b.Clock)
 	rolloutStager := stager.New(b.Clock, serviceLog(b.Log, "stager"))
+	rolloutStager.Instance = rand.Uint64()
 	rolloutStager.CanaryShare, rolloutStager.CanaryExtra, rolloutStager.SessionTTL = b.CanaryShare, b.CanaryExtra, b.SessionTTL
 	requestForwarder, err := b.newForwarder(k, viewFollower)
 	if err != nil {
@@ -150,7 +151,7 @@
 	m.Seeds = b.Seeds
 	m.HandshakeTimeout = handshakeTimeout
 	m.MaxBackoff = maxRedialBackoff
-	m.InlineTopics = []string{sharer.Topic}
+	m.InlineTopics = []string{sharer.Topic, sharer.VerdictTopic}
 	m.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return b.Dial(ctx, "tcp", addr) }
 	return m, nil
 }
--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -94,6 +94,6 @@
 	{EventJoinFailed, "error", "the member entry of this daemon could not be written; it is retried"},
 	{EventLeft, "error", "the member entry of this daemon was removed"},
 	{EventShareFailed, "peer, error", "a peer did not answer with its load report"},
-	{EventReleaseBad, "pool, release, heard, tallies, passed", "a release was found faulty by the answers counted here or, if heard, by another daemon"},
+	{EventReleaseBad, "pool, release, heard, base, canary, passed", "a release was found faulty by the answers counted here or, if heard, by another daemon"},
 	{EventConcluded, "pool, release, state, version, error", "the state of a roll-out was written"},
 }
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -28,6 +28,8 @@
 const (
 	// Topic is the topic of reports.
 	Topic = "share"
+	// VerdictTopic is the topic of verdicts on releases.
+	VerdictTopic = "verdict"
 	// ReportInterval is the time between two reports: several times shorter than the
 	// second in which an endpoint can fill up.
 	ReportInterval = 300 * time.Millisecond
@@ -35,6 +37,9 @@
 	// ReportInterval applies. Beyond it the interval grows with the number of daemons,
 	// so that the aggregator's work does not.
 	daemonsPerInterval = 8
+	// daemonsPerEvidence is the same for messages with nothing but evidence, which are
+	// short: a faulty release has to be found within two seconds.
+	daemonsPerEvidence = 30
 	// failedAvoidTime is how long a daemon that did not answer is skipped as an
 	// aggregator.
 	failedAvoidTime = 2 * time.Second
@@ -57,6 +62,27 @@
 	Message struct {
 		Centre string `cbor:"1,keyasint"`
 		Report Report `cbor:"2,keyasint"`
+		// Evidence is what the receiver lacks of the sender's evidence, up to Change.
+		Evidence []stager.Evidence `cbor:"3,keyasint,omitempty"`
+		Change   position          `cbor:"4,keyasint"`
+		// EvidenceOnly is true if the message has no report.
+		EvidenceOnly bool `cbor:"6,keyasint,omitempty"`
+		// Known is up to where the sender has the receiver's evidence.
+		Known position `cbor:"5,keyasint"`
+	}
+
+	// position is a number of changes to the evidence of one instance of a daemon.
+	position struct {
+		Instance uint64 `cbor:"1,keyasint,omitempty"`
+		Change   uint64 `cbor:"2,keyasint,omitempty"`
+	}
+
+	// progress is how far the exchange of evidence with a peer has come: the peer's last
+	// change that this daemon has, and this daemon's last change that the peer has.
+	progress struct {
+		received position
+		// sent holds Change as counted by this daemon, for the peer's Instance.
+		sent position
 	}
 
 	// Sharer is a service. Set the exported fields before Register and Run.
@@ -80,8 +106,13 @@
 		// which a call is in flight.
 		failedAt map[string]time.Duration
 		inFlight map[string]bool
-		cancel   context.CancelFunc
-		wg       sync.WaitGroup
+		// exchanged holds the progress with each peer that this daemon reports to.
+		exchanged map[string]progress
+		// announced holds the verdicts that the linked daemons were told.
+		announced map[stager.Verdict]bool
+		ctx       context.Context
+		cancel    context.CancelFunc
+		wg        sync.WaitGroup
 	}
 
 	// timedReport is a report with the time as of which it is valid.
@@ -95,13 +126,15 @@
 func (s *Sharer) Register() {
 	s.daemonReports, s.centreReports = make(map[string]timedReport), make(map[string]timedReport)
 	s.failedAt, s.inFlight = make(map[string]time.Duration), make(map[string]bool)
+	s.exchanged, s.announced = make(map[string]progress), make(map[stager.Verdict]bool)
+	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.Peers.Handle(Topic, s.handle)
+	s.Peers.Handle(VerdictTopic, s.handleVerdict)
 }
 
 // Run starts to exchange reports.
-func (s *Sharer) Run(ctx context.Context) error {
-	ctx, s.cancel = context.WithCancel(ctx)
-	s.wg.Go(func() { s.loop(ctx) })
+func (s *Sharer) Run(context.Context) error {
+	s.wg.Go(func() { s.loop(s.ctx) })
 	return nil
 }
 
@@ -113,19 +146,48 @@
 }
 
 func (s *Sharer) loop(ctx context.Context) {
-	for {
-		members := s.Control.Snapshot().Members
-		local := ranker.InCentre(s.Self.Centre, members)
-		if !timekeeper.Sleep(ctx, ReportInterval*time.Duration(max(1, len(local)/daemonsPerInterval))) {
-			return
+	for interval := 1; timekeeper.Sleep(ctx, ReportInterval); interval++ {
+		snapshot := s.Control.Snapshot()
+		daemons := len(ranker.InCentre(s.Self.Centre, snapshot.Members))
+		switch {
+		case interval%max(1, daemons/daemonsPerInterval) == 0:
+			s.report(ctx, snapshot.Members, false)
+			s.applyRemote()
+		case rollingOut(snapshot.View) && interval%max(1, daemons/daemonsPerEvidence) == 0:
+			s.report(ctx, snapshot.Members, true)
 		}
-		if aggregator := s.aggregator(s.Self.Centre, members); aggregator != s.Self.ID {
-			s.exchange(ctx, aggregator, Message{Centre: s.Self.Centre, Report: s.localReport()})
-		} else {
-			s.exchangeSums(ctx, members)
+		s.announceVerdicts("")
+	}
+}
+
+// rollingOut reports whether any roll-out has not ended.
+func rollingOut(v *samphireturn.View) bool {
+	if v == nil {
+		return false
+	}
+	for _, r := range v.Rollouts {
+		if r.State == samphireturn.RolloutOrdered || r.State == samphireturn.RolloutRunning {
+			return true
 		}
-		s.applyRemote()
 	}
+	return false
+}
+
+// report exchanges reports, or only evidence, with the aggregator of this data centre or,
+// if this daemon is it, with those of the others.
+func (s *Sharer) report(ctx context.Context, members []samphireturn.VM, evidenceOnly bool) {
+	m := Message{Centre: s.Self.Centre, EvidenceOnly: evidenceOnly}
+	if aggregator := s.aggregator(s.Self.Centre, members); aggregator != s.Self.ID {
+		if !evidenceOnly {
+			m.Report = s.localReport()
+		}
+		s.exchange(ctx, aggregator, m)
+		return
+	}
+	if !evidenceOnly {
+		m.Report = s.sum("", false)
+	}
+	s.exchangeSums(ctx, members, m)
 }
 
 // aggregator returns the daemon of a data centre that adds up the others' reports.
@@ -138,8 +200,8 @@
 	return s.Self.ID
 }
 
-// exchangeSums exchanges sums with the aggregators of the other data centres.
-func (s *Sharer) exchangeSums(ctx context.Context, members []samphireturn.VM) {
+// exchangeSums sends the sum of this data centre to the aggregators of the others.
+func (s *Sharer) exchangeSums(ctx context.Context, members []samphireturn.VM, sum Message) {
 	visited := map[string]bool{s.Self.Centre: true}
 	for _, m := range members {
 		if visited[m.Centre] {
@@ -147,7 +209,7 @@
 		}
 		visited[m.Centre] = true
 		if aggregator := s.aggregator(m.Centre, members); aggregator != s.Self.ID {
-			s.exchange(ctx, aggregator, Message{Centre: s.Self.Centre, Report: s.sum("", false)})
+			s.exchange(ctx, aggregator, sum)
 		}
 	}
 }
@@ -165,10 +227,13 @@
 	s.mu.Lock()
 	inFlight := s.inFlight[id]
 	s.inFlight[id] = true
+	before := s.exchanged[id]
 	s.mu.Unlock()
 	if inFlight {
 		return
 	}
+	s.addEvidence(&m, before.sent)
+	m.Known = before.received
 	s.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 		defer cancel()
@@ -185,6 +250,11 @@
 			return
 		}
 		exchanges.Add("done", 1)
+		s.Stager.AddEvidence(reply.Change.Instance, reply.Evidence)
+		s.exchanged[id] = before.next(reply.Change, m.Change)
+		if reply.EvidenceOnly {
+			return
+		}
 		got := timedReport{reply.Report, sent}
 		if reply.Centre == s.Self.Centre {
 			s.remoteTotal = newer(s.remoteTotal, got)
@@ -201,16 +271,120 @@
 	if err := encoder.Unmarshal(body, &m); err != nil {
 		return nil, err
 	}
-	sameCentre := m.Centre == s.Self.Centre
+	s.Stager.AddEvidence(m.Change.Instance, m.Evidence)
+	s.announceVerdicts("")
+	reply := Message{Centre: s.Self.Centre, EvidenceOnly: m.EvidenceOnly}
+	if !m.EvidenceOnly {
+		sameCentre := m.Centre == s.Self.Centre
+		s.keepReport(from, m)
+		reply.Report = s.sum(from, sameCentre)
+	}
+	has := position{Instance: m.Change.Instance}
+	if m.Known.Instance == s.Stager.Instance {
+		has.Change = m.Known.Change
+	}
+	s.addEvidence(&reply, has)
+	return reply, nil
+}
+
+// keepReport records the report of a daemon of this data centre or the sum of another.
+func (s *Sharer) keepReport(from string, m Message) {
 	got := timedReport{m.Report, s.Clock()}
 	s.mu.Lock()
-	if sameCentre {
+	defer s.mu.Unlock()
+	if m.Centre == s.Self.Centre {
 		s.daemonReports[from] = newer(s.daemonReports[from], got)
-	} else {
-		s.centreReports[m.Centre] = newer(s.centreReports[m.Centre], got)
+		return
 	}
-	s.mu.Unlock()
-	return Message{Centre: s.Self.Centre, Report: s.sum(from, sameCentre)}, nil
+	s.centreReports[m.Centre] = newer(s.centreReports[m.Centre], got)
+}
+
+// announceVerdicts tells the linked daemons, except those of one data centre, the
+// releases that were found faulty since the last call. Their own exchanges tell it too,
+// so a message that is lost is not repeated.
+func (s *Sharer) announceVerdicts(exceptCentre string) {
+	verdicts := s.newVerdicts()
+	if len(verdicts) == 0 {
+		return
+	}
+	centres := make(map[string]string)
+	for _, m := range s.Control.Snapshot().Members {
+		centres[m.ID] = m.Centre
+	}
+	for _, id := range s.Peers.Connected() {
+		if exceptCentre != "" && centres[id] == exceptCentre {
+			continue
+		}
+		for _, v := range verdicts {
+			s.announce(id, v)
+		}
+	}
+}
+
+// newVerdicts returns the verdicts that were not announced yet, and counts them as
+// announced. Those on roll-outs that ended are forgotten.
+func (s *Sharer) newVerdicts() []stager.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var added []stager.Verdict
+	announced := make(map[stager.Verdict]bool)
+	for _, v := range s.Stager.Verdicts() {
+		announced[v] = true
+		if !s.announced[v] {
+			added = append(added, v)
+		}
+	}
+	s.announced = announced
+	return added
+}
+
+// announce tells one daemon a verdict.
+func (s *Sharer) announce(id string, v stager.Verdict) {
+	if s.ctx.Err() != nil {
+		return
+	}
+	s.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, CallTimeout)
+		defer cancel()
+		if err := s.Peers.Call(ctx, id, VerdictTopic, v, nil); err != nil {
+			exchanges.Add("verdict_failed", 1)
+			s.Log.Debug().Str("event", logger.EventShareFailed).Str("peer", id).Err(err).Send()
+		}
+	})
+}
+
+// handleVerdict takes a verdict from a peer and passes it on to the linked daemons of
+// other data centres than the peer's, whose daemons the peer has told itself.
+func (s *Sharer) handleVerdict(_ context.Context, from string, body []byte) (any, error) {
+	var v stager.Verdict
+	if err := encoder.Unmarshal(body, &v); err != nil {
+		return nil, err
+	}
+	s.Stager.AddVerdict(v)
+	for _, m := range s.Control.Snapshot().Members {
+		if m.ID == from {
+			s.announceVerdicts(m.Centre)
+		}
+	}
+	return nil, nil
+}
+
+// addEvidence adds to a message what its receiver lacks: the receiver's instance has this
+// daemon's changes up to has.Change, and what it told itself.
+func (s *Sharer) addEvidence(m *Message, has position) {
+	m.Change.Instance = s.Stager.Instance
+	m.Evidence, m.Change.Change = s.Stager.Evidence(has.Change, has.Instance)
+}
+
+// next returns the progress after an exchange in which this daemon sent its evidence up
+// to the change sent, and received the peer's up to received. If the peer is another
+// instance than before, it lacks all that was sent to the earlier one.
+func (p progress) next(received, sent position) progress {
+	next := progress{received: received, sent: position{Instance: received.Instance}}
+	if received.Instance == p.sent.Instance {
+		next.sent.Change = sent.Change
+	}
+	return next
 }
 
 // localReport returns this daemon's own report.
--- a/internal/forward/stager/stager.go
+++ b/internal/forward/stager/stager.go
@@ -8,8 +8,10 @@
 // step by step. Every daemon derives the release of a request from its session and
 // the roll-out's order alone.
 //
-// The answers that all daemons received are counted together. A release that fails
-// or is slow clearly more often than the others is rolled back at once.
+// The answers that all daemons received are counted together: those of the new release
+// by the instance that received them, so that none is lost or counted twice when daemons
+// restart or their reports are missing. A release that fails or is slow clearly more
+// often than the others is rolled back at once.
 package stager
 
 import (
@@ -65,7 +67,9 @@
 		CanaryShare, CanaryExtra float64
 		// SessionTTL is how long a session lasts after its last request.
 		SessionTTL time.Duration
-		Log        zerolog.Logger
+		// Instance names this run of this daemon; no two instances have the same.
+		Instance uint64
+		Log      zerolog.Logger
 
 		mu sync.Mutex
 		// rollouts is keyed by pool, sessions by session id, latencies by route.
@@ -74,11 +78,15 @@
 		latencies map[string]*latency
 		// remote holds the tallies of all other daemons.
 		remote []Tally
+		// evidence holds the answers of new releases, and changes is the number of
+		// changes to it.
+		evidence map[releaseKey]records
+		changes  uint64
 	}
 
 	// rollout is the state of one pool's roll-out at this daemon.
 	rollout struct {
-		release string
+		pool, release string
 		// started is when the order was first seen by any daemon, by Clock.
 		started  time.Duration
 		duration time.Duration
@@ -92,7 +100,7 @@
 		// maxShare is the largest session share so far at any daemon.
 		maxShare float64
 		detector detector
-		// local holds the tallies of this daemon.
+		// local holds the tallies of this daemon: the answers of the other releases.
 		local []Tally
 	}
 
@@ -113,6 +121,7 @@
 		rollouts:  make(map[string]*rollout),
 		sessions:  make(map[string]session),
 		latencies: make(map[string]*latency),
+		evidence:  make(map[releaseKey]records),
 	}
 }
 
@@ -216,17 +225,21 @@
 func (s *Stager) rollout(r *samphireturn.Rollout) *rollout {
 	ro := s.rollouts[r.Pool]
 	if ro == nil || ro.release != r.Release || ended(ro.state) && r.State == samphireturn.RolloutOrdered {
-		ro = &rollout{release: r.Release, started: s.Clock(), duration: r.Duration, previous: s.previousRelease(ro, r)}
+		ro = &rollout{pool: r.Pool, release: r.Release, started: s.Clock(), duration: r.Duration, previous: s.previousRelease(ro, r)}
 		ro.detector = newDetector()
 		if !r.Started.IsZero() {
 			// Another daemon saw the order first, or this one did before a restart.
 			ro.started -= max(0, min(s.Now().Sub(r.Started), r.Duration))
 		}
 		s.rollouts[r.Pool] = ro
+		s.observeKnown(r.Pool, ro)
 	}
 	if !ended(ro.state) {
 		ro.state = r.State
 	}
+	if ended(ro.state) {
+		delete(s.evidence, releaseKey{r.Pool, ro.release})
+	}
 	if r.PreviousRelease != "" {
 		// Daemons may have seen the last order end differently: the stored value
 		// decides.
@@ -286,19 +299,16 @@
 // is proven by enough good answers, or has not had its share of all requests yet. The
 // caller holds mu.
 func (s *Stager) mayRaiseShare(ro *rollout) bool {
-	total, canary, bad := 0, 0, 0
+	total := 0
 	for _, t := range Sum(ro.local, s.remote) {
-		if t.Release != ro.release {
-			continue
-		}
-		total += t.Answers
-		if t.Canary {
-			canary += t.Answers
-			bad += t.Failed + t.Slow
+		if t.Pool == ro.pool && t.Release == ro.release {
+			total += t.Answers
 		}
 	}
-	proven := canary >= provenAnswers && float64(bad) < 0.2*float64(canary)
-	exposed := float64(canary) > unprovenShare*(s.CanaryShare*float64(total)+s.CanaryExtra)
+	canary := s.evidence[releaseKey{ro.pool, ro.release}].total()
+	total += canary.Answers
+	proven := canary.Answers >= provenAnswers && float64(canary.Failed+canary.Slow) < 0.2*float64(canary.Answers)
+	exposed := float64(canary.Answers) > unprovenShare*(s.CanaryShare*float64(total)+s.CanaryExtra)
 	return proven || !exposed
 }
 
--- a/internal/forward/stager/stager_test.go
+++ b/internal/forward/stager/stager_test.go
@@ -22,6 +22,8 @@
 	view    *samphireturn.View
 	old     *samphireturn.Host
 	canary  *samphireturn.Host
+	// instances is the number of stagers created so far.
+	instances uint64
 }
 
 func newCluster(n int) *cluster {
@@ -31,26 +33,35 @@
 		canary: &samphireturn.Host{ID: "fresh", Pool: "llm", Release: "v2"},
 	}
 	for range n {
-		s := stager.New(func() time.Duration { return cl.now }, zerolog.Nop())
-		s.CanaryShare, s.CanaryExtra, s.SessionTTL = 0.13, 27, 5*time.Second
-		cl.stagers = append(cl.stagers, s)
+		cl.stagers = append(cl.stagers, cl.newStager())
 	}
 	cl.view = &samphireturn.View{Hosts: map[string][]*samphireturn.Host{"llm": {cl.old, cl.canary}}}
 	return cl
 }
 
+// newStager returns the stager of a daemon that has just started.
+func (cl *cluster) newStager() *stager.Stager {
+	s := stager.New(func() time.Duration { return cl.now }, zerolog.Nop())
+	cl.instances++
+	s.Instance = cl.instances
+	s.CanaryShare, s.CanaryExtra, s.SessionTTL = 0.13, 27, 5*time.Second
+	return s
+}
+
 // startRollout orders a roll-out of v2.
 func (cl *cluster) startRollout() {
 	cl.view.Rollouts = map[string]*samphireturn.Rollout{"llm": {Pool: "llm", Release: "v2", Duration: duration, Version: 1}}
 }
 
-// exchangeTallies gives each daemon the summed tallies of the others.
+// exchangeTallies gives each daemon the summed tallies of the others and their evidence.
 func (cl *cluster) exchangeTallies() {
 	for i, s := range cl.stagers {
 		var sum []stager.Tally
 		for j, o := range cl.stagers {
 			if i != j {
 				sum = stager.Sum(sum, o.LocalTallies())
+				evidence, _ := o.Evidence(0, 0)
+				s.AddEvidence(o.Instance, evidence)
 			}
 		}
 		s.SetRemoteTallies(sum)
--- a/internal/forward/stager/tally.go
+++ b/internal/forward/stager/tally.go
@@ -33,14 +33,17 @@
 	priorAnswers, priorBadAnswers = 50, 1
 )
 
-// Tally counts the answers of the new release, or of all others, on one route during
-// a roll-out. Counts only grow. The JSON names are those of the log.
+// Tally counts the answers of all releases but the new one on one route during a
+// roll-out, over any number of daemons. Sums over daemons fall when a daemon's report is
+// missing, so a tally gives a rate only; the answers of the new release are counted as
+// Evidence. The JSON names are those of the log.
 type Tally struct {
 	Pool string `cbor:"1,keyasint"`
 	// Release is the release that is being rolled out.
 	Release string `cbor:"2,keyasint"`
 	Route   string `cbor:"3,keyasint"`
-	// Canary is true for answers of Release, false for those of all others.
+	// Canary is true for the state of the new release, which has no counts: MaxShare and
+	// FoundFaulty.
 	Canary  bool `cbor:"4,keyasint,omitempty" json:"New"`
 	Answers int  `cbor:"5,keyasint" json:"Asked"`
 	// Failed and Slow are included in Answers.
@@ -101,34 +104,37 @@
 // detector runs cumulative-sum (CUSUM) tests of a new release's answers against those
 // of the other releases, over all routes (key "") and on each.
 type detector struct {
-	// counted holds the counts that the scores include.
-	counted      map[string]Tally
+	// pending holds the answers that the scores do not include yet.
+	pending      map[string]Count
 	failureScore map[string]float64
 	slowScore    map[string]float64
 }
 
 func newDetector() detector {
-	return detector{counted: make(map[string]Tally), failureScore: make(map[string]float64), slowScore: make(map[string]float64)}
+	return detector{pending: make(map[string]Count), failureScore: make(map[string]float64), slowScore: make(map[string]float64)}
 }
 
-// update adds the answers counted since the last call to the scores and reports
-// whether the release fails, or is slow, clearly more often than the others.
-func (d *detector) update(tallies []Tally, release string) bool {
-	base, canary := byRoute(tallies, release)
+// observe adds answers of the new release, which the next update includes.
+func (d *detector) observe(route string, answers Count) {
+	for _, key := range []string{"", route} {
+		sum := d.pending[key]
+		sum.add(answers)
+		d.pending[key] = sum
+	}
+}
+
+// update adds the answers observed since the last call to the scores and reports
+// whether the release fails, or is slow, clearly more often than the others, whose
+// answers are counted in base.
+func (d *detector) update(base map[string]Count) bool {
 	bad := false
-	for route, current := range canary {
-		previous := d.counted[route]
-		answers, failed, slow := current.Answers-previous.Answers, current.Failed-previous.Failed, current.Slow-previous.Slow
-		if answers <= 0 || failed < 0 || slow < 0 || failed+slow > answers {
-			// The tallies of a daemon are missing this time.
-			continue
-		}
-		d.counted[route] = current
-		baseline := base[route]
-		d.failureScore[route] = max(0, d.failureScore[route]+logLikelihoodRatio(answers, failed, goodRate(baseline.Failed, baseline.Answers), failureRateGap))
-		d.slowScore[route] = max(0, d.slowScore[route]+logLikelihoodRatio(answers, slow, max(minGoodSlowRate, goodRate(baseline.Slow, baseline.Answers)), slowRateGap))
+	for route, added := range d.pending {
+		old := base[route]
+		d.failureScore[route] = max(0, d.failureScore[route]+logLikelihoodRatio(added.Answers, added.Failed, goodRate(old.Failed, old.Answers), failureRateGap))
+		d.slowScore[route] = max(0, d.slowScore[route]+logLikelihoodRatio(added.Answers, added.Slow, max(minGoodSlowRate, goodRate(old.Slow, old.Answers)), slowRateGap))
 		bad = bad || max(d.failureScore[route], d.slowScore[route]) > rollbackScore
 	}
+	clear(d.pending)
 	return bad
 }
 
@@ -147,23 +153,17 @@
 }
 
 // byRoute sums the tallies of a roll-out by route, and those of all routes under "".
-func byRoute(tallies []Tally, release string) (base, canary map[string]Tally) {
-	base, canary = make(map[string]Tally), make(map[string]Tally)
+func byRoute(tallies []Tally, pool, release string) map[string]Count {
+	base := make(map[string]Count)
 	for _, t := range tallies {
-		if t.Release != release {
+		if t.Pool != pool || t.Release != release || t.Canary {
 			continue
 		}
-		sums := base
-		if t.Canary {
-			sums = canary
-		}
 		for _, route := range []string{"", t.Route} {
-			sum := sums[route]
-			sum.Answers += t.Answers
-			sum.Failed += t.Failed
-			sum.Slow += t.Slow
-			sums[route] = sum
+			sum := base[route]
+			sum.add(Count{Answers: t.Answers, Failed: t.Failed, Slow: t.Slow})
+			base[route] = sum
 		}
 	}
-	return base, canary
+	return base
 }
--- a/internal/forward/stager/verdict.go
+++ b/internal/forward/stager/verdict.go
@@ -46,18 +46,24 @@
 	if ro == nil || ended(ro.state) {
 		return
 	}
-	t := Tally{Pool: h.Pool, Release: ro.release, Route: route, Canary: s.isCanary(h), Answers: 1}
+	answer := Count{Answers: 1}
 	if failed {
-		t.Failed = 1
+		answer.Failed = 1
 	}
 	if slow {
-		t.Slow = 1
+		answer.Slow = 1
 	}
-	ro.local = Sum(ro.local, []Tally{t})
+	if s.isCanary(h) {
+		s.countCanary(releaseKey{h.Pool, ro.release}, route, answer)
+		return
+	}
+	ro.local = Sum(ro.local, []Tally{{
+		Pool: h.Pool, Release: ro.release, Route: route, Answers: 1, Failed: answer.Failed, Slow: answer.Slow,
+	}})
 }
 
 // LocalTallies returns the tallies of this daemon for all roll-outs that have not
-// ended.
+// ended, and what it knows of the new releases.
 func (s *Stager) LocalTallies() []Tally {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -72,38 +78,71 @@
 }
 
 // SetRemoteTallies replaces the tallies of all other daemons and reevaluates the
-// roll-outs.
+// roll-outs by these and by the evidence added since the last call.
 func (s *Stager) SetRemoteTallies(tallies []Tally) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.remote = tallies
+	s.evaluate()
+}
+
+// evaluate updates the tests of all roll-outs. The caller holds mu.
+func (s *Stager) evaluate() {
 	for pool, ro := range s.rollouts {
 		if ended(ro.state) || ro.faulty {
 			continue
 		}
-		var tallies []Tally
+		tallies := Sum(ro.local, s.remote)
 		foundFaulty := false
-		for _, t := range Sum(ro.local, s.remote) {
-			if t.Pool != pool {
-				continue
-			}
-			tallies = append(tallies, t)
-			if t.Release == ro.release {
+		for _, t := range tallies {
+			if t.Pool == pool && t.Release == ro.release {
 				// Sessions that migrated at another daemon must not go back at this one,
 				// and a release that one daemon found faulty is faulty for all.
 				ro.maxShare = max(ro.maxShare, t.MaxShare)
 				foundFaulty = foundFaulty || t.FoundFaulty
 			}
 		}
-		if ro.detector.update(tallies, ro.release) || foundFaulty {
-			ro.faulty = true
-			ro.faultyAt = s.Clock()
-			s.Log.Warn().Str("event", logger.EventReleaseBad).Str("pool", pool).Str("release", ro.release).
-				Bool("heard", foundFaulty).Interface("tallies", tallies).Float64("passed", s.elapsedShare(ro)).Send()
+		base := byRoute(tallies, pool, ro.release)
+		if ro.detector.update(base) || foundFaulty {
+			s.markFaulty(ro, foundFaulty)
 		}
 	}
 }
 
+// markFaulty records that the new release of a roll-out is faulty, as found here or heard
+// from a peer. The caller holds mu.
+func (s *Stager) markFaulty(ro *rollout, heard bool) {
+	ro.faulty = true
+	ro.faultyAt = s.Clock()
+	base := byRoute(Sum(ro.local, s.remote), ro.pool, ro.release)[""]
+	canary := s.evidence[releaseKey{ro.pool, ro.release}].total()
+	s.Log.Warn().Str("event", logger.EventReleaseBad).Str("pool", ro.pool).Str("release", ro.release).
+		Bool("heard", heard).Interface("base", base).Interface("canary", canary).Float64("passed", s.elapsedShare(ro)).Send()
+}
+
+// Verdicts returns the releases in roll-out that are known to be faulty.
+func (s *Stager) Verdicts() []Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var faulty []Verdict
+	for pool, ro := range s.rollouts {
+		if ro.faulty && !ended(ro.state) {
+			faulty = append(faulty, Verdict{Pool: pool, Release: ro.release})
+		}
+	}
+	return faulty
+}
+
+// AddVerdict records that a peer found a release faulty.
+func (s *Stager) AddVerdict(v Verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ro := s.rollouts[v.Pool]
+	if ro != nil && ro.release == v.Release && !ro.faulty && !ended(ro.state) {
+		s.markFaulty(ro, true)
+	}
+}
+
 // NextState returns the roll-out with the state that it should have now, and whether
 // it has to be stored. idle reports whether no daemon has requests in flight at those
 // endpoints of the pool that have another release than the given one.
