Bound the age of endpoints at a daemon that others do not answer

Its open connections to the store could also be silent, which cost 1.5 s a call.

Ruled out: refusing all requests by an old list, which would end service in each outage of the store.

Change: a call to the store that is not answered 0.4 s after it is due is made again on a new connection; a poll that is not answered in 0.5 s goes on beside the next one; a daemon whose confirmations are overdue polls three daemons of different places at the same time. A peer's confirmations say since when they are unbroken: if they span a daemon's own gap, the source was not down, and entries that are missing have left. Until that is known, missing endpoints stay in use only in pools of which most are missing, as an outage lets all entries expire. Where the table is confirmed and the endpoints are not, requests are refused before the endpoints are older than the drain time. Polls wait for changes and held up to 62 of 64 handlers at 59 daemons of a data centre: 512 now.

Tests: TestFaultIsolated and TestFaultPrivateOutage failed before.

--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -47,6 +47,12 @@
 	// of the end of a network partition.
 	handshakeTimeout = time.Second
 	maxRedialBackoff = time.Second
+	// maxPeerHandlers bounds the calls of peers that are handled at a time. Polls wait for
+	// changes, so that each follower of a daemon takes up a handler nearly all the time.
+	maxPeerHandlers = 512
+	// drainMargin is subtracted from DrainTime to get the greatest age of the endpoints
+	// at which requests are sent by them.
+	drainMargin = 200 * time.Millisecond
 )
 
 // Builder creates the kernel of a daemon. Set the exported fields before calling
@@ -68,6 +74,9 @@
 	// after its removal.
 	StrictRevocation bool
 	RevocationTime   time.Duration
+	// DrainTime is how long after the source listed an endpoint as leaving requests may
+	// still reach it.
+	DrainTime time.Duration
 	// ShutdownGrace is the time from the start of the shutdown to the end of the
 	// process.
 	ShutdownGrace time.Duration
@@ -151,6 +160,7 @@
 	m.Seeds = b.Seeds
 	m.HandshakeTimeout = handshakeTimeout
 	m.MaxBackoff = maxRedialBackoff
+	m.MaxHandlers = maxPeerHandlers
 	m.InlineTopics = []string{sharer.Topic, sharer.VerdictTopic}
 	m.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return b.Dial(ctx, "tcp", addr) }
 	return m, nil
@@ -186,6 +196,7 @@
 		Clock:             b.Clock,
 		FreshForKeys:      func() bool { return !b.StrictRevocation || f.TopicAge(samphireturn.TopicTable) < maxAgeForKeys },
 		TableAge:          func() time.Duration { return f.TopicAge(samphireturn.TopicTable) },
+		HostsOutdated:     func() bool { return f.HostsOutdated(b.DrainTime - drainMargin) },
 		FreshForMisses:    func() bool { return f.TopicAge(samphireturn.TopicTable) < maxAgeForMisses },
 		Rand:              rand.Float64,
 		ShutdownGrace:     b.ShutdownGrace,
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -64,6 +64,14 @@
 	// at the same moment.
 	earlyWatchers  = 2
 	lateWatchDelay = 500 * time.Millisecond
+	// hedgeDelay is how long after an answer is due a second call is made beside the first,
+	// whose connection may have gone silent. The source answers in milliseconds, or in
+	// some hundred when it is slow.
+	hedgeDelay = 400 * time.Millisecond
+	// minTopicLag is how much older than the table's the confirmation of the endpoints
+	// must be to show that the source answers without confirming the endpoints: each of
+	// the two is confirmed about every 800 ms.
+	minTopicLag = time.Second
 	// neverConfirmed is the age of a topic that was never confirmed.
 	neverConfirmed = time.Duration(1<<63 - 1)
 )
@@ -121,6 +129,13 @@
 	wg         sync.WaitGroup
 }
 
+// sourceAnswer is the result of a call to the source that was made at sent.
+type sourceAnswer struct {
+	batch samphireturn.Batch
+	sent  time.Duration
+	err   error
+}
+
 // New returns a follower.
 func New(source samphireturn.Source, control samphireturn.Control, clock func() time.Duration, log zerolog.Logger) *Follower {
 	f := &Follower{
@@ -153,6 +168,7 @@
 	})
 	if f.Peers != nil {
 		f.wg.Go(func() { f.pollLoop(ctx) })
+		f.wg.Go(func() { f.catchUpLoop(ctx) })
 	}
 	return nil
 }
@@ -171,6 +187,17 @@
 	return f.age(&f.topics[name])
 }
 
+// HostsOutdated reports whether the endpoints may have changed unseen for longer than
+// maxAge although the source answers, as the table shows, which was confirmed since. In
+// an outage of the source, in which all daemons have to go on by what they know, it
+// returns false.
+func (f *Follower) HostsOutdated(maxAge time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age := f.age(&f.topics[samphireturn.TopicHosts])
+	return age > maxAge && f.age(&f.topics[samphireturn.TopicTable]) < age-minTopicLag
+}
+
 // age is TopicAge for callers that hold mu.
 func (f *Follower) age(t *topic) time.Duration {
 	if !t.confirmed {
@@ -247,29 +274,20 @@
 		wait = time.Millisecond
 	}
 	f.mu.Unlock()
-	sent := f.Clock()
-	var (
-		batch samphireturn.Batch
-		err   error
-	)
-	if listed {
-		batch, err = f.Source.Watch(ctx, t.name, since, wait)
-	} else {
-		batch, err = f.Source.List(ctx, t.name)
-	}
-	meter.ObserveSourceCall(t.name.String(), outcome(err), f.Clock()-sent)
-	if err != nil {
-		return 0, err
+	answer := f.hedgedCall(ctx, t.name, listed, since, wait)
+	if answer.err != nil {
+		return 0, answer.err
 	}
+	batch := answer.batch
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.noteOutage(t, sent)
+	f.noteOutage(t, answer.sent)
 	if listed {
 		f.update(t, batch)
 	} else {
 		f.replace(t, batch)
 	}
-	f.confirm(t, sent)
+	f.confirm(t, answer.sent)
 	switch {
 	case !listed && t.name != samphireturn.TopicMembers:
 		return settleDelay, nil
@@ -279,6 +297,49 @@
 	return 0, nil
 }
 
+// hedgedCall lists a topic or watches it, and makes a second call if the first is not
+// answered in time. It returns the first success, or the last error.
+func (f *Follower) hedgedCall(ctx context.Context, name samphireturn.Topic, watch bool, since uint64, wait time.Duration) sourceAnswer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan sourceAnswer, 2)
+	call := func(wait time.Duration) {
+		f.wg.Go(func() { answers <- f.singleCall(ctx, name, watch, since, wait) })
+	}
+	if !watch {
+		wait = 0
+	}
+	call(wait)
+	hedge := time.NewTimer(wait + hedgeDelay)
+	defer hedge.Stop()
+	for inFlight := 1; ; {
+		select {
+		case answer := <-answers:
+			inFlight--
+			if answer.err == nil || inFlight == 0 {
+				return answer
+			}
+		case <-hedge.C:
+			inFlight++
+			call(time.Millisecond)
+		}
+	}
+}
+
+// singleCall makes one call to the source.
+func (f *Follower) singleCall(ctx context.Context, name samphireturn.Topic, watch bool, since uint64, wait time.Duration) sourceAnswer {
+	answer := sourceAnswer{sent: f.Clock()}
+	if watch {
+		answer.batch, answer.err = f.Source.Watch(ctx, name, since, wait)
+	} else {
+		answer.batch, answer.err = f.Source.List(ctx, name)
+	}
+	if ctx.Err() == nil {
+		meter.ObserveSourceCall(name.String(), outcome(answer.err), f.Clock()-answer.sent)
+	}
+	return answer
+}
+
 // outcome returns the label of a call's result in the meters.
 func outcome(err error) string {
 	if err == nil {
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"samphireturn"
@@ -20,6 +21,14 @@
 	// second after its peer stopped answering.
 	pollWaitTime = 350 * time.Millisecond
 	pollTimeout  = 800 * time.Millisecond
+	// slowPollTime is the time without an answer after which another daemon is followed.
+	// The slow poll goes on beside, so that unanswered polls do not add up.
+	slowPollTime = 500 * time.Millisecond
+	// catchUpPeers is the number of daemons that are polled at the same time while
+	// confirmations are overdue, and maxCatchUpPause the longest time between two such
+	// rounds, which all daemons make in an outage of the source.
+	catchUpPeers    = 3
+	maxCatchUpPause = time.Second
 	// pollPause is the least time between two polls.
 	pollPause = 20 * time.Millisecond
 	// failedAvoidTime is how long a daemon is not followed after it did not answer or
@@ -55,6 +64,9 @@
 		// Age is the age of the newest confirmation, in milliseconds; negative if there
 		// is none.
 		Age int64 `cbor:"2,keyasint"`
+		// Unbroken is the time from the first to the newest of the confirmations that came
+		// without an outage between them, in milliseconds.
+		Unbroken int64 `cbor:"5,keyasint,omitempty"`
 		// Complete is true if Entries holds all entries.
 		Complete bool                 `cbor:"3,keyasint,omitempty"`
 		Entries  []samphireturn.Entry `cbor:"4,keyasint,omitempty"`
@@ -175,25 +187,99 @@
 			timekeeper.Sleep(ctx, checkInterval)
 			continue
 		}
-		start := f.Clock()
-		if err := f.pollPeer(ctx, id); err != nil && ctx.Err() == nil {
-			f.avoid(id, f.Clock()-start, err)
+		if f.follow(ctx, id) {
+			f.setFollowing(id)
+		} else {
 			f.setFollowing("")
-			timekeeper.Sleep(ctx, pollPause)
-			continue
 		}
-		f.setFollowing(id)
 		timekeeper.Sleep(ctx, pollPause)
 	}
 }
 
-// avoid keeps a daemon from being followed after a poll that failed after the given
-// time: for failedAvoidTime if the daemon did not answer or its confirmations were too
+// follow polls a daemon and reports whether it answered in slowPollTime with recent
+// confirmations. If it did not, it is avoided.
+func (f *Follower) follow(ctx context.Context, id string) bool {
+	start := f.Clock()
+	answered := make(chan error, 1)
+	f.wg.Go(func() { answered <- f.pollPeer(ctx, id) })
+	slow := time.NewTimer(slowPollTime)
+	defer slow.Stop()
+	var err error
+	select {
+	case err = <-answered:
+	case <-slow.C:
+		err = &samphireturn.Error{Op: "follow " + id, Kind: samphireturn.KindUnavailable}
+	}
+	if err != nil && ctx.Err() == nil {
+		f.avoid(id, f.Clock()-start, err)
+	}
+	return err == nil
+}
+
+// catchUpLoop polls several daemons at the same time whenever the confirmations of a
+// topic that needs recent ones are overdue, until ctx ends.
+func (f *Follower) catchUpLoop(ctx context.Context) {
+	pause := checkInterval
+	for timekeeper.Sleep(ctx, pause) {
+		if !f.overdue() {
+			pause = checkInterval
+			continue
+		}
+		var polls sync.WaitGroup
+		for _, id := range f.catchUpCandidates() {
+			polls.Go(func() {
+				if err := f.pollPeer(ctx, id); err != nil && ctx.Err() == nil {
+					f.Log.Debug().Str("event", logger.EventFollowFailed).Str("peer", id).Err(err).Send()
+				}
+			})
+		}
+		polls.Wait()
+		pause = min(2*pause, maxCatchUpPause)
+	}
+}
+
+// overdue reports whether the confirmations of a topic that needs recent ones are older
+// than maxAges.
+func (f *Follower) overdue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.topics {
+		t := &f.topics[i]
+		if t.needsRecent() && t.confirmed && f.age(t) > maxAges[t.name] {
+			return true
+		}
+	}
+	return false
+}
+
+// catchUpCandidates returns the daemons to poll while confirmations are overdue: a linked
+// one of this data centre that watches the source early, any other linked one, and one
+// of another data centre that watches for the fleet.
+func (f *Follower) catchUpCandidates() []string {
+	members := f.Control.Snapshot().Members
+	linked := f.Peers.Connected()
+	var candidates []string
+	add := func(ids []string) {
+		ids = slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == f.Self.ID || slices.Contains(candidates, id) })
+		if len(ids) > 0 && len(candidates) < catchUpPeers {
+			candidates = append(candidates, ids[int(f.Rand()*float64(len(ids)))])
+		}
+	}
+	own := f.linkedInCentre(members)
+	add(own[:min(len(own), 1+earlyWatchers)])
+	add(linked)
+	remote := slices.DeleteFunc(watchOrder(members), func(id string) bool { return slices.Contains(own, id) })
+	add(remote[:min(len(remote), 1+earlyWatchers)])
+	return candidates
+}
+
+// avoid keeps a daemon from being followed after a poll that failed, or was not answered
+// in time, after the given time: for failedAvoidTime if the daemon did not answer or its confirmations were too
 // old, else for unlinkedAvoidTime.
 func (f *Follower) avoid(id string, elapsed time.Duration, err error) {
 	f.Log.Info().Str("event", logger.EventFollowFailed).Str("peer", id).Err(err).Send()
 	duration := unlinkedAvoidTime
-	if samphireturn.KindOf(err) == samphireturn.KindExpired || elapsed >= pollTimeout {
+	if samphireturn.KindOf(err) == samphireturn.KindExpired || elapsed >= slowPollTime {
 		duration = failedAvoidTime
 	}
 	f.mu.Lock()
@@ -255,13 +341,17 @@
 		return
 	}
 	at := sent - time.Duration(s.Age)*time.Millisecond
-	f.noteOutage(t, at)
+	unbrokenSince := at - time.Duration(s.Unbroken)*time.Millisecond
+	if !t.confirmed || unbrokenSince > t.confirmedAt {
+		f.noteOutage(t, at)
+	}
 	if s.Complete {
 		f.replace(t, samphireturn.Batch{Entries: s.Entries, Version: s.Version})
 	} else {
 		t.version = s.Version
 	}
 	f.confirm(t, at)
+	f.endRetention(t, unbrokenSince)
 }
 
 // listedEntries returns the entries that the source has; entries that are kept over an
@@ -327,6 +417,7 @@
 		s := topicState{Version: t.version, Age: -1}
 		if t.confirmed && t.listed {
 			s.Age = f.age(t).Milliseconds() + 1
+			s.Unbroken = max(0, (t.confirmedAt - t.unbrokenSince).Milliseconds())
 		}
 		if t.changedVersion > request.Versions[i] || request.Versions[i] == 0 {
 			s.Complete = true
--- a/internal/fleet/follower/publish.go
+++ b/internal/fleet/follower/publish.go
@@ -62,10 +62,14 @@
 func (f *Follower) hosts(t *topic) viewUpdate {
 	pools := make(map[string][]*samphireturn.Host)
 	leaving := 0
-	for _, e := range t.entries {
+	expired := t.expiredPools()
+	for name, e := range t.entries {
 		if e.Host == nil {
 			continue
 		}
+		if _, missing := t.missingSince[name]; missing && !expired[e.Host.Pool] {
+			continue
+		}
 		pools[e.Host.Pool] = append(pools[e.Host.Pool], e.Host)
 		if e.Host.Leaving {
 			leaving++
@@ -79,6 +83,28 @@
 	return func(v *samphireturn.View) { v.Hosts = pools }
 }
 
+// expiredPools returns the pools of which most endpoints are missing after an outage. An
+// outage lets the entries of all endpoints expire, so the missing ones of these pools are
+// likely to be alive; in other pools they are likely to have left, and the rest can do
+// their work until they are listed again.
+func (t *topic) expiredPools() map[string]bool {
+	missing, all := make(map[string]int), make(map[string]int)
+	for name, e := range t.entries {
+		if e.Host == nil {
+			continue
+		}
+		all[e.Host.Pool]++
+		if _, ok := t.missingSince[name]; ok {
+			missing[e.Host.Pool]++
+		}
+	}
+	expired := make(map[string]bool)
+	for pool, n := range missing {
+		expired[pool] = 2*n > all[pool]
+	}
+	return expired
+}
+
 func (f *Follower) rollouts(t *topic) viewUpdate {
 	rollouts := make(map[string]*samphireturn.Rollout)
 	for _, e := range t.entries {
--- a/internal/fleet/follower/topic.go
+++ b/internal/fleet/follower/topic.go
@@ -14,8 +14,10 @@
 	entries map[string]samphireturn.Entry
 	// missingSince holds, by name, when entries were first missing after an outage.
 	missingSince map[string]time.Duration
-	// outageEnd is when the last outage of the source ended.
-	outageEnd time.Duration
+	// outageEnd is when the last outage of the source ended, and gapStart the last
+	// confirmation before it. unbrokenSince is the first confirmation of those that have
+	// come without an outage between them until now.
+	outageEnd, gapStart, unbrokenSince time.Duration
 	// failing is true while this daemon's own calls to the source fail.
 	failing bool
 	// version is the source's version up to which changes are known; changedVersion is
@@ -34,6 +36,7 @@
 func (f *Follower) noteOutage(t *topic, sent time.Duration) {
 	if t.confirmed && sent-t.confirmedAt > MinOutage+watchTimeouts[t.name] {
 		t.outageEnd = f.Clock()
+		t.gapStart, t.unbrokenSince = t.confirmedAt, sent
 		f.Log.Info().Str("event", logger.EventOutageOver).Stringer("topic", t.name).Dur("away", sent-t.confirmedAt).Send()
 	}
 }
@@ -44,12 +47,34 @@
 	if t.confirmed && sent <= t.confirmedAt {
 		return
 	}
+	if !t.confirmed {
+		t.unbrokenSince = sent
+	}
 	t.confirmedAt, t.confirmed = sent, true
 	if t.needsRecent() {
 		f.wakePolls()
 	}
 }
 
+// endRetention ends the retention of missing entries if a peer's confirmations, unbroken
+// since the given time, span the gap in this daemon's own: the source was not down, so
+// entries that are missing have left and did not expire. The caller holds mu.
+func (f *Follower) endRetention(t *topic, unbrokenSince time.Duration) {
+	if unbrokenSince > t.gapStart || f.Clock()-t.outageEnd >= MissingRetention {
+		return
+	}
+	t.outageEnd = -MissingRetention
+	t.unbrokenSince = unbrokenSince
+	if len(t.missingSince) == 0 {
+		return
+	}
+	for name := range t.missingSince {
+		delete(t.entries, name)
+	}
+	clear(t.missingSince)
+	f.publish(t)
+}
+
 // needsRecent reports whether the topic needs recent confirmations.
 func (t *topic) needsRecent() bool {
 	return t.name == samphireturn.TopicTable || t.name == samphireturn.TopicHosts
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -73,6 +73,9 @@
 	// FreshForMisses reports whether the routing table is recent enough to refuse a
 	// request because it lacks a route or a key.
 	FreshForMisses func() bool
+	// HostsOutdated reports whether an endpoint may have left for longer than requests
+	// may still reach it, without this daemon having read so.
+	HostsOutdated func() bool
 	// Rand returns a number in [0, 1), for the jitter of Retry-After.
 	Rand func() float64
 	// ShutdownGrace is the time from Leave to the end of the process.
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -250,6 +250,9 @@
 			return nil, c.refusal(samphireturn.ReasonEndpointFailed, busyRetryAfter, errors.Wrap(c.lastErr, "no repeat left"))
 		}
 		c.retryPaid.Store(false)
+		if c.HostsOutdated() {
+			return nil, c.refusal(samphireturn.ReasonPlatformUnavailable, notReadyRetryAfter, c.lastErr)
+		}
 		reservation := c.pick()
 		if reservation == nil {
 			return nil, c.refusal(samphireturn.ReasonNoEndpoint, busyRetryAfter, c.lastErr)
