Answer polls with what changed, packed

Cause: a poll was answered with all entries of a topic whenever one had changed, and with the whole table of 1,922 routes each time a poll for it had timed out. At 17 followers and links of 10 Mbit/s that alone filled the link of the followed daemon.

Change: a reply holds the entries that changed since the asker's version and the names of those that were removed. A daemon remembers removals since its last whole list and answers older versions with all entries. Long replies are compressed and kept for the other followers, which mostly ask for the same. Polls have a new topic, since a daemon of an earlier build would take a reply without entries for an unchanged topic; such a daemon and a new one do not follow each other and read the store instead.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -149,6 +149,7 @@
 		t.name = samphireturn.Topic(i)
 		t.entries = make(map[string]samphireturn.Entry)
 		t.missingSince = make(map[string]time.Duration)
+		t.removed = make(map[string]uint64)
 		t.outageEnd = -MissingRetention
 	}
 	return f
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -15,7 +15,7 @@
 
 const (
 	// Topic is the topic of polls between daemons.
-	Topic = "follow"
+	Topic = "changes"
 	// pollWaitTime is how long a polled daemon waits for changes before it answers, and
 	// pollTimeout bounds a poll, so that a daemon watches the source itself within a
 	// second after its peer stopped answering.
@@ -67,9 +67,9 @@
 		// Unbroken is the time from the first to the newest of the confirmations that came
 		// without an outage between them, in milliseconds.
 		Unbroken int64 `cbor:"5,keyasint,omitempty"`
-		// Complete is true if Entries holds all entries.
-		Complete bool                 `cbor:"3,keyasint,omitempty"`
-		Entries  []samphireturn.Entry `cbor:"4,keyasint,omitempty"`
+		// Packed holds what the polling daemon lacks, as pack returns it; empty if it has
+		// all up to Version.
+		Packed []byte `cbor:"6,keyasint,omitempty"`
 	}
 )
 
@@ -320,7 +320,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range f.topics {
-		f.applyState(&f.topics[i], &reply.Topics[i], sent)
+		if err := f.applyState(&f.topics[i], &reply.Topics[i], request.Versions[i], sent); err != nil {
+			return err
+		}
 	}
 	for i := range f.topics {
 		t := &f.topics[i]
@@ -332,38 +334,35 @@
 }
 
 // applyState applies a peer's state of a topic. A confirmation counts only together with
-// all changes that were known when it was made.
-func (f *Follower) applyState(t *topic, s *topicState, sent time.Duration) {
-	if s.Age < 0 || !s.Complete && (!t.listed || s.Version < t.version) {
-		return
-	}
-	if s.Complete && s.Version < t.version {
-		return
+// all changes that were known when it was made. since is this daemon's version when it
+// polled; the caller holds mu.
+func (f *Follower) applyState(t *topic, s *topicState, since uint64, sent time.Duration) error {
+	if s.Age < 0 || s.Version < t.version || len(s.Packed) == 0 && !t.listed {
+		return nil
+	}
+	var changes changeSet
+	if len(s.Packed) > 0 {
+		var err error
+		if changes, err = unpack(s.Packed); err != nil {
+			return err
+		}
 	}
 	at := sent - time.Duration(s.Age)*time.Millisecond
 	unbrokenSince := at - time.Duration(s.Unbroken)*time.Millisecond
 	if !t.confirmed || unbrokenSince > t.confirmedAt {
 		f.noteOutage(t, at)
 	}
-	if s.Complete {
-		f.replace(t, samphireturn.Batch{Entries: s.Entries, Version: s.Version})
-	} else {
-		t.version = s.Version
+	switch {
+	case changes.Complete:
+		f.replace(t, samphireturn.Batch{Entries: changes.Entries, Version: s.Version})
+	case t.listed && since <= t.version:
+		f.update(t, samphireturn.Batch{Entries: changes.all(), Version: s.Version})
+	default:
+		return nil
 	}
 	f.confirm(t, at)
 	f.endRetention(t, unbrokenSince)
-}
-
-// listedEntries returns the entries that the source has; entries that are kept over an
-// outage are not passed on.
-func (t *topic) listedEntries() []samphireturn.Entry {
-	entries := make([]samphireturn.Entry, 0, len(t.entries))
-	for name, e := range t.entries {
-		if _, missing := t.missingSince[name]; !missing {
-			entries = append(entries, e)
-		}
-	}
-	return entries
+	return nil
 }
 
 // handle answers a poll as soon as there are changes or a newer confirmation, at the
@@ -378,7 +377,7 @@
 	changed := f.changedSince(&request)
 	f.mu.Unlock()
 	if changed {
-		return f.buildReply(&request), nil
+		return f.buildReply(&request)
 	}
 	timer := time.NewTimer(pollWaitTime)
 	defer timer.Stop()
@@ -388,7 +387,7 @@
 	case <-timer.C:
 	case <-updated:
 	}
-	return f.buildReply(&request), nil
+	return f.buildReply(&request)
 }
 
 // changedSince reports whether any topic has changed since the poller's version, or has
@@ -406,9 +405,9 @@
 	return false
 }
 
-// buildReply returns the topics that are newer than the poller's versions, and the ages
-// of all confirmations.
-func (f *Follower) buildReply(request *pollRequest) pollReply {
+// buildReply returns the topics with what the poller lacks and the ages of all
+// confirmations.
+func (f *Follower) buildReply(request *pollRequest) (pollReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var reply pollReply
@@ -419,11 +418,14 @@
 			s.Age = f.age(t).Milliseconds() + 1
 			s.Unbroken = max(0, (t.confirmedAt - t.unbrokenSince).Milliseconds())
 		}
-		if t.changedVersion > request.Versions[i] || request.Versions[i] == 0 {
-			s.Complete = true
-			s.Entries = t.listedEntries()
+		if t.listed && (t.changedVersion > request.Versions[i] || request.Versions[i] == 0) {
+			packed, err := t.packChanges(request.Versions[i])
+			if err != nil {
+				return reply, err
+			}
+			s.Packed = packed
 		}
 		reply.Topics[i] = s
 	}
-	return reply
+	return reply, nil
 }
--- a/internal/fleet/follower/topic.go
+++ b/internal/fleet/follower/topic.go
@@ -23,6 +23,12 @@
 	// version is the source's version up to which changes are known; changedVersion is
 	// that of the last change.
 	version, changedVersion uint64
+	// removed holds the versions at which entries were removed, by name. With it, changes
+	// since completeFrom are known completely.
+	removed      map[string]uint64
+	completeFrom uint64
+	// packed holds the changes that were packed last.
+	packed []packedChanges
 	// listed is true if the entries are complete, as read from the source or a peer;
 	// only then can the topic be watched.
 	listed bool
@@ -95,13 +101,15 @@
 	seen := make(map[string]bool, len(batch.Entries))
 	for _, e := range batch.Entries {
 		seen[e.Name] = true
-		f.put(t, e)
+		f.put(t, e, batch.Version)
 	}
 	for name := range t.entries {
 		if !seen[name] {
-			f.remove(t, name)
+			f.remove(t, name, batch.Version)
 		}
 	}
+	// Entries may have come and gone since the version before without being known here.
+	t.completeFrom = batch.Version
 	t.version, t.changedVersion = batch.Version, batch.Version
 	f.publish(t)
 	f.wakePolls()
@@ -118,24 +126,25 @@
 	}
 	for _, e := range batch.Entries {
 		if e.Deleted {
-			f.remove(t, e.Name)
+			f.remove(t, e.Name, batch.Version)
 			continue
 		}
-		f.put(t, e)
+		f.put(t, e, batch.Version)
 	}
 	t.changedVersion = batch.Version
 	f.publish(t)
 	f.wakePolls()
 }
 
-// put adds an entry, unless it cannot be decoded or is older than the known one. An
-// endpoint whose entry can no longer be decoded is removed.
-func (f *Follower) put(t *topic, e samphireturn.Entry) {
+// put adds an entry as of a version, unless it cannot be decoded or is older than the
+// known one. An endpoint whose entry can no longer be decoded is removed.
+func (f *Follower) put(t *topic, e samphireturn.Entry, version uint64) {
 	if e.Err != nil {
 		invalidEntries.Add(t.name.String(), 1)
 		f.Log.Warn().Str("event", logger.EventEntryIgnored).Stringer("topic", t.name).Str("entry", e.Name).Err(e.Err).Send()
-		if t.name == samphireturn.TopicHosts {
+		if _, known := t.entries[e.Name]; known && t.name == samphireturn.TopicHosts {
 			delete(t.entries, e.Name)
+			t.noteRemoved(e.Name, version)
 		}
 		return
 	}
@@ -148,14 +157,20 @@
 		return
 	}
 	delete(t.missingSince, e.Name)
+	delete(t.removed, e.Name)
 	t.entries[e.Name] = e
 }
 
-// remove removes an entry. Endpoints that are missing after an outage of the source are
+// remove removes an entry as of a version. Endpoints that are missing after an outage of the source are
 // kept for MissingRetention, since entries expire during an outage. The table in force
 // stays until a newer one arrives.
-func (f *Follower) remove(t *topic, name string) {
+func (f *Follower) remove(t *topic, name string, version uint64) {
+	// Daemons that poll this one may have an entry that this one never had.
+	t.noteRemoved(name, version)
 	now := f.Clock()
+	if _, known := t.entries[name]; !known {
+		return
+	}
 	if t.name == samphireturn.TopicHosts && now-t.outageEnd < MissingRetention {
 		if _, ok := t.missingSince[name]; !ok {
 			t.missingSince[name] = now
