Follow in a tree whose first daemons are on larger VMs

Cause: all daemons of a data centre polled its first one, 58 of them at 59 daemons, each about three times a second, whatever VM that one ran on.

Change: members state the processor share of their VM. Ranks put larger VMs first, so that watching, sums, relaying and writing go to these, and each daemon of a data centre follows the one that precedes it in a tree of up to twelve followers. A daemon follows only daemons that rank before it, so a circle can't arise, and skips one that does not answer as before.

--- a/fleet.go
+++ b/fleet.go
@@ -39,6 +39,8 @@
 	Peer string `json:"peer,omitempty"`
 	// Service is the name of the plain service that the VM serves.
 	Service string `json:"service,omitempty"`
+	// Cores is the processor share of an entry VM, in cores; zero if unknown.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // Endpoint is an engine or a plain service's VM in the chat interface's control
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -24,6 +24,9 @@
 	// slowPollTime is the time without an answer after which another daemon is followed.
 	// The slow poll goes on beside, so that unanswered polls do not add up.
 	slowPollTime = 500 * time.Millisecond
+	// maxFollowers is the number of daemons of a data centre that one daemon is polled by:
+	// each follower costs it about three polls a second.
+	maxFollowers = 12
 	// catchUpPeers is the number of daemons that are polled at the same time while
 	// confirmations are overdue, and maxCatchUpPause the longest time between two such
 	// rounds, which all daemons make in an outage of the source.
@@ -80,12 +83,15 @@
 func (f *Follower) watchesForOthers() bool { return f.leader() == "" }
 
 // leader returns the daemon to follow, or "" if this one is to watch the source itself.
-// The daemons of a data centre follow its first one; the first ones follow the first one
-// of the data centre that ranks first. Daemons whose polls failed recently are skipped.
+// The daemons of a data centre form a tree by their rank, in which each has up to
+// maxFollowers followers; the roots follow that of the data centre that ranks first.
+// Daemons whose polls failed recently are skipped. A daemon follows only daemons that rank
+// before it, so that none follow each other in a circle.
 func (f *Follower) leader() string {
 	members := f.Control.Snapshot().Members
-	if linked := f.linkedInCentre(members); len(linked) > 0 && linked[0] != f.Self.ID && slices.Contains(linked, f.Self.ID) {
-		return linked[0]
+	linked := f.linkedInCentre(members)
+	if rank := slices.Index(linked, f.Self.ID); rank > 0 {
+		return linked[(rank-1)/maxFollowers]
 	}
 	for _, id := range watchOrder(members) {
 		if id == f.Self.ID {
--- a/internal/fleet/ranker/ranker.go
+++ b/internal/fleet/ranker/ranker.go
@@ -1,4 +1,4 @@
-// Package ranker orders daemons by rendezvous hashing.
+// Package ranker orders daemons by rendezvous hashing, those on larger VMs first.
 //
 // All daemons with the same member list compute the same order. Adding or
 // removing a member changes the first choice only for the names that rank that
@@ -14,10 +14,16 @@
 	"samphireturn"
 )
 
-// score is a member's hash for a name; the highest hash ranks first.
+// score is a member's place in the order for a name: the VM with the most cores ranks
+// first, and among equal ones the highest hash.
 type score struct {
-	id   string
-	hash uint64
+	id    string
+	cores float64
+	hash  uint64
+}
+
+func scoreOf(name string, vm *samphireturn.VM) score {
+	return score{id: vm.ID, cores: vm.Cores, hash: hash(name, vm.ID)}
 }
 
 // Rank returns the ids of members in their order for name, the first choice
@@ -25,7 +31,7 @@
 func Rank(name string, members []samphireturn.VM) []string {
 	scores := make([]score, len(members))
 	for i := range members {
-		scores[i] = score{id: members[i].ID, hash: hash(name, members[i].ID)}
+		scores[i] = scoreOf(name, &members[i])
 	}
 	slices.SortFunc(scores, compare)
 	ids := make([]string, len(scores))
@@ -38,19 +44,20 @@
 // InTop reports whether the member with the given id is among the first n of the
 // order for name.
 func InTop(name string, members []samphireturn.VM, id string, n int) bool {
-	own := score{id: id, hash: hash(name, id)}
-	listed, better := false, 0
+	at := slices.IndexFunc(members, func(vm samphireturn.VM) bool { return vm.ID == id })
+	if at < 0 {
+		return false
+	}
+	own, better := scoreOf(name, &members[at]), 0
 	for i := range members {
-		other := score{id: members[i].ID, hash: hash(name, members[i].ID)}
-		listed = listed || other.id == id
-		if compare(other, own) < 0 {
+		if compare(scoreOf(name, &members[i]), own) < 0 {
 			better++
 		}
 		if better >= n {
 			return false
 		}
 	}
-	return listed
+	return true
 }
 
 // Home returns the id of the member that ranks first for name, or "" if there
@@ -58,7 +65,7 @@
 func Home(name string, members []samphireturn.VM) string {
 	var best score
 	for i := range members {
-		s := score{id: members[i].ID, hash: hash(name, members[i].ID)}
+		s := scoreOf(name, &members[i])
 		if i == 0 || compare(s, best) < 0 {
 			best = s
 		}
@@ -77,8 +84,11 @@
 	return found
 }
 
-// compare orders scores by descending hash, then by id.
+// compare orders scores by descending cores and hash, then by id.
 func compare(a, b score) int {
+	if c := cmp.Compare(b.cores, a.cores); c != 0 {
+		return c
+	}
 	if c := cmp.Compare(b.hash, a.hash); c != 0 {
 		return c
 	}
