Start from reads at a tenth of the price and the changes that others hold

Change: a daemon that starts lists each topic as of some seconds ago, which costs a tenth and confirms nothing, and waits up to 1.5 s for another daemon to confirm it and to send what changed since; only the members are read again meanwhile. Only the daemon that ranks first of the fleet watches at once. A member entry that is already there, as after a restart, is not written again; one that is missing is.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -49,11 +49,13 @@
 	maxBackoff = 4 * time.Second
 	// maxDoublings bounds the doublings of a wait before maxBaseBackoff caps it.
 	maxDoublings = 8
-	// settleDelay is how long a daemon that has listed a topic looks for another daemon
-	// to follow before it watches: members are known and links are made within about 600
-	// ms of a start. Together with the timeout of the first watch, it stays below the
-	// smallest of maxAges.
-	settleDelay = 700 * time.Millisecond
+	// startTime is how long a daemon that has read a topic looks for another daemon to
+	// confirm it before it watches. Members are known and links are made within about 600
+	// ms of a start, or a second if all daemons start at the same time.
+	startTime = 1500 * time.Millisecond
+	// memberListInterval is the time between two reads of the members meanwhile, as others
+	// may be starting too.
+	memberListInterval = 250 * time.Millisecond
 	// minChangeInterval is the least time between two watches that return changes. In a
 	// large fleet some entry changes at any moment, and each call costs money; endpoints
 	// that leave need to be noticed only within two seconds.
@@ -116,6 +118,8 @@
 	// updated is closed and replaced when any topic changes, or when a topic is
 	// confirmed that needs recent confirmations.
 	updated chan struct{}
+	// startedAt is when Run was called.
+	startedAt time.Duration
 	// following is the daemon that this one follows, or empty.
 	following string
 	// avoidUntil holds, by daemon, the time until which it is not followed because a
@@ -125,6 +129,16 @@
 	wg         sync.WaitGroup
 }
 
+// sourceCall is a kind of call to the source.
+type sourceCall int
+
+const (
+	callNone sourceCall = iota
+	callStaleList
+	callList
+	callWatch
+)
+
 // sourceAnswer is the result of a call to the source that was made at sent.
 type sourceAnswer struct {
 	batch samphireturn.Batch
@@ -154,6 +168,7 @@
 // Run starts to watch and to poll.
 func (f *Follower) Run(ctx context.Context) error {
 	ctx, f.cancel = context.WithCancel(ctx)
+	f.startedAt = f.Clock()
 	for i := range f.topics {
 		t := &f.topics[i]
 		f.wg.Go(func() { f.watch(ctx, t) })
@@ -190,11 +205,12 @@
 func (f *Follower) watch(ctx context.Context, t *topic) {
 	tries := 0
 	for ctx.Err() == nil {
-		if !f.watchesDirectly(t) || f.waitsForTable(t) {
+		call := f.nextCall(t)
+		if call == callNone {
 			timekeeper.Sleep(ctx, checkInterval)
 			continue
 		}
-		pause, err := f.callSource(ctx, t)
+		pause, err := f.callSource(ctx, t, call)
 		if ctx.Err() != nil {
 			return
 		}
@@ -223,6 +239,41 @@
 	return min(wait*position*position, maxBackoff)
 }
 
+// nextCall returns the call to the source that is due for a topic. A daemon that starts
+// reads the topics as they were some time ago, which costs less, and looks for a daemon
+// that confirms them and sends it what changed since.
+func (f *Follower) nextCall(t *topic) sourceCall {
+	if f.waitsForTable(t) {
+		return callNone
+	}
+	f.mu.Lock()
+	listed, confirmed, historyGone := t.listed, t.confirmed, t.historyGone
+	starting := f.Peers != nil && !confirmed && f.Clock()-f.startedAt < startTime
+	f.mu.Unlock()
+	switch {
+	case starting && !listed && !historyGone:
+		return callStaleList
+	case starting && !f.firstOfFleet():
+		if t.name == samphireturn.TopicMembers {
+			return callStaleList
+		}
+		return callNone
+	case !f.watchesDirectly(t):
+		return callNone
+	case listed:
+		return callWatch
+	}
+	return callList
+}
+
+// firstOfFleet reports whether this daemon is the member that watches for the fleet, if
+// all are alive, and is linked with others: without links, the members that it has read
+// may be just those that started before it.
+func (f *Follower) firstOfFleet() bool {
+	order := watchOrder(f.Control.Snapshot().Members)
+	return len(order) > 0 && order[0] == f.Self.ID && len(f.Peers.Connected()) > 0
+}
+
 // watchesDirectly reports whether this daemon is to watch a topic itself: because others
 // follow it, or because its confirmations are too old.
 func (f *Follower) watchesDirectly(t *topic) bool {
@@ -245,32 +296,34 @@
 
 // callSource makes one call to the source and applies its answer. It returns the time to
 // wait before the next call.
-func (f *Follower) callSource(ctx context.Context, t *topic) (time.Duration, error) {
+func (f *Follower) callSource(ctx context.Context, t *topic, call sourceCall) (time.Duration, error) {
 	f.mu.Lock()
-	listed, since, wait := t.listed, t.version, watchTimeouts[t.name]
+	since, wait := t.version, watchTimeouts[t.name]
 	if t.failing || f.age(t) > maxAges[t.name] {
 		// The confirmation is overdue, so the call must not wait for a change.
 		wait = time.Millisecond
 	}
 	f.mu.Unlock()
-	answer := f.hedgedCall(ctx, t.name, listed, since, wait)
+	answer := f.hedgedCall(ctx, t.name, call, since, wait)
 	if answer.err != nil {
 		return 0, answer.err
 	}
 	batch := answer.batch
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if call == callStaleList {
+		f.replace(t, batch)
+		return memberListInterval, nil
+	}
 	f.noteOutage(t, answer.sent)
-	if listed {
+	if call == callWatch {
 		f.update(t, batch)
 	} else {
+		t.historyGone = false
 		f.replace(t, batch)
 	}
 	f.confirm(t, answer.sent)
-	switch {
-	case !listed && t.name != samphireturn.TopicMembers:
-		return settleDelay, nil
-	case !listed || len(batch.Entries) > 0:
+	if call == callList || len(batch.Entries) > 0 {
 		return minChangeInterval, nil
 	}
 	return 0, nil
@@ -278,14 +331,14 @@
 
 // hedgedCall lists a topic or watches it, and makes a second call if the first is not
 // answered in time. It returns the first success, or the last error.
-func (f *Follower) hedgedCall(ctx context.Context, name samphireturn.Topic, watch bool, since uint64, wait time.Duration) sourceAnswer {
+func (f *Follower) hedgedCall(ctx context.Context, name samphireturn.Topic, kind sourceCall, since uint64, wait time.Duration) sourceAnswer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan sourceAnswer, 2)
 	call := func(wait time.Duration) {
-		f.wg.Go(func() { answers <- f.singleCall(ctx, name, watch, since, wait) })
+		f.wg.Go(func() { answers <- f.singleCall(ctx, name, kind, since, wait) })
 	}
-	if !watch {
+	if kind != callWatch {
 		wait = 0
 	}
 	call(wait)
@@ -306,12 +359,12 @@
 }
 
 // singleCall makes one call to the source.
-func (f *Follower) singleCall(ctx context.Context, name samphireturn.Topic, watch bool, since uint64, wait time.Duration) sourceAnswer {
+func (f *Follower) singleCall(ctx context.Context, name samphireturn.Topic, kind sourceCall, since uint64, wait time.Duration) sourceAnswer {
 	answer := sourceAnswer{sent: f.Clock()}
-	if watch {
+	if kind == callWatch {
 		answer.batch, answer.err = f.Source.Watch(ctx, name, since, wait)
 	} else {
-		answer.batch, answer.err = f.Source.List(ctx, name)
+		answer.batch, answer.err = f.Source.List(ctx, name, kind == callStaleList)
 	}
 	if ctx.Err() == nil {
 		meter.ObserveSourceCall(name.String(), outcome(answer.err), f.Clock()-answer.sent)
@@ -332,7 +385,7 @@
 func (f *Follower) requireList(t *topic) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t.listed = false
+	t.listed, t.historyGone = false, true
 	f.Log.Info().Str("event", logger.EventHistoryGone).Stringer("topic", t.name).Uint64("version", t.version).Send()
 }
 
--- a/internal/fleet/follower/publish.go
+++ b/internal/fleet/follower/publish.go
@@ -146,7 +146,8 @@
 }
 
 func (f *Follower) members(t *topic) viewUpdate {
-	var members []samphireturn.VM
+	// Not nil, which means that the members were not read.
+	members := make([]samphireturn.VM, 0, len(t.entries))
 	for _, e := range t.entries {
 		if e.Member != nil {
 			members = append(members, *e.Member)
--- a/internal/fleet/follower/topic.go
+++ b/internal/fleet/follower/topic.go
@@ -29,6 +29,9 @@
 	completeFrom uint64
 	// packed holds the changes that were packed last.
 	packed []packedChanges
+	// historyGone is true if the topic must be listed as it is now, since the source no
+	// longer has the changes since version.
+	historyGone bool
 	// listed is true if the entries are complete, as read from the source or a peer;
 	// only then can the topic be watched.
 	listed bool
--- a/internal/fleet/joiner/joiner.go
+++ b/internal/fleet/joiner/joiner.go
@@ -18,6 +18,12 @@
 const (
 	// retryDelay is the wait before the entry is written again after a failure.
 	retryDelay = 500 * time.Millisecond
+	// rewriteDelay is how long the entry may take to be read after it was written: reads
+	// of a daemon that starts may be seconds old.
+	rewriteDelay = 4 * time.Second
+	// readTime is how long after the start the list of members is awaited, which may hold
+	// the entry that an earlier process of the VM wrote.
+	readTime = 600 * time.Millisecond
 	// checkInterval is the time between two checks of the list of members for changes.
 	checkInterval = 200 * time.Millisecond
 	// leaveTimeout bounds the removal of the entry; an entry that is left behind does
@@ -43,10 +49,10 @@
 	wg     sync.WaitGroup
 }
 
-// Run starts to write the entry and to check the members.
+// Run starts to keep the entry and to check the members.
 func (j *Joiner) Run(ctx context.Context) error {
 	ctx, j.cancel = context.WithCancel(ctx)
-	j.wg.Go(func() { j.join(ctx) })
+	j.wg.Go(func() { j.keepEntry(ctx) })
 	j.wg.Go(func() { j.watchMembers(ctx) })
 	return nil
 }
@@ -65,18 +71,31 @@
 	return nil
 }
 
-// join writes the entry until a write succeeds.
-func (j *Joiner) join(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := j.Source.Join(ctx, j.Self)
-		if err == nil {
+// keepEntry writes the entry whenever the members lack it, until ctx ends.
+func (j *Joiner) keepEntry(ctx context.Context) {
+	wait := checkInterval
+	for start := time.Now(); timekeeper.Sleep(ctx, wait); {
+		wait = checkInterval
+		view := j.Control.Snapshot().View
+		read := view != nil && view.Members != nil
+		switch {
+		case read && slices.Contains(view.Members, j.Self):
 			j.joined = true
-			j.Log.Info().Str("event", logger.EventJoined).Send()
-			return
+		case read || time.Since(start) >= readTime:
+			wait = j.write(ctx)
 		}
+	}
+}
+
+// write writes the entry and returns the time until the next check of the members.
+func (j *Joiner) write(ctx context.Context) time.Duration {
+	if err := j.Source.Join(ctx, j.Self); err != nil {
 		j.Log.Warn().Str("event", logger.EventJoinFailed).Err(err).Send()
-		timekeeper.Sleep(ctx, retryDelay)
+		return retryDelay
 	}
+	j.joined = true
+	j.Log.Info().Str("event", logger.EventJoined).Send()
+	return rewriteDelay
 }
 
 // watchMembers passes changed members to the messenger.
--- a/internal/standin/registrar/registrar.go
+++ b/internal/standin/registrar/registrar.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,6 +16,9 @@
 )
 
 const (
+	// Stale is the first part of the names of reads that may be stale.
+	Stale = "STALE "
+
 	prefix       = "/v1/objects/"
 	pageSize     = 50
 	maxBodyBytes = 1 << 20
@@ -70,6 +74,9 @@
 		changed   chan struct{}
 		faults    Faults
 		calls     map[string]int
+		// stale holds the objects that reads which may be stale return; nil for the
+		// current ones.
+		stale map[string]map[string]json.RawMessage
 	}
 )
 
@@ -80,8 +87,18 @@
 	s.faults = f
 }
 
+// FreezeStale makes reads that may be stale return the objects as they are now.
+func (s *Registrar) FreezeStale() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale = make(map[string]map[string]json.RawMessage)
+	for kind, objects := range s.objects {
+		s.stale[kind] = maps.Clone(objects)
+	}
+}
+
 // Calls returns the number of calls since the last call of Calls, by method and
-// kind.
+// kind; the names of reads that may be stale begin with Stale.
 func (s *Registrar) Calls() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -219,7 +236,7 @@
 	if s.calls == nil {
 		s.calls = make(map[string]int)
 	}
-	s.calls[r.Method+" "+parts[0]]++
+	s.calls[callName(r, parts[0])]++
 	s.mu.Unlock()
 	select {
 	case <-r.Context().Done():
@@ -244,6 +261,14 @@
 	writeJSON(w, status, body)
 }
 
+// callName returns the name under which a call is counted.
+func callName(r *http.Request, kind string) string {
+	if r.URL.Query().Has("staleOk") {
+		return Stale + kind
+	}
+	return r.Method + " " + kind
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -271,8 +296,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	names := make([]string, 0, len(s.objects[parts[0]]))
-	for name := range s.objects[parts[0]] {
+	objects := s.objects[parts[0]]
+	if query.Has("staleOk") && s.stale != nil {
+		objects = s.stale[parts[0]]
+	}
+	names := make([]string, 0, len(objects))
+	for name := range objects {
 		if name > query.Get("after") {
 			names = append(names, name)
 		}
@@ -282,7 +311,7 @@
 	names = names[:min(len(names), pageSize)]
 	items := make([]json.RawMessage, 0, len(names))
 	for _, name := range names {
-		items = append(items, s.objects[parts[0]][name])
+		items = append(items, objects[name])
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"items": items, "morePages": more, "storeRevision": s.revision})
 }
--- a/relay.go
+++ b/relay.go
@@ -177,8 +177,10 @@
 	// data centres and members from, and to which they write their own membership
 	// and the states of roll-outs. Errors are of type *Error.
 	Source interface {
-		// List returns all entries of a topic.
-		List(ctx context.Context, topic Topic) (Batch, error)
+		// List returns all entries of a topic. If stale is true, they may be seconds old,
+		// which costs less, and the batch's version is one up to which they hold all
+		// changes.
+		List(ctx context.Context, topic Topic, stale bool) (Batch, error)
 		// Watch returns the changes after version since. It waits up to wait for one
 		// and returns an empty batch if there is none. It returns an error of
 		// KindExpired if the history after since is no longer kept.
@@ -293,7 +295,8 @@
 		Rollouts map[string]*Rollout
 		// ClosedCentres holds the data centres that operators took out of service.
 		ClosedCentres map[string]bool
-		Members       []VM
+		// Members are the daemons of the fleet; nil if they were not read.
+		Members []VM
 		// Synced is true once every topic has been read.
 		Synced bool
 		// Confirmed holds, for each topic, the time as of which the source confirmed that
