Remove the member entry when a shutdown begins

Cause: a daemon that shuts down stayed a member until its process ended, eight seconds later.

Change: the entry is removed on the first notice. The daemon serves and follows on.

Test: TestShutdownHandsOver.

--- a/internal/fleet/joiner/joiner.go
+++ b/internal/fleet/joiner/joiner.go
@@ -1,5 +1,6 @@
 // Package joiner keeps this daemon's entry in the list of members and passes the list to
-// the messenger.
+// the messenger. The entry is removed as soon as a shutdown begins, so that the other
+// daemons follow others and report to others before this one ends.
 package joiner
 
 import (
@@ -45,36 +46,39 @@
 	Log       zerolog.Logger
 
 	joined bool
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	// keep and stopKeeping bound the time in which the entry is kept.
+	keep        context.Context
+	stopKeeping context.CancelFunc
+	cancel      context.CancelFunc
+	wg          sync.WaitGroup
 }
 
 // Run starts to keep the entry and to check the members.
 func (j *Joiner) Run(ctx context.Context) error {
 	ctx, j.cancel = context.WithCancel(ctx)
-	j.wg.Go(func() { j.keepEntry(ctx) })
+	j.keep, j.stopKeeping = context.WithCancel(ctx)
+	j.wg.Go(j.keepEntry)
 	j.wg.Go(func() { j.watchMembers(ctx) })
 	return nil
 }
 
-// Close stops the joiner, waits for its goroutines and removes the entry.
+// Leave implements kernel.Leaver: the entry is removed.
+func (j *Joiner) Leave() { j.stopKeeping() }
+
+// Close removes the entry, unless Leave did, stops the joiner and waits for its
+// goroutines.
 func (j *Joiner) Close() error {
+	j.stopKeeping()
 	j.cancel()
 	j.wg.Wait()
-	if !j.joined {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	defer cancel()
-	err := j.Source.Leave(ctx, j.Self.ID)
-	j.Log.Info().Str("event", logger.EventLeft).Err(err).Send()
 	return nil
 }
 
-// keepEntry writes the entry whenever the members lack it, until ctx ends.
-func (j *Joiner) keepEntry(ctx context.Context) {
+// keepEntry writes the entry whenever the members lack it, until the daemon leaves, and
+// then removes it.
+func (j *Joiner) keepEntry() {
 	wait := checkInterval
-	for start := time.Now(); timekeeper.Sleep(ctx, wait); {
+	for start := time.Now(); timekeeper.Sleep(j.keep, wait); {
 		wait = checkInterval
 		view := j.Control.Snapshot().View
 		read := view != nil && view.Members != nil
@@ -82,9 +86,20 @@
 		case read && slices.Contains(view.Members, j.Self):
 			j.joined = true
 		case read || time.Since(start) >= readTime:
-			wait = j.write(ctx)
+			wait = j.write(j.keep)
 		}
 	}
+	if j.joined {
+		j.removeEntry()
+	}
+}
+
+// removeEntry removes the entry. The context of the other calls may have ended.
+func (j *Joiner) removeEntry() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	err := j.Source.Leave(ctx, j.Self.ID)
+	j.Log.Info().Str("event", logger.EventLeft).Err(err).Send()
 }
 
 // write writes the entry and returns the time until the next check of the members.
