Read at once what callers need after a restart, and tell private outages from shared ones

Change: a daemon that starts after the first start of the fleet reads the table and the endpoints as they are now. Endpoints are outdated only if the table was confirmed later than they by more than the drain time. Daemons tell each other in both directions of a poll whether their confirmations follow an outage; missing endpoints stay in use if another daemon had the outage too. Intervals of watches follow the shorter of the deployment's drain and apply times, two seconds or more.

--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -71,6 +71,8 @@
 	// MetricsAddr the one on which metrics are served; if MetricsAddr is empty,
 	// metrics are not served.
 	ReadinessAddr, MetricsAddr string
+	// FirstStart is true if the whole fleet starts for the first time, before any traffic.
+	FirstStart bool
 	// StrictRevocation is true if no key may be accepted later than RevocationTime
 	// after its removal.
 	StrictRevocation bool
@@ -78,6 +80,9 @@
 	// DrainTime is how long after the source listed an endpoint as leaving requests may
 	// still reach it.
 	DrainTime time.Duration
+	// ApplyTime is how long after the source accepted a routing table it may not be in
+	// force yet.
+	ApplyTime time.Duration
 	// ShutdownGrace is the time from the start of the shutdown to the end of the
 	// process.
 	ShutdownGrace time.Duration
@@ -113,6 +118,8 @@
 		return nil, err
 	}
 	viewFollower.Peers, viewFollower.Self = peers, b.Self
+	viewFollower.FirstStart = b.FirstStart
+	viewFollower.ChangeBound = min(b.DrainTime, b.ApplyTime)
 	viewFollower.Register()
 	loadBalancer := balancer.New(b.Self.ID, b.Self.Centre, b.Clock)
 	rolloutStager := stager.New(b.Clock, serviceLog(b.Log, "stager"))
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -56,10 +56,15 @@
 	// memberListInterval is the time between two reads of the members meanwhile, as others
 	// may be starting too.
 	memberListInterval = 250 * time.Millisecond
-	// minChangeInterval is the least time between two watches that return changes. In a
-	// large fleet some entry changes at any moment, and each call costs money; endpoints
-	// that leave need to be noticed only within two seconds.
-	minChangeInterval = 250 * time.Millisecond
+	// minChangeInterval is the least time between two watches that return changes, for
+	// minChangeBound. In a large fleet some entry changes at any moment, and each call
+	// costs money.
+	minChangeInterval = 350 * time.Millisecond
+	// minChangeBound is the shortest ChangeBound, and maxBoundFactor how many times as long
+	// intervals may become for a longer one: keys are refused by a table that was not
+	// confirmed for over four seconds, whatever ChangeBound is.
+	minChangeBound = 2 * time.Second
+	maxBoundFactor = 1.6
 	// earlyWatchers is the number of daemons of a data centre that watch the source
 	// themselves as soon as their confirmations are too old. The others learn from these
 	// within lateWatchDelay, or else watch too, so that hundreds of daemons do not call
@@ -77,8 +82,9 @@
 var (
 	// watchTimeouts bound a watch without changes, and so the age of confirmations,
 	// which reaches up to twice as much. Beyond maxAges a daemon that follows another
-	// watches the source itself: tables and leaving endpoints must be noticed within two
-	// seconds, closures and roll-outs within five.
+	// watches the source itself. Both are for minChangeBound, in which tables and leaving
+	// endpoints must then be noticed, and grow with ChangeBound for these topics; closures
+	// and roll-outs must be noticed within five seconds.
 	watchTimeouts = [samphireturn.TopicCount]time.Duration{
 		samphireturn.TopicTable:    800 * time.Millisecond,
 		samphireturn.TopicHosts:    800 * time.Millisecond,
@@ -110,6 +116,12 @@
 	Log   zerolog.Logger
 	// Clock returns a time that counts suspensions too.
 	Clock func() time.Duration
+	// FirstStart is true if the whole fleet starts for the first time, before any traffic.
+	// The follower then waits for others to confirm what it has read.
+	FirstStart bool
+	// ChangeBound is the time in which a change of the table or of the endpoints must be
+	// followed, at least minChangeBound; zero means that.
+	ChangeBound time.Duration
 	// Rand returns a number in [0, 1) for the jitter of retries.
 	Rand func() float64
 
@@ -232,6 +244,29 @@
 	}
 }
 
+// scale lengthens an interval that holds for minChangeBound to one for ChangeBound.
+func (f *Follower) scale(d time.Duration) time.Duration {
+	factor := min(max(float64(f.ChangeBound)/float64(minChangeBound), 1), maxBoundFactor)
+	return time.Duration(factor * float64(d))
+}
+
+// watchTimeout returns the timeout of a watch of a topic without changes.
+func (f *Follower) watchTimeout(t *topic) time.Duration {
+	if t.needsRecent() {
+		return f.scale(watchTimeouts[t.name])
+	}
+	return watchTimeouts[t.name]
+}
+
+// maxAge returns the age of a topic's newest confirmation beyond which this daemon
+// watches the source itself.
+func (f *Follower) maxAge(t *topic) time.Duration {
+	if t.needsRecent() {
+		return f.scale(maxAges[t.name])
+	}
+	return maxAges[t.name]
+}
+
 // backoff returns the wait after a number of failed tries.
 func (f *Follower) backoff(tries int) time.Duration {
 	wait := min(minBackoff<<min(tries, maxDoublings), maxBaseBackoff)
@@ -241,20 +276,23 @@
 
 // nextCall returns the call to the source that is due for a topic. A daemon that starts
 // reads the topics as they were some time ago, which costs less, and looks for a daemon
-// that confirms them and sends it what changed since.
+// that confirms them and sends it what changed since. Only what it needs to serve its
+// callers at once, where traffic has begun, does it read as it is now.
 func (f *Follower) nextCall(t *topic) sourceCall {
 	if f.waitsForTable(t) {
 		return callNone
 	}
 	f.mu.Lock()
 	listed, confirmed, historyGone := t.listed, t.confirmed, t.historyGone
-	starting := f.Peers != nil && !confirmed && f.Clock()-f.startedAt < startTime
+	starting := f.Peers != nil && f.Clock()-f.startedAt < startTime
 	f.mu.Unlock()
 	switch {
-	case starting && !listed && !historyGone:
+	case starting && !listed && (historyGone || t.needsRecent() && !f.FirstStart):
+		return callList
+	case starting && !listed:
 		return callStaleList
 	case starting && !f.firstOfFleet():
-		if t.name == samphireturn.TopicMembers {
+		if t.name == samphireturn.TopicMembers && !confirmed {
 			return callStaleList
 		}
 		return callNone
@@ -281,7 +319,7 @@
 		return true
 	}
 	f.mu.Lock()
-	excess := f.age(t) - maxAges[t.name]
+	excess := f.age(t) - f.maxAge(t)
 	f.mu.Unlock()
 	return excess > lateWatchDelay || excess > 0 && f.rankInCentre() < earlyWatchers
 }
@@ -298,8 +336,8 @@
 // wait before the next call.
 func (f *Follower) callSource(ctx context.Context, t *topic, call sourceCall) (time.Duration, error) {
 	f.mu.Lock()
-	since, wait := t.version, watchTimeouts[t.name]
-	if t.failing || f.age(t) > maxAges[t.name] {
+	since, wait := t.version, f.watchTimeout(t)
+	if t.failing || f.age(t) > f.maxAge(t) {
 		// The confirmation is overdue, so the call must not wait for a change.
 		wait = time.Millisecond
 	}
@@ -324,7 +362,7 @@
 	}
 	f.confirm(t, answer.sent)
 	if call == callList || len(batch.Entries) > 0 {
-		return minChangeInterval, nil
+		return f.scale(minChangeInterval), nil
 	}
 	return 0, nil
 }
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -54,6 +54,16 @@
 		Versions [samphireturn.TopicCount]uint64 `cbor:"1,keyasint"`
 		// Ages are the ages of the sender's confirmations, in milliseconds.
 		Ages [samphireturn.TopicCount]int64 `cbor:"2,keyasint"`
+		// Hosts tells of the sender's confirmations of the endpoints.
+		Hosts continuity `cbor:"3,keyasint"`
+	}
+
+	// continuity tells how long confirmations of a topic have come without an outage.
+	continuity struct {
+		// Unbroken is the time from the first to the newest of them, in milliseconds.
+		Unbroken int64 `cbor:"1,keyasint,omitempty"`
+		// Resumed is true if the first of them followed an outage, and not the start.
+		Resumed bool `cbor:"2,keyasint,omitempty"`
 	}
 
 	// pollReply answers a poll.
@@ -66,10 +76,8 @@
 		Version uint64 `cbor:"1,keyasint"`
 		// Age is the age of the newest confirmation, in milliseconds; negative if there
 		// is none.
-		Age int64 `cbor:"2,keyasint"`
-		// Unbroken is the time from the first to the newest of the confirmations that came
-		// without an outage between them, in milliseconds.
-		Unbroken int64 `cbor:"5,keyasint,omitempty"`
+		Age        int64      `cbor:"2,keyasint"`
+		Continuity continuity `cbor:"5,keyasint"`
 		// Packed holds what the polling daemon lacks, as pack returns it; empty if it has
 		// all up to Version.
 		Packed []byte `cbor:"6,keyasint,omitempty"`
@@ -251,7 +259,7 @@
 	defer f.mu.Unlock()
 	for i := range f.topics {
 		t := &f.topics[i]
-		if t.needsRecent() && t.confirmed && f.age(t) > maxAges[t.name] {
+		if t.needsRecent() && t.confirmed && f.age(t) > f.maxAge(t) {
 			return true
 		}
 	}
@@ -318,6 +326,7 @@
 		}
 		request.Ages[i] = f.age(&f.topics[i]).Milliseconds()
 	}
+	request.Hosts = f.topics[samphireturn.TopicHosts].continuity()
 	f.mu.Unlock()
 	sent := f.Clock()
 	if err := f.Peers.Call(ctx, id, Topic, request, &reply); err != nil {
@@ -332,7 +341,7 @@
 	}
 	for i := range f.topics {
 		t := &f.topics[i]
-		if t.needsRecent() && time.Duration(reply.Topics[i].Age)*time.Millisecond > maxAges[t.name]+staleTolerance {
+		if t.needsRecent() && time.Duration(reply.Topics[i].Age)*time.Millisecond > f.maxAge(t)+staleTolerance {
 			return &samphireturn.Error{Op: "follow " + id, Kind: samphireturn.KindExpired}
 		}
 	}
@@ -354,7 +363,7 @@
 		}
 	}
 	at := sent - time.Duration(s.Age)*time.Millisecond
-	unbrokenSince := at - time.Duration(s.Unbroken)*time.Millisecond
+	unbrokenSince := at - time.Duration(s.Continuity.Unbroken)*time.Millisecond
 	if !t.confirmed || unbrokenSince > t.confirmedAt {
 		f.noteOutage(t, at)
 	}
@@ -367,7 +376,7 @@
 		return nil
 	}
 	f.confirm(t, at)
-	f.endRetention(t, unbrokenSince)
+	f.compareOutage(t, s.Continuity, at)
 	return nil
 }
 
@@ -379,6 +388,8 @@
 		return nil, err
 	}
 	f.mu.Lock()
+	hosts := &f.topics[samphireturn.TopicHosts]
+	f.compareOutage(hosts, request.Hosts, f.Clock()-time.Duration(request.Ages[hosts.name])*time.Millisecond)
 	updated := f.updated
 	changed := f.changedSince(&request)
 	f.mu.Unlock()
@@ -422,7 +433,7 @@
 		s := topicState{Version: t.version, Age: -1}
 		if t.confirmed && t.listed {
 			s.Age = f.age(t).Milliseconds() + 1
-			s.Unbroken = max(0, (t.confirmedAt - t.unbrokenSince).Milliseconds())
+			s.Continuity = t.continuity()
 		}
 		if t.listed && (t.changedVersion > request.Versions[i] || request.Versions[i] == 0) {
 			packed, err := t.packChanges(request.Versions[i])
--- a/internal/fleet/follower/publish.go
+++ b/internal/fleet/follower/publish.go
@@ -101,10 +101,10 @@
 	return func(v *samphireturn.View) { v.Hosts = pools }
 }
 
-// expiredPools returns the pools of which most endpoints are missing after an outage. An
-// outage lets the entries of all endpoints expire, so the missing ones of these pools are
-// likely to be alive; in other pools they are likely to have left, and the rest can do
-// their work until they are listed again.
+// expiredPools returns the pools whose endpoints that are missing after an outage stay in
+// use: all if other daemons had the outage too, as entries expire in it. Otherwise the
+// pools of which most endpoints are missing: in others the missing ones are likely to have
+// left unseen, and the rest can do their work until they are listed again.
 func (t *topic) expiredPools() map[string]bool {
 	missing, all := make(map[string]int), make(map[string]int)
 	for name, e := range t.entries {
@@ -118,7 +118,7 @@
 	}
 	expired := make(map[string]bool)
 	for pool, n := range missing {
-		expired[pool] = 2*n > all[pool]
+		expired[pool] = t.shared || 2*n > all[pool]
 	}
 	return expired
 }
--- a/internal/fleet/follower/topic.go
+++ b/internal/fleet/follower/topic.go
@@ -18,6 +18,9 @@
 	// confirmation before it. unbrokenSince is the first confirmation of those that have
 	// come without an outage between them until now.
 	outageEnd, gapStart, unbrokenSince time.Duration
+	// resumed is true if unbrokenSince follows an outage and not the start, and shared if
+	// another daemon had an outage at the same time as the last one of this daemon.
+	resumed, shared bool
 	// failing is true while this daemon's own calls to the source fail.
 	failing bool
 	// version is the source's version up to which changes are known; changedVersion is
@@ -43,9 +46,10 @@
 // noteOutage records that an answer, to a call made at sent, ends an outage of the
 // source. It must be called before the answer is applied. The caller holds mu.
 func (f *Follower) noteOutage(t *topic, sent time.Duration) {
-	if t.confirmed && sent-t.confirmedAt > MinOutage+watchTimeouts[t.name] {
+	if t.confirmed && sent-t.confirmedAt > MinOutage+f.watchTimeout(t) {
 		t.outageEnd = f.Clock()
 		t.gapStart, t.unbrokenSince = t.confirmedAt, sent
+		t.resumed, t.shared = true, false
 		f.Log.Info().Str("event", logger.EventOutageOver).Stringer("topic", t.name).Dur("away", sent-t.confirmedAt).Send()
 	}
 }
@@ -66,25 +70,40 @@
 	}
 }
 
-// endRetention ends the retention of missing entries if a peer's confirmations, unbroken
-// since the given time, span the gap in this daemon's own: the source was not down, so
-// entries that are missing have left and did not expire. The caller holds mu.
-func (f *Follower) endRetention(t *topic, unbrokenSince time.Duration) {
-	if unbrokenSince > t.gapStart || f.Clock()-t.outageEnd >= MissingRetention {
+// compareOutage compares this daemon's last outage with what another daemon says of its
+// confirmations, after the outage and as long as missing entries are kept for it. If those
+// span this daemon's gap, the source was not down: entries that are missing have left and
+// did not expire. If they have a gap too, it was. The caller holds mu.
+func (f *Follower) compareOutage(t *topic, c continuity, confirmedAt time.Duration) {
+	if !t.resumed || f.Clock()-t.outageEnd >= MissingRetention {
 		return
 	}
-	t.outageEnd = -MissingRetention
-	t.unbrokenSince = unbrokenSince
-	if len(t.missingSince) == 0 {
+	unbrokenSince := confirmedAt - time.Duration(c.Unbroken)*time.Millisecond
+	spans := unbrokenSince <= t.gapStart && confirmedAt > t.gapStart+MinOutage
+	switch {
+	case spans:
+		t.outageEnd = -MissingRetention
+		t.unbrokenSince, t.resumed = unbrokenSince, false
+		for name := range t.missingSince {
+			delete(t.entries, name)
+		}
+		clear(t.missingSince)
+	case c.Resumed && !t.shared && confirmedAt > t.gapStart+MinOutage:
+		t.shared = true
+	default:
 		return
 	}
-	for name := range t.missingSince {
-		delete(t.entries, name)
-	}
-	clear(t.missingSince)
 	f.publish(t)
 }
 
+// continuity returns what this daemon says of its confirmations of the topic.
+func (t *topic) continuity() continuity {
+	if !t.confirmed {
+		return continuity{}
+	}
+	return continuity{Unbroken: max(0, (t.confirmedAt - t.unbrokenSince).Milliseconds()), Resumed: t.resumed}
+}
+
 // needsRecent reports whether the topic needs recent confirmations.
 func (t *topic) needsRecent() bool {
 	return t.name == samphireturn.TopicTable || t.name == samphireturn.TopicHosts
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -38,10 +38,6 @@
 	// are treated as warming up: by then the entry of each endpoint, which is
 	// rewritten about once a second, states its own warm-up time.
 	reopenWarmUp = 1500 * time.Millisecond
-	// minTopicLag is how much older than the table's the confirmation of the endpoints
-	// must be to show that the source answers without confirming the endpoints: each of
-	// the two is confirmed about every 800 ms.
-	minTopicLag = time.Second
 	// Limits that apply unless the routing table sets others.
 	defaultHeaderBytes   = 16 << 10
 	defaultHeaderTimeout = 3 * time.Second
@@ -188,12 +184,11 @@
 func (f *Forwarder) freshForKeys(v *samphireturn.View) bool { return f.tableAge(v) < f.MaxAgeForKeys }
 
 // hostsOutdated reports whether endpoints of a view may have left for longer than
-// MaxHostsAge although the source answers, as the table shows, which was confirmed since.
-// In an outage of the source, in which all daemons have to go on by what they know, it
-// returns false.
+// MaxHostsAge although the source answered, as the table shows, which was confirmed that
+// much later. In an outage of the source, in which all daemons have to go on by what they
+// know, neither is confirmed.
 func (f *Forwarder) hostsOutdated(v *samphireturn.View) bool {
-	age := v.Age(samphireturn.TopicHosts, f.Clock())
-	return age > f.MaxHostsAge && f.tableAge(v) < age-minTopicLag
+	return v.Confirmed[samphireturn.TopicTable]-v.Confirmed[samphireturn.TopicHosts] > f.MaxHostsAge
 }
 
 func (f *Forwarder) serveListener(s *http.Server, l net.Listener) {
