Resume a stream at the release that began it

Cause: each attempt of a request chose its release anew.

Ruled out: keeping other retries at the old release too. Their sessions may have migrated, and would go back.

Change: a stream of which the caller has events goes on at the release that sent them, as long as it has endpoints; one without a session leaves a release under test.

--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -84,6 +84,9 @@
 	lastEventID string
 	// firstByte is the time from the start to the head of the answer.
 	firstByte time.Duration
+	// release is the release of the endpoint whose events the caller received last; empty
+	// before the first.
+	release string
 	// failedHosts are the ids of endpoints that answered with a failure.
 	failedHosts []string
 	// lastErr is the error of the last failed attempt.
@@ -307,8 +310,14 @@
 
 // pick reserves an endpoint, or returns nil.
 func (c *proxyCall) pick() *balancer.Reservation {
-	c.pickRequest.Hosts = c.Stager.Hosts(c.view, c.pool.Name, c.request.Session, c.request.ID)
 	c.pickRequest.LatencyClass = c.latencyClass()
+	if c.release != "" {
+		c.pickRequest.Hosts = c.Stager.ResumeHosts(c.view, c.pool.Name, c.request.Session, c.request.ID, c.release)
+		if reservation := c.Balancer.Pick(&c.pickRequest); reservation != nil {
+			return reservation
+		}
+	}
+	c.pickRequest.Hosts = c.Stager.Hosts(c.view, c.pool.Name, c.request.Session, c.request.ID)
 	reservation := c.Balancer.Pick(&c.pickRequest)
 	if reservation != nil || len(c.failedHosts) == 0 {
 		return reservation
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -195,6 +195,7 @@
 				streaming = true
 				c.writeHead(a)
 			}
+			c.release = a.host.Release
 			if _, err := c.w.Write(pending[:size]); err != nil {
 				a.close()
 				panic(http.ErrAbortHandler)
--- a/internal/forward/stager/stager.go
+++ b/internal/forward/stager/stager.go
@@ -142,6 +142,27 @@
 	return hosts
 }
 
+// ResumeHosts returns the endpoints at which an answer that an endpoint of the given
+// release began may go on: those of that release, unless it is under test and the answer
+// belongs to no session that has migrated to it. If there are none, it returns what Hosts
+// does.
+func (s *Stager) ResumeHosts(v *samphireturn.View, pool, session, id, release string) []*samphireturn.Host {
+	r := v.Rollouts[pool]
+	if r == nil || ended(r.State) || release == r.Release && session != "" {
+		return s.Hosts(v, pool, session, id)
+	}
+	var hosts []*samphireturn.Host
+	for _, h := range v.Hosts[pool] {
+		if !h.Leaving && !v.ClosedCentres[h.Centre] && h.Release != r.Release && (h.Release == release || release == r.Release) {
+			hosts = append(hosts, h)
+		}
+	}
+	if len(hosts) == 0 {
+		return s.Hosts(v, pool, session, id)
+	}
+	return hosts
+}
+
 // selectRelease returns the release that the request must go to, or the one that it
 // must not go to. Both are empty without a roll-out.
 func (s *Stager) selectRelease(v *samphireturn.View, pool, sessionID, id string) (required, excluded string) {
--- a/internal/forward/stager/stager_test.go
+++ b/internal/forward/stager/stager_test.go
@@ -398,3 +398,35 @@
 		c.Check(s.Hosts(cl.view, "llm", "s", "z"), qt.DeepEquals, []*samphireturn.Host{cl.canary}, qt.Commentf("daemon %d", i))
 	}
 }
+
+// TestResumeHosts checks where a stream goes on that breaks off during a roll-out.
+func TestResumeHosts(t *testing.T) {
+	tests := []struct {
+		name, state, session, release string
+		leaving                       bool
+		want                          string
+	}{
+		{"old release", samphireturn.RolloutRunning, "s", "v1", false, "old"},
+		{"old release without a session", samphireturn.RolloutRunning, "", "v1", false, "old"},
+		{"new release, session has migrated", samphireturn.RolloutRunning, "s", "v2", false, "fresh"},
+		{"new release without a session", samphireturn.RolloutRunning, "", "v2", false, "old"},
+		{"old release has left", samphireturn.RolloutRunning, "s", "v1", true, "fresh"},
+		{"done", samphireturn.RolloutDone, "s", "v1", false, "fresh"},
+		{"rolled back", samphireturn.RolloutRolledBack, "", "v2", false, "old"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			cl := newCluster(1)
+			cl.startRollout()
+			cl.view.Rollouts["llm"].State = test.state
+			cl.old.Leaving = test.leaving
+			s := cl.stagers[0]
+			s.Hosts(cl.view, "llm", "", "x")
+			cl.now += duration * 8 / 10
+			hosts := s.ResumeHosts(cl.view, "llm", test.session, "id", test.release)
+			c.Assert(hosts, qt.HasLen, 1)
+			c.Check(hosts[0].ID, qt.Equals, test.want)
+		})
+	}
+}
