Draw the endpoints that are compared for a request

Cause: loads of other daemons are half a second to a second old, and each daemon compared all endpoints by them, so that all daemons sent to the endpoint that looked idle to all.

Ruled out: slow servers (the late sends spread over all of them) and the estimate of a prompt's own time.

Change: those that may have the prompt's prefix cached compete with three endpoints of the data centre and two others, drawn at random.

--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -45,6 +45,10 @@
 	// tieBreakCost scales the random part of a score, which spreads requests over
 	// equal endpoints.
 	tieBreakCost = 0.004
+	// localSamples and remoteSamples are the numbers of endpoints of this data centre and
+	// of others that are drawn for a request.
+	localSamples  = 3
+	remoteSamples = 2
 	// loadReportTTL is how long the load reported by an endpoint or shared by other
 	// daemons counts.
 	loadReportTTL = 2 * time.Second
@@ -172,15 +176,8 @@
 		lowest float64
 	)
 	p := b.preferredHosts(req)
-	for _, h := range req.Hosts {
-		if req.Exclude[h.ID] {
-			continue
-		}
-		e := b.endpoint(h)
-		if e.unreachable || !b.admits(h, e, req, now) {
-			continue
-		}
-		score := b.score(h, e, req, now) + b.prefixCost(h, e, req, p, now)
+	for _, h := range b.sample(req, p, now) {
+		score := b.score(h, b.endpoint(h), req, now) + b.prefixCost(h, b.endpoint(h), req, p, now)
 		if best == nil || score < lowest {
 			best, lowest = h, score
 		}
@@ -191,6 +188,41 @@
 	return b.reserve(best, req, now)
 }
 
+// sample returns the endpoints that compete for a request: those that may have its
+// prefix cached and a few others, drawn at random. The loads that other daemons share are
+// up to a second old; if each daemon compared all endpoints, all would send their
+// requests to the one that looked idle to all of them. The caller holds mu.
+func (b *Balancer) sample(req *Request, p preferred, now time.Duration) []*samphireturn.Host {
+	var sampled, local, remote []*samphireturn.Host
+	for _, h := range req.Hosts {
+		if req.Exclude[h.ID] {
+			continue
+		}
+		e := b.endpoint(h)
+		switch {
+		case e.unreachable || !b.admits(h, e, req, now):
+		case h == p.fleet || h == p.centre || req.PrefixID != "" && e.hasPrefix(req, now):
+			sampled = append(sampled, h)
+		case h.Centre == b.Centre:
+			local = append(local, h)
+		default:
+			remote = append(remote, h)
+		}
+	}
+	sampled = b.draw(sampled, local, localSamples)
+	return b.draw(sampled, remote, remoteSamples)
+}
+
+// draw appends up to n endpoints drawn at random from the given ones, which it reorders.
+func (b *Balancer) draw(sampled, from []*samphireturn.Host, n int) []*samphireturn.Host {
+	for i := range min(n, len(from)) {
+		j := i + int(b.Rand()*float64(len(from)-i))
+		from[i], from[j] = from[j], from[i]
+		sampled = append(sampled, from[i])
+	}
+	return sampled
+}
+
 // reserve counts a request at an endpoint. The caller holds mu.
 func (b *Balancer) reserve(h *samphireturn.Host, req *Request, now time.Duration) *Reservation {
 	e := b.endpoint(h)
