Ask other daemons after an outage whether they had it too

Cause: a daemon that watches the source itself polls nobody, so after an outage it could go on taking it for a gap of its own, and left the endpoints that were missing unused (TestFaultSharedOutage failed in about 1 of 15 runs).

Change: until it knows, it polls three others, as it does while confirmations are overdue. The test asks for the endpoints in the daemon's view and not for where requests went, which is drawn at random now.

--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -231,11 +231,11 @@
 }
 
 // catchUpLoop polls several daemons at the same time whenever the confirmations of a
-// topic that needs recent ones are overdue, until ctx ends.
+// topic that needs recent ones are overdue, and after an outage, until ctx ends.
 func (f *Follower) catchUpLoop(ctx context.Context) {
 	pause := checkInterval
 	for timekeeper.Sleep(ctx, pause) {
-		if !f.overdue() {
+		if !f.asksOthers() {
 			pause = checkInterval
 			continue
 		}
@@ -252,9 +252,9 @@
 	}
 }
 
-// overdue reports whether the confirmations of a topic that needs recent ones are older
-// than maxAges.
-func (f *Follower) overdue() bool {
+// asksOthers reports whether the confirmations of a topic that needs recent ones are
+// overdue, or whether other daemons had the last outage too has to be found out.
+func (f *Follower) asksOthers() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range f.topics {
@@ -263,7 +263,8 @@
 			return true
 		}
 	}
-	return false
+	hosts := &f.topics[samphireturn.TopicHosts]
+	return hosts.resumed && !hosts.shared && f.Clock()-hosts.outageEnd < MissingRetention
 }
 
 // catchUpCandidates returns the daemons to poll while confirmations are overdue: a linked
