Ask at once after an outage whether others had it too

Cause: the rounds in which a daemon polls others while its confirmations are overdue come up to a second apart by the end of an outage, and so did the first that could tell it whether others had the outage too.

Change: rounds are timed apart from the check, and the question is asked at the next one.

--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -231,30 +231,40 @@
 }
 
 // catchUpLoop polls several daemons at the same time whenever the confirmations of a
-// topic that needs recent ones are overdue, and after an outage, until ctx ends.
+// topic that needs recent ones are overdue, at growing intervals, and after an outage as
+// long as it is undecided whether others had it too, until ctx ends.
 func (f *Follower) catchUpLoop(ctx context.Context) {
-	pause := checkInterval
-	for timekeeper.Sleep(ctx, pause) {
-		if !f.asksOthers() {
-			pause = checkInterval
-			continue
+	var next, pause time.Duration
+	for timekeeper.Sleep(ctx, checkInterval) {
+		overdue, undecided := f.overdue(), f.outageUndecided()
+		if !overdue {
+			next, pause = 0, checkInterval
 		}
-		var polls sync.WaitGroup
-		for _, id := range f.catchUpCandidates() {
-			polls.Go(func() {
-				if err := f.pollPeer(ctx, id); err != nil && ctx.Err() == nil {
-					f.Log.Debug().Str("event", logger.EventFollowFailed).Str("peer", id).Err(err).Send()
-				}
-			})
+		if !undecided && (!overdue || f.Clock() < next) {
+			continue
 		}
-		polls.Wait()
+		f.pollCandidates(ctx)
 		pause = min(2*pause, maxCatchUpPause)
+		next = f.Clock() + pause
+	}
+}
+
+// pollCandidates polls the daemons that catchUpCandidates returns at the same time.
+func (f *Follower) pollCandidates(ctx context.Context) {
+	var polls sync.WaitGroup
+	for _, id := range f.catchUpCandidates() {
+		polls.Go(func() {
+			if err := f.pollPeer(ctx, id); err != nil && ctx.Err() == nil {
+				f.Log.Debug().Str("event", logger.EventFollowFailed).Str("peer", id).Err(err).Send()
+			}
+		})
 	}
+	polls.Wait()
 }
 
-// asksOthers reports whether the confirmations of a topic that needs recent ones are
-// overdue, or whether other daemons had the last outage too has to be found out.
-func (f *Follower) asksOthers() bool {
+// overdue reports whether the confirmations of a topic that needs recent ones are older
+// than maxAge.
+func (f *Follower) overdue() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range f.topics {
@@ -263,8 +273,16 @@
 			return true
 		}
 	}
-	hosts := &f.topics[samphireturn.TopicHosts]
-	return hosts.resumed && !hosts.shared && f.Clock()-hosts.outageEnd < MissingRetention
+	return false
+}
+
+// outageUndecided reports whether an outage has just ended for this daemon and no other
+// has told whether it had it too.
+func (f *Follower) outageUndecided() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := &f.topics[samphireturn.TopicHosts]
+	return t.resumed && !t.shared && f.Clock()-t.outageEnd < MissingRetention
 }
 
 // catchUpCandidates returns the daemons to poll while confirmations are overdue: a linked
