--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -307,8 +307,8 @@
 }
 
 // avoid keeps a daemon from being followed after a poll that failed, or was not answered
-// in time, after the given time: for failedAvoidTime if the daemon did not answer or its confirmations were too
-// old, else for unlinkedAvoidTime.
+// in time, after the given time: for failedAvoidTime if the daemon did not answer or its
+// confirmations were too old, else for unlinkedAvoidTime.
 func (f *Follower) avoid(id string, elapsed time.Duration, err error) {
 	f.Log.Info().Str("event", logger.EventFollowFailed).Str("peer", id).Err(err).Send()
 	duration := unlinkedAvoidTime
--- a/internal/fleet/sharer/sharer_test.go
+++ b/internal/fleet/sharer/sharer_test.go
@@ -191,7 +191,7 @@
 }
 
 // TestVerdictReachesAll has one daemon find a release faulty: all daemons of both data
-// centres know within a quarter of a second, with one message for each pair at most.
+// centres know a quarter of a second after its next report, with one message for each pair at most.
 func TestVerdictReachesAll(t *testing.T) {
 	for finder := range 2 * perCentre {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/forward/balancer/herd_test.go
+++ b/internal/forward/balancer/herd_test.go
@@ -111,9 +111,9 @@
 		readTime                  = 100 * time.Millisecond
 		shareInterval             = 600 * time.Millisecond
 		duration                  = 20 * time.Second
-		// maxLate is the share of prompts that may wait for longer than a second: a fifth
+		// maxLate is the share of prompts that may wait for longer than a second: a tenth
 		// of the 5 in 100 answers that may begin late for any reason.
-		maxLate = 0.01
+		maxLate = 0.005
 	)
 	c := qt.New(t)
 	h := newHerd(daemons, engines, centres)
--- a/internal/forward/stager/evidence.go
+++ b/internal/forward/stager/evidence.go
@@ -101,8 +101,8 @@
 	return all, s.changes
 }
 
-// AddEvidence merges the evidence that an instance told and reevaluates the roll-outs. Evidence on a release whose order this
-// daemon has not read yet is kept until it has.
+// AddEvidence merges the evidence that an instance told and reevaluates the roll-outs.
+// Evidence on a release whose order this daemon has not read yet is kept until it has.
 func (s *Stager) AddEvidence(from uint64, evidence []Evidence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
