Reproduce streams that a daemon with a full link breaks off

Streams that the servers go on with are ended after a second of silence, their resumption dials other servers in vain, each dial draws on the retry budget, and the caller's connection is closed in the middle of the answer.

--- a/internal/standin/connector/connector.go
+++ b/internal/standin/connector/connector.go
@@ -1,5 +1,5 @@
 // Package connector is an in-memory network for tests. It connects named
-// addresses by pipes and can refuse, close and black-hole connections.
+// addresses by pipes and can refuse, close, stall and black-hole connections.
 package connector
 
 import (
@@ -23,6 +23,9 @@
 	partitioned func(from, to string) bool
 	refused     func(from, to string) bool
 	blackholed  func(from, to string) bool
+	stalled     func(from, to string) bool
+	// stallEnded is closed when the stall ends.
+	stallEnded chan struct{}
 }
 
 // listener accepts connections to one address.
@@ -44,6 +47,8 @@
 	from, to      string
 	local, remote addr
 	blackholed    *atomic.Bool
+	closed        chan struct{}
+	closeOnce     sync.Once
 }
 
 // Network returns the network's name.
@@ -79,11 +84,14 @@
 		if l == nil || refuse {
 			return nil, errors.Wrapf(ErrRefused, "dial %s", to)
 		}
+		if err := n.waitStall(from, to, ctx.Done()); err != nil {
+			return nil, errors.Wrap(ctx.Err(), "dial "+to)
+		}
 		a, b := net.Pipe()
 		blackholed := new(atomic.Bool)
 		blackholed.Store(n.isBlackholed(from, to))
-		dialEnd := &conn{Conn: a, network: n, from: from, to: to, local: addr(from), remote: addr(to), blackholed: blackholed}
-		listenEnd := &conn{Conn: b, network: n, from: from, to: to, local: addr(to), remote: addr(from), blackholed: blackholed}
+		dialEnd := &conn{Conn: a, network: n, from: from, to: to, local: addr(from), remote: addr(to), blackholed: blackholed, closed: make(chan struct{})}
+		listenEnd := &conn{Conn: b, network: n, from: from, to: to, local: addr(to), remote: addr(from), blackholed: blackholed, closed: make(chan struct{})}
 		select {
 		case l.backlog <- listenEnd:
 		case <-l.done:
@@ -144,6 +152,41 @@
 	return n.blackholed != nil && n.blackholed(from, to)
 }
 
+// Stall delays the data of connections that match, in both directions, and the opening of
+// new ones until the next call of Stall, as on a link that is full. Nothing is lost. A nil
+// match ends the stall.
+func (n *Network) Stall(match func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stallEnded != nil {
+		close(n.stallEnded)
+		n.stallEnded = nil
+	}
+	n.stalled = match
+	if match != nil {
+		n.stallEnded = make(chan struct{})
+	}
+}
+
+// waitStall waits until a connection is not stalled. It returns net.ErrClosed if done is
+// closed before.
+func (n *Network) waitStall(from, to string, done <-chan struct{}) error {
+	for {
+		n.mu.Lock()
+		ended := n.stallEnded
+		stalled := n.stalled != nil && n.stalled(from, to)
+		n.mu.Unlock()
+		if !stalled {
+			return nil
+		}
+		select {
+		case <-ended:
+		case <-done:
+			return net.ErrClosed
+		}
+	}
+}
+
 // CloseOpen closes the open connections that match. New connections are not
 // affected.
 func (n *Network) CloseOpen(match func(from, to string) bool) {
@@ -193,16 +236,20 @@
 // dropped, so that Read blocks until the connection is closed.
 func (c *conn) Read(p []byte) (int, error) { return c.Conn.Read(p) }
 
-// Write writes p, or drops it if the connection is black-holed.
+// Write writes p, later if the connection is stalled, or drops it if it is black-holed.
 func (c *conn) Write(p []byte) (int, error) {
 	if c.blackholed.Load() {
 		return len(p), nil
 	}
+	if err := c.network.waitStall(c.from, c.to, c.closed); err != nil {
+		return 0, err
+	}
 	return c.Conn.Write(p)
 }
 
 // Close closes this end and removes it from the network.
 func (c *conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
 	c.network.mu.Lock()
 	delete(c.network.conns, c)
 	c.network.mu.Unlock()
