Keep attempts while a daemon reaches no endpoint at all

Callers saw streams closed in the middle of the answer, beside changes of a large configuration and nothing else.

Cause: a daemon takes an endpoint for dead that has sent nothing for a second and can't be dialled. If its own link is full that holds for all of them. It ended sound streams, dialled other endpoints in vain for 0.4 s each, drew on the retry budget for each, and closed the callers' connections.

Ruled out: processor time (the log goes on without gaps), a list of endpoints older than the table (no refusal names it).

Change: an attempt is given up for silence only if the daemon has heard from any endpoint within a second, or can dial one and the answer does not go on by itself 0.1 s later. A check that outlives its attempt no longer draws on the budget.

--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -74,6 +74,8 @@
 		mu        sync.Mutex
 		endpoints map[string]*endpoint
 		latencies map[string]*latency
+		// lastActive is when any endpoint last sent anything.
+		lastActive time.Duration
 	}
 
 	// Request describes a request for which Pick chooses an endpoint.
@@ -290,7 +292,7 @@
 // an answer. The caller holds mu.
 func (b *Balancer) applyReport(e *endpoint, meta samphireturn.ResponseMeta) {
 	now := b.Clock()
-	e.lastActive = now
+	e.lastActive, b.lastActive = now, now
 	e.unreachable = false
 	if meta.Slots > 0 {
 		e.reported, e.reportedAt, e.sinceReport = meta.Running+meta.Waiting, now, 0
@@ -304,7 +306,8 @@
 func (b *Balancer) RecordActivity(h *samphireturn.Host) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.endpoint(h).lastActive = b.Clock()
+	b.lastActive = b.Clock()
+	b.endpoint(h).lastActive = b.lastActive
 }
 
 // SilentFor returns the time since an endpoint last sent anything.
@@ -314,6 +317,13 @@
 	return b.Clock() - b.endpoint(h).lastActive
 }
 
+// AllSilentFor returns the time since any endpoint last sent anything.
+func (b *Balancer) AllSilentFor() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Clock() - b.lastActive
+}
+
 // RecordFailure records that an endpoint failed a request. If it is unreachable,
 // Pick does not choose it until MarkReachable or the next answer from it.
 func (b *Balancer) RecordFailure(h *samphireturn.Host, unreachable bool) {
--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"samphireturn"
+	"samphireturn/internal/core/logger"
+	"samphireturn/internal/core/timekeeper"
 	"samphireturn/internal/forward/balancer"
 )
 
@@ -21,6 +24,11 @@
 	// silenceThreshold is how long an endpoint that sends nothing to any request is
 	// assumed to be working; it spans dozens of the endpoint's steps.
 	silenceThreshold = time.Second
+	// maxReachProbes is the number of endpoints that are dialled to find out whether any
+	// can be reached.
+	maxReachProbes = 3
+	// linkSettleTime is how long delayed answers may take to arrive after a link is back.
+	linkSettleTime = 100 * time.Millisecond
 )
 
 // waitLimits bounds the wait for the first bytes of an answer.
@@ -79,26 +87,19 @@
 	return min(max(maxWait-waited, minCheckInterval), maxCheckInterval)
 }
 
-// checkProgress cancels an attempt that makes no progress. Once a stream has begun,
-// an endpoint that still sends to other requests is assumed to work on it too, and
-// the silence of one stream does not end it. An endpoint that is silent to all
-// requests and can't be reached is dead. A daemon that is leaving has too few
-// requests to conclude from their silence that an endpoint does not work.
+// checkProgress cancels an attempt that makes no progress, if the request can go on
+// elsewhere. Once a stream has begun, an endpoint that still sends to other requests is
+// assumed to work on it too, and the silence of one stream does not end it. An endpoint
+// that is silent to all requests and can't be reached is dead. A daemon that is leaving
+// has too few requests to conclude from their silence that an endpoint does not work.
 func (a *attempt) checkProgress() {
 	c := a.call
 	waited := c.Clock() - time.Duration(a.lastRead.Load())
-	maxWait := time.Duration(a.maxWait.Load())
-	silent := waited >= silenceThreshold && c.Balancer.SilentFor(a.host) >= silenceThreshold
-	mayMove := !a.streaming.Load() || silent && !c.leaving.Load()
-	stalled := maxWait > 0 && waited >= maxWait && mayMove
-	if a.maxSilentWait > 0 && waited >= a.maxSilentWait && !a.streaming.Load() && c.Balancer.SilentFor(a.host) >= waited {
-		stalled = true
-	}
-	if !stalled && silent && c.Sender.Probe(a.ctx, a.host) != nil && a.ctx.Err() == nil {
-		c.Balancer.RecordFailure(a.host, true)
-		stalled = true
+	move := a.stalled(waited) && a.canMove()
+	if a.ctx.Err() != nil {
+		return
 	}
-	if stalled && c.budget.TryWithdraw(0) {
+	if move && c.budget.TryWithdraw(0) {
 		c.retryPaid.Store(true)
 		retries.Add("stalled", 1)
 		a.cancel(errStalled)
@@ -107,6 +108,67 @@
 	a.timer.Reset(a.nextCheck(waited))
 }
 
+// stalled reports whether an attempt that has received nothing for the time waited makes
+// no progress.
+func (a *attempt) stalled(waited time.Duration) bool {
+	c := a.call
+	maxWait := time.Duration(a.maxWait.Load())
+	silentFor := c.Balancer.SilentFor(a.host)
+	silent := waited >= silenceThreshold && silentFor >= silenceThreshold
+	mayMove := !a.streaming.Load() || silent && !c.leaving.Load()
+	if maxWait > 0 && waited >= maxWait && mayMove {
+		return true
+	}
+	if a.maxSilentWait > 0 && waited >= a.maxSilentWait && !a.streaming.Load() && silentFor >= waited {
+		return true
+	}
+	if silent && c.Sender.Probe(a.ctx, a.host) != nil && a.ctx.Err() == nil {
+		c.Balancer.RecordFailure(a.host, true)
+		return true
+	}
+	return false
+}
+
+// canMove reports whether an attempt that makes no progress can go on at any endpoint. A
+// daemon that has lately heard from no endpoint at all may have lost its own link: the
+// endpoint then works on, and the attempt is kept until an endpoint can be reached. If the
+// link is back by then, so is the answer.
+func (a *attempt) canMove() bool {
+	c := a.call
+	if c.Balancer.AllSilentFor() < silenceThreshold {
+		return true
+	}
+	lastRead := a.lastRead.Load()
+	if c.reachesAny(a.ctx, c.Stager.Hosts(c.currentView(), c.pool.Name, c.request.Session, c.request.ID)) {
+		return timekeeper.Sleep(a.ctx, linkSettleTime) && a.lastRead.Load() == lastRead
+	}
+	if a.ctx.Err() == nil {
+		c.Log.Info().Str("event", logger.EventAttemptKept).Str("id", c.request.ID).Str("endpoint", a.host.ID).
+			Dur("quiet", c.Balancer.AllSilentFor()).Send()
+	}
+	return false
+}
+
+// reachesAny reports whether any of up to maxReachProbes of the endpoints can be dialled.
+func (c *proxyCall) reachesAny(ctx context.Context, hosts []*samphireturn.Host) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	var probes sync.WaitGroup
+	defer probes.Wait()
+	defer cancel()
+	n := min(len(hosts), maxReachProbes)
+	first := int(c.Rand() * float64(len(hosts)))
+	reached := make(chan bool, n)
+	for i := range n {
+		probes.Go(func() { reached <- c.Sender.Probe(ctx, hosts[(first+i)%len(hosts)]) == nil })
+	}
+	for range n {
+		if <-reached {
+			return true
+		}
+	}
+	return false
+}
+
 // finish stops the checks, cancels the attempt's context and releases its
 // reservation.
 func (a *attempt) finish() {
