Retry at the only endpoint also if it gave no answer

Callers got 502 for a request that may be retried, with attempts and time left, when the only endpoint of its pool closed a connection before the answer.

Cause: only endpoints that answered with a failure were tried again if no other was left; those that failed before stayed excluded for the life of the request.

TestRetryAtOnlyEndpoint, rows "no answer once": 502 before, 200 after; work that may run once is still sent once.

--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -91,7 +91,7 @@
 	// release is the release of the endpoint whose events the caller received last; empty
 	// before the first.
 	release string
-	// failedHosts are the ids of endpoints that answered with a failure.
+	// failedHosts are the ids of endpoints that may have executed the request and failed.
 	failedHosts []string
 	// lastErr is the error of the last failed attempt.
 	lastErr error
@@ -303,6 +303,7 @@
 			}
 			return nil, c.refusal(samphireturn.ReasonEndpointFailed, 0, err)
 		}
+		c.failedHosts = append(c.failedHosts, host.ID)
 	}
 }
 
@@ -340,7 +341,7 @@
 	if reservation != nil || len(c.failedHosts) == 0 {
 		return reservation
 	}
-	// No other endpoint is left: one that answered with a failure may succeed now.
+	// No other endpoint is left: one that failed may succeed now.
 	for _, id := range c.failedHosts {
 		delete(c.pickRequest.Exclude, id)
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -22,6 +22,8 @@
 	FaultFail = "fail"
 	// FaultTruncated closes the connection in the middle of the answer.
 	FaultTruncated = "cut"
+	// FaultReset runs the request and closes the connection before the answer.
+	FaultReset = "reset"
 	// FaultNoAnswer runs the request and never answers.
 	FaultNoAnswer = "mute"
 	// FaultExtra sends a second answer after the right one.
@@ -175,6 +177,8 @@
 	case FaultNoAnswer:
 		s.wait(r, run, time.Hour)
 		panic(http.ErrAbortHandler)
+	case FaultReset:
+		panic(http.ErrAbortHandler)
 	case FaultFail:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
