Check the link before a stream is moved, and pay once for a retry

Callers saw streams closed in the middle of the answer although servers went on with them.

Cause: after a second of silence the endpoint is dialled for up to 0.4 s, and if that fails, the attempt ends, though the answer had begun to arrive meanwhile (18 of 34 such cases of the log) and dials to all others failed too.

Change: a failed dial counts only if nothing has come meanwhile and, for a stream that has begun, only if another endpoint can be dialled. All attempts of a daemon share such a check for half a second, and none is made without a retry in the budget. Requests of which nothing was forwarded are no longer kept: they were held to the deadline. A retry that was not sent pays for the next; waiting streams used up the pool's budget.

--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -27,6 +27,9 @@
 	// maxReachProbes is the number of endpoints that are dialled to find out whether any
 	// can be reached.
 	maxReachProbes = 3
+	// linkCheckTTL is how long the result of such dials is used: a new one is due with each
+	// check of a waiting attempt.
+	linkCheckTTL = maxCheckInterval
 	// linkSettleTime is how long delayed answers may take to arrive after a link is back.
 	linkSettleTime = 100 * time.Millisecond
 )
@@ -54,6 +57,8 @@
 	maxSilentWait time.Duration
 	// resumes is true if the attempt resumes a stream that has begun.
 	resumes bool
+	// kept is true once it was logged that the attempt goes on for want of a link.
+	kept bool
 	// streaming is true once the answer is accepted and its events are forwarded.
 	streaming atomic.Bool
 	// lastRead is when bytes last came, or the start, in nanoseconds of Clock.
@@ -96,87 +101,138 @@
 // has too few requests to conclude from their silence that an endpoint does not work.
 func (a *attempt) checkProgress() {
 	c := a.call
-	waited := c.Clock() - time.Duration(a.lastRead.Load())
-	move := a.stalled(waited) && a.canMove()
-	if a.ctx.Err() != nil {
-		return
-	}
-	if move && c.budget.TryWithdraw(a.retryReserve()) {
-		c.retryPaid.Store(true)
-		retries.Add("stalled", 1)
-		a.cancel(errStalled)
-		return
+	lastRead := a.lastRead.Load()
+	waited := c.Clock() - time.Duration(lastRead)
+	wait := a.nextCheck(waited)
+	if reserve := a.retryReserve(); a.mayBeStalled(waited) && c.budget.Available(reserve) {
+		move := a.mustMove(waited)
+		if a.ctx.Err() != nil {
+			return
+		}
+		if move && a.lastRead.Load() == lastRead && c.budget.TryWithdraw(reserve) {
+			c.retryPaid.Store(true)
+			retries.Add("stalled", 1)
+			a.cancel(errStalled)
+			return
+		}
+		wait = maxCheckInterval
 	}
-	a.timer.Reset(a.nextCheck(waited))
+	a.timer.Reset(wait)
 }
 
-// stalled reports whether an attempt that has received nothing for the time waited makes
-// no progress.
-func (a *attempt) stalled(waited time.Duration) bool {
+// overdue reports whether nothing has come for longer than the limits of the attempt.
+func (a *attempt) overdue(waited time.Duration) bool {
 	c := a.call
 	maxWait := time.Duration(a.maxWait.Load())
-	silentFor := c.Balancer.SilentFor(a.host)
-	silent := waited >= silenceThreshold && silentFor >= silenceThreshold
-	mayMove := !a.streaming.Load() || silent && !c.leaving.Load()
+	mayMove := !a.streaming.Load() || a.silent(waited) && !c.leaving.Load()
 	if maxWait > 0 && waited >= maxWait && mayMove {
 		return true
 	}
-	if a.maxSilentWait > 0 && waited >= a.maxSilentWait && !a.streaming.Load() && silentFor >= waited {
-		return true
+	return a.maxSilentWait > 0 && waited >= a.maxSilentWait && !a.streaming.Load() && c.Balancer.SilentFor(a.host) >= waited
+}
+
+// silent reports whether the endpoint has lately sent nothing to this attempt or any other.
+func (a *attempt) silent(waited time.Duration) bool {
+	return waited >= silenceThreshold && a.call.Balancer.SilentFor(a.host) >= silenceThreshold
+}
+
+// mayBeStalled reports whether the attempt may make no progress.
+func (a *attempt) mayBeStalled(waited time.Duration) bool {
+	return a.overdue(waited) || a.silent(waited)
+}
+
+// mustMove reports whether an attempt that may be stalled has to go on at another
+// endpoint. A stream that has begun is moved only if this daemon's own link works: the
+// silence of one endpoint proves nothing if none sends, and a dial that fails proves
+// nothing if all do.
+func (a *attempt) mustMove(waited time.Duration) bool {
+	c := a.call
+	begun := a.resumes || a.streaming.Load()
+	if a.overdue(waited) {
+		return !begun || c.Balancer.AllSilentFor() < silenceThreshold || a.linkWorks("")
 	}
-	if silent && c.Sender.Probe(a.ctx, a.host) != nil && a.ctx.Err() == nil {
-		c.Balancer.RecordFailure(a.host, true)
-		return true
+	if c.Sender.Probe(a.ctx, a.host) == nil || a.ctx.Err() != nil || c.Balancer.SilentFor(a.host) < silenceThreshold {
+		return false
 	}
-	return false
+	if begun && !a.linkWorks(a.host.ID) {
+		return false
+	}
+	c.Balancer.RecordFailure(a.host, true)
+	return true
 }
 
-// canMove reports whether an attempt that makes no progress can go on at any endpoint. A
-// daemon that has lately heard from no endpoint at all may have lost its own link: the
-// endpoint then works on, and the attempt is kept until an endpoint can be reached. If the
-// link is back by then, so is the answer.
-func (a *attempt) canMove() bool {
+// linkWorks reports whether this daemon reaches any endpoint but the named one.
+func (a *attempt) linkWorks(except string) bool {
 	c := a.call
-	if c.Balancer.AllSilentFor() < silenceThreshold {
-		return true
+	reached := c.reachableHost(a.ctx, c.Stager.Hosts(c.currentView(), c.pool.Name, c.request.Session, c.request.ID))
+	if reached != "" && reached != except {
+		// Answers that were delayed by the link arrive now.
+		return timekeeper.Sleep(a.ctx, linkSettleTime)
 	}
-	lastRead := a.lastRead.Load()
-	if c.reachesAny(a.ctx, c.Stager.Hosts(c.currentView(), c.pool.Name, c.request.Session, c.request.ID)) {
-		return timekeeper.Sleep(a.ctx, linkSettleTime) && a.lastRead.Load() == lastRead
-	}
-	if a.ctx.Err() == nil {
+	if a.ctx.Err() == nil && !a.kept {
+		a.kept = true
 		c.Log.Info().Str("event", logger.EventAttemptKept).Str("id", c.request.ID).Str("endpoint", a.host.ID).
 			Dur("quiet", c.Balancer.AllSilentFor()).Send()
 	}
 	return false
 }
 
-// retryReserve is that of the request, which may have begun with this attempt.
-func (a *attempt) retryReserve() float64 {
-	if a.resumes || a.streaming.Load() {
-		return 0
+// reachableHost returns the id of an endpoint that could be dialled just now, or "" if none
+// of up to maxReachProbes could. All attempts share one result for linkCheckTTL; while one
+// dials, the others get the last.
+func (f *Forwarder) reachableHost(ctx context.Context, hosts []*samphireturn.Host) string {
+	f.linkMu.Lock()
+	last := f.reachedHost
+	due := !f.checkingLink && (f.linkCheckedAt == 0 || f.Clock()-f.linkCheckedAt >= linkCheckTTL)
+	f.checkingLink = f.checkingLink || due
+	f.linkMu.Unlock()
+	if !due {
+		return last
 	}
-	return resumeReserve
+	reached := f.dialAny(ctx, hosts)
+	f.linkMu.Lock()
+	defer f.linkMu.Unlock()
+	f.checkingLink = false
+	if ctx.Err() == nil {
+		f.reachedHost, f.linkCheckedAt = reached, f.Clock()
+	}
+	return reached
 }
 
-// reachesAny reports whether any of up to maxReachProbes of the endpoints can be dialled.
-func (c *proxyCall) reachesAny(ctx context.Context, hosts []*samphireturn.Host) bool {
+// dialAny dials up to maxReachProbes of the endpoints at the same time and returns the id of
+// the first that accepts, or "".
+func (f *Forwarder) dialAny(ctx context.Context, hosts []*samphireturn.Host) string {
 	ctx, cancel := context.WithCancel(ctx)
 	var probes sync.WaitGroup
 	defer probes.Wait()
 	defer cancel()
 	n := min(len(hosts), maxReachProbes)
-	first := int(c.Rand() * float64(len(hosts)))
-	reached := make(chan bool, n)
+	first := int(f.Rand() * float64(len(hosts)))
+	results := make(chan string, n)
 	for i := range n {
-		probes.Go(func() { reached <- c.Sender.Probe(ctx, hosts[(first+i)%len(hosts)]) == nil })
+		probes.Go(func() {
+			h := hosts[(first+i)%len(hosts)]
+			if f.Sender.Probe(ctx, h) != nil {
+				results <- ""
+				return
+			}
+			results <- h.ID
+		})
 	}
 	for range n {
-		if <-reached {
-			return true
+		if id := <-results; id != "" {
+			return id
 		}
 	}
-	return false
+	return ""
+}
+
+// retryReserve is that of the request, which may have begun with this attempt.
+func (a *attempt) retryReserve() float64 {
+	if a.resumes || a.streaming.Load() {
+		return 0
+	}
+	return resumeReserve
 }
 
 // finish stops the checks, cancels the attempt's context and releases its
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -103,6 +103,13 @@
 	budgets map[string]*budgeter.RetryWindow
 	// lastReady is the result of the last readiness check.
 	lastReady atomic.Bool
+	// linkMu guards reachedHost, the id of an endpoint that could be dialled at
+	// linkCheckedAt; empty if none could. linkCheckedAt is zero before the first check.
+	// checkingLink is true while an attempt dials.
+	linkMu        sync.Mutex
+	reachedHost   string
+	linkCheckedAt time.Duration
+	checkingLink  bool
 }
 
 // Run starts the servers and background tasks and returns.
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -259,10 +259,12 @@
 		c.retryPaid.Store(false)
 		c.updateView()
 		if c.hostsOutdated(c.view) {
+			c.retryPaid.Store(c.sends > 0)
 			return nil, c.refusal(samphireturn.ReasonPlatformUnavailable, notReadyRetryAfter, c.lastErr)
 		}
 		reservation := c.pick()
 		if reservation == nil {
+			c.retryPaid.Store(c.sends > 0)
 			return nil, c.refusal(samphireturn.ReasonNoEndpoint, busyRetryAfter, c.lastErr)
 		}
 		host := reservation.Host
@@ -287,7 +289,8 @@
 			continue
 		}
 		if errors.Is(err, errNotExecuted) {
-			if c.begun {
+			if c.resumeWait > 0 {
+				// Each further round asks one endpoint.
 				return nil, c.refusal(samphireturn.ReasonNoEndpoint, busyRetryAfter, err)
 			}
 			continue
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -119,6 +119,9 @@
 	c.resumeWait = min(max(2*c.resumeWait, minResumeWait), maxResumeWait)
 	// Endpoints that could not be reached or were full may take up the stream now.
 	clear(c.pickRequest.Exclude)
+	for _, id := range c.failedHosts {
+		c.pickRequest.Exclude[id] = true
+	}
 	return timekeeper.Sleep(c.ctx, c.resumeWait)
 }
 
--- a/internal/standin/connector/connector.go
+++ b/internal/standin/connector/connector.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -24,6 +25,8 @@
 	refused     func(from, to string) bool
 	blackholed  func(from, to string) bool
 	stalled     func(from, to string) bool
+	slowDials   func(from, to string) bool
+	dialDelay   time.Duration
 	// stallEnded is closed when the stall ends.
 	stallEnded chan struct{}
 }
@@ -87,6 +90,9 @@
 		if err := n.waitStall(from, to, ctx.Done()); err != nil {
 			return nil, errors.Wrap(ctx.Err(), "dial "+to)
 		}
+		if err := n.waitDialDelay(ctx, from, to); err != nil {
+			return nil, errors.Wrap(err, "dial "+to)
+		}
 		a, b := net.Pipe()
 		blackholed := new(atomic.Bool)
 		blackholed.Store(n.isBlackholed(from, to))
@@ -168,6 +174,31 @@
 	}
 }
 
+// DelayDials adds a delay to the opening of connections that match until the next call of
+// DelayDials. A nil match ends it.
+func (n *Network) DelayDials(match func(from, to string) bool, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slowDials, n.dialDelay = match, delay
+}
+
+// waitDialDelay waits for the delay of a dial. It returns the error of ctx if that ends
+// before.
+func (n *Network) waitDialDelay(ctx context.Context, from, to string) error {
+	n.mu.Lock()
+	slow, delay := n.slowDials != nil && n.slowDials(from, to), n.dialDelay
+	n.mu.Unlock()
+	if !slow {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(delay):
+		return nil
+	}
+}
+
 // waitStall waits until a connection is not stalled. It returns net.ErrClosed if done is
 // closed before.
 func (n *Network) waitStall(from, to string, done <-chan struct{}) error {
--- a/internal/traffic/budgeter/window.go
+++ b/internal/traffic/budgeter/window.go
@@ -44,6 +44,24 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.advance()
+	if !w.available(reserved) {
+		return false
+	}
+	now.retries++
+	return true
+}
+
+// Available reports whether TryWithdraw would take a retry now.
+func (w *RetryWindow) Available(reserved float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return w.available(reserved)
+}
+
+// available reports whether the bound allows a retry. The caller holds mu and has called
+// advance.
+func (w *RetryWindow) available(reserved float64) bool {
 	var total partCount
 	oldest := (w.newestPart + 1) % int64(len(w.parts))
 	for i, c := range w.parts {
@@ -54,11 +72,7 @@
 		total.retries += c.retries
 	}
 	limit := w.Share*float64(total.requests) + w.Extra()
-	if float64(total.retries+1) > limit*(1-reserved) {
-		return false
-	}
-	now.retries++
-	return true
+	return float64(total.retries+1) <= limit*(1-reserved)
 }
 
 // advance clears the parts that are older than the window and returns the current one.
