Tell other daemons which endpoints said that they leave

Only the daemon that received the announcement knew of it; the others went on sending until they received one themselves.

The messages between daemons that carry the evidence on releases now also carry the departures that the receiver lacks, counted by the same positions, so that a daemon that restarts or was cut off gets them with its next exchange and each is sent once.

--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -133,7 +133,7 @@
 	}
 	requestForwarder.Balancer, requestForwarder.Stager, requestForwarder.Recorder = loadBalancer, rolloutStager, departures
 	loadSharer := &sharer.Sharer{
-		Peers: peers, Control: k, Balancer: loadBalancer, Stager: rolloutStager, Self: b.Self, Clock: b.Clock,
+		Peers: peers, Control: k, Balancer: loadBalancer, Stager: rolloutStager, Recorder: departures, Self: b.Self, Clock: b.Clock,
 		Log: serviceLog(b.Log, Sharer),
 	}
 	loadSharer.Register()
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -1,5 +1,5 @@
-// Package sharer exchanges the daemons' loads and the outcomes of releases' answers
-// across the fleet.
+// Package sharer exchanges the daemons' loads, the outcomes of releases' answers and the
+// endpoints that announced that they leave across the fleet.
 //
 // In each data centre the first daemon in rank is the aggregator. The other daemons
 // report to it and get the sum of all others back; aggregators exchange the sums of
@@ -21,6 +21,7 @@
 	"samphireturn/internal/core/timekeeper"
 	"samphireturn/internal/fleet/encoder"
 	"samphireturn/internal/fleet/ranker"
+	"samphireturn/internal/fleet/recorder"
 	"samphireturn/internal/forward/balancer"
 	"samphireturn/internal/forward/stager"
 )
@@ -65,23 +66,28 @@
 		// Evidence is what the receiver lacks of the sender's evidence, up to Change.
 		Evidence []stager.Evidence `cbor:"3,keyasint,omitempty"`
 		Change   position          `cbor:"4,keyasint"`
+		// Departures is what the receiver lacks of the sender's departures, up to
+		// Change.Departures.
+		Departures []recorder.Departure `cbor:"7,keyasint,omitempty"`
 		// EvidenceOnly is true if the message has no report.
 		EvidenceOnly bool `cbor:"6,keyasint,omitempty"`
 		// Known is up to where the sender has the receiver's evidence.
 		Known position `cbor:"5,keyasint"`
 	}
 
-	// position is a number of changes to the evidence of one instance of a daemon.
+	// position is a number of changes to the evidence and one of changes to the departures
+	// of one instance of a daemon.
 	position struct {
-		Instance uint64 `cbor:"1,keyasint,omitempty"`
-		Change   uint64 `cbor:"2,keyasint,omitempty"`
+		Instance   uint64 `cbor:"1,keyasint,omitempty"`
+		Change     uint64 `cbor:"2,keyasint,omitempty"`
+		Departures uint64 `cbor:"3,keyasint,omitempty"`
 	}
 
-	// progress is how far the exchange of evidence with a peer has come: the peer's last
-	// change that this daemon has, and this daemon's last change that the peer has.
+	// progress is how far the exchange of evidence and departures with a peer has come: the
+	// peer's last changes that this daemon has, and this daemon's that the peer has.
 	progress struct {
 		received position
-		// sent holds Change as counted by this daemon, for the peer's Instance.
+		// sent holds the changes as counted by this daemon, for the peer's Instance.
 		sent position
 	}
 
@@ -91,6 +97,7 @@
 		Control  samphireturn.Control
 		Balancer *balancer.Balancer
 		Stager   *stager.Stager
+		Recorder *recorder.Recorder
 		Self     samphireturn.VM
 		Log      zerolog.Logger
 		// Clock returns a time that counts suspensions too.
@@ -232,7 +239,7 @@
 	if inFlight {
 		return
 	}
-	s.addEvidence(&m, before.sent)
+	s.addChanges(&m, before.sent)
 	m.Known = before.received
 	s.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, CallTimeout)
@@ -251,6 +258,7 @@
 		}
 		exchanges.Add("done", 1)
 		s.Stager.AddEvidence(reply.Change.Instance, reply.Evidence)
+		s.Recorder.Add(reply.Departures)
 		s.exchanged[id] = before.next(reply.Change, m.Change)
 		if reply.EvidenceOnly {
 			return
@@ -272,6 +280,7 @@
 		return nil, err
 	}
 	s.Stager.AddEvidence(m.Change.Instance, m.Evidence)
+	s.Recorder.Add(m.Departures)
 	s.announceVerdicts("")
 	reply := Message{Centre: s.Self.Centre, EvidenceOnly: m.EvidenceOnly}
 	if !m.EvidenceOnly {
@@ -281,9 +290,9 @@
 	}
 	has := position{Instance: m.Change.Instance}
 	if m.Known.Instance == s.Stager.Instance {
-		has.Change = m.Known.Change
+		has.Change, has.Departures = m.Known.Change, m.Known.Departures
 	}
-	s.addEvidence(&reply, has)
+	s.addChanges(&reply, has)
 	return reply, nil
 }
 
@@ -369,20 +378,21 @@
 	return nil, nil
 }
 
-// addEvidence adds to a message what its receiver lacks: the receiver's instance has this
-// daemon's changes up to has.Change, and what it told itself.
-func (s *Sharer) addEvidence(m *Message, has position) {
+// addChanges adds to a message what its receiver lacks: the receiver's instance has this
+// daemon's changes up to those of has, and what it told itself.
+func (s *Sharer) addChanges(m *Message, has position) {
 	m.Change.Instance = s.Stager.Instance
 	m.Evidence, m.Change.Change = s.Stager.Evidence(has.Change, has.Instance)
+	m.Departures, m.Change.Departures = s.Recorder.Since(has.Departures)
 }
 
-// next returns the progress after an exchange in which this daemon sent its evidence up
-// to the change sent, and received the peer's up to received. If the peer is another
+// next returns the progress after an exchange in which this daemon sent its changes up to
+// sent, and received the peer's up to received. If the peer is another
 // instance than before, it lacks all that was sent to the earlier one.
 func (p progress) next(received, sent position) progress {
 	next := progress{received: received, sent: position{Instance: received.Instance}}
 	if received.Instance == p.sent.Instance {
-		next.sent.Change = sent.Change
+		next.sent.Change, next.sent.Departures = sent.Change, sent.Departures
 	}
 	return next
 }
--- a/internal/fleet/sharer/sharer_test.go
+++ b/internal/fleet/sharer/sharer_test.go
@@ -13,6 +13,7 @@
 
 	"samphireturn"
 	"samphireturn/internal/fleet/encoder"
+	"samphireturn/internal/fleet/recorder"
 	"samphireturn/internal/fleet/sharer"
 	"samphireturn/internal/forward/balancer"
 	"samphireturn/internal/forward/stager"
@@ -43,6 +44,7 @@
 		id       string
 		handlers map[string]samphireturn.Handler
 		stager   *stager.Stager
+		recorder *recorder.Recorder
 		sharer   *sharer.Sharer
 		view     *samphireturn.View
 	}
@@ -114,8 +116,9 @@
 		Rollouts: map[string]*samphireturn.Rollout{pool: {Pool: pool, Release: release, Duration: time.Minute, Version: 1}},
 	}
 	d.stager.Hosts(d.view, pool, "", "x")
+	d.recorder = recorder.New(d, clock, zerolog.Nop())
 	d.sharer = &sharer.Sharer{
-		Peers: d, Control: d, Balancer: balancer.New(vm.ID, vm.Centre, clock), Stager: d.stager, Self: vm, Clock: clock, Log: zerolog.Nop(),
+		Peers: d, Control: d, Balancer: balancer.New(vm.ID, vm.Centre, clock), Stager: d.stager, Recorder: d.recorder, Self: vm, Clock: clock, Log: zerolog.Nop(),
 	}
 	d.sharer.Register()
 	_ = d.sharer.Run(context.Background())
@@ -213,3 +216,38 @@
 		})
 	}
 }
+
+// TestDepartureReachesAll has endpoints announce their leaving to one daemon after another,
+// while daemons restart, are cut off and come back, aggregators included: in the end each
+// daemon knows of all.
+func TestDepartureReachesAll(t *testing.T) {
+	for first := range 2 * perCentre {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			fl := newFleet()
+			for _, vm := range fl.members {
+				fl.start(vm)
+			}
+			for step := range 2 * perCentre {
+				victim := fl.members[(first+3*step)%len(fl.members)]
+				receiver := fl.members[(first+step)%len(fl.members)]
+				fl.daemons[receiver.ID].recorder.Record(&samphireturn.Host{ID: fmt.Sprint("h", step)})
+				time.Sleep(2 * time.Second)
+				if step%2 == 0 {
+					fl.stop(victim.ID)
+					fl.start(victim)
+					continue
+				}
+				fl.cut[victim.ID] = true
+				time.Sleep(time.Second)
+				delete(fl.cut, victim.ID)
+			}
+			time.Sleep(4 * time.Second)
+			for _, vm := range fl.members {
+				departures, _ := fl.daemons[vm.ID].recorder.Since(0)
+				c.Check(departures, qt.HasLen, 2*perCentre, qt.Commentf("daemon %s, first victim %d", vm.ID, first))
+				fl.stop(vm.ID)
+			}
+		})
+	}
+}
