Keep to the pauses that endpoints ask for

An endpoint that turns a request away with 503 may say for how long it wants no other. Nothing read that: such an answer counted as a failure, whose weight in the choice of the endpoint is gone after some seconds, and an endpoint that is the last of its pool was asked again by each request.

The balancer now keeps all requests from the endpoint until the time is over, by the head of any answer of status 503 on a connection to it. The end is spread by a jitter that is drawn once for each pause, since the greatest of many draws would be much the same at all daemons; then two requests in flight try until one is run. A pause belongs to the instance of the endpoint, is known to this daemon alone, and is no failure: it does not count in the choice, nor for or against a release. The endpoint is not probed meanwhile. A time over an hour is cut to an hour, and what is no time in seconds is ignored; both are logged.

Where all endpoints that can be reached are paused, the caller is refused at once and told to come back after the first end, the more urgent ones earlier, as there is no queue. A request that was turned away and goes to another endpoint still draws on the budget of retries: the platform counts arrivals that a server rejects.

--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -23,6 +23,9 @@
 	EventEscalationSkipped = "kept"
 	EventEndpointReached   = "endpoint_reached"
 	EventEndpointLeaving   = "endpoint_leaving"
+	EventPaused            = "paused"
+	EventPauseIgnored      = "pause_ignored"
+	EventPauseOver         = "pause_over"
 	EventTable             = "table"
 	EventTableIgnored      = "table_ignored"
 	EventHosts             = "hosts"
@@ -78,6 +81,9 @@
 	{EventEscalationSkipped, "id, route, reason, confidence, step, left, need", "an answer of low confidence is passed on: no_budget if the remaining retries are reserved for failures, no_time if a larger model needs more time than is left"},
 	{EventEndpointReached, "endpoint, centre", "an endpoint that was unreachable can be reached again"},
 	{EventEndpointLeaving, "endpoint, started, heard", "an endpoint announced in an answer, here or, if heard, to another daemon, that it leaves; when its instance started"},
+	{EventPaused, "endpoint, centre, asked, length, end, bounded", "an endpoint turned a request away and asked for no others for a time; the time until this daemon tries it again, with its jitter, and whether the time asked for exceeded the bound"},
+	{EventPauseIgnored, "endpoint, value", "an endpoint asked for a pause by a value that is no time in seconds"},
+	{EventPauseOver, "endpoint, centre", "an endpoint ran a request after its pause, so all requests may go there again"},
 	{EventTable, "version, routes, source_version", "a routing table came into force"},
 	{EventTableIgnored, "version, in_force", "a routing table older than the one in force was ignored"},
 	{EventHosts, "hosts, leaving, lapsed, source_version", "the list of endpoints changed"},
--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -26,6 +26,13 @@
 	OutcomeCallerLeft = "left"
 )
 
+// Values of the label outcome of pauses.
+const (
+	PauseBegun   = "begun"
+	PauseBounded = "bounded"
+	PauseIgnored = "ignored"
+)
+
 // durationBuckets are the upper bounds of all histograms in seconds. They range from
 // a short plain request to a long stream.
 var durationBuckets = []float64{.005, .01, .025, .05, .1, .2, .3, .5, 1, 2, 4, 8, 16, 30}
@@ -40,6 +47,7 @@
 	sourceCalls    = newHistogramVec("samphireturn_source_seconds", "Calls to the source of tables, endpoints and members.", "topic", "outcome")
 
 	departures = newCounterVec("samphireturn_departures_total", "Endpoints that announced in an answer that they leave, by who received it.", "source")
+	pauses     = newCounterVec("samphireturn_pauses_total", "Pauses that endpoints asked for by outcome.", "outcome")
 
 	routeLabels = &labelValues{known: make(map[string]bool)}
 )
@@ -113,6 +121,9 @@
 	departures.WithLabelValues(source).Inc()
 }
 
+// CountPause counts a pause that an endpoint asked for, by one of the Pause constants.
+func CountPause(outcome string) { pauses.WithLabelValues(outcome).Inc() }
+
 // Handler returns a handler that serves the Prometheus metrics at /metrics and the
 // expvar variables at /debug/vars.
 func Handler() http.Handler {
--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -130,6 +130,8 @@
 		promptTime time.Duration
 		headSeen   bool
 		done       bool
+		// trial is the number of the pause after which the request is a trial, or 0.
+		trial int
 	}
 
 	// endpoint is the state of one endpoint.
@@ -157,6 +159,9 @@
 		warmUpUntil, nextWarmUpSend time.Duration
 		// announcedWarmUp is the last WarmUpLeft applied from the endpoint's entry.
 		announcedWarmUp time.Duration
+		pause           pause
+		// started is Host.Started of the last known instance, to which the pause belongs.
+		started int64
 	}
 )
 
@@ -175,7 +180,7 @@
 		best   *samphireturn.Host
 		lowest float64
 	)
-	p := b.preferredHosts(req)
+	p := b.preferredHosts(req, now)
 	for _, h := range b.sample(req, p, now) {
 		score := b.score(h, b.endpoint(h), req, now) + b.prefixCost(h, b.endpoint(h), req, p, now)
 		if best == nil || score < lowest {
@@ -200,7 +205,7 @@
 		}
 		e := b.endpoint(h)
 		switch {
-		case e.unreachable || !b.admits(h, e, req, now):
+		case e.unreachable || !e.pause.admits(now) || !b.admits(h, e, req, now):
 		case h == p.fleet || h == p.centre || req.PrefixID != "" && e.hasPrefix(req, now):
 			sampled = append(sampled, h)
 		case h.Centre == b.Centre:
@@ -234,6 +239,7 @@
 	e.local.MemoryTokens += req.MemoryTokens
 	e.local.Backlog += r.promptTime.Microseconds()
 	e.sinceReport++
+	r.trial = e.pause.startTrial()
 	if req.PrefixID != "" {
 		if e.prefixSent == nil {
 			e.prefixSent = make(map[uint64]time.Duration)
@@ -248,17 +254,20 @@
 }
 
 // ObserveHead records that the head of the answer arrived, and the load that the
-// endpoint reported in it.
-func (r *Reservation) ObserveHead(meta samphireturn.ResponseMeta) {
+// endpoint reported in it. It reports whether the answer ended the endpoint's trial after
+// a pause.
+func (r *Reservation) ObserveHead(meta samphireturn.ResponseMeta) (trialEnded bool) {
 	b := r.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.endpoint(r.Host)
-	if !r.headSeen && !r.done && !meta.NotExecuted {
+	accepted := !meta.NotExecuted && meta.Pause == 0
+	if !r.headSeen && !r.done && accepted {
 		b.observeHead(&r.request, b.uncachedTokens(e, &r.request, r.sentAt), b.Clock()-r.sentAt, e)
 	}
 	r.clearBacklog(e)
 	b.applyReport(e, meta)
+	return accepted && e.pause.endTrial(r.sentAt)
 }
 
 // clearBacklog removes the request's prompt from the backlog, once. The caller
@@ -284,6 +293,7 @@
 	e.local.Requests--
 	e.local.MemoryTokens -= r.request.MemoryTokens
 	e.sinceReport--
+	e.pause.finishTrial(r.trial)
 }
 
 // applyReport applies the load and the warm-up time that an endpoint reported in
@@ -397,8 +407,8 @@
 	}
 }
 
-// Retain forgets endpoints that are no longer listed and have no load of this
-// daemon.
+// Retain forgets endpoints that are no longer listed, have no load of this daemon and
+// are not paused.
 func (b *Balancer) Retain(pools map[string][]*samphireturn.Host) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -408,21 +418,27 @@
 			listed[h.ID] = true
 		}
 	}
+	now := b.Clock()
 	for id, e := range b.endpoints {
-		if !listed[id] && e.local == (Load{}) {
+		if !listed[id] && e.local == (Load{}) && !e.pause.active(now) {
 			delete(b.endpoints, id)
 		}
 	}
 }
 
 // endpoint returns the state of an endpoint, created on first use, and applies a
-// newly announced warm-up time. The caller holds mu.
+// newly announced warm-up time. A pause ends with the instance that asked for it. The
+// caller holds mu.
 func (b *Balancer) endpoint(h *samphireturn.Host) *endpoint {
 	e := b.endpoints[h.ID]
 	if e == nil {
 		e = &endpoint{lastActive: b.Clock()}
 		b.endpoints[h.ID] = e
 	}
+	if h.Started > e.started {
+		e.started = h.Started
+		e.pause.until, e.pause.onTrial = 0, false
+	}
 	if h.WarmUpLeft > 0 && e.announcedWarmUp != h.WarmUpLeft {
 		e.announcedWarmUp = h.WarmUpLeft
 		e.warmUpUntil = max(e.warmUpUntil, b.Clock()+h.WarmUpLeft)
@@ -475,13 +491,13 @@
 }
 
 // preferredHosts returns the preferred endpoints for a request's prefix.
-func (b *Balancer) preferredHosts(req *Request) (p preferred) {
+func (b *Balancer) preferredHosts(req *Request, now time.Duration) (p preferred) {
 	if req.PrefixID == "" {
 		return p
 	}
 	var fleetWeight, centreWeight float64
 	for _, h := range req.Hosts {
-		if req.Exclude[h.ID] || b.endpoint(h).unreachable {
+		if e := b.endpoint(h); req.Exclude[h.ID] || e.unreachable || e.pause.active(now) {
 			continue
 		}
 		weight := rendezvousWeight(req.PrefixID, h.ID)
--- a/internal/forward/forwarder/answer.go
+++ b/internal/forward/forwarder/answer.go
@@ -58,7 +58,7 @@
 	c.executions++
 	c.executed = samphireturn.ExecutedYes
 	if a.Status >= http.StatusInternalServerError {
-		c.Balancer.RecordFailure(a.host, false)
+		c.recordFailure(a, false)
 	}
 	buffered, err := io.ReadAll(io.LimitReader(a, retryBufferSize))
 	if err != nil {
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -241,10 +241,35 @@
 	if meta.Leaving && !meta.Misdirected {
 		f.Recorder.Record(h)
 	}
+	if meta.MalformedPause != "" {
+		meter.CountPause(meter.PauseIgnored)
+		f.Log.Warn().Str("event", logger.EventPauseIgnored).Str("endpoint", h.ID).Str("value", meta.MalformedPause).Send()
+	}
+	if meta.Pause > 0 {
+		f.pause(h, meta.Pause)
+	}
+}
+
+// pause keeps requests from an endpoint for the time that it asked for.
+func (f *Forwarder) pause(h *samphireturn.Host, asked time.Duration) {
+	left, changed := f.Balancer.Pause(h, asked)
+	if !changed {
+		return
+	}
+	bounded := asked > balancer.MaxPause
+	if bounded {
+		meter.CountPause(meter.PauseBounded)
+	} else {
+		meter.CountPause(meter.PauseBegun)
+	}
+	f.Log.Info().Str("event", logger.EventPaused).Str("endpoint", h.ID).Str("centre", h.Centre).Dur("asked", asked).Dur("length", left).
+		Time("end", time.Now().Add(left)).Bool("bounded", bounded).Send()
 }
 
 // mayProbe reports whether an endpoint may be probed.
-func (f *Forwarder) mayProbe(v *samphireturn.View, h *samphireturn.Host) bool { return !v.Leaving(h) }
+func (f *Forwarder) mayProbe(v *samphireturn.View, h *samphireturn.Host) bool {
+	return !v.Leaving(h) && !f.Balancer.Paused(h)
+}
 
 // probeUnreachable probes the unreachable endpoints, so that no request has to be
 // spent on finding out whether they are back.
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -33,6 +33,9 @@
 	busyRetryAfter = 500 * time.Millisecond
 	// retryAfterJitter is the width of the jitter as a share of Retry-After.
 	retryAfterJitter = 0.5
+	// returnSpreadShare is the share of the time left of a pause over which callers come
+	// back after it, if that is more than busyRetryAfter.
+	returnSpreadShare = 0.25
 	// extraUnexecutedSends bounds the sends beyond the route's MaxAttempts, which
 	// are possible when endpoints did not execute the request.
 	extraUnexecutedSends = 2
@@ -259,7 +262,7 @@
 		}
 		reservation := c.pick()
 		if reservation == nil {
-			return nil, c.refusal(samphireturn.ReasonNoEndpoint, busyRetryAfter, c.lastErr)
+			return nil, c.noEndpointRefusal()
 		}
 		host := reservation.Host
 		silentFor := c.Balancer.SilentFor(host)
@@ -373,19 +376,29 @@
 	}
 	a.Response = response
 	meter.CountAttempt(c.route.Name, c.sends+1, "answered")
-	if !response.Meta.NotExecuted {
+	if !response.Meta.NotExecuted && response.Meta.Pause == 0 {
 		meter.ObserveFirstResponse(c.route.Name, c.Clock()-c.start)
 		c.Stager.RecordAnswer(host, c.latencyClass(), response.Status >= http.StatusInternalServerError, c.Clock()-sent)
 	}
-	reservation.ObserveHead(response.Meta)
+	if reservation.ObserveHead(response.Meta) {
+		c.Log.Info().Str("event", logger.EventPauseOver).Str("endpoint", host.ID).Str("centre", host.Centre).Send()
+	}
 	if response.Meta.NotExecuted {
 		a.close()
-		c.Balancer.RecordFailure(host, response.Meta.Misdirected)
+		c.recordFailure(a, response.Meta.Misdirected)
 		return nil, errNotExecuted
 	}
 	return a, nil
 }
 
+// recordFailure records that the endpoint of an attempt failed it, unless its answer only
+// asks for a pause.
+func (c *proxyCall) recordFailure(a *attempt, unreachable bool) {
+	if a.Meta.Pause == 0 {
+		c.Balancer.RecordFailure(a.host, unreachable)
+	}
+}
+
 // recordBrokenAnswer counts an answer that did not arrive or broke off, unless the
 // caller left.
 func (c *proxyCall) recordBrokenAnswer(h *samphireturn.Host) {
@@ -424,6 +437,21 @@
 	return c.refusal(samphireturn.ReasonDeadline, busyRetryAfter, context.Cause(c.ctx))
 }
 
+// noEndpointRefusal returns the refusal of a request for which no endpoint is left. If all
+// that can be reached are paused, the caller is asked to come back after the first end.
+// More urgent requests come back earlier, as there is no queue.
+func (c *proxyCall) noEndpointRefusal() *samphireturn.Refusal {
+	left, ok := c.Balancer.PausedFor(&c.pickRequest)
+	if !ok {
+		return c.refusal(samphireturn.ReasonNoEndpoint, busyRetryAfter, c.lastErr)
+	}
+	urgency := float64(min(max(c.priority, 0), maxPriority)) / (maxPriority + 1)
+	spread := max(busyRetryAfter, time.Duration(returnSpreadShare*float64(left)))
+	left += time.Duration((urgency + c.Rand()) / 2 * float64(spread))
+	// Encoded times are rounded, and none may end early.
+	return c.refusal(samphireturn.ForwardPaused, left.Truncate(time.Millisecond)+time.Millisecond, c.lastErr)
+}
+
 // refusal returns a refusal that says whether the request may have been executed.
 func (c *proxyCall) refusal(reason string, retryAfter time.Duration, err error) *samphireturn.Refusal {
 	r := refusal(reason, retryAfter, err)
@@ -440,8 +468,11 @@
 func (c *proxyCall) refuse(refusal *samphireturn.Refusal) {
 	refusals.Add(refusal.Reason, 1)
 	meter.CountRefusal(refusal.Reason)
-	// Callers that are refused together must not retry together.
-	refusal.RetryAfter = time.Duration((1 - retryAfterJitter/2 + retryAfterJitter*c.Rand()) * float64(refusal.RetryAfter))
+	// Callers that are refused together must not retry together. The time left of a pause
+	// includes a jitter.
+	if refusal.Reason != samphireturn.ForwardPaused {
+		refusal.RetryAfter = c.jitter(refusal.RetryAfter)
+	}
 	// A body that comes too late cancels the request's context too, but its caller
 	// still waits for the answer.
 	if c.r.Context().Err() != nil && refusal.Reason != samphireturn.ForwardRequestSlow {
@@ -464,6 +495,11 @@
 	c.CallerProtocol.WriteError(c.w, c.request, refusal)
 }
 
+// jitter returns a time that differs at random from d.
+func (c *proxyCall) jitter(d time.Duration) time.Duration {
+	return time.Duration((1 - retryAfterJitter/2 + retryAfterJitter*c.Rand()) * float64(d))
+}
+
 // writeHead writes the head of an answer to the caller.
 func (c *proxyCall) writeHead(a *attempt) {
 	c.firstByte = c.Clock() - c.start
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -97,7 +97,7 @@
 // abandonAttempt ends a failed attempt before the next one.
 func (c *proxyCall) abandonAttempt(a *attempt, err error) {
 	a.close()
-	c.Balancer.RecordFailure(a.host, false)
+	c.recordFailure(a, false)
 	c.excludeHost(a.host, err)
 	retries.Add("resumed", 1)
 	c.Log.Info().Str("event", logger.EventResumed).Str("id", c.request.ID).Str("endpoint", a.host.ID).Str("last", c.lastEventID).
--- a/internal/forward/sender/sender_test.go
+++ b/internal/forward/sender/sender_test.go
@@ -181,3 +181,39 @@
 		})
 	}
 }
+
+// TestOnAnswer checks that the head of each answer that an endpoint sends is told, also of
+// answers to other requests.
+func TestOnAnswer(t *testing.T) {
+	tests := []struct {
+		name, answers string
+		want          []string
+	}{
+		{"one", answer("r1", "one"), []string{"h r1"}},
+		{"stray answer first", answer("r0", "old") + answer("r1", "one"), []string{"h r0", "h r1"}},
+		{"only a stray answer", answer("r0", "old") + "!", []string{"h r0"}},
+		{"no id", answer("", "one"), []string{"h "}},
+		{"interim answer", "HTTP/1.1 103 Early Hints\r\nId: r1\r\n\r\n" + answer("r1", "one"), []string{"h r1"}},
+		{"none", "!!", nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				e := &endpoint{scripts: []script{{test.answers}}}
+				var got []string
+				s := &sender.Sender{EndpointProtocol: testProtocol{}, Dial: e.dial, OnAnswer: func(h *samphireturn.Host, meta samphireturn.ResponseMeta) {
+					got = append(got, h.ID+" "+meta.ID)
+				}}
+				response, err := s.Send(context.Background(), &sender.Call{
+					Host: &samphireturn.Host{ID: "h", Addr: "h:80"}, ID: "r1", Method: "GET", Target: "/", Authority: "site", Header: http.Header{},
+				})
+				if err == nil {
+					c.Check(response.Body.Close(), qt.IsNil)
+				}
+				c.Check(got, qt.DeepEquals, test.want)
+				c.Check(s.Close(), qt.IsNil)
+			})
+		})
+	}
+}
--- a/internal/forward/stager/stager_test.go
+++ b/internal/forward/stager/stager_test.go
@@ -403,16 +403,20 @@
 func TestResumeHosts(t *testing.T) {
 	tests := []struct {
 		name, state, session, release string
-		leaving                       bool
-		want                          string
+		// leaving is the endpoint whose entry says that it leaves, departed the one that
+		// announced it.
+		leaving, departed string
+		want              string
 	}{
-		{"old release", samphireturn.RolloutRunning, "s", "v1", false, "old"},
-		{"old release without a session", samphireturn.RolloutRunning, "", "v1", false, "old"},
-		{"new release, session has migrated", samphireturn.RolloutRunning, "s", "v2", false, "fresh"},
-		{"new release without a session", samphireturn.RolloutRunning, "", "v2", false, "old"},
-		{"old release has left", samphireturn.RolloutRunning, "s", "v1", true, "fresh"},
-		{"done", samphireturn.RolloutDone, "s", "v1", false, "fresh"},
-		{"rolled back", samphireturn.RolloutRolledBack, "", "v2", false, "old"},
+		{"old release", samphireturn.RolloutRunning, "s", "v1", "", "", "old"},
+		{"old release without a session", samphireturn.RolloutRunning, "", "v1", "", "", "old"},
+		{"new release, session has migrated", samphireturn.RolloutRunning, "s", "v2", "", "", "fresh"},
+		{"new release without a session", samphireturn.RolloutRunning, "", "v2", "", "", "old"},
+		{"old release has left", samphireturn.RolloutRunning, "s", "v1", "old", "", "fresh"},
+		{"old release has announced it", samphireturn.RolloutRunning, "s", "v1", "", "old", "fresh"},
+		{"new release has announced it", samphireturn.RolloutRunning, "s", "v2", "", "fresh", "old"},
+		{"done", samphireturn.RolloutDone, "s", "v1", "", "", "fresh"},
+		{"rolled back", samphireturn.RolloutRolledBack, "", "v2", "", "", "old"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -420,7 +424,9 @@
 			cl := newCluster(1)
 			cl.startRollout()
 			cl.view.Rollouts["llm"].State = test.state
-			cl.old.Leaving = test.leaving
+			cl.old.Leaving = test.leaving == "old"
+			cl.view.Departures = new(samphireturn.Departures)
+			cl.view.Departures.Replace(map[string]int64{test.departed: 0})
 			s := cl.stagers[0]
 			s.Hosts(cl.view, "llm", "", "x")
 			cl.now += duration * 8 / 10
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -67,6 +67,9 @@
 	KeepAliveSeconds int
 	// Leaving, if not nil, reports whether answers announce that the server leaves.
 	Leaving func() bool
+	// RetryAfter, if not nil, returns the value of the header Retry-After of answers with
+	// status 503, "" for none.
+	RetryAfter func() string
 
 	mu        sync.Mutex
 	runs      []Run
@@ -129,7 +132,7 @@
 		run.NotExecuted = true
 		s.record(run)
 		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		s.writeUnavailable(w)
 		if !full {
 			s.release()
 		}
@@ -184,7 +187,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	case FaultBusy:
-		w.WriteHeader(http.StatusServiceUnavailable)
+		s.writeUnavailable(w)
 		return
 	case FaultEncoded:
 		h.Set("Content-Encoding", "gzip")
@@ -210,6 +213,16 @@
 	}
 }
 
+// writeUnavailable writes the head of an answer with status 503.
+func (s *Worker) writeUnavailable(w http.ResponseWriter) {
+	if s.RetryAfter != nil {
+		if value := s.RetryAfter(); value != "" {
+			w.Header().Set("Retry-After", value)
+		}
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // writeStream sends numbered events, beginning after the last one that the caller
 // received.
 func (s *Worker) writeStream(w http.ResponseWriter, r *http.Request, run Run, fault string) {
--- a/refusal.go
+++ b/refusal.go
@@ -44,6 +44,9 @@
 	ForwardNoRoute = "no_route"
 	// ForwardRequestSlow means that the request's body did not arrive in time.
 	ForwardRequestSlow = "request_slow"
+	// ForwardPaused means that all endpoints that can be reached asked for no requests for
+	// a time.
+	ForwardPaused = "endpoints_paused"
 )
 
 // Refusal is an error that is reported to the caller.
--- a/relay.go
+++ b/relay.go
@@ -278,6 +278,10 @@
 		// Leaving is true if the endpoint announced that it leaves. If Misdirected is
 		// true, that is said by another endpoint than the one asked for.
 		Leaving bool
+		// Pause is how long the endpoint asks this daemon for no requests; zero if it does
+		// not. MalformedPause is what it sent instead of a time, if anything.
+		Pause          time.Duration
+		MalformedPause string
 	}
 
 	// EndpointProtocol encodes requests to endpoints and decodes their answers.
