Guard the cuts of the sharer's test fleet

The race detector reported that the tests wrote the set of cut daemons while calls read it, in TestEvidenceReachesAll since it is there. The set is written under the lock that guards its reads; what the tests check is unchanged. go test -race -count=1 ./internal/fleet/sharer passes now.

--- a/internal/fleet/sharer/sharer_test.go
+++ b/internal/fleet/sharer/sharer_test.go
@@ -134,6 +134,13 @@
 	_ = d.sharer.Close()
 }
 
+// setCut cuts a daemon off from all others, or links it again.
+func (fl *fleet) setCut(id string, cut bool) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.cut[id] = cut
+}
+
 // answer counts answers of the new release at a daemon, of which some fail.
 func (fl *fleet) answer(id string, answers, failed int) {
 	h := &samphireturn.Host{ID: "new", Pool: pool, Release: release}
@@ -178,11 +185,11 @@
 					fl.start(victim)
 					continue
 				}
-				fl.cut[victim.ID] = true
+				fl.setCut(victim.ID, true)
 				fl.answer(victim.ID, 1, 0)
 				want++
 				time.Sleep(3 * time.Second)
-				delete(fl.cut, victim.ID)
+				fl.setCut(victim.ID, false)
 			}
 			time.Sleep(4 * time.Second)
 			for _, vm := range fl.members {
@@ -238,9 +245,9 @@
 					fl.start(victim)
 					continue
 				}
-				fl.cut[victim.ID] = true
+				fl.setCut(victim.ID, true)
 				time.Sleep(time.Second)
-				delete(fl.cut, victim.ID)
+				fl.setCut(victim.ID, false)
 			}
 			time.Sleep(4 * time.Second)
 			for _, vm := range fl.members {
