Set an attempt's timer before it can fire

The race detector reports that checkProgress reads the timer of its attempt while startWatchdog may still be assigning it. The first check comes 50 ms later at the earliest, so the goroutine would have to stand still for that long. The timer is now assigned before it is set to its time.

Before: go test -race -count=1 ./platform -run '^TestFaultAnswer$' reports a race; after, three runs report none. TestFaultStreamEndpointLost still has one, of the test itself: it changes a stand-in that serves.

--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -64,7 +64,9 @@
 		a.timer = time.AfterFunc(defaultTimeout, func() {})
 		return
 	}
-	a.timer = time.AfterFunc(a.nextCheck(0), a.checkProgress)
+	// checkProgress reads the timer, so it is set before the timer may fire.
+	a.timer = time.AfterFunc(defaultTimeout, a.checkProgress)
+	a.timer.Reset(a.nextCheck(0))
 }
 
 // nextCheck returns the time until the next progress check after a wait.
