--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -79,7 +80,9 @@
 		a.timer = time.AfterFunc(defaultTimeout, func() {})
 		return
 	}
-	a.timer = time.AfterFunc(a.nextCheck(0), a.checkProgress)
+	// checkProgress reads the timer, so it is set before the timer may fire.
+	a.timer = time.AfterFunc(defaultTimeout, a.checkProgress)
+	a.timer.Reset(a.nextCheck(0))
 }
 
 // nextCheck returns the time until the next progress check after a wait.
@@ -97,8 +100,9 @@
 // checkProgress cancels an attempt that makes no progress, if the request can go on
 // elsewhere. Once a stream has begun, an endpoint that still sends to other requests is
 // assumed to work on it too, and the silence of one stream does not end it. An endpoint
-// that is silent to all requests and can't be reached is dead. A daemon that is leaving
-// has too few requests to conclude from their silence that an endpoint does not work.
+// that is silent to all requests and can't be reached is dead, unless it may not be
+// probed. A daemon that is leaving has too few requests to conclude from their silence
+// that an endpoint does not work.
 func (a *attempt) checkProgress() {
 	c := a.call
 	lastRead := a.lastRead.Load()
@@ -151,6 +155,9 @@
 	if a.overdue(waited) {
 		return !begun || c.Balancer.AllSilentFor() < silenceThreshold || a.linkWorks("")
 	}
+	if !c.mayProbe(c.Control.Snapshot().View, a.host) {
+		return false
+	}
 	if c.Sender.Probe(a.ctx, a.host) == nil || a.ctx.Err() != nil || c.Balancer.SilentFor(a.host) < silenceThreshold {
 		return false
 	}
@@ -164,7 +171,9 @@
 // linkWorks reports whether this daemon reaches any endpoint but the named one.
 func (a *attempt) linkWorks(except string) bool {
 	c := a.call
-	reached := c.reachableHost(a.ctx, c.Stager.Hosts(c.currentView(), c.pool.Name, c.request.Session, c.request.ID))
+	v := c.currentView()
+	hosts := slices.DeleteFunc(c.Stager.Hosts(v, c.pool.Name, c.request.Session, c.request.ID), func(h *samphireturn.Host) bool { return !c.mayProbe(v, h) })
+	reached := c.reachableHost(a.ctx, hosts)
 	if reached != "" && reached != except {
 		// Answers that were delayed by the link arrive now.
 		return timekeeper.Sleep(a.ctx, linkSettleTime)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -67,6 +67,11 @@
 	Fault func(n int, r *http.Request) string
 	// KeepAliveSeconds is the idle timeout announced by answers; zero means none.
 	KeepAliveSeconds int
+	// Leaving, if not nil, reports whether answers announce that the server leaves.
+	Leaving func() bool
+	// RetryAfter, if not nil, returns the value of the header Retry-After of answers with
+	// status 503, "" for none.
+	RetryAfter func() string
 
 	mu        sync.Mutex
 	runs      []Run
@@ -98,6 +103,9 @@
 		Key: h.Get("Authorization"), Target: r.RequestURI, Body: string(body), Deadline: h.Get("Deadline-Ms"),
 		ReceivedAt: time.Now(),
 	}
+	if s.Leaving != nil && s.Leaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if id := h.Get("Expect-Instance"); id != "" && id != s.ID {
 		run.NotExecuted = true
 		s.record(run)
@@ -126,7 +134,7 @@
 		run.NotExecuted = true
 		s.record(run)
 		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		s.writeUnavailable(w)
 		if !full {
 			s.release()
 		}
@@ -183,7 +191,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	case FaultBusy:
-		w.WriteHeader(http.StatusServiceUnavailable)
+		s.writeUnavailable(w)
 		return
 	case FaultEncoded:
 		h.Set("Content-Encoding", "gzip")
@@ -209,6 +217,16 @@
 	}
 }
 
+// writeUnavailable writes the head of an answer with status 503.
+func (s *Worker) writeUnavailable(w http.ResponseWriter) {
+	if s.RetryAfter != nil {
+		if value := s.RetryAfter(); value != "" {
+			w.Header().Set("Retry-After", value)
+		}
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // writeStream sends numbered events, beginning after the last one that the caller
 // received.
 func (s *Worker) writeStream(w http.ResponseWriter, r *http.Request, run Run, fault string) {
@@ -237,6 +255,9 @@
 	defer func(c net.Conn) { _ = c.Close() }(conn)
 	text := "answer of " + s.ID + " to " + run.ID
 	head := "HTTP/1.1 200 OK\r\nAttempt-Id: " + run.ID + "\r\nServer-Seal: seal." + s.ID + "\r\n"
+	if s.Leaving != nil && s.Leaving() {
+		head += "Server-Leaving: 1\r\n"
+	}
 	if fault == FaultUnframed {
 		_, _ = buffered.WriteString(head + "\r\n" + text)
 		_ = buffered.Flush()
