Make a second list only when the first comes to a halt

Cause: a list was made a second time 0.4 s after it began, whether or not its pages came.

Change: the source reports each part of a list, and the second call is made when the next part is 0.4 s late. It then begins after the idle connections have been closed, which may be as silent as that of the first.

TestFaultSlowList failed before in both rows: more than ten reads of the ten pages of 150 ms before the last came, and, with connections that go silent in the middle, a list that is not complete 2.4 s after the start. Now it passes, also with all tests of platform and the follower.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -71,9 +71,9 @@
 	// at the same moment.
 	earlyWatchers  = 2
 	lateWatchDelay = 500 * time.Millisecond
-	// hedgeDelay is how long after an answer is due a second call is made beside the first,
-	// whose connection may have gone silent. The source answers in milliseconds, or in
-	// some hundred when it is slow.
+	// hedgeDelay is how long after an answer, or the next part of a list, is due a second
+	// call is made beside the first, whose connection may have gone silent. The source
+	// answers in milliseconds, or in some hundred when it is slow.
 	hedgeDelay = 400 * time.Millisecond
 	// neverConfirmed is the age of a topic that was never confirmed.
 	neverConfirmed = time.Duration(1<<63 - 1)
@@ -368,10 +368,18 @@
 }
 
 // hedgedCall lists a topic or watches it, and makes a second call if the first is not
-// answered in time. It returns the first success, or the last error.
+// answered in time, or a list comes to a halt. It returns the first success, or the last
+// error.
 func (f *Follower) hedgedCall(ctx context.Context, name samphireturn.Topic, kind sourceCall, since uint64, wait time.Duration) sourceAnswer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	progress := make(chan struct{}, 1)
+	ctx = samphireturn.WithProgress(ctx, func() {
+		select {
+		case progress <- struct{}{}:
+		default:
+		}
+	})
 	answers := make(chan sourceAnswer, 2)
 	call := func(wait time.Duration) {
 		f.wg.Go(func() { answers <- f.singleCall(ctx, name, kind, since, wait) })
@@ -382,14 +390,20 @@
 	call(wait)
 	hedge := time.NewTimer(wait + hedgeDelay)
 	defer hedge.Stop()
+	hedged := false
 	for inFlight := 1; ; {
 		select {
+		case <-progress:
+			if !hedged {
+				hedge.Reset(hedgeDelay)
+			}
 		case answer := <-answers:
 			inFlight--
 			if answer.err == nil || inFlight == 0 {
 				return answer
 			}
 		case <-hedge.C:
+			hedged = true
 			inFlight++
 			call(time.Millisecond)
 		}
--- a/relay.go
+++ b/relay.go
@@ -179,7 +179,7 @@
 	Source interface {
 		// List returns all entries of a topic. If stale is true, they may be seconds old,
 		// which costs less, and the batch's version is one up to which they hold all
-		// changes.
+		// changes. It calls ReportProgress after each part of the list but the last.
 		List(ctx context.Context, topic Topic, stale bool) (Batch, error)
 		// Watch returns the changes after version since. It waits up to wait for one
 		// and returns an empty batch if there is none. It returns an error of
