Send loads in eight bytes an endpoint

Cause: a sum of loads named each endpoint by its id and had a map for each load, about 20 bytes. With 300 daemons and 3,000 endpoints that all have work, an aggregator sent its 59 daemons 59 KB each every 0.6 s: 49 Mbit/s, a quarter of a larger VM's link and more than twice the 20 Mbit/s of a small one that takes its place when the larger ones are lost. Polls and calls share these links.

Change: loads are sent as a string of bytes, with a hash of 32 bits for the id and numbers of variable length, memory in units of 64 tokens and backlogs in milliseconds. The field has a new number, so that a daemon of an earlier release goes on by its own loads and what endpoints report. The tests of balancer use the new type; what they check is the same.

A sum still grows with the fleet's endpoints, not with those of the data centre.

--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -54,8 +54,8 @@
 type (
 	// Report holds the loads and tallies of one daemon, or their sum over a data centre.
 	Report struct {
-		Loads   map[string]balancer.Load `cbor:"1,keyasint,omitempty"`
-		Tallies []stager.Tally           `cbor:"2,keyasint,omitempty"`
+		Loads   balancer.Loads `cbor:"3,keyasint,omitempty"`
+		Tallies []stager.Tally `cbor:"2,keyasint,omitempty"`
 	}
 
 	// Message is a report of a daemon or of a data centre, or the answer to one.
@@ -427,7 +427,7 @@
 func (s *Sharer) applyRemote() {
 	s.mu.Lock()
 	now := s.Clock()
-	sum := Report{Loads: make(map[string]balancer.Load)}
+	sum := Report{Loads: make(balancer.Loads)}
 	if now-s.remoteTotal.at < ReportTTL {
 		sum.add(s.remoteTotal.Report)
 	} else {
@@ -449,14 +449,8 @@
 // add adds another report to r.
 func (r *Report) add(o Report) {
 	if r.Loads == nil {
-		r.Loads = make(map[string]balancer.Load, len(o.Loads))
-	}
-	for id, l := range o.Loads {
-		sum := r.Loads[id]
-		sum.Requests += l.Requests
-		sum.MemoryTokens += l.MemoryTokens
-		sum.Backlog += l.Backlog
-		r.Loads[id] = sum
+		r.Loads = make(balancer.Loads, len(o.Loads))
 	}
+	r.Loads.Add(o.Loads)
 	r.Tallies = stager.Sum(r.Tallies, o.Tallies)
 }
--- a/internal/fleet/sharer/sharer_test.go
+++ b/internal/fleet/sharer/sharer_test.go
@@ -34,6 +34,10 @@
 		cut       map[string]bool
 		instances uint64
 		calls     int
+		// sent holds the bytes that each daemon sent, and largest is the size of the largest
+		// message.
+		sent    map[string]int
+		largest int
 	}
 
 	// daemon is one instance of a daemon. It implements samphireturn.Peers and
@@ -74,6 +78,7 @@
 	if err != nil {
 		return err
 	}
+	d.count(d.id, data)
 	answer, err := target.handlers[topic](ctx, d.id, data)
 	if err != nil || reply == nil {
 		return err
@@ -81,9 +86,18 @@
 	if data, err = encoder.Marshal(answer); err != nil {
 		return err
 	}
+	d.count(to, data)
 	return encoder.Unmarshal(data, reply)
 }
 
+// count counts a message that a daemon sends.
+func (fl *fleet) count(sender string, message []byte) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.sent[sender] += len(message)
+	fl.largest = max(fl.largest, len(message))
+}
+
 func (d *daemon) Post(samphireturn.Event) {}
 
 func (d *daemon) Snapshot() *samphireturn.Snapshot {
@@ -91,7 +105,7 @@
 }
 
 func newFleet() *fleet {
-	fl := &fleet{daemons: make(map[string]*daemon), cut: make(map[string]bool)}
+	fl := &fleet{daemons: make(map[string]*daemon), cut: make(map[string]bool), sent: make(map[string]int)}
 	for i := range 2 * perCentre {
 		fl.members = append(fl.members, samphireturn.VM{ID: fmt.Sprint("d", i), Centre: []string{"north", "south"}[i%2]})
 	}
--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -107,11 +107,10 @@
 
 	// Load is the work in flight of one daemon at one endpoint.
 	Load struct {
-		Requests     int `cbor:"1,keyasint"`
-		MemoryTokens int `cbor:"2,keyasint,omitempty"`
+		Requests, MemoryTokens int
 		// Backlog is the estimated time in microseconds to process the prompts that
 		// wait at the endpoint.
-		Backlog int64 `cbor:"3,keyasint,omitempty"`
+		Backlog int64
 	}
 
 	// Reservation counts one request as in flight at an endpoint until Done. Its
@@ -383,26 +382,26 @@
 	return e.local.Requests + e.remote.Requests
 }
 
-// LocalLoads returns this daemon's load by endpoint id.
-func (b *Balancer) LocalLoads() map[string]Load {
+// LocalLoads returns this daemon's loads.
+func (b *Balancer) LocalLoads() Loads {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	all := make(map[string]Load)
+	all := make(Loads)
 	for id, e := range b.endpoints {
 		if e.local != (Load{}) {
-			all[id] = e.local
+			all[KeyOf(id)] = e.local
 		}
 	}
 	return all
 }
 
-// SetRemoteLoads replaces the summed loads of all other daemons by endpoint id.
-func (b *Balancer) SetRemoteLoads(all map[string]Load) {
+// SetRemoteLoads replaces the summed loads of all other daemons.
+func (b *Balancer) SetRemoteLoads(all Loads) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock()
 	for id, e := range b.endpoints {
-		e.remote, e.remoteAt = all[id], now
+		e.remote, e.remoteAt = all[KeyOf(id)], now
 	}
 }
 
--- a/internal/forward/balancer/balancer_test.go
+++ b/internal/forward/balancer/balancer_test.go
@@ -42,17 +42,10 @@
 // exchangeLoads gives each daemon the summed loads of the others.
 func (cl *cluster) exchangeLoads() {
 	for _, b := range cl.daemons {
-		sum := make(map[string]balancer.Load)
+		sum := make(balancer.Loads)
 		for _, o := range cl.daemons {
-			if o == b {
-				continue
-			}
-			for id, l := range o.LocalLoads() {
-				s := sum[id]
-				s.Requests += l.Requests
-				s.MemoryTokens += l.MemoryTokens
-				s.Backlog += l.Backlog
-				sum[id] = s
+			if o != b {
+				sum.Add(o.LocalLoads())
 			}
 		}
 		b.SetRemoteLoads(sum)
@@ -321,10 +314,10 @@
 	cl.train("large", 100*time.Microsecond)
 	b := cl.daemons[0]
 	reservation := b.Pick(cl.request("large", 1000, "", 0))
-	c.Check(b.LocalLoads()["h0"].Requests, qt.Equals, 1)
-	c.Check(b.LocalLoads()["h0"].Backlog > 0, qt.IsTrue)
+	c.Check(b.LocalLoads()[balancer.KeyOf("h0")].Requests, qt.Equals, 1)
+	c.Check(b.LocalLoads()[balancer.KeyOf("h0")].Backlog > 0, qt.IsTrue)
 	reservation.ObserveHead(samphireturn.ResponseMeta{})
-	c.Check(b.LocalLoads()["h0"].Backlog, qt.Equals, int64(0))
+	c.Check(b.LocalLoads()[balancer.KeyOf("h0")].Backlog, qt.Equals, int64(0))
 	reservation.Done()
 	reservation.Done()
 	reservation.ObserveHead(samphireturn.ResponseMeta{})
--- a/internal/forward/balancer/herd_test.go
+++ b/internal/forward/balancer/herd_test.go
@@ -20,7 +20,7 @@
 	balancers []*balancer.Balancer
 	hosts     []*samphireturn.Host
 	// reported holds the loads of the balancers at the last exchange.
-	reported []map[string]balancer.Load
+	reported []balancer.Loads
 	// free is when each engine has read all prompts that it was sent.
 	free map[string]time.Duration
 	// reading holds the prompts that are being read, in order of their ends.
@@ -55,17 +55,10 @@
 		h.reported = append(h.reported, b.LocalLoads())
 	}
 	for i, b := range h.balancers {
-		sum := make(map[string]balancer.Load)
+		sum := make(balancer.Loads)
 		for j, loads := range reported {
-			if i == j {
-				continue
-			}
-			for id, l := range loads {
-				s := sum[id]
-				s.Requests += l.Requests
-				s.MemoryTokens += l.MemoryTokens
-				s.Backlog += l.Backlog
-				sum[id] = s
+			if i != j {
+				sum.Add(loads)
 			}
 		}
 		b.SetRemoteLoads(sum)
