--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -76,6 +76,8 @@
 		latencies map[string]*latency
 		// lastActive is when any endpoint last sent anything.
 		lastActive time.Duration
+		// local and remote are buffers of sample.
+		local, remote []*samphireturn.Host
 	}
 
 	// Request describes a request for which Pick chooses an endpoint.
@@ -100,15 +102,17 @@
 		Exclude map[string]bool
 		// Members are the known daemons of the fleet.
 		Members []samphireturn.VM
+
+		// prefix is prefixHash; Pick sets it.
+		prefix uint64
 	}
 
 	// Load is the work in flight of one daemon at one endpoint.
 	Load struct {
-		Requests     int `cbor:"1,keyasint"`
-		MemoryTokens int `cbor:"2,keyasint,omitempty"`
+		Requests, MemoryTokens int
 		// Backlog is the estimated time in microseconds to process the prompts that
 		// wait at the endpoint.
-		Backlog int64 `cbor:"3,keyasint,omitempty"`
+		Backlog int64
 	}
 
 	// Reservation counts one request as in flight at an endpoint until Done. Its
@@ -164,6 +168,7 @@
 		pause           pause
 		// started is Host.Started of the last known instance, to which the pause belongs.
 		started int64
+		sender  sender
 	}
 )
 
@@ -178,6 +183,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock()
+	req.prefix = req.prefixHash()
 	var (
 		best   *samphireturn.Host
 		lowest float64
@@ -200,7 +206,8 @@
 // up to a second old; if each daemon compared all endpoints, all would send their
 // requests to the one that looked idle to all of them. The caller holds mu.
 func (b *Balancer) sample(req *Request, p preferred, now time.Duration) []*samphireturn.Host {
-	var sampled, local, remote []*samphireturn.Host
+	var sampled []*samphireturn.Host
+	local, remote := b.local[:0], b.remote[:0]
 	for _, h := range req.Hosts {
 		if req.Exclude[h.ID] {
 			continue
@@ -216,6 +223,7 @@
 			remote = append(remote, h)
 		}
 	}
+	b.local, b.remote = local, remote
 	sampled = b.draw(sampled, local, localSamples)
 	return b.draw(sampled, remote, remoteSamples)
 }
@@ -246,7 +254,7 @@
 		if e.prefixSent == nil {
 			e.prefixSent = make(map[uint64]time.Duration)
 		}
-		e.prefixSent[req.prefixHash()] = now
+		e.prefixSent[req.prefix] = now
 	}
 	if now < e.warmUpUntil {
 		warmUpRequests.Add(1)
@@ -394,26 +402,26 @@
 	return e.local.Requests + e.remote.Requests
 }
 
-// LocalLoads returns this daemon's load by endpoint id.
-func (b *Balancer) LocalLoads() map[string]Load {
+// LocalLoads returns this daemon's loads.
+func (b *Balancer) LocalLoads() Loads {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	all := make(map[string]Load)
+	all := make(Loads)
 	for id, e := range b.endpoints {
 		if e.local != (Load{}) {
-			all[id] = e.local
+			all[KeyOf(id)] = e.local
 		}
 	}
 	return all
 }
 
-// SetRemoteLoads replaces the summed loads of all other daemons by endpoint id.
-func (b *Balancer) SetRemoteLoads(all map[string]Load) {
+// SetRemoteLoads replaces the summed loads of all other daemons.
+func (b *Balancer) SetRemoteLoads(all Loads) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock()
 	for id, e := range b.endpoints {
-		e.remote, e.remoteAt = all[id], now
+		e.remote, e.remoteAt = all[KeyOf(id)], now
 	}
 }
 
@@ -507,10 +515,13 @@
 	}
 	var fleetWeight, centreWeight float64
 	for _, h := range req.Hosts {
+		weight := rendezvousWeight(req.PrefixID, h.ID)
+		if weight <= fleetWeight && (weight <= centreWeight || h.Centre != b.Centre) {
+			continue
+		}
 		if e := b.endpoint(h); req.Exclude[h.ID] || e.unreachable || e.pause.active(now) {
 			continue
 		}
-		weight := rendezvousWeight(req.PrefixID, h.ID)
 		if weight > fleetWeight {
 			p.fleet, fleetWeight = h, weight
 		}
@@ -552,7 +563,12 @@
 	return e.failures
 }
 
-// rendezvousWeight returns a number in [0, 1] that is the same at all daemons.
+// rendezvousWeight returns a number in [0, 1] that is the same at all daemons. It mixes
+// the hashes of both names, as it is computed for each endpoint of each request.
 func rendezvousWeight(prefixID, id string) float64 {
-	return float64(xxhash.Sum64String(prefixID+"\x00"+id)) / (1 << 64)
+	// Finalizer of SplitMix64.
+	x := xxhash.Sum64String(prefixID) + xxhash.Sum64String(id)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return float64(x^x>>31) / (1 << 64)
 }
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -83,7 +83,9 @@
 	RetryShare, RetryExtra float64
 	RetryWindow            time.Duration
 
-	leaving atomic.Bool
+	// startedAt is when Run was called.
+	startedAt time.Duration
+	leaving   atomic.Bool
 	// leftAt is when Leave was called.
 	leftAt         time.Time
 	activeRequests atomic.Int64
@@ -117,6 +119,7 @@
 // Run starts the servers and background tasks and returns.
 func (f *Forwarder) Run(ctx context.Context) error {
 	ctx, f.cancel = context.WithCancel(ctx)
+	f.startedAt = f.Clock()
 	f.budgets = make(map[string]*budgeter.RetryWindow)
 	f.Sender.OnAnswer = f.observeAnswer
 	f.readinessServer = &http.Server{Handler: http.HandlerFunc(f.handleReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
