Date entries by era and revision, and check the era of each answer

The store may come back from an older copy and give out revisions again. The number of an entry was all that dated it, so a number of an older era counted as newer, and a condition on a write could match another change.

Revision{Era, Number} replaces the number in entries, batches, roll-outs and watches. The stand-in store counts eras, restores copies and answers 410 to a watch from a revision that it does not have; without eras all is as before.

Ruled out: 410 alone as the sign of a copy, as a watch from a lower revision gets changes of another era with status 200.

--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -33,6 +33,8 @@
 	EventHistoryGone       = "history_gone"
 	EventSourceLost        = "source_lost"
 	EventSourceRegained    = "source_regained"
+	EventEra               = "era"
+	EventEraIgnored        = "era_ignored"
 	EventOutageOver        = "outage_over"
 	EventFollowing         = "following"
 	EventFollowFailed      = "follow_failed"
@@ -76,17 +78,19 @@
 	{EventEscalated, "id, route, confidence, from, to", "the confidence of an answer was too low, so a larger model is tried"},
 	{EventEscalationSkipped, "id, route, reason, confidence, step, left, need", "an answer of low confidence is passed on: no_budget if the remaining retries are reserved for failures, no_time if a larger model needs more time than is left"},
 	{EventEndpointReached, "endpoint, centre", "an endpoint that was unreachable can be reached again"},
-	{EventTable, "version, routes, source_version", "a routing table came into force"},
+	{EventTable, "version, routes, era, source_version", "a routing table came into force"},
 	{EventTableIgnored, "version, in_force", "a routing table older than the one in force was ignored"},
-	{EventHosts, "hosts, leaving, lapsed, source_version", "the list of endpoints changed"},
-	{EventRollout, "pool, release, state, source_version", "a roll-out was ordered or changed"},
-	{EventCentreClosed, "centre, source_version", "a data centre is out of service"},
+	{EventHosts, "hosts, leaving, lapsed, era, source_version", "the list of endpoints changed"},
+	{EventRollout, "pool, release, state, era, source_version", "a roll-out was ordered or changed"},
+	{EventCentreClosed, "centre, era, source_version", "a data centre is out of service"},
 	{EventCentreOpened, "centre", "a data centre is back in service; its endpoints count as warming up for a short time"},
 	{EventMembers, "members", "the list of daemons changed"},
 	{EventEntryIgnored, "topic, entry, error", "an entry can't be decoded and is ignored"},
-	{EventHistoryGone, "topic, version", "the source no longer has all changes since the version; the topic is listed again"},
+	{EventHistoryGone, "topic, era, version", "the source no longer has all changes since the version; the topic is listed again"},
 	{EventSourceLost, "topic, error, age", "this daemon's calls to the source fail; time since the topic was last confirmed"},
 	{EventSourceRegained, "topic, age", "this daemon's calls to the source succeed again; time since the topic was last confirmed"},
+	{EventEra, "topic, era, before, kept", "the source came back from an older copy and the topic was read anew; entries that are kept although the copy contradicts them"},
+	{EventEraIgnored, "call, era, error", "an answer of the source was not used because of its era; its connection is closed"},
 	{EventOutageOver, "topic, away", "the source answers again after an outage; time for which the topic was not confirmed"},
 	{EventFollowing, "peer", "this daemon follows another one, or watches the source itself if no peer is named"},
 	{EventFollowFailed, "peer, error", "a followed daemon did not answer, or its confirmations are too old"},
@@ -95,5 +99,5 @@
 	{EventLeft, "error", "the member entry of this daemon was removed"},
 	{EventShareFailed, "peer, error", "a peer did not answer with its load report"},
 	{EventReleaseBad, "pool, release, heard, base, canary, passed", "a release was found faulty by the answers counted here or, if heard, by another daemon"},
-	{EventConcluded, "pool, release, state, version, error", "the state of a roll-out was written"},
+	{EventConcluded, "pool, release, state, era, version, error", "the state of a roll-out was written"},
 }
--- a/internal/fleet/concluder/concluder.go
+++ b/internal/fleet/concluder/concluder.go
@@ -49,7 +49,7 @@
 // pendingWrite is a state that is to be written to a roll-out of the given version.
 type pendingWrite struct {
 	state     string
-	version   uint64
+	version   samphireturn.Revision
 	firstSeen time.Duration
 	notBefore time.Duration
 }
@@ -109,7 +109,7 @@
 	c.pending[r.Pool] = d
 	err := c.Source.UpdateRollout(ctx, next)
 	c.Log.Info().Str("event", logger.EventConcluded).Str("pool", r.Pool).Str("release", r.Release).Str("state", next.State).
-		Uint64("version", r.Version).Err(err).Send()
+		Uint64("era", r.Version.Era).Uint64("version", r.Version.Number).Err(err).Send()
 }
 
 // rank returns the position of this daemon among those that are linked.
--- a/internal/fleet/follower/changes.go
+++ b/internal/fleet/follower/changes.go
@@ -40,7 +40,7 @@
 
 	// packedChanges are the packed changes of a topic from one version to another.
 	packedChanges struct {
-		since, version uint64
+		since, version samphireturn.Revision
 		data           []byte
 	}
 )
@@ -56,13 +56,13 @@
 
 // changesSince returns what a daemon lacks that has all up to a version. Entries that are
 // kept over an outage are not passed on.
-func (t *topic) changesSince(version uint64) changeSet {
-	changes := changeSet{Complete: version == 0 || version < t.completeFrom}
+func (t *topic) changesSince(version samphireturn.Revision) changeSet {
+	changes := changeSet{Complete: version == samphireturn.Revision{} || t.completeFrom.Newer(version)}
 	for name, e := range t.entries {
 		if _, missing := t.missingSince[name]; missing {
 			continue
 		}
-		if changes.Complete || e.Version > version {
+		if changes.Complete || e.Version.Newer(version) {
 			changes.Entries = append(changes.Entries, e)
 		}
 	}
@@ -70,7 +70,7 @@
 		return changes
 	}
 	for name, removed := range t.removed {
-		if removed > version {
+		if removed.Newer(version) {
 			changes.Removed = append(changes.Removed, name)
 		}
 	}
@@ -78,7 +78,7 @@
 }
 
 // noteRemoved remembers that an entry was removed at a version.
-func (t *topic) noteRemoved(name string, version uint64) {
+func (t *topic) noteRemoved(name string, version samphireturn.Revision) {
 	if len(t.removed) >= maxRemoved {
 		clear(t.removed)
 		t.completeFrom = version
@@ -87,7 +87,7 @@
 }
 
 // packChanges returns the packed changes since a version.
-func (t *topic) packChanges(since uint64) ([]byte, error) {
+func (t *topic) packChanges(since samphireturn.Revision) ([]byte, error) {
 	for _, p := range t.packed {
 		if p.since == since && p.version == t.version {
 			return p.data, nil
--- a/internal/fleet/follower/changes_test.go
+++ b/internal/fleet/follower/changes_test.go
@@ -21,7 +21,7 @@
 
 // source holds the endpoints of a simulated store.
 type source struct {
-	version uint64
+	version samphireturn.Revision
 	hosts   map[string]samphireturn.Entry
 	// history holds all changes in order.
 	history []samphireturn.Entry
@@ -36,7 +36,7 @@
 }
 
 func (s *source) put(i int) {
-	s.version++
+	s.version.Number++
 	e := samphireturn.Entry{Name: fmt.Sprint("i-", i), Version: s.version}
 	e.Host = &samphireturn.Host{
 		ID: e.Name, Pool: "shop-assistant", Addr: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250), Centre: "north", Release: "v1", Slots: 24,
@@ -50,7 +50,7 @@
 	if _, ok := s.hosts[name]; !ok {
 		return
 	}
-	s.version++
+	s.version.Number++
 	delete(s.hosts, name)
 	s.history = append(s.history, samphireturn.Entry{Name: name, Version: s.version, Deleted: true})
 }
@@ -63,10 +63,10 @@
 	return batch
 }
 
-func (s *source) watch(since uint64) samphireturn.Batch {
+func (s *source) watch(since samphireturn.Revision) samphireturn.Batch {
 	batch := samphireturn.Batch{Version: s.version}
 	for _, e := range s.history {
-		if e.Version > since {
+		if e.Version.Newer(since) {
 			batch.Entries = append(batch.Entries, e)
 		}
 	}
@@ -119,8 +119,8 @@
 }
 
 // names returns the endpoints with the versions of their entries.
-func (p *poller) names() map[string]uint64 {
-	names := make(map[string]uint64)
+func (p *poller) names() map[string]samphireturn.Revision {
+	names := make(map[string]samphireturn.Revision)
 	for name, e := range p.topics[samphireturn.TopicHosts].entries {
 		names[name] = e.Version
 	}
@@ -156,7 +156,7 @@
 				other := daemons[random.IntN(3)]
 				before, listed := d.topics[samphireturn.TopicHosts].version, other.topics[samphireturn.TopicHosts].listed
 				d.poll(c, other)
-				if listed && other.topics[samphireturn.TopicHosts].version >= before {
+				if listed && other.topics[samphireturn.TopicHosts].version.Compare(before) >= 0 {
 					c.Assert(d.names(), qt.DeepEquals, other.names(), qt.Commentf("seed %d", seed))
 				}
 			}
@@ -196,8 +196,9 @@
 			Targets: []samphireturn.Target{{Pool: "shop-assistant", Weight: 1}},
 		})
 	}
+	version := samphireturn.Revision{Number: 9}
 	top := &first.topics[samphireturn.TopicTable]
-	first.replace(top, samphireturn.Batch{Entries: []samphireturn.Entry{{Name: "main", Version: 9, Table: table}}, Version: 9})
+	first.replace(top, samphireturn.Batch{Entries: []samphireturn.Entry{{Name: "main", Version: version, Table: table}}, Version: version})
 	first.confirm(top, now)
 	size = second.poll(c, first)
 	c.Check(size <= maxTable, qt.IsTrue, qt.Commentf("%d bytes", size))
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -171,7 +171,7 @@
 		t.name = samphireturn.Topic(i)
 		t.entries = make(map[string]samphireturn.Entry)
 		t.missingSince = make(map[string]time.Duration)
-		t.removed = make(map[string]uint64)
+		t.removed = make(map[string]samphireturn.Revision)
 		t.outageEnd = -MissingRetention
 	}
 	return f
@@ -369,7 +369,7 @@
 
 // hedgedCall lists a topic or watches it, and makes a second call if the first is not
 // answered in time. It returns the first success, or the last error.
-func (f *Follower) hedgedCall(ctx context.Context, name samphireturn.Topic, kind sourceCall, since uint64, wait time.Duration) sourceAnswer {
+func (f *Follower) hedgedCall(ctx context.Context, name samphireturn.Topic, kind sourceCall, since samphireturn.Revision, wait time.Duration) sourceAnswer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan sourceAnswer, 2)
@@ -397,7 +397,7 @@
 }
 
 // singleCall makes one call to the source.
-func (f *Follower) singleCall(ctx context.Context, name samphireturn.Topic, kind sourceCall, since uint64, wait time.Duration) sourceAnswer {
+func (f *Follower) singleCall(ctx context.Context, name samphireturn.Topic, kind sourceCall, since samphireturn.Revision, wait time.Duration) sourceAnswer {
 	answer := sourceAnswer{sent: f.Clock()}
 	if kind == callWatch {
 		answer.batch, answer.err = f.Source.Watch(ctx, name, since, wait)
@@ -424,7 +424,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t.listed, t.historyGone = false, true
-	f.Log.Info().Str("event", logger.EventHistoryGone).Stringer("topic", t.name).Uint64("version", t.version).Send()
+	f.Log.Info().Str("event", logger.EventHistoryGone).Stringer("topic", t.name).Uint64("era", t.version.Era).Uint64("version", t.version.Number).Send()
 }
 
 // sourceFailed records that a call to the source failed.
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -51,7 +51,7 @@
 type (
 	// pollRequest asks a peer for what is newer than the sender's versions.
 	pollRequest struct {
-		Versions [samphireturn.TopicCount]uint64 `cbor:"1,keyasint"`
+		Versions [samphireturn.TopicCount]samphireturn.Revision `cbor:"1,keyasint"`
 		// Ages are the ages of the sender's confirmations, in milliseconds.
 		Ages [samphireturn.TopicCount]int64 `cbor:"2,keyasint"`
 		// Hosts tells of the sender's confirmations of the endpoints.
@@ -73,7 +73,7 @@
 
 	// topicState is a topic as the replying daemon has it.
 	topicState struct {
-		Version uint64 `cbor:"1,keyasint"`
+		Version samphireturn.Revision `cbor:"1,keyasint"`
 		// Age is the age of the newest confirmation, in milliseconds; negative if there
 		// is none.
 		Age        int64      `cbor:"2,keyasint"`
@@ -370,8 +370,8 @@
 // applyState applies a peer's state of a topic. A confirmation counts only together with
 // all changes that were known when it was made. since is this daemon's version when it
 // polled; the caller holds mu.
-func (f *Follower) applyState(t *topic, s *topicState, since uint64, sent time.Duration) error {
-	if s.Age < 0 || s.Version < t.version || len(s.Packed) == 0 && !t.listed {
+func (f *Follower) applyState(t *topic, s *topicState, since samphireturn.Revision, sent time.Duration) error {
+	if s.Age < 0 || t.version.Newer(s.Version) || len(s.Packed) == 0 && !t.listed {
 		return nil
 	}
 	var changes changeSet
@@ -389,7 +389,7 @@
 	switch {
 	case changes.Complete:
 		f.replace(t, samphireturn.Batch{Entries: changes.Entries, Version: s.Version})
-	case t.listed && since <= t.version:
+	case t.listed && !since.Newer(t.version):
 		f.update(t, samphireturn.Batch{Entries: changes.all(), Version: s.Version})
 	default:
 		return nil
@@ -431,7 +431,7 @@
 func (f *Follower) changedSince(request *pollRequest) bool {
 	for i := range f.topics {
 		t := &f.topics[i]
-		if t.changedVersion > request.Versions[i] {
+		if t.changedVersion.Newer(request.Versions[i]) {
 			return true
 		}
 		if t.needsRecent() && f.age(t) < time.Duration(request.Ages[i])*time.Millisecond-minAgeGain {
@@ -454,7 +454,7 @@
 			s.Age = f.age(t).Milliseconds() + 1
 			s.Continuity = t.continuity()
 		}
-		if t.listed && (t.changedVersion > request.Versions[i] || request.Versions[i] == 0) {
+		if t.listed && (t.changedVersion.Newer(request.Versions[i]) || request.Versions[i] == samphireturn.Revision{}) {
 			packed, err := t.packChanges(request.Versions[i])
 			if err != nil {
 				return reply, err
--- a/internal/fleet/follower/publish.go
+++ b/internal/fleet/follower/publish.go
@@ -72,7 +72,7 @@
 	}
 	if newest != nil {
 		f.Log.Info().Str("event", logger.EventTable).Int64("version", newest.Version).Int("routes", len(newest.Routes)).
-			Uint64("source_version", t.version).Send()
+			Uint64("era", t.version.Era).Uint64("source_version", t.version.Number).Send()
 	}
 	return func(v *samphireturn.View) { v.Table = newest }
 }
@@ -97,7 +97,7 @@
 		slices.SortFunc(hosts, func(a, b *samphireturn.Host) int { return strings.Compare(a.ID, b.ID) })
 	}
 	f.Log.Info().Str("event", logger.EventHosts).Int("hosts", len(t.entries)).Int("leaving", leaving).Int("lapsed", len(t.missingSince)).
-		Uint64("source_version", t.version).Send()
+		Uint64("era", t.version.Era).Uint64("source_version", t.version.Number).Send()
 	return func(v *samphireturn.View) { v.Hosts = pools }
 }
 
@@ -131,7 +131,7 @@
 		}
 		rollouts[e.Rollout.Pool] = e.Rollout
 		f.Log.Info().Str("event", logger.EventRollout).Str("pool", e.Rollout.Pool).Str("release", e.Rollout.Release).
-			Str("state", e.Rollout.State).Uint64("source_version", t.version).Send()
+			Str("state", e.Rollout.State).Uint64("era", t.version.Era).Uint64("source_version", t.version.Number).Send()
 	}
 	return func(v *samphireturn.View) { v.Rollouts = rollouts }
 }
@@ -140,7 +140,7 @@
 	closed := make(map[string]bool)
 	for name := range t.entries {
 		closed[name] = true
-		f.Log.Info().Str("event", logger.EventCentreClosed).Str("centre", name).Uint64("source_version", t.version).Send()
+		f.Log.Info().Str("event", logger.EventCentreClosed).Str("centre", name).Uint64("era", t.version.Era).Uint64("source_version", t.version.Number).Send()
 	}
 	return func(v *samphireturn.View) { v.ClosedCentres = closed }
 }
--- a/internal/fleet/follower/topic.go
+++ b/internal/fleet/follower/topic.go
@@ -25,11 +25,11 @@
 	failing bool
 	// version is the source's version up to which changes are known; changedVersion is
 	// that of the last change.
-	version, changedVersion uint64
+	version, changedVersion samphireturn.Revision
 	// removed holds the versions at which entries were removed, by name. With it, changes
 	// since completeFrom are known completely.
-	removed      map[string]uint64
-	completeFrom uint64
+	removed      map[string]samphireturn.Revision
+	completeFrom samphireturn.Revision
 	// packed holds the changes that were packed last.
 	packed []packedChanges
 	// historyGone is true if the topic must be listed as it is now, since the source no
@@ -118,7 +118,7 @@
 // replace applies a complete list. The caller holds mu.
 func (f *Follower) replace(t *topic, batch samphireturn.Batch) {
 	t.listed = true
-	if batch.Version < t.version {
+	if t.version.Newer(batch.Version) {
 		return
 	}
 	seen := make(map[string]bool, len(batch.Entries))
@@ -140,7 +140,7 @@
 
 // update applies changes, unless newer ones are known already. The caller holds mu.
 func (f *Follower) update(t *topic, batch samphireturn.Batch) {
-	if batch.Version < t.version {
+	if t.version.Newer(batch.Version) {
 		return
 	}
 	t.version = batch.Version
@@ -161,7 +161,7 @@
 
 // put adds an entry as of a version, unless it cannot be decoded or is older than the
 // known one. An endpoint whose entry can no longer be decoded is removed.
-func (f *Follower) put(t *topic, e samphireturn.Entry, version uint64) {
+func (f *Follower) put(t *topic, e samphireturn.Entry, version samphireturn.Revision) {
 	if e.Err != nil {
 		invalidEntries.Add(t.name.String(), 1)
 		f.Log.Warn().Str("event", logger.EventEntryIgnored).Stringer("topic", t.name).Str("entry", e.Name).Err(e.Err).Send()
@@ -172,7 +172,7 @@
 		return
 	}
 	old, ok := t.entries[e.Name]
-	if ok && e.Version != 0 && e.Version < old.Version {
+	if ok && e.Version.Number != 0 && old.Version.Newer(e.Version) {
 		return
 	}
 	if ok && e.Table != nil && old.Table != nil && e.Table.Version < old.Table.Version {
@@ -187,7 +187,7 @@
 // remove removes an entry as of a version. Endpoints that are missing after an outage of the source are
 // kept for MissingRetention, since entries expire during an outage. The table in force
 // stays until a newer one arrives.
-func (f *Follower) remove(t *topic, name string, version uint64) {
+func (f *Follower) remove(t *topic, name string, version samphireturn.Revision) {
 	// Daemons that poll this one may have an entry that this one never had.
 	t.noteRemoved(name, version)
 	now := f.Clock()
--- a/internal/fleet/sharer/sharer_test.go
+++ b/internal/fleet/sharer/sharer_test.go
@@ -111,7 +111,7 @@
 	d.stager.CanaryShare, d.stager.CanaryExtra = 0.13, 27
 	d.view = &samphireturn.View{
 		Hosts:    map[string][]*samphireturn.Host{pool: {{ID: "old", Pool: pool, Release: "v1"}, {ID: "new", Pool: pool, Release: release}}},
-		Rollouts: map[string]*samphireturn.Rollout{pool: {Pool: pool, Release: release, Duration: time.Minute, Version: 1}},
+		Rollouts: map[string]*samphireturn.Rollout{pool: {Pool: pool, Release: release, Duration: time.Minute, Version: samphireturn.Revision{Number: 1}}},
 	}
 	d.stager.Hosts(d.view, pool, "", "x")
 	d.sharer = &sharer.Sharer{
--- a/internal/forward/stager/stager_test.go
+++ b/internal/forward/stager/stager_test.go
@@ -50,7 +50,7 @@
 
 // startRollout orders a roll-out of v2.
 func (cl *cluster) startRollout() {
-	cl.view.Rollouts = map[string]*samphireturn.Rollout{"llm": {Pool: "llm", Release: "v2", Duration: duration, Version: 1}}
+	cl.view.Rollouts = map[string]*samphireturn.Rollout{"llm": {Pool: "llm", Release: "v2", Duration: duration, Version: samphireturn.Revision{Number: 1}}}
 }
 
 // exchangeTallies gives each daemon the summed tallies of the others and their evidence.
@@ -206,7 +206,7 @@
 					if r := cl.view.Rollouts["llm"]; r != nil {
 						if next, ok := s.NextState(r, func(string) bool { return true }); ok {
 							got = next.State
-							next.Version++
+							next.Version.Number++
 							cl.view.Rollouts = map[string]*samphireturn.Rollout{"llm": &next}
 						}
 					}
@@ -269,7 +269,7 @@
 			cl.view.Rollouts = nil
 			firstDaemon, secondDaemon := cl.stagers[0], cl.stagers[1]
 			idle := func(string) bool { return false }
-			cl.view.Rollouts = map[string]*samphireturn.Rollout{"llm": {Pool: "llm", Release: "v1x", Duration: duration, Version: 1}}
+			cl.view.Rollouts = map[string]*samphireturn.Rollout{"llm": {Pool: "llm", Release: "v1x", Duration: duration, Version: samphireturn.Revision{Number: 1}}}
 			cl.old.Release = "v1x"
 			// An earlier order rolled out the first release.
 			firstDaemon.Hosts(cl.view, "llm", "", "x")
@@ -285,7 +285,7 @@
 			}
 			cl.now += time.Duration(test.elapsed * float64(duration))
 			firstDaemon.NextState(cl.view.Rollouts["llm"], idle)
-			cl.view.Rollouts = map[string]*samphireturn.Rollout{"llm": {Pool: "llm", Release: "v3", Duration: duration, Version: 3}}
+			cl.view.Rollouts = map[string]*samphireturn.Rollout{"llm": {Pool: "llm", Release: "v3", Duration: duration, Version: samphireturn.Revision{Number: 3}}}
 			next, ok := firstDaemon.NextState(cl.view.Rollouts["llm"], idle)
 			c.Assert(ok, qt.IsTrue)
 			cl.view.Rollouts["llm"] = &next
@@ -355,7 +355,7 @@
 				c.Check(next.State, qt.Equals, samphireturn.RolloutRolledBack)
 			}
 			if test.stored {
-				next.Version++
+				next.Version.Number++
 				cl.view.Rollouts["llm"] = &next
 			}
 			cl.now += test.waited
@@ -385,7 +385,7 @@
 		cl.stagers[1].RecordAnswer(cl.canary, "r", true, 0)
 	}
 	cl.stagers[1].SetRemoteTallies(nil)
-	next := samphireturn.Rollout{Pool: "llm", Release: "v3", Duration: duration, Version: 3}
+	next := samphireturn.Rollout{Pool: "llm", Release: "v3", Duration: duration, Version: samphireturn.Revision{Number: 3}}
 	cl.view.Rollouts["llm"] = &next
 	for _, s := range cl.stagers {
 		s.Hosts(cl.view, "llm", "s", "z")
--- a/internal/standin/registrar/registrar.go
+++ b/internal/standin/registrar/registrar.go
@@ -19,6 +19,9 @@
 	// Stale is the first part of the names of reads that may be stale.
 	Stale = "STALE "
 
+	// eraHeader is the header of all answers that holds the era.
+	eraHeader = "Store-Era"
+
 	prefix       = "/v1/objects/"
 	pageSize     = 50
 	maxBodyBytes = 1 << 20
@@ -46,7 +49,9 @@
 		Object   json.RawMessage `json:"object"`
 		Deleted  bool            `json:"deleted"`
 		kind     string
+		name     string
 		revision uint64
+		at       time.Time
 	}
 
 	// Faults are the faults that the store injects into calls.
@@ -57,8 +62,9 @@
 		Reset bool
 		// DropReplies carries out each write and closes the connection without an answer.
 		DropReplies bool
-		// Delay passes before each call takes effect.
-		Delay time.Duration
+		// Delay passes before each call takes effect, and AnswerDelay between its effect
+		// and its answer.
+		Delay, AnswerDelay time.Duration
 		// From limits the faults to calls whose remote address has this prefix; empty
 		// means all calls.
 		From string
@@ -71,9 +77,15 @@
 		compacted uint64
 		objects   map[string]map[string]json.RawMessage
 		history   []event
-		changed   chan struct{}
-		faults    Faults
-		calls     map[string]int
+		// changes holds all changes since the start, from which Restore builds a copy.
+		changes []event
+		// era is the era; zero if answers hold none.
+		era uint64
+		// eraText, if not nil, returns the era's header, "" for none.
+		eraText func(era uint64) string
+		changed chan struct{}
+		faults  Faults
+		calls   map[string]int
 		// stale holds the objects that reads which may be stale return; nil for the
 		// current ones.
 		stale map[string]map[string]json.RawMessage
@@ -87,6 +99,45 @@
 	s.faults = f
 }
 
+// StartEra makes all answers hold an era from now on.
+func (s *Registrar) StartEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// SetEraText replaces the header of the era in all answers by what text returns, "" for
+// none; nil restores it.
+func (s *Registrar) SetEraText(text func(era uint64) string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.eraText = text
+}
+
+// Restore brings the store back from a copy that was made the given time ago: the objects
+// and the revision are those of then, the changes since are forgotten, and the next era
+// begins, if there are eras.
+func (s *Registrar) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := time.Now().Add(-age)
+	changes := s.changes
+	s.revision, s.objects, s.changes, s.stale = 0, nil, nil, nil
+	for _, e := range changes {
+		if e.at.After(copied) {
+			break
+		}
+		s.revision = e.revision
+		s.applyChange(e)
+	}
+	s.history = slices.DeleteFunc(s.history, func(e event) bool { return e.revision > s.revision })
+	s.compacted = min(s.compacted, s.revision)
+	if s.era > 0 {
+		s.era++
+	}
+	s.notifyWatches()
+}
+
 // FreezeStale makes reads that may be stale return the objects as they are now.
 func (s *Registrar) FreezeStale() {
 	s.mu.Lock()
@@ -198,19 +249,26 @@
 // recordChange updates the objects and the history and wakes the watches. The
 // caller holds mu.
 func (s *Registrar) recordChange(kind, name string, raw json.RawMessage, deleted bool) {
+	e := event{Object: raw, Deleted: deleted, kind: kind, name: name, revision: s.revision, at: time.Now()}
+	s.applyChange(e)
+	s.history = append(s.history, e)
+	s.notifyWatches()
+}
+
+// applyChange updates the objects and adds the change to all changes. The caller holds mu.
+func (s *Registrar) applyChange(e event) {
 	if s.objects == nil {
 		s.objects = make(map[string]map[string]json.RawMessage)
 	}
-	if s.objects[kind] == nil {
-		s.objects[kind] = make(map[string]json.RawMessage)
+	if s.objects[e.kind] == nil {
+		s.objects[e.kind] = make(map[string]json.RawMessage)
 	}
-	if deleted {
-		delete(s.objects[kind], name)
+	if e.Deleted {
+		delete(s.objects[e.kind], e.name)
 	} else {
-		s.objects[kind][name] = raw
+		s.objects[e.kind][e.name] = e.Object
 	}
-	s.history = append(s.history, event{Object: raw, Deleted: deleted, kind: kind, revision: s.revision})
-	s.notifyWatches()
+	s.changes = append(s.changes, e)
 }
 
 func (s *Registrar) notifyWatches() {
@@ -246,19 +304,38 @@
 	if faults.Reset {
 		panic(http.ErrAbortHandler)
 	}
-	if faults.Status != 0 {
-		w.WriteHeader(faults.Status)
-		return
+	var res response
+	switch {
+	case faults.Status != 0:
+		res = response{status: faults.Status, era: s.eraValue()}
+	case r.Method == http.MethodGet:
+		res = s.read(r, parts)
+	default:
+		res = s.applyWrite(r, parts)
 	}
-	if r.Method == http.MethodGet {
-		s.serveRead(w, r, parts)
-		return
-	}
-	status, body := s.applyWrite(r, parts)
-	if faults.DropReplies {
+	if faults.DropReplies && r.Method != http.MethodGet {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, status, body)
+	time.Sleep(faults.AnswerDelay)
+	res.write(w)
+}
+
+// eraValue returns the header of the era.
+func (s *Registrar) eraValue() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.eraValueLocked()
+}
+
+// eraValueLocked returns the header of the era. The caller holds mu.
+func (s *Registrar) eraValueLocked() string {
+	switch {
+	case s.eraText != nil:
+		return s.eraText(s.era)
+	case s.era > 0:
+		return strconv.FormatUint(s.era, 10)
+	}
+	return ""
 }
 
 // callName returns the name under which a call is counted.
@@ -269,33 +346,48 @@
 	return r.Method + " " + kind
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	data, err := json.Marshal(body)
+// response is an answer to a call. It is zero if the caller has left.
+type response struct {
+	status int
+	body   any
+	era    string
+}
+
+// write writes the answer.
+func (res response) write(w http.ResponseWriter) {
+	if res.status == 0 {
+		return
+	}
+	if res.era != "" {
+		w.Header().Set(eraHeader, res.era)
+	}
+	data, err := json.Marshal(res.body)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
+	w.WriteHeader(res.status)
 	_, _ = w.Write(data)
 }
 
-func (s *Registrar) serveRead(w http.ResponseWriter, r *http.Request, parts []string) {
-	if len(parts) > 1 {
-		if o := s.Get(parts[0], parts[1]); o != nil {
-			writeJSON(w, http.StatusOK, o)
-			return
-		}
-		writeJSON(w, http.StatusNotFound, nil)
-		return
-	}
+// read carries out a read of an object, a list or a watch.
+func (s *Registrar) read(r *http.Request, parts []string) response {
 	query := r.URL.Query()
-	if query.Has("watch") {
-		s.serveWatch(w, r, parts[0])
-		return
+	if len(parts) == 1 && query.Has("watch") {
+		return s.watch(r, parts[0])
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	res := response{status: http.StatusOK, era: s.eraValueLocked()}
+	if len(parts) > 1 {
+		o := s.get(parts[0], parts[1])
+		if o == nil {
+			res.status = http.StatusNotFound
+		}
+		res.body = o
+		return res
+	}
 	objects := s.objects[parts[0]]
 	if query.Has("staleOk") && s.stale != nil {
 		objects = s.stale[parts[0]]
@@ -313,10 +405,12 @@
 	for _, name := range names {
 		items = append(items, objects[name])
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "morePages": more, "storeRevision": s.revision})
+	res.body = map[string]any{"items": items, "morePages": more, "storeRevision": s.revision}
+	return res
 }
 
-func (s *Registrar) serveWatch(w http.ResponseWriter, r *http.Request, kind string) {
+// watch waits for changes after the revision that a call names.
+func (s *Registrar) watch(r *http.Request, kind string) response {
 	query := r.URL.Query()
 	since, _ := strconv.ParseUint(query.Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("waitMs"))
@@ -324,27 +418,13 @@
 	defer timer.Stop()
 	expired := false
 	for {
-		s.mu.Lock()
-		if since < s.compacted {
-			s.mu.Unlock()
-			writeJSON(w, http.StatusGone, nil)
-			return
-		}
-		events := []event{}
-		for _, e := range s.history {
-			if e.kind == kind && e.revision > since {
-				events = append(events, e)
-			}
-		}
-		revision, changed := s.revision, s.changed
-		s.mu.Unlock()
-		if len(events) > 0 || expired {
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "storeRevision": revision})
-			return
+		res, changed := s.changesSince(kind, since, expired)
+		if res.status != 0 {
+			return res
 		}
 		select {
 		case <-r.Context().Done():
-			return
+			return response{}
 		case <-timer.C:
 			expired = true
 		case <-changed:
@@ -352,25 +432,53 @@
 	}
 }
 
-func (s *Registrar) applyWrite(r *http.Request, parts []string) (int, any) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
-	if err != nil {
-		return http.StatusBadRequest, nil
+// changesSince returns the answer to a watch, which is zero if there is no change and the
+// watch has not expired, and a channel that is closed at the next change.
+func (s *Registrar) changesSince(kind string, since uint64, expired bool) (response, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	if since < s.compacted || since > s.revision {
+		return response{status: http.StatusGone, era: s.eraValueLocked()}, s.changed
+	}
+	events := []event{}
+	for _, e := range s.history {
+		if e.kind == kind && e.revision > since {
+			events = append(events, e)
+		}
 	}
+	if len(events) == 0 && !expired {
+		return response{}, s.changed
+	}
+	body := map[string]any{"events": events, "storeRevision": s.revision}
+	return response{status: http.StatusOK, body: body, era: s.eraValueLocked()}, s.changed
+}
+
+func (s *Registrar) applyWrite(r *http.Request, parts []string) response {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 	var in Object
-	if len(data) > 0 && json.Unmarshal(data, &in) != nil {
-		return http.StatusBadRequest, nil
+	if err != nil || len(data) > 0 && json.Unmarshal(data, &in) != nil {
+		return response{status: http.StatusBadRequest, era: s.eraValue()}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	status, body := s.applyObject(r.Method, parts, &in)
+	return response{status: status, body: body, era: s.eraValueLocked()}
+}
+
+// applyObject carries out a write and returns the answer's status and body. The caller
+// holds mu.
+func (s *Registrar) applyObject(method string, parts []string, in *Object) (int, any) {
 	kind := parts[0]
-	if r.Method == http.MethodPost {
+	if method == http.MethodPost {
 		if s.get(kind, in.Metadata.Name) != nil {
 			return http.StatusConflict, s.get(kind, in.Metadata.Name)
 		}
 		in.Status = nil
-		s.save(kind, &in)
-		return http.StatusCreated, &in
+		s.save(kind, in)
+		return http.StatusCreated, in
 	}
 	if len(parts) < 2 {
 		return http.StatusBadRequest, nil
@@ -382,7 +490,7 @@
 	if in.Metadata.Revision != 0 && in.Metadata.Revision != old.Metadata.Revision {
 		return http.StatusConflict, old
 	}
-	if r.Method == http.MethodDelete {
+	if method == http.MethodDelete {
 		s.remove(kind, parts[1])
 		return http.StatusOK, old
 	}
--- a/relay.go
+++ b/relay.go
@@ -150,14 +150,14 @@
 		// if no daemon has written it.
 		PreviousRelease string `cbor:"Before"`
 		// Version is the entry's version, for conditional writes.
-		Version uint64
+		Version Revision
 	}
 
 	// Entry is one entry of a topic. The pointer that belongs to the topic is set;
 	// all are nil if the entry was deleted or cannot be decoded.
 	Entry struct {
 		Name    string
-		Version uint64
+		Version Revision
 		Deleted bool `cbor:"Gone"`
 		// Err is why the entry cannot be decoded; nil if it can.
 		Err     error `cbor:"-"`
@@ -170,12 +170,13 @@
 	// Batch is the result of a list or a watch, current as of Version.
 	Batch struct {
 		Entries []Entry
-		Version uint64
+		Version Revision
 	}
 
 	// Source is the store that daemons read routing tables, hosts, roll-outs, closed
 	// data centres and members from, and to which they write their own membership
-	// and the states of roll-outs. Errors are of type *Error.
+	// and the states of roll-outs. Errors are of type *Error. With an error, a batch's
+	// version has the era of the answer if it is newer than those of earlier answers.
 	Source interface {
 		// List returns all entries of a topic. If stale is true, they may be seconds old,
 		// which costs less, and the batch's version is one up to which they hold all
@@ -183,10 +184,11 @@
 		List(ctx context.Context, topic Topic, stale bool) (Batch, error)
 		// Watch returns the changes after version since. It waits up to wait for one
 		// and returns an empty batch if there is none. It returns an error of
-		// KindExpired if the history after since is no longer kept.
-		Watch(ctx context.Context, topic Topic, since uint64, wait time.Duration) (Batch, error)
+		// KindExpired if the history after since is no longer kept or a newer era began.
+		Watch(ctx context.Context, topic Topic, since Revision, wait time.Duration) (Batch, error)
 		// UpdateRollout writes r's State, Started and PreviousRelease if the entry
-		// still has r.Version, and returns an error of KindConflict otherwise.
+		// still has r.Version, and returns an error of KindConflict otherwise. It is of
+		// KindUnknown if a newer era began meanwhile.
 		UpdateRollout(ctx context.Context, r Rollout) error
 		// Join writes the member entry of a daemon; Leave removes it.
 		Join(ctx context.Context, vm VM) error
