List topics anew in a new era of the source

A daemon that follows another took no notice of a source that came back from an older copy until its own or the followed daemon's watch was refused, and a list with lower revisions was ignored as old.

The newest known era travels with polls, in requests and replies, and only rises. Topics of an older era are listed by the daemons that watch, at once; the others get them complete by polls and serve by what they have meanwhile. Answers, confirmations and states of older eras are not applied. Entries of endpoints and of other daemons that the copy lacks stay for the time that they need to be written again, as after an outage that all daemons had.

--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -34,6 +34,7 @@
 	EventSourceLost        = "source_lost"
 	EventSourceRegained    = "source_regained"
 	EventEra               = "era"
+	EventEraListed         = "era_listed"
 	EventEraIgnored        = "era_ignored"
 	EventOutageOver        = "outage_over"
 	EventFollowing         = "following"
@@ -89,7 +90,8 @@
 	{EventHistoryGone, "topic, era, version", "the source no longer has all changes since the version; the topic is listed again"},
 	{EventSourceLost, "topic, error, age", "this daemon's calls to the source fail; time since the topic was last confirmed"},
 	{EventSourceRegained, "topic, age", "this daemon's calls to the source succeed again; time since the topic was last confirmed"},
-	{EventEra, "topic, era, before, kept", "the source came back from an older copy and the topic was read anew; entries that are kept although the copy contradicts them"},
+	{EventEra, "era, before, peer", "the source came back from an older copy, as its answer or a peer tells: topics are listed anew"},
+	{EventEraListed, "topic, era, before, entries", "a topic was read for the first time in a new era"},
 	{EventEraIgnored, "call, era, error", "an answer of the source was not used because of its era; its connection is closed"},
 	{EventOutageOver, "topic, away", "the source answers again after an outage; time for which the topic was not confirmed"},
 	{EventFollowing, "peer", "this daemon follows another one, or watches the source itself if no peer is named"},
--- a/internal/fleet/follower/changes.go
+++ b/internal/fleet/follower/changes.go
@@ -57,7 +57,7 @@
 // changesSince returns what a daemon lacks that has all up to a version. Entries that are
 // kept over an outage are not passed on.
 func (t *topic) changesSince(version samphireturn.Revision) changeSet {
-	changes := changeSet{Complete: version == samphireturn.Revision{} || t.completeFrom.Newer(version)}
+	changes := changeSet{Complete: version == samphireturn.Revision{} || version.Era != t.version.Era || t.completeFrom.Newer(version)}
 	for name, e := range t.entries {
 		if _, missing := t.missingSince[name]; missing {
 			continue
@@ -88,6 +88,10 @@
 
 // packChanges returns the packed changes since a version.
 func (t *topic) packChanges(since samphireturn.Revision) ([]byte, error) {
+	if since.Era != t.version.Era {
+		// All such pollers get all entries.
+		since = samphireturn.Revision{}
+	}
 	for _, p := range t.packed {
 		if p.since == since && p.version == t.version {
 			return p.data, nil
--- /dev/null
+++ b/internal/fleet/follower/era.go
@@ -0,0 +1,64 @@
+package follower
+
+import (
+	"github.com/go-faster/errors"
+
+	"samphireturn"
+	"samphireturn/internal/core/logger"
+)
+
+var errOldEra = errors.New("a newer era of the source began")
+
+// noteEra notes an era of the source that an answer or a peer told, the source itself if
+// peer is empty. If it is newer than the known one, topics of older eras are listed anew
+// by the daemons that watch, and the others get them by polls; until then they stay in
+// use. The caller holds mu.
+func (f *Follower) noteEra(era uint64, peer string) {
+	if era <= f.era {
+		return
+	}
+	f.Log.Info().Str("event", logger.EventEra).Uint64("era", era).Uint64("before", f.era).Str("peer", peer).Send()
+	f.era = era
+	close(f.eraBegan)
+	f.eraBegan = make(chan struct{})
+	f.wakePolls()
+}
+
+// untilEra returns a channel that is closed when a newer era begins.
+func (f *Follower) untilEra() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.eraBegan
+}
+
+// current reports whether a topic was read in the newest known era. The caller holds mu.
+func (f *Follower) current(t *topic) bool { return t.version.Era >= f.era }
+
+// beginEra prepares a topic, which has been read in an older era, for the first list of a
+// newer one. The copy from which the source came back may lack entries of live endpoints
+// and daemons, as after an outage that all daemons had: they write theirs again. The
+// caller holds mu.
+func (f *Follower) beginEra(t *topic, batch samphireturn.Batch) {
+	now := f.Clock()
+	t.outageEnd, t.gapStart, t.unbrokenSince = now, t.confirmedAt, now
+	t.resumed, t.shared, t.copied = true, true, true
+	f.Log.Info().Str("event", logger.EventEraListed).Stringer("topic", t.name).Uint64("era", batch.Version.Era).
+		Uint64("before", t.version.Era).Int("entries", len(batch.Entries)).Send()
+}
+
+// keepsMissing reports whether an entry that is found missing stays for MissingRetention:
+// that of an endpoint after an outage or in a new era, and that of another daemon in a new
+// era. The caller holds mu.
+func (f *Follower) keepsMissing(t *topic, name string) bool {
+	if f.Clock()-t.outageEnd >= MissingRetention {
+		return false
+	}
+	switch t.name {
+	case samphireturn.TopicHosts:
+		return true
+	case samphireturn.TopicMembers:
+		// This daemon must see that its own entry is missing, to write it again.
+		return t.copied && name != f.Self.ID
+	}
+	return false
+}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -130,6 +130,10 @@
 	// updated is closed and replaced when any topic changes, or when a topic is
 	// confirmed that needs recent confirmations.
 	updated chan struct{}
+	// era is the newest known era of the source, and eraBegan is closed and replaced when
+	// it rises.
+	era      uint64
+	eraBegan chan struct{}
 	// startedAt is when Run was called.
 	startedAt time.Duration
 	// following is the daemon that this one follows, or empty.
@@ -164,6 +168,7 @@
 		Source: source, Control: control, Clock: clock, Log: log,
 		Rand:       rand.Float64,
 		updated:    make(chan struct{}),
+		eraBegan:   make(chan struct{}),
 		avoidUntil: make(map[string]time.Duration),
 	}
 	for i := range f.topics {
@@ -188,6 +193,7 @@
 	f.wg.Go(func() {
 		for timekeeper.Sleep(ctx, checkInterval) {
 			f.removeMissing(&f.topics[samphireturn.TopicHosts])
+			f.removeMissing(&f.topics[samphireturn.TopicMembers])
 		}
 	})
 	if f.Peers != nil {
@@ -284,6 +290,7 @@
 	}
 	f.mu.Lock()
 	listed, confirmed, historyGone := t.listed, t.confirmed, t.historyGone
+	current := f.current(t)
 	starting := f.Peers != nil && f.Clock()-f.startedAt < startTime
 	f.mu.Unlock()
 	switch {
@@ -298,7 +305,7 @@
 		return callNone
 	case !f.watchesDirectly(t):
 		return callNone
-	case listed:
+	case listed && current:
 		return callWatch
 	}
 	return callList
@@ -343,12 +350,16 @@
 	}
 	f.mu.Unlock()
 	answer := f.hedgedCall(ctx, t.name, call, since, wait)
-	if answer.err != nil {
-		return 0, answer.err
-	}
 	batch := answer.batch
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteEra(batch.Version.Era, "")
+	if answer.err != nil {
+		return 0, answer.err
+	}
+	if batch.Version.Era < f.era {
+		return 0, &samphireturn.Error{Op: "read " + t.name.String(), Kind: samphireturn.KindUnavailable, Err: errOldEra}
+	}
 	if call == callStaleList {
 		f.replace(t, batch)
 		return memberListInterval, nil
@@ -382,6 +393,10 @@
 	call(wait)
 	hedge := time.NewTimer(wait + hedgeDelay)
 	defer hedge.Stop()
+	var eraBegan <-chan struct{}
+	if kind == callWatch {
+		eraBegan = f.untilEra()
+	}
 	for inFlight := 1; ; {
 		select {
 		case answer := <-answers:
@@ -389,6 +404,8 @@
 			if answer.err == nil || inFlight == 0 {
 				return answer
 			}
+		case <-eraBegan:
+			return sourceAnswer{err: &samphireturn.Error{Op: "watch " + name.String(), Kind: samphireturn.KindExpired, Err: errOldEra}}
 		case <-hedge.C:
 			inFlight++
 			call(time.Millisecond)
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -56,6 +56,8 @@
 		Ages [samphireturn.TopicCount]int64 `cbor:"2,keyasint"`
 		// Hosts tells of the sender's confirmations of the endpoints.
 		Hosts continuity `cbor:"3,keyasint"`
+		// Era is the newest era of the source that the sender knows.
+		Era uint64 `cbor:"4,keyasint,omitempty"`
 	}
 
 	// continuity tells how long confirmations of a topic have come without an outage.
@@ -69,6 +71,8 @@
 	// pollReply answers a poll.
 	pollReply struct {
 		Topics [samphireturn.TopicCount]topicState `cbor:"1,keyasint"`
+		// Era is the newest era of the source that the sender knows.
+		Era uint64 `cbor:"2,keyasint,omitempty"`
 	}
 
 	// topicState is a topic as the replying daemon has it.
@@ -345,7 +349,7 @@
 		}
 		request.Ages[i] = f.age(&f.topics[i]).Milliseconds()
 	}
-	request.Hosts = f.topics[samphireturn.TopicHosts].continuity()
+	request.Hosts, request.Era = f.topics[samphireturn.TopicHosts].continuity(), f.era
 	f.mu.Unlock()
 	sent := f.Clock()
 	if err := f.Peers.Call(ctx, id, Topic, request, &reply); err != nil {
@@ -353,6 +357,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteEra(reply.Era, id)
 	for i := range f.topics {
 		if err := f.applyState(&f.topics[i], &reply.Topics[i], request.Versions[i], sent); err != nil {
 			return err
@@ -371,7 +376,7 @@
 // all changes that were known when it was made. since is this daemon's version when it
 // polled; the caller holds mu.
 func (f *Follower) applyState(t *topic, s *topicState, since samphireturn.Revision, sent time.Duration) error {
-	if s.Age < 0 || t.version.Newer(s.Version) || len(s.Packed) == 0 && !t.listed {
+	if s.Age < 0 || s.Version.Era < f.era || t.version.Newer(s.Version) || len(s.Packed) == 0 && !t.listed {
 		return nil
 	}
 	var changes changeSet
@@ -389,7 +394,7 @@
 	switch {
 	case changes.Complete:
 		f.replace(t, samphireturn.Batch{Entries: changes.Entries, Version: s.Version})
-	case t.listed && !since.Newer(t.version):
+	case t.listed && !since.Newer(t.version) && s.Version.Era == t.version.Era:
 		f.update(t, samphireturn.Batch{Entries: changes.all(), Version: s.Version})
 	default:
 		return nil
@@ -401,12 +406,13 @@
 
 // handle answers a poll as soon as there are changes or a newer confirmation, at the
 // latest after pollWaitTime.
-func (f *Follower) handle(ctx context.Context, _ string, body []byte) (any, error) {
+func (f *Follower) handle(ctx context.Context, from string, body []byte) (any, error) {
 	var request pollRequest
 	if err := encoder.Unmarshal(body, &request); err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
+	f.noteEra(request.Era, from)
 	hosts := &f.topics[samphireturn.TopicHosts]
 	f.compareOutage(hosts, request.Hosts, f.Clock()-time.Duration(request.Ages[hosts.name])*time.Millisecond)
 	updated := f.updated
@@ -427,10 +433,17 @@
 }
 
 // changedSince reports whether any topic has changed since the poller's version, or has
-// a confirmation that is younger than the poller's by minAgeGain. The caller holds mu.
+// a confirmation that is younger than the poller's by minAgeGain, or whether the poller
+// does not know the newest era. The caller holds mu.
 func (f *Follower) changedSince(request *pollRequest) bool {
+	if request.Era < f.era {
+		return true
+	}
 	for i := range f.topics {
 		t := &f.topics[i]
+		if !f.current(t) {
+			continue
+		}
 		if t.changedVersion.Newer(request.Versions[i]) {
 			return true
 		}
@@ -442,14 +455,18 @@
 }
 
 // buildReply returns the topics with what the poller lacks and the ages of all
-// confirmations.
+// confirmations. Topics of older eras are left out.
 func (f *Follower) buildReply(request *pollRequest) (pollReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var reply pollReply
+	reply := pollReply{Era: f.era}
 	for i := range f.topics {
 		t := &f.topics[i]
 		s := topicState{Version: t.version, Age: -1}
+		if !f.current(t) {
+			reply.Topics[i] = s
+			continue
+		}
 		if t.confirmed && t.listed {
 			s.Age = f.age(t).Milliseconds() + 1
 			s.Continuity = t.continuity()
--- a/internal/fleet/follower/topic.go
+++ b/internal/fleet/follower/topic.go
@@ -12,15 +12,17 @@
 type topic struct {
 	name    samphireturn.Topic
 	entries map[string]samphireturn.Entry
-	// missingSince holds, by name, when entries were first missing after an outage.
+	// missingSince holds, by name, when entries were first missing after an outage or in a
+	// new era.
 	missingSince map[string]time.Duration
 	// outageEnd is when the last outage of the source ended, and gapStart the last
 	// confirmation before it. unbrokenSince is the first confirmation of those that have
 	// come without an outage between them until now.
 	outageEnd, gapStart, unbrokenSince time.Duration
 	// resumed is true if unbrokenSince follows an outage and not the start, and shared if
-	// another daemon had an outage at the same time as the last one of this daemon.
-	resumed, shared bool
+	// another daemon had an outage at the same time as the last one of this daemon. copied
+	// is true if the source came back from an older copy in the last outage.
+	resumed, shared, copied bool
 	// failing is true while this daemon's own calls to the source fail.
 	failing bool
 	// version is the source's version up to which changes are known; changedVersion is
@@ -49,7 +51,7 @@
 	if t.confirmed && sent-t.confirmedAt > MinOutage+f.watchTimeout(t) {
 		t.outageEnd = f.Clock()
 		t.gapStart, t.unbrokenSince = t.confirmedAt, sent
-		t.resumed, t.shared = true, false
+		t.resumed, t.shared, t.copied = true, false, false
 		f.Log.Info().Str("event", logger.EventOutageOver).Stringer("topic", t.name).Dur("away", sent-t.confirmedAt).Send()
 	}
 }
@@ -75,7 +77,7 @@
 // span this daemon's gap, the source was not down: entries that are missing have left and
 // did not expire. If they have a gap too, it was. The caller holds mu.
 func (f *Follower) compareOutage(t *topic, c continuity, confirmedAt time.Duration) {
-	if !t.resumed || f.Clock()-t.outageEnd >= MissingRetention {
+	if !t.resumed || t.copied || f.Clock()-t.outageEnd >= MissingRetention {
 		return
 	}
 	unbrokenSince := confirmedAt - time.Duration(c.Unbroken)*time.Millisecond
@@ -121,6 +123,9 @@
 	if t.version.Newer(batch.Version) {
 		return
 	}
+	if batch.Version.Era > t.version.Era && t.version != (samphireturn.Revision{}) {
+		f.beginEra(t, batch)
+	}
 	seen := make(map[string]bool, len(batch.Entries))
 	for _, e := range batch.Entries {
 		seen[e.Name] = true
@@ -190,13 +195,12 @@
 func (f *Follower) remove(t *topic, name string, version samphireturn.Revision) {
 	// Daemons that poll this one may have an entry that this one never had.
 	t.noteRemoved(name, version)
-	now := f.Clock()
 	if _, known := t.entries[name]; !known {
 		return
 	}
-	if t.name == samphireturn.TopicHosts && now-t.outageEnd < MissingRetention {
+	if f.keepsMissing(t, name) {
 		if _, ok := t.missingSince[name]; !ok {
-			t.missingSince[name] = now
+			t.missingSince[name] = f.Clock()
 		}
 		return
 	}
