Keep what callers were promised in a new era of the source

A copy some seconds old contradicts what daemons know and have acted on: an endpoint that drained or left is ready again, a closed data centre open, a roll-out running whose verdict was reached, an order of another release back. A daemon that listed it took it for the news.

What the first list of an era contradicts is kept beside the entries: the newest table always; endpoints that were leaving or had left for their instance (id and start), until they write in the new era or six seconds have passed; closures and orders for six seconds; a state of a roll-out until it is written again, which the concluder does under a condition of the new era, with the earliest start and the known previous release. Polls carry a hash of it and, where that differs, the rest, both ways; merging only adds. A topic's state tells how long ago its era began, so that a daemon that comes back late keeps nothing of its own.

Ruled out: one more topic or object for the kept state, as the store may lose it in the next drill.

--- a/internal/fleet/concluder/concluder.go
+++ b/internal/fleet/concluder/concluder.go
@@ -91,6 +91,11 @@
 // updateRollout writes the state of one roll-out if it has to change and it is this
 // daemon's turn.
 func (c *Concluder) updateRollout(ctx context.Context, v *samphireturn.View, r *samphireturn.Rollout) {
+	if r.Version == (samphireturn.Revision{}) {
+		// The source has no entry to write to.
+		delete(c.pending, r.Pool)
+		return
+	}
 	next, ok := c.Stager.NextState(r, func(release string) bool { return c.drained(v, r.Pool, release) })
 	if !ok {
 		delete(c.pending, r.Pool)
@@ -109,7 +114,7 @@
 	c.pending[r.Pool] = d
 	err := c.Source.UpdateRollout(ctx, next)
 	c.Log.Info().Str("event", logger.EventConcluded).Str("pool", r.Pool).Str("release", r.Release).Str("state", next.State).
-		Uint64("era", r.Version.Era).Uint64("version", r.Version.Number).Err(err).Send()
+		Bool("again", r.Unwritten).Uint64("era", r.Version.Era).Uint64("version", r.Version.Number).Err(err).Send()
 }
 
 // rank returns the position of this daemon among those that are linked.
--- a/internal/fleet/follower/era.go
+++ b/internal/fleet/follower/era.go
@@ -38,12 +38,12 @@
 // newer one. The copy from which the source came back may lack entries of live endpoints
 // and daemons, as after an outage that all daemons had: they write theirs again. The
 // caller holds mu.
-func (f *Follower) beginEra(t *topic, batch samphireturn.Batch) {
+func (f *Follower) beginEra(t *topic, batch samphireturn.Batch, begun eraStart) {
 	now := f.Clock()
 	t.outageEnd, t.gapStart, t.unbrokenSince = now, t.confirmedAt, now
 	t.resumed, t.shared, t.copied = true, true, true
 	f.Log.Info().Str("event", logger.EventEraListed).Stringer("topic", t.name).Uint64("era", batch.Version.Era).
-		Uint64("before", t.version.Era).Int("entries", len(batch.Entries)).Send()
+		Uint64("before", t.version.Era).Int("entries", len(batch.Entries)).Int("kept", f.keep(t, batch, begun)).Send()
 }
 
 // keepsMissing reports whether an entry that is found missing stays for MissingRetention:
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -134,6 +134,9 @@
 	// it rises.
 	era      uint64
 	eraBegan chan struct{}
+	kept     keptState
+	// lags holds, by daemon, what the last poll of it found that it lacks.
+	lags map[string]peerLag
 	// startedAt is when Run was called.
 	startedAt time.Duration
 	// following is the daemon that this one follows, or empty.
@@ -169,6 +172,8 @@
 		Rand:       rand.Float64,
 		updated:    make(chan struct{}),
 		eraBegan:   make(chan struct{}),
+		kept:       newKeptState(),
+		lags:       make(map[string]peerLag),
 		avoidUntil: make(map[string]time.Duration),
 	}
 	for i := range f.topics {
@@ -194,6 +199,7 @@
 		for timekeeper.Sleep(ctx, checkInterval) {
 			f.removeMissing(&f.topics[samphireturn.TopicHosts])
 			f.removeMissing(&f.topics[samphireturn.TopicMembers])
+			f.dropKept()
 		}
 	})
 	if f.Peers != nil {
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -58,6 +58,11 @@
 		Hosts continuity `cbor:"3,keyasint"`
 		// Era is the newest era of the source that the sender knows.
 		Era uint64 `cbor:"4,keyasint,omitempty"`
+		// KeptHash is the hash of what the sender keeps from older eras, and TableVersion
+		// the version of its newest table. Kept is what the receiver lacks of these.
+		KeptHash     uint64       `cbor:"5,keyasint,omitempty"`
+		TableVersion int64        `cbor:"6,keyasint,omitempty"`
+		Kept         *keptMessage `cbor:"7,keyasint,omitempty"`
 	}
 
 	// continuity tells how long confirmations of a topic have come without an outage.
@@ -73,6 +78,10 @@
 		Topics [samphireturn.TopicCount]topicState `cbor:"1,keyasint"`
 		// Era is the newest era of the source that the sender knows.
 		Era uint64 `cbor:"2,keyasint,omitempty"`
+		// KeptHash, TableVersion and Kept are as in a pollRequest.
+		KeptHash     uint64       `cbor:"3,keyasint,omitempty"`
+		TableVersion int64        `cbor:"4,keyasint,omitempty"`
+		Kept         *keptMessage `cbor:"5,keyasint,omitempty"`
 	}
 
 	// topicState is a topic as the replying daemon has it.
@@ -82,6 +91,10 @@
 		// is none.
 		Age        int64      `cbor:"2,keyasint"`
 		Continuity continuity `cbor:"5,keyasint"`
+		// First is the number of the first list of the topic in the era of Version, and
+		// EraAge the time since then, in milliseconds.
+		First  uint64 `cbor:"7,keyasint,omitempty"`
+		EraAge int64  `cbor:"8,keyasint,omitempty"`
 		// Packed holds what the polling daemon lacks, as pack returns it; empty if it has
 		// all up to Version.
 		Packed []byte `cbor:"6,keyasint,omitempty"`
@@ -350,6 +363,7 @@
 		request.Ages[i] = f.age(&f.topics[i]).Milliseconds()
 	}
 	request.Hosts, request.Era = f.topics[samphireturn.TopicHosts].continuity(), f.era
+	request.KeptHash, request.TableVersion, request.Kept = f.kept.hash(), f.tableVersion(), f.messageTo(id)
 	f.mu.Unlock()
 	sent := f.Clock()
 	if err := f.Peers.Call(ctx, id, Topic, request, &reply); err != nil {
@@ -363,6 +377,8 @@
 			return err
 		}
 	}
+	f.mergeKept(reply.Kept)
+	f.noteLag(id, &reply)
 	for i := range f.topics {
 		t := &f.topics[i]
 		if t.needsRecent() && time.Duration(reply.Topics[i].Age)*time.Millisecond > f.maxAge(t)+staleTolerance {
@@ -393,7 +409,8 @@
 	}
 	switch {
 	case changes.Complete:
-		f.replace(t, samphireturn.Batch{Entries: changes.Entries, Version: s.Version})
+		begun := eraStart{first: samphireturn.Revision{Era: s.Version.Era, Number: s.First}, at: f.Clock() - time.Duration(s.EraAge)*time.Millisecond}
+		f.replaceSince(t, samphireturn.Batch{Entries: changes.Entries, Version: s.Version}, begun)
 	case t.listed && !since.Newer(t.version) && s.Version.Era == t.version.Era:
 		f.update(t, samphireturn.Batch{Entries: changes.all(), Version: s.Version})
 	default:
@@ -413,6 +430,7 @@
 	}
 	f.mu.Lock()
 	f.noteEra(request.Era, from)
+	f.mergeKept(request.Kept)
 	hosts := &f.topics[samphireturn.TopicHosts]
 	f.compareOutage(hosts, request.Hosts, f.Clock()-time.Duration(request.Ages[hosts.name])*time.Millisecond)
 	updated := f.updated
@@ -459,7 +477,7 @@
 func (f *Follower) buildReply(request *pollRequest) (pollReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := pollReply{Era: f.era}
+	reply := pollReply{Era: f.era, KeptHash: f.kept.hash(), TableVersion: f.tableVersion(), Kept: f.replyTo(request)}
 	for i := range f.topics {
 		t := &f.topics[i]
 		s := topicState{Version: t.version, Age: -1}
@@ -470,6 +488,7 @@
 		if t.confirmed && t.listed {
 			s.Age = f.age(t).Milliseconds() + 1
 			s.Continuity = t.continuity()
+			s.First, s.EraAge = t.begun.first.Number, (f.Clock() - t.begun.at).Milliseconds()
 		}
 		if t.listed && (t.changedVersion.Newer(request.Versions[i]) || request.Versions[i] == samphireturn.Revision{}) {
 			packed, err := t.packChanges(request.Versions[i])
--- a/internal/fleet/follower/publish.go
+++ b/internal/fleet/follower/publish.go
@@ -64,12 +64,7 @@
 }
 
 func (f *Follower) table(t *topic) viewUpdate {
-	var newest *samphireturn.Table
-	for _, e := range t.entries {
-		if e.Table != nil && (newest == nil || e.Table.Version > newest.Version) {
-			newest = e.Table
-		}
-	}
+	newest := f.newestTable()
 	if newest != nil {
 		f.Log.Info().Str("event", logger.EventTable).Int64("version", newest.Version).Int("routes", len(newest.Routes)).
 			Uint64("era", t.version.Era).Uint64("source_version", t.version.Number).Send()
@@ -88,10 +83,14 @@
 		if _, missing := t.missingSince[name]; missing && !expired[e.Host.Pool] {
 			continue
 		}
-		pools[e.Host.Pool] = append(pools[e.Host.Pool], e.Host)
-		if e.Host.Leaving {
+		h := e.Host
+		if f.isLeaving(&e) {
 			leaving++
+			copied := *h
+			copied.Leaving = true
+			h = &copied
 		}
+		pools[h.Pool] = append(pools[h.Pool], h)
 	}
 	for _, hosts := range pools {
 		slices.SortFunc(hosts, func(a, b *samphireturn.Host) int { return strings.Compare(a.ID, b.ID) })
@@ -124,22 +123,17 @@
 }
 
 func (f *Follower) rollouts(t *topic) viewUpdate {
-	rollouts := make(map[string]*samphireturn.Rollout)
-	for _, e := range t.entries {
-		if e.Rollout == nil {
-			continue
-		}
-		rollouts[e.Rollout.Pool] = e.Rollout
-		f.Log.Info().Str("event", logger.EventRollout).Str("pool", e.Rollout.Pool).Str("release", e.Rollout.Release).
-			Str("state", e.Rollout.State).Uint64("era", t.version.Era).Uint64("source_version", t.version.Number).Send()
+	rollouts := f.knownRollouts(t)
+	for _, r := range rollouts {
+		f.Log.Info().Str("event", logger.EventRollout).Str("pool", r.Pool).Str("release", r.Release).Str("state", r.State).
+			Bool("unwritten", r.Unwritten).Uint64("era", t.version.Era).Uint64("source_version", t.version.Number).Send()
 	}
 	return func(v *samphireturn.View) { v.Rollouts = rollouts }
 }
 
 func (f *Follower) closures(t *topic) viewUpdate {
-	closed := make(map[string]bool)
-	for name := range t.entries {
-		closed[name] = true
+	closed := f.closedCentres(t)
+	for name := range closed {
 		f.Log.Info().Str("event", logger.EventCentreClosed).Str("centre", name).Uint64("era", t.version.Era).Uint64("source_version", t.version.Number).Send()
 	}
 	return func(v *samphireturn.View) { v.ClosedCentres = closed }
--- a/internal/fleet/follower/topic.go
+++ b/internal/fleet/follower/topic.go
@@ -28,6 +28,8 @@
 	// version is the source's version up to which changes are known; changedVersion is
 	// that of the last change.
 	version, changedVersion samphireturn.Revision
+	// begun is when the era of version began for this topic.
+	begun eraStart
 	// removed holds the versions at which entries were removed, by name. With it, changes
 	// since completeFrom are known completely.
 	removed      map[string]samphireturn.Revision
@@ -117,14 +119,23 @@
 	f.updated = make(chan struct{})
 }
 
-// replace applies a complete list. The caller holds mu.
+// replace applies a complete list of the source. The caller holds mu.
 func (f *Follower) replace(t *topic, batch samphireturn.Batch) {
+	f.replaceSince(t, batch, eraStart{first: batch.Version, at: f.Clock()})
+}
+
+// replaceSince applies a complete list, of an era that began at begun unless the topic was
+// read in it before. The caller holds mu.
+func (f *Follower) replaceSince(t *topic, batch samphireturn.Batch, begun eraStart) {
 	t.listed = true
 	if t.version.Newer(batch.Version) {
 		return
 	}
 	if batch.Version.Era > t.version.Era && t.version != (samphireturn.Revision{}) {
-		f.beginEra(t, batch)
+		f.beginEra(t, batch, begun)
+	}
+	if batch.Version.Era != t.begun.first.Era || t.begun.at == 0 {
+		t.begun = begun
 	}
 	seen := make(map[string]bool, len(batch.Entries))
 	for _, e := range batch.Entries {
@@ -184,6 +195,13 @@
 		f.Log.Warn().Str("event", logger.EventTableIgnored).Int64("version", e.Table.Version).Int64("in_force", old.Table.Version).Send()
 		return
 	}
+	if ok && e.Host != nil && old.Host != nil && e.Host.Born != 0 && e.Host.Born < old.Host.Born {
+		// The copy has an earlier instance, the address of which may be another's now.
+		e.Host = old.Host
+	}
+	if t.name == samphireturn.TopicClosures {
+		delete(f.kept.closures, e.Name)
+	}
 	delete(t.missingSince, e.Name)
 	delete(t.removed, e.Name)
 	t.entries[e.Name] = e
--- a/internal/forward/stager/verdict.go
+++ b/internal/forward/stager/verdict.go
@@ -171,7 +171,8 @@
 	}
 	switch {
 	case ended(state):
-		return next, false
+		next.State = state
+		return next, r.Unwritten
 	case faulty:
 		next.State = samphireturn.RolloutRolledBack
 	case elapsed >= forcedEnd && share >= 1, elapsed >= earliestEnd && share >= 1 && idle(r.Release):
@@ -179,7 +180,7 @@
 	case state == samphireturn.RolloutOrdered:
 		next.State = samphireturn.RolloutRunning
 	default:
-		return next, false
+		return next, r.Unwritten
 	}
 	return next, true
 }
--- a/internal/standin/registrar/registrar.go
+++ b/internal/standin/registrar/registrar.go
@@ -177,6 +177,21 @@
 	return nil
 }
 
+// PutStatus replaces an object's status, if there is one, as a daemon would.
+func (s *Registrar) PutStatus(kind, name string, status any) error {
+	data, err := json.Marshal(status)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o := s.get(kind, name); o != nil {
+		o.Status = data
+		s.save(kind, o)
+	}
+	return nil
+}
+
 // PutRaw stores bytes as an object, valid or not, as another writer might.
 func (s *Registrar) PutRaw(kind, name, object string) {
 	s.mu.Lock()
--- a/relay.go
+++ b/relay.go
@@ -131,6 +131,9 @@
 		Release string
 		Slots   int
 		Leaving bool
+		// Born tells instances with the same ID apart: it is later for each one; zero if
+		// not known.
+		Born int64 `cbor:",omitempty"`
 		// WarmUpLeft is how much of the endpoint's warm-up remained when it was listed.
 		WarmUpLeft time.Duration `cbor:"Cold"`
 	}
@@ -149,7 +152,11 @@
 		// PreviousRelease is the release that served the pool before the order; empty
 		// if no daemon has written it.
 		PreviousRelease string `cbor:"Before"`
-		// Version is the entry's version, for conditional writes.
+		// Unwritten is true if the source lost State in a new era, in which it came back
+		// from an older copy.
+		Unwritten bool `cbor:",omitempty"`
+		// Version is the entry's version, for conditional writes; zero if the source lost
+		// the entry too.
 		Version Revision
 	}
 
