Ask others what they keep before a started daemon serves

A daemon that restarted just after the store had come back from an older copy served by that copy: it accepted a key that had been revoked, for 0.1 to 0.3 s, until it heard of the newer table by a poll.

Where the store has eras, a started daemon publishes the table once a daemon that serves has answered a poll, or after 200 ms: it must serve within a quarter of a second, also if all start together. To have links by then it dials all daemons of its data centre as soon as it has read the members, as daemons do that are not listed yet.

Ruled out: waiting without a bound, and a mark in the store of when an era began, which the next copy may lack.

--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -35,6 +35,7 @@
 	EventSourceRegained    = "source_regained"
 	EventEra               = "era"
 	EventEraListed         = "era_listed"
+	EventOpened            = "opened"
 	EventEraIgnored        = "era_ignored"
 	EventOutageOver        = "outage_over"
 	EventFollowing         = "following"
@@ -92,6 +93,7 @@
 	{EventSourceRegained, "topic, age", "this daemon's calls to the source succeed again; time since the topic was last confirmed"},
 	{EventEra, "era, before, peer", "the source came back from an older copy, as its answer or a peer tells: topics are listed anew"},
 	{EventEraListed, "topic, era, before, entries, kept", "a topic was read for the first time in a new era; entries that stay in force although the source lost or contradicts them"},
+	{EventOpened, "heard, took", "a started daemon serves by the table; whether another daemon that serves has told what it keeps from older eras"},
 	{EventEraIgnored, "call, era, error", "an answer of the source was not used because of its era; its connection is closed"},
 	{EventOutageOver, "topic, away", "the source answers again after an outage; time for which the topic was not confirmed"},
 	{EventFollowing, "peer", "this daemon follows another one, or watches the source itself if no peer is named"},
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -137,6 +137,8 @@
 	kept     keptState
 	// lags holds, by daemon, what the last poll of it found that it lacks.
 	lags map[string]peerLag
+	// isOpen is true once the table may be published although the source has eras.
+	isOpen bool
 	// startedAt is when Run was called.
 	startedAt time.Duration
 	// following is the daemon that this one follows, or empty.
@@ -205,6 +207,7 @@
 	if f.Peers != nil {
 		f.wg.Go(func() { f.pollLoop(ctx) })
 		f.wg.Go(func() { f.catchUpLoop(ctx) })
+		f.wg.Go(func() { f.openLoop(ctx) })
 	}
 	return nil
 }
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -63,6 +63,8 @@
 		KeptHash     uint64       `cbor:"5,keyasint,omitempty"`
 		TableVersion int64        `cbor:"6,keyasint,omitempty"`
 		Kept         *keptMessage `cbor:"7,keyasint,omitempty"`
+		// Opening is true if the sender waits for the answer before it serves.
+		Opening bool `cbor:"8,keyasint,omitempty"`
 	}
 
 	// continuity tells how long confirmations of a topic have come without an outage.
@@ -78,6 +80,8 @@
 		Topics [samphireturn.TopicCount]topicState `cbor:"1,keyasint"`
 		// Era is the newest era of the source that the sender knows.
 		Era uint64 `cbor:"2,keyasint,omitempty"`
+		// Open is true if the sender serves.
+		Open bool `cbor:"6,keyasint,omitempty"`
 		// KeptHash, TableVersion and Kept are as in a pollRequest.
 		KeptHash     uint64       `cbor:"3,keyasint,omitempty"`
 		TableVersion int64        `cbor:"4,keyasint,omitempty"`
@@ -363,6 +367,7 @@
 		request.Ages[i] = f.age(&f.topics[i]).Milliseconds()
 	}
 	request.Hosts, request.Era = f.topics[samphireturn.TopicHosts].continuity(), f.era
+	request.Opening = !f.opened()
 	request.KeptHash, request.TableVersion, request.Kept = f.kept.hash(), f.tableVersion(), f.messageTo(id)
 	f.mu.Unlock()
 	sent := f.Clock()
@@ -378,6 +383,7 @@
 		}
 	}
 	f.mergeKept(reply.Kept)
+	f.isOpen = f.isOpen || reply.Open
 	f.noteLag(id, &reply)
 	for i := range f.topics {
 		t := &f.topics[i]
@@ -452,9 +458,9 @@
 
 // changedSince reports whether any topic has changed since the poller's version, or has
 // a confirmation that is younger than the poller's by minAgeGain, or whether the poller
-// does not know the newest era. The caller holds mu.
+// does not know the newest era or waits for the answer. The caller holds mu.
 func (f *Follower) changedSince(request *pollRequest) bool {
-	if request.Era < f.era {
+	if request.Era < f.era || request.Opening {
 		return true
 	}
 	for i := range f.topics {
@@ -477,7 +483,7 @@
 func (f *Follower) buildReply(request *pollRequest) (pollReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := pollReply{Era: f.era, KeptHash: f.kept.hash(), TableVersion: f.tableVersion(), Kept: f.replyTo(request)}
+	reply := pollReply{Era: f.era, Open: f.isOpen, KeptHash: f.kept.hash(), TableVersion: f.tableVersion(), Kept: f.replyTo(request)}
 	for i := range f.topics {
 		t := &f.topics[i]
 		s := topicState{Version: t.version, Age: -1}
--- a/internal/fleet/follower/publish.go
+++ b/internal/fleet/follower/publish.go
@@ -43,6 +43,9 @@
 
 // publish posts the topic's part of the view.
 func (f *Follower) publish(t *topic) {
+	if t.name == samphireturn.TopicTable && !f.opened() {
+		return
+	}
 	changes.Add(t.name.String(), 1)
 	f.Control.Post(f.buildUpdate(t))
 }
--- a/internal/fleet/joiner/joiner.go
+++ b/internal/fleet/joiner/joiner.go
@@ -25,8 +25,11 @@
 	// readTime is how long after the start the list of members is awaited, which may hold
 	// the entry that an earlier process of the VM wrote.
 	readTime = 600 * time.Millisecond
-	// checkInterval is the time between two checks of the list of members for changes.
-	checkInterval = 200 * time.Millisecond
+	// checkInterval is the time between two checks of the list of members for changes, and
+	// firstCheckInterval the same until there is one: a started daemon asks others for what
+	// they know before it serves.
+	checkInterval      = 200 * time.Millisecond
+	firstCheckInterval = 10 * time.Millisecond
 	// leaveTimeout bounds the removal of the entry; an entry that is left behind does
 	// little harm.
 	leaveTimeout = time.Second
@@ -116,13 +119,28 @@
 // watchMembers passes changed members to the messenger.
 func (j *Joiner) watchMembers(ctx context.Context) {
 	var last []samphireturn.VM
-	for timekeeper.Sleep(ctx, checkInterval) {
+	for interval := firstCheckInterval; timekeeper.Sleep(ctx, interval); {
 		members := j.Control.Snapshot().Members
 		if slices.Equal(members, last) {
 			continue
 		}
+		if interval == firstCheckInterval {
+			members = j.withoutSelf(members)
+		}
+		interval = checkInterval
 		last = members
 		j.Messenger.SetMembers(members)
 		j.Log.Info().Str("event", logger.EventMembers).Int("members", len(members)).Send()
 	}
 }
+
+// withoutSelf returns the members without this daemon if others are in its data centre:
+// the messenger then dials them all, without waiting for those that are to dial this one.
+func (j *Joiner) withoutSelf(members []samphireturn.VM) []samphireturn.VM {
+	others := slices.DeleteFunc(slices.Clone(members), func(vm samphireturn.VM) bool { return vm.ID == j.Self.ID })
+	inCentre := func(vm samphireturn.VM) bool { return vm.Centre == j.Self.Centre }
+	if slices.ContainsFunc(others, inCentre) {
+		return others
+	}
+	return members
+}
