--- a/internal/fleet/follower/era.go
+++ b/internal/fleet/follower/era.go
@@ -34,6 +34,14 @@
 // current reports whether a topic was read in the newest known era. The caller holds mu.
 func (f *Follower) current(t *topic) bool { return t.version.Era >= f.era }
 
+// passesOn reports whether a topic is passed on to other daemons: not before it was read
+// in the newest era, and the table not before the endpoints either, since requests are
+// refused where its confirmation is much newer than theirs. The caller holds mu.
+func (f *Follower) passesOn(t *topic) bool {
+	hosts := &f.topics[samphireturn.TopicHosts]
+	return f.current(t) && (t.name != samphireturn.TopicTable || f.current(hosts) || !hosts.listed)
+}
+
 // beginEra prepares a topic, which has been read in an older era, for the first list of a
 // newer one. The copy from which the source came back may lack entries of live endpoints
 // and daemons, as after an outage that all daemons had: they write theirs again. The
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -465,7 +465,7 @@
 	}
 	for i := range f.topics {
 		t := &f.topics[i]
-		if !f.current(t) {
+		if !f.passesOn(t) {
 			continue
 		}
 		if t.changedVersion.Newer(request.Versions[i]) {
@@ -487,7 +487,7 @@
 	for i := range f.topics {
 		t := &f.topics[i]
 		s := topicState{Version: t.version, Age: -1}
-		if !f.current(t) {
+		if !f.passesOn(t) {
 			reply.Topics[i] = s
 			continue
 		}
--- a/internal/fleet/follower/topic.go
+++ b/internal/fleet/follower/topic.go
@@ -42,9 +42,10 @@
 	// listed is true if the entries are complete, as read from the source or a peer;
 	// only then can the topic be watched.
 	listed bool
-	// confirmedAt is the time of the newest confirmation, if confirmed is true.
-	confirmedAt time.Duration
-	confirmed   bool
+	// confirmedAt is the time of the newest confirmation, if confirmed is true, and
+	// pendingAt that of one that takes effect later; zero for none.
+	confirmedAt, pendingAt time.Duration
+	confirmed              bool
 }
 
 // noteOutage records that an answer, to a call made at sent, ends an outage of the
@@ -58,9 +59,23 @@
 	}
 }
 
-// confirm sets the time of the newest confirmation, if sent is later. The caller holds
-// mu.
+// confirm sets the time of the newest confirmation, if sent is later. In a new era that of
+// the table takes effect with that of the endpoints. The caller holds mu.
 func (f *Follower) confirm(t *topic, sent time.Duration) {
+	if !f.passesOn(t) {
+		t.pendingAt = max(t.pendingAt, sent)
+		return
+	}
+	f.applyConfirmation(t, sent)
+	if table := &f.topics[samphireturn.TopicTable]; t.name == samphireturn.TopicHosts && table.pendingAt > 0 && f.passesOn(table) {
+		f.applyConfirmation(table, table.pendingAt)
+		table.pendingAt = 0
+	}
+}
+
+// applyConfirmation sets the time of the newest confirmation, if sent is later. The caller
+// holds mu.
+func (f *Follower) applyConfirmation(t *topic, sent time.Duration) {
 	if t.confirmed && sent <= t.confirmedAt {
 		return
 	}
