--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -141,7 +141,7 @@
 	}{
 		{Messenger, peers},
 		{Follower, viewFollower},
-		{Joiner, &joiner.Joiner{Source: b.Source, Control: k, Messenger: peers, Self: b.Self, Log: serviceLog(b.Log, Joiner)}},
+		{Joiner, &joiner.Joiner{Source: b.Source, Control: k, Messenger: peers, Self: b.Self, Rand: rand.Float64, Log: serviceLog(b.Log, Joiner)}},
 		{Sharer, loadSharer},
 		{Concluder, &concluder.Concluder{
 			Source: b.Source, Control: k, Peers: peers, Stager: rolloutStager, Balancer: loadBalancer, Self: b.Self, Clock: b.Clock,
--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -98,7 +98,7 @@
 	{EventOutageOver, "topic, away", "the source answers again after an outage; time for which the topic was not confirmed"},
 	{EventFollowing, "peer", "this daemon follows another one, or watches the source itself if no peer is named"},
 	{EventFollowFailed, "peer, error", "a followed daemon did not answer, or its confirmations are too old"},
-	{EventJoined, "", "the member entry of this daemon was written"},
+	{EventJoined, "again", "the member entry of this daemon was written; whether the source had lost it"},
 	{EventJoinFailed, "error", "the member entry of this daemon could not be written; it is retried"},
 	{EventLeft, "error", "the member entry of this daemon was removed"},
 	{EventShareFailed, "peer, error", "a peer did not answer with its load report"},
--- a/internal/fleet/follower/era.go
+++ b/internal/fleet/follower/era.go
@@ -55,18 +55,11 @@
 }
 
 // keepsMissing reports whether an entry that is found missing stays for MissingRetention:
-// that of an endpoint after an outage or in a new era, and that of another daemon in a new
-// era. The caller holds mu.
-func (f *Follower) keepsMissing(t *topic, name string) bool {
+// that of an endpoint after an outage or in a new era, and that of a daemon in a new era.
+// The caller holds mu.
+func (f *Follower) keepsMissing(t *topic) bool {
 	if f.Clock()-t.outageEnd >= MissingRetention {
 		return false
 	}
-	switch t.name {
-	case samphireturn.TopicHosts:
-		return true
-	case samphireturn.TopicMembers:
-		// This daemon must see that its own entry is missing, to write it again.
-		return t.copied && name != f.Self.ID
-	}
-	return false
+	return t.name == samphireturn.TopicHosts || t.name == samphireturn.TopicMembers && t.copied
 }
--- a/internal/fleet/follower/publish.go
+++ b/internal/fleet/follower/publish.go
@@ -151,5 +151,6 @@
 		}
 	}
 	slices.SortFunc(members, func(a, b samphireturn.VM) int { return strings.Compare(a.ID, b.ID) })
-	return func(v *samphireturn.View) { v.Members = members }
+	_, lost := t.missingSince[f.Self.ID]
+	return func(v *samphireturn.View) { v.Members, v.SelfLost = members, lost }
 }
--- a/internal/fleet/follower/topic.go
+++ b/internal/fleet/follower/topic.go
@@ -231,7 +231,7 @@
 	if _, known := t.entries[name]; !known {
 		return
 	}
-	if f.keepsMissing(t, name) {
+	if f.keepsMissing(t) {
 		if _, ok := t.missingSince[name]; !ok {
 			t.missingSince[name] = f.Clock()
 		}
--- a/internal/fleet/joiner/joiner.go
+++ b/internal/fleet/joiner/joiner.go
@@ -30,6 +30,10 @@
 	// they know before it serves.
 	checkInterval      = 200 * time.Millisecond
 	firstCheckInterval = 10 * time.Millisecond
+	// rejoinSpread is the time over which daemons spread the writes of entries that the
+	// source has lost: all may have lost theirs at once, and the others drop a member whose
+	// entry is missing after 1.7 s.
+	rejoinSpread = 700 * time.Millisecond
 	// leaveTimeout bounds the removal of the entry; an entry that is left behind does
 	// little harm.
 	leaveTimeout = time.Second
@@ -47,6 +51,8 @@
 	Messenger MemberSetter
 	Self      samphireturn.VM
 	Log       zerolog.Logger
+	// Rand returns a number in [0, 1) for the spread of writes.
+	Rand func() float64
 
 	joined bool
 	// keep and stopKeeping bound the time in which the entry is kept.
@@ -81,13 +87,18 @@
 // then removes it.
 func (j *Joiner) keepEntry() {
 	wait := checkInterval
+	// lost is true if the entry was found missing at the last check.
+	lost := false
 	for start := time.Now(); timekeeper.Sleep(j.keep, wait); {
 		wait = checkInterval
 		view := j.Control.Snapshot().View
 		read := view != nil && view.Members != nil
 		switch {
-		case read && slices.Contains(view.Members, j.Self):
-			j.joined = true
+		case read && slices.Contains(view.Members, j.Self) && !view.SelfLost:
+			j.joined, lost = true, false
+		case read && j.joined && !lost:
+			lost = true
+			wait = time.Duration(j.Rand() * float64(rejoinSpread))
 		case read || time.Since(start) >= readTime:
 			wait = j.write(j.keep)
 		}
@@ -111,8 +122,8 @@
 		j.Log.Warn().Str("event", logger.EventJoinFailed).Err(err).Send()
 		return retryDelay
 	}
+	j.Log.Info().Str("event", logger.EventJoined).Bool("again", j.joined).Send()
 	j.joined = true
-	j.Log.Info().Str("event", logger.EventJoined).Send()
 	return rewriteDelay
 }
 
--- a/relay.go
+++ b/relay.go
@@ -306,6 +306,9 @@
 		ClosedCentres map[string]bool
 		// Members are the daemons of the fleet; nil if they were not read.
 		Members []VM
+		// SelfLost is true if the source lost this daemon's entry in a new era, although
+		// Members still has it.
+		SelfLost bool
 		// Synced is true once every topic has been read.
 		Synced bool
 		// Confirmed holds, for each topic, the time as of which the source confirmed that
