--- a/internal/fleet/follower/changes.go
+++ b/internal/fleet/follower/changes.go
@@ -57,7 +57,7 @@
 // changesSince returns what a daemon lacks that has all up to a version. Entries that are
 // kept over an outage are not passed on.
 func (t *topic) changesSince(version samphireturn.Revision) changeSet {
-	changes := changeSet{Complete: version == samphireturn.Revision{} || version.Era != t.version.Era || t.completeFrom.Newer(version)}
+	changes := changeSet{Complete: version == samphireturn.Revision{} || t.completeFrom.Newer(version)}
 	for name, e := range t.entries {
 		if _, missing := t.missingSince[name]; missing {
 			continue
--- a/internal/fleet/follower/changes_test.go
+++ b/internal/fleet/follower/changes_test.go
@@ -102,19 +102,23 @@
 			request.Versions[i] = p.topics[i].version
 		}
 	}
+	request.Era, request.KeptHash, request.TableVersion = p.era, p.kept.hash(), p.tableVersion()
 	return request
 }
 
 // poll polls another daemon and returns the size of the reply in bytes.
 func (p *poller) poll(c *qt.C, other *poller) int {
 	request := p.request()
+	other.noteEra(request.Era, "")
 	reply, err := other.buildReply(&request)
 	c.Assert(err, qt.IsNil)
 	data, err := encoder.Marshal(reply)
 	c.Assert(err, qt.IsNil)
+	p.noteEra(reply.Era, "")
 	for i := range p.topics {
 		c.Assert(p.applyState(&p.topics[i], &reply.Topics[i], request.Versions[i], *p.now), qt.IsNil)
 	}
+	p.mergeKept(reply.Kept)
 	return len(data)
 }
 
--- a/internal/forward/stager/stager_test.go
+++ b/internal/forward/stager/stager_test.go
@@ -430,3 +430,27 @@
 		})
 	}
 }
+
+// TestUnwrittenState guards against a state that the source lost in a new era not being
+// written again, or being written without its start and its previous release.
+func TestUnwrittenState(t *testing.T) {
+	for _, state := range []string{samphireturn.RolloutRunning, samphireturn.RolloutDone, samphireturn.RolloutRolledBack} {
+		for _, unwritten := range []bool{false, true} {
+			t.Run(fmt.Sprint(state, " ", unwritten), func(t *testing.T) {
+				c := qt.New(t)
+				now := time.Hour
+				s := stager.New(func() time.Duration { return now }, zerolog.Nop())
+				started := time.Now().Add(-time.Second)
+				r := &samphireturn.Rollout{
+					Pool: "llm", Release: "v2", Duration: time.Minute, State: state, Unwritten: unwritten,
+					Started: started, PreviousRelease: "v1",
+				}
+				next, ok := s.NextState(r, func(string) bool { return false })
+				c.Check(ok, qt.Equals, unwritten)
+				c.Check(next.State, qt.Equals, state)
+				c.Check(next.Started, qt.Equals, started)
+				c.Check(next.PreviousRelease, qt.Equals, "v1")
+			})
+		}
+	}
+}
