Read endpoints as soon as the store answers again, and pass the table on with them

After the store had refused calls for 1.2 to 1.5 s, requests were refused for up to 0.4 s although it answered: only the table is tried meanwhile, the endpoints were read up to 0.1 s after it, and the table was passed on first. Where its confirmation is later than theirs by more than the drain time, requests are refused. This came with and without an older copy.

In a new era it waits for them at most 0.25 s at the daemon itself.

Ruled out: to confirm the table late at the daemon itself in all cases, as a daemon that reads the table but not the endpoints must refuse.

--- a/internal/fleet/follower/era.go
+++ b/internal/fleet/follower/era.go
@@ -1,12 +1,18 @@
 package follower
 
 import (
+	"time"
+
 	"github.com/go-faster/errors"
 
 	"samphireturn"
 	"samphireturn/internal/core/logger"
 )
 
+// tableDelay bounds the time for which the table of a new era is confirmed later because
+// the endpoints were not read yet: both are read at the same time.
+const tableDelay = 250 * time.Millisecond
+
 var errOldEra = errors.New("a newer era of the source began")
 
 // noteEra notes an era of the source that an answer or a peer told, the source itself if
@@ -35,11 +41,21 @@
 func (f *Follower) current(t *topic) bool { return t.version.Era >= f.era }
 
 // passesOn reports whether a topic is passed on to other daemons: not before it was read
-// in the newest era, and the table not before the endpoints either, since requests are
-// refused where its confirmation is much newer than theirs. The caller holds mu.
+// in the newest era, and the table not while its confirmation is much newer than that of
+// the endpoints, since requests are refused then. The caller holds mu.
 func (f *Follower) passesOn(t *topic) bool {
 	hosts := &f.topics[samphireturn.TopicHosts]
-	return f.current(t) && (t.name != samphireturn.TopicTable || f.current(hosts) || !hosts.listed)
+	if !f.current(t) || t.name != samphireturn.TopicTable || !hosts.listed {
+		return f.current(t)
+	}
+	return f.current(hosts) && t.confirmedAt-hosts.confirmedAt <= MinOutage
+}
+
+// awaitsHosts reports whether a topic is the table of a new era and the endpoints are to be
+// read in that era at any moment. The caller holds mu.
+func (f *Follower) awaitsHosts(t *topic) bool {
+	hosts := &f.topics[samphireturn.TopicHosts]
+	return t.name == samphireturn.TopicTable && hosts.listed && !f.current(hosts) && f.Clock()-t.begun.at < tableDelay
 }
 
 // beginEra prepares a topic, which has been read in an older era, for the first list of a
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -130,6 +130,8 @@
 	// updated is closed and replaced when any topic changes, or when a topic is
 	// confirmed that needs recent confirmations.
 	updated chan struct{}
+	// regained is closed and replaced when the table's topic reaches the source again.
+	regained chan struct{}
 	// era is the newest known era of the source, and eraBegan is closed and replaced when
 	// it rises.
 	era      uint64
@@ -173,6 +175,7 @@
 		Source: source, Control: control, Clock: clock, Log: log,
 		Rand:       rand.Float64,
 		updated:    make(chan struct{}),
+		regained:   make(chan struct{}),
 		eraBegan:   make(chan struct{}),
 		kept:       newKeptState(),
 		lags:       make(map[string]peerLag),
@@ -234,7 +237,7 @@
 	for ctx.Err() == nil {
 		call := f.nextCall(t)
 		if call == callNone {
-			timekeeper.Sleep(ctx, checkInterval)
+			f.awaitCheck(ctx)
 			continue
 		}
 		pause, err := f.callSource(ctx, t, call)
@@ -259,6 +262,20 @@
 	}
 }
 
+// awaitCheck waits for checkInterval, or until the table's topic reaches the source again.
+func (f *Follower) awaitCheck(ctx context.Context) {
+	f.mu.Lock()
+	regained := f.regained
+	f.mu.Unlock()
+	timer := time.NewTimer(checkInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-regained:
+	}
+}
+
 // scale lengthens an interval that holds for minChangeBound to one for ChangeBound.
 func (f *Follower) scale(d time.Duration) time.Duration {
 	factor := min(max(float64(f.ChangeBound)/float64(minChangeBound), 1), maxBoundFactor)
@@ -472,5 +489,9 @@
 		return
 	}
 	t.failing = false
+	if t.name == samphireturn.TopicTable {
+		close(f.regained)
+		f.regained = make(chan struct{})
+	}
 	f.Log.Info().Str("event", logger.EventSourceRegained).Stringer("topic", t.name).Dur("age", f.age(t)).Send()
 }
--- a/internal/fleet/follower/topic.go
+++ b/internal/fleet/follower/topic.go
@@ -62,12 +62,12 @@
 // confirm sets the time of the newest confirmation, if sent is later. In a new era that of
 // the table takes effect with that of the endpoints. The caller holds mu.
 func (f *Follower) confirm(t *topic, sent time.Duration) {
-	if !f.passesOn(t) {
+	if f.awaitsHosts(t) {
 		t.pendingAt = max(t.pendingAt, sent)
 		return
 	}
 	f.applyConfirmation(t, sent)
-	if table := &f.topics[samphireturn.TopicTable]; t.name == samphireturn.TopicHosts && table.pendingAt > 0 && f.passesOn(table) {
+	if table := &f.topics[samphireturn.TopicTable]; t.name == samphireturn.TopicHosts && table.pendingAt > 0 && f.current(table) {
 		f.applyConfirmation(table, table.pendingAt)
 		table.pendingAt = 0
 	}
