--- a/internal/fleet/follower/era.go
+++ b/internal/fleet/follower/era.go
@@ -24,6 +24,7 @@
 		return
 	}
 	f.Log.Info().Str("event", logger.EventEra).Uint64("era", era).Uint64("before", f.era).Str("peer", peer).Send()
+	eras.Add("began", 1)
 	f.era = era
 	close(f.eraBegan)
 	f.eraBegan = make(chan struct{})
@@ -66,8 +67,11 @@
 	now := f.Clock()
 	t.outageEnd, t.gapStart, t.unbrokenSince = now, t.confirmedAt, now
 	t.resumed, t.shared, t.copied = true, true, true
+	kept := f.keep(t, batch, begun)
+	eras.Add("listed", 1)
+	eras.Add("kept", int64(kept))
 	f.Log.Info().Str("event", logger.EventEraListed).Stringer("topic", t.name).Uint64("era", batch.Version.Era).
-		Uint64("before", t.version.Era).Int("entries", len(batch.Entries)).Int("kept", f.keep(t, batch, begun)).Send()
+		Uint64("before", t.version.Era).Int("entries", len(batch.Entries)).Int("kept", kept).Send()
 }
 
 // keepsMissing reports whether an entry that is found missing stays for MissingRetention:
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -103,6 +103,7 @@
 	failures       = expvar.NewMap("follower_failure")
 	invalidEntries = expvar.NewMap("follower_fault")
 	changes        = expvar.NewMap("follower_change")
+	eras           = expvar.NewMap("follower_era")
 )
 
 // Follower is a service that keeps the view in the control state up to date. Set the
