--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -39,6 +39,10 @@
 	EventHistoryGone       = "history_gone"
 	EventSourceLost        = "source_lost"
 	EventSourceRegained    = "source_regained"
+	EventEra               = "era"
+	EventEraListed         = "era_listed"
+	EventOpened            = "opened"
+	EventEraIgnored        = "era_ignored"
 	EventOutageOver        = "outage_over"
 	EventFollowing         = "following"
 	EventFollowFailed      = "follow_failed"
@@ -88,24 +92,28 @@
 	{EventPaused, "endpoint, centre, asked, length, end, bounded", "an endpoint turned a request away and asked for no others for a time; the time until this daemon tries it again, with its jitter, and whether the time asked for exceeded the bound"},
 	{EventPauseIgnored, "endpoint, value", "an endpoint asked for a pause by a value that is no time in seconds"},
 	{EventPauseOver, "endpoint, centre", "an endpoint ran a request after its pause, so all requests may go there again"},
-	{EventTable, "version, routes, source_version", "a routing table came into force"},
+	{EventTable, "version, routes, era, source_version", "a routing table came into force"},
 	{EventTableIgnored, "version, in_force", "a routing table older than the one in force was ignored"},
-	{EventHosts, "hosts, leaving, lapsed, source_version", "the list of endpoints changed"},
-	{EventRollout, "pool, release, state, source_version", "a roll-out was ordered or changed"},
-	{EventCentreClosed, "centre, source_version", "a data centre is out of service"},
+	{EventHosts, "hosts, leaving, lapsed, era, source_version", "the list of endpoints changed"},
+	{EventRollout, "pool, release, state, unwritten, era, source_version", "a roll-out was ordered or changed; whether the source lost its state"},
+	{EventCentreClosed, "centre, era, source_version", "a data centre is out of service"},
 	{EventCentreOpened, "centre", "a data centre is back in service; its endpoints count as warming up for a short time"},
 	{EventMembers, "members", "the list of daemons changed"},
 	{EventEntryIgnored, "topic, entry, error", "an entry can't be decoded and is ignored"},
-	{EventHistoryGone, "topic, version", "the source no longer has all changes since the version; the topic is listed again"},
+	{EventHistoryGone, "topic, era, version", "the source no longer has all changes since the version; the topic is listed again"},
 	{EventSourceLost, "topic, error, age", "this daemon's calls to the source fail; time since the topic was last confirmed"},
 	{EventSourceRegained, "topic, age", "this daemon's calls to the source succeed again; time since the topic was last confirmed"},
+	{EventEra, "era, before, peer", "the source came back from an older copy, as its answer or a peer tells: topics are listed anew"},
+	{EventEraListed, "topic, era, before, entries, kept", "a topic was read for the first time in a new era; entries that stay in force although the source lost or contradicts them"},
+	{EventOpened, "heard, took", "a started daemon serves by the table; whether another daemon that serves has told what it keeps from older eras"},
+	{EventEraIgnored, "call, era, error", "an answer of the source was not used because of its era; its connection is closed"},
 	{EventOutageOver, "topic, away", "the source answers again after an outage; time for which the topic was not confirmed"},
 	{EventFollowing, "peer", "this daemon follows another one, or watches the source itself if no peer is named"},
 	{EventFollowFailed, "peer, error", "a followed daemon did not answer, or its confirmations are too old"},
-	{EventJoined, "", "the member entry of this daemon was written"},
+	{EventJoined, "again", "the member entry of this daemon was written; whether the source had lost it"},
 	{EventJoinFailed, "error", "the member entry of this daemon could not be written; it is retried"},
 	{EventLeft, "error", "the member entry of this daemon was removed"},
 	{EventShareFailed, "peer, error", "a peer did not answer with its load report"},
 	{EventReleaseBad, "pool, release, heard, base, canary, passed", "a release was found faulty by the answers counted here or, if heard, by another daemon"},
-	{EventConcluded, "pool, release, state, version, error", "the state of a roll-out was written"},
+	{EventConcluded, "pool, release, state, again, era, version, error", "the state of a roll-out was written; whether it is written again after a new era began"},
 }
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -104,6 +104,7 @@
 	failures       = expvar.NewMap("follower_failure")
 	invalidEntries = expvar.NewMap("follower_fault")
 	changes        = expvar.NewMap("follower_change")
+	eras           = expvar.NewMap("follower_era")
 )
 
 // Follower is a service that keeps the view in the control state up to date. Set the
@@ -133,6 +134,17 @@
 	// updated is closed and replaced when any topic changes, or when a topic is
 	// confirmed that needs recent confirmations.
 	updated chan struct{}
+	// regained is closed and replaced when the table's topic reaches the source again.
+	regained chan struct{}
+	// era is the newest known era of the source, and eraBegan is closed and replaced when
+	// it rises.
+	era      uint64
+	eraBegan chan struct{}
+	kept     keptState
+	// lags holds, by daemon, what the last poll of it found that it lacks.
+	lags map[string]peerLag
+	// isOpen is true once the table may be published although the source has eras.
+	isOpen bool
 	// startedAt is when Run was called.
 	startedAt time.Duration
 	// following is the daemon that this one follows, or empty.
@@ -167,6 +179,10 @@
 		Source: source, Control: control, Clock: clock, Log: log,
 		Rand:       rand.Float64,
 		updated:    make(chan struct{}),
+		regained:   make(chan struct{}),
+		eraBegan:   make(chan struct{}),
+		kept:       newKeptState(),
+		lags:       make(map[string]peerLag),
 		avoidUntil: make(map[string]time.Duration),
 	}
 	for i := range f.topics {
@@ -174,7 +190,7 @@
 		t.name = samphireturn.Topic(i)
 		t.entries = make(map[string]samphireturn.Entry)
 		t.missingSince = make(map[string]time.Duration)
-		t.removed = make(map[string]uint64)
+		t.removed = make(map[string]samphireturn.Revision)
 		t.outageEnd = -MissingRetention
 	}
 	return f
@@ -191,11 +207,14 @@
 	f.wg.Go(func() {
 		for timekeeper.Sleep(ctx, checkInterval) {
 			f.removeMissing(&f.topics[samphireturn.TopicHosts])
+			f.removeMissing(&f.topics[samphireturn.TopicMembers])
+			f.dropKept()
 		}
 	})
 	if f.Peers != nil {
 		f.wg.Go(func() { f.pollLoop(ctx) })
 		f.wg.Go(func() { f.catchUpLoop(ctx) })
+		f.wg.Go(func() { f.openLoop(ctx) })
 	}
 	return nil
 }
@@ -222,7 +241,7 @@
 	for ctx.Err() == nil {
 		call := f.nextCall(t)
 		if call == callNone {
-			timekeeper.Sleep(ctx, checkInterval)
+			f.awaitCheck(ctx)
 			continue
 		}
 		pause, err := f.callSource(ctx, t, call)
@@ -247,6 +266,20 @@
 	}
 }
 
+// awaitCheck waits for checkInterval, or until the table's topic reaches the source again.
+func (f *Follower) awaitCheck(ctx context.Context) {
+	f.mu.Lock()
+	regained := f.regained
+	f.mu.Unlock()
+	timer := time.NewTimer(checkInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-regained:
+	}
+}
+
 // scale lengthens an interval that holds for minChangeBound to one for ChangeBound.
 func (f *Follower) scale(d time.Duration) time.Duration {
 	factor := min(max(float64(f.ChangeBound)/float64(minChangeBound), 1), maxBoundFactor)
@@ -287,6 +320,7 @@
 	}
 	f.mu.Lock()
 	listed, confirmed, historyGone := t.listed, t.confirmed, t.historyGone
+	current := f.current(t)
 	starting := f.Peers != nil && f.Clock()-f.startedAt < startTime
 	f.mu.Unlock()
 	switch {
@@ -301,7 +335,7 @@
 		return callNone
 	case !f.watchesDirectly(t):
 		return callNone
-	case listed:
+	case listed && current:
 		return callWatch
 	}
 	return callList
@@ -346,12 +380,16 @@
 	}
 	f.mu.Unlock()
 	answer := f.hedgedCall(ctx, t.name, call, since, wait)
-	if answer.err != nil {
-		return 0, answer.err
-	}
 	batch := answer.batch
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteEra(batch.Version.Era, "")
+	if answer.err != nil {
+		return 0, answer.err
+	}
+	if batch.Version.Era < f.era {
+		return 0, &samphireturn.Error{Op: "read " + t.name.String(), Kind: samphireturn.KindUnavailable, Err: errOldEra}
+	}
 	if call == callStaleList {
 		f.replace(t, batch)
 		return memberListInterval, nil
@@ -373,7 +411,7 @@
 // hedgedCall lists a topic or watches it, and makes a second call if the first is not
 // answered in time, or a list comes to a halt. It returns the first success, or the last
 // error.
-func (f *Follower) hedgedCall(ctx context.Context, name samphireturn.Topic, kind sourceCall, since uint64, wait time.Duration) sourceAnswer {
+func (f *Follower) hedgedCall(ctx context.Context, name samphireturn.Topic, kind sourceCall, since samphireturn.Revision, wait time.Duration) sourceAnswer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	progress := make(chan struct{}, 1)
@@ -394,6 +432,10 @@
 	hedge := time.NewTimer(wait + hedgeDelay)
 	defer hedge.Stop()
 	hedged := false
+	var eraBegan <-chan struct{}
+	if kind == callWatch {
+		eraBegan = f.untilEra()
+	}
 	for inFlight := 1; ; {
 		select {
 		case <-progress:
@@ -405,6 +447,8 @@
 			if answer.err == nil || inFlight == 0 {
 				return answer
 			}
+		case <-eraBegan:
+			return sourceAnswer{err: &samphireturn.Error{Op: "watch " + name.String(), Kind: samphireturn.KindExpired, Err: errOldEra}}
 		case <-hedge.C:
 			hedged = true
 			inFlight++
@@ -414,7 +458,7 @@
 }
 
 // singleCall makes one call to the source.
-func (f *Follower) singleCall(ctx context.Context, name samphireturn.Topic, kind sourceCall, since uint64, wait time.Duration) sourceAnswer {
+func (f *Follower) singleCall(ctx context.Context, name samphireturn.Topic, kind sourceCall, since samphireturn.Revision, wait time.Duration) sourceAnswer {
 	answer := sourceAnswer{sent: f.Clock()}
 	if kind == callWatch {
 		answer.batch, answer.err = f.Source.Watch(ctx, name, since, wait)
@@ -441,7 +485,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t.listed, t.historyGone = false, true
-	f.Log.Info().Str("event", logger.EventHistoryGone).Stringer("topic", t.name).Uint64("version", t.version).Send()
+	f.Log.Info().Str("event", logger.EventHistoryGone).Stringer("topic", t.name).Uint64("era", t.version.Era).Uint64("version", t.version.Number).Send()
 }
 
 // sourceFailed records that a call to the source failed.
@@ -463,5 +507,9 @@
 		return
 	}
 	t.failing = false
+	if t.name == samphireturn.TopicTable {
+		close(f.regained)
+		f.regained = make(chan struct{})
+	}
 	f.Log.Info().Str("event", logger.EventSourceRegained).Stringer("topic", t.name).Dur("age", f.age(t)).Send()
 }
--- a/internal/fleet/follower/peers.go
+++ b/internal/fleet/follower/peers.go
@@ -51,11 +51,20 @@
 type (
 	// pollRequest asks a peer for what is newer than the sender's versions.
 	pollRequest struct {
-		Versions [samphireturn.TopicCount]uint64 `cbor:"1,keyasint"`
+		Versions [samphireturn.TopicCount]samphireturn.Revision `cbor:"1,keyasint"`
 		// Ages are the ages of the sender's confirmations, in milliseconds.
 		Ages [samphireturn.TopicCount]int64 `cbor:"2,keyasint"`
 		// Hosts tells of the sender's confirmations of the endpoints.
 		Hosts continuity `cbor:"3,keyasint"`
+		// Era is the newest era of the source that the sender knows.
+		Era uint64 `cbor:"4,keyasint,omitempty"`
+		// KeptHash is the hash of what the sender keeps from older eras, and TableVersion
+		// the version of its newest table. Kept is what the receiver lacks of these.
+		KeptHash     uint64       `cbor:"5,keyasint,omitempty"`
+		TableVersion int64        `cbor:"6,keyasint,omitempty"`
+		Kept         *keptMessage `cbor:"7,keyasint,omitempty"`
+		// Opening is true if the sender waits for the answer before it serves.
+		Opening bool `cbor:"8,keyasint,omitempty"`
 	}
 
 	// continuity tells how long confirmations of a topic have come without an outage.
@@ -69,15 +78,27 @@
 	// pollReply answers a poll.
 	pollReply struct {
 		Topics [samphireturn.TopicCount]topicState `cbor:"1,keyasint"`
+		// Era is the newest era of the source that the sender knows.
+		Era uint64 `cbor:"2,keyasint,omitempty"`
+		// Open is true if the sender serves.
+		Open bool `cbor:"6,keyasint,omitempty"`
+		// KeptHash, TableVersion and Kept are as in a pollRequest.
+		KeptHash     uint64       `cbor:"3,keyasint,omitempty"`
+		TableVersion int64        `cbor:"4,keyasint,omitempty"`
+		Kept         *keptMessage `cbor:"5,keyasint,omitempty"`
 	}
 
 	// topicState is a topic as the replying daemon has it.
 	topicState struct {
-		Version uint64 `cbor:"1,keyasint"`
+		Version samphireturn.Revision `cbor:"1,keyasint"`
 		// Age is the age of the newest confirmation, in milliseconds; negative if there
 		// is none.
 		Age        int64      `cbor:"2,keyasint"`
 		Continuity continuity `cbor:"5,keyasint"`
+		// First is the number of the first list of the topic in the era of Version, and
+		// EraAge the time since then, in milliseconds.
+		First  uint64 `cbor:"7,keyasint,omitempty"`
+		EraAge int64  `cbor:"8,keyasint,omitempty"`
 		// Packed holds what the polling daemon lacks, as pack returns it; empty if it has
 		// all up to Version.
 		Packed []byte `cbor:"6,keyasint,omitempty"`
@@ -341,7 +362,9 @@
 		}
 		request.Ages[i] = f.age(&f.topics[i]).Milliseconds()
 	}
-	request.Hosts = f.topics[samphireturn.TopicHosts].continuity()
+	request.Hosts, request.Era = f.topics[samphireturn.TopicHosts].continuity(), f.era
+	request.Opening = !f.opened()
+	request.KeptHash, request.TableVersion, request.Kept = f.kept.hash(), f.tableVersion(), f.messageTo(id)
 	f.mu.Unlock()
 	sent := f.Clock()
 	if err := f.Peers.Call(ctx, id, Topic, request, &reply); err != nil {
@@ -349,11 +372,15 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteEra(reply.Era, id)
 	for i := range f.topics {
 		if err := f.applyState(&f.topics[i], &reply.Topics[i], request.Versions[i], sent); err != nil {
 			return err
 		}
 	}
+	f.mergeKept(reply.Kept)
+	f.isOpen = f.isOpen || reply.Open
+	f.noteLag(id, &reply)
 	for i := range f.topics {
 		t := &f.topics[i]
 		if t.needsRecent() && time.Duration(reply.Topics[i].Age)*time.Millisecond > f.maxAge(t)+staleTolerance {
@@ -366,8 +393,8 @@
 // applyState applies a peer's state of a topic. A confirmation counts only together with
 // all changes that were known when it was made. since is this daemon's version when it
 // polled; the caller holds mu.
-func (f *Follower) applyState(t *topic, s *topicState, since uint64, sent time.Duration) error {
-	if s.Age < 0 || s.Version < t.version || len(s.Packed) == 0 && !t.listed {
+func (f *Follower) applyState(t *topic, s *topicState, since samphireturn.Revision, sent time.Duration) error {
+	if s.Age < 0 || s.Version.Era < f.era || t.version.Newer(s.Version) || len(s.Packed) == 0 && !t.listed {
 		return nil
 	}
 	var changes changeSet
@@ -384,8 +411,9 @@
 	}
 	switch {
 	case changes.Complete:
-		f.replace(t, samphireturn.Batch{Entries: changes.Entries, Version: s.Version})
-	case t.listed && since <= t.version:
+		begun := eraStart{first: samphireturn.Revision{Era: s.Version.Era, Number: s.First}, at: f.Clock() - time.Duration(s.EraAge)*time.Millisecond}
+		f.replaceSince(t, samphireturn.Batch{Entries: changes.Entries, Version: s.Version}, begun)
+	case t.listed && !since.Newer(t.version) && s.Version.Era == t.version.Era:
 		f.update(t, samphireturn.Batch{Entries: changes.all(), Version: s.Version})
 	default:
 		return nil
@@ -397,12 +425,14 @@
 
 // handle answers a poll as soon as there are changes or a newer confirmation, at the
 // latest after pollWaitTime.
-func (f *Follower) handle(ctx context.Context, _ string, body []byte) (any, error) {
+func (f *Follower) handle(ctx context.Context, from string, body []byte) (any, error) {
 	var request pollRequest
 	if err := encoder.Unmarshal(body, &request); err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
+	f.noteEra(request.Era, from)
+	f.mergeKept(request.Kept)
 	hosts := &f.topics[samphireturn.TopicHosts]
 	f.compareOutage(hosts, request.Hosts, f.Clock()-time.Duration(request.Ages[hosts.name])*time.Millisecond)
 	updated := f.updated
@@ -423,11 +453,18 @@
 }
 
 // changedSince reports whether any topic has changed since the poller's version, or has
-// a confirmation that is younger than the poller's by minAgeGain. The caller holds mu.
+// a confirmation that is younger than the poller's by minAgeGain, or whether the poller
+// does not know the newest era or waits for the answer. The caller holds mu.
 func (f *Follower) changedSince(request *pollRequest) bool {
+	if request.Era < f.era || request.Opening {
+		return true
+	}
 	for i := range f.topics {
 		t := &f.topics[i]
-		if t.changedVersion > request.Versions[i] {
+		if !f.passesOn(t) {
+			continue
+		}
+		if t.changedVersion.Newer(request.Versions[i]) {
 			return true
 		}
 		if t.needsRecent() && f.age(t) < time.Duration(request.Ages[i])*time.Millisecond-minAgeGain {
@@ -438,19 +475,24 @@
 }
 
 // buildReply returns the topics with what the poller lacks and the ages of all
-// confirmations.
+// confirmations. Topics of older eras are left out.
 func (f *Follower) buildReply(request *pollRequest) (pollReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var reply pollReply
+	reply := pollReply{Era: f.era, Open: f.isOpen, KeptHash: f.kept.hash(), TableVersion: f.tableVersion(), Kept: f.replyTo(request)}
 	for i := range f.topics {
 		t := &f.topics[i]
 		s := topicState{Version: t.version, Age: -1}
+		if !f.passesOn(t) {
+			reply.Topics[i] = s
+			continue
+		}
 		if t.confirmed && t.listed {
 			s.Age = f.age(t).Milliseconds() + 1
 			s.Continuity = t.continuity()
+			s.First, s.EraAge = t.begun.first.Number, (f.Clock() - t.begun.at).Milliseconds()
 		}
-		if t.listed && (t.changedVersion > request.Versions[i] || request.Versions[i] == 0) {
+		if t.listed && (t.changedVersion.Newer(request.Versions[i]) || request.Versions[i] == samphireturn.Revision{}) {
 			packed, err := t.packChanges(request.Versions[i])
 			if err != nil {
 				return reply, err
--- a/internal/fleet/joiner/joiner.go
+++ b/internal/fleet/joiner/joiner.go
@@ -25,8 +25,15 @@
 	// readTime is how long after the start the list of members is awaited, which may hold
 	// the entry that an earlier process of the VM wrote.
 	readTime = 600 * time.Millisecond
-	// checkInterval is the time between two checks of the list of members for changes.
-	checkInterval = 200 * time.Millisecond
+	// checkInterval is the time between two checks of the list of members for changes, and
+	// firstCheckInterval the same until there is one: a started daemon asks others for what
+	// they know before it serves.
+	checkInterval      = 200 * time.Millisecond
+	firstCheckInterval = 10 * time.Millisecond
+	// rejoinSpread is the time over which daemons spread the writes of entries that the
+	// source has lost: all may have lost theirs at once, and the others drop a member whose
+	// entry is missing after 1.7 s.
+	rejoinSpread = 700 * time.Millisecond
 	// leaveTimeout bounds the removal of the entry; an entry that is left behind does
 	// little harm.
 	leaveTimeout = time.Second
@@ -44,6 +51,8 @@
 	Messenger MemberSetter
 	Self      samphireturn.VM
 	Log       zerolog.Logger
+	// Rand returns a number in [0, 1) for the spread of writes.
+	Rand func() float64
 
 	joined bool
 	// keep and stopKeeping bound the time in which the entry is kept.
@@ -78,13 +87,18 @@
 // then removes it.
 func (j *Joiner) keepEntry() {
 	wait := checkInterval
+	// lost is true if the entry was found missing at the last check.
+	lost := false
 	for start := time.Now(); timekeeper.Sleep(j.keep, wait); {
 		wait = checkInterval
 		view := j.Control.Snapshot().View
 		read := view != nil && view.Members != nil
 		switch {
-		case read && slices.Contains(view.Members, j.Self):
-			j.joined = true
+		case read && slices.Contains(view.Members, j.Self) && !view.SelfLost:
+			j.joined, lost = true, false
+		case read && j.joined && !lost:
+			lost = true
+			wait = time.Duration(j.Rand() * float64(rejoinSpread))
 		case read || time.Since(start) >= readTime:
 			wait = j.write(j.keep)
 		}
@@ -108,21 +122,36 @@
 		j.Log.Warn().Str("event", logger.EventJoinFailed).Err(err).Send()
 		return retryDelay
 	}
+	j.Log.Info().Str("event", logger.EventJoined).Bool("again", j.joined).Send()
 	j.joined = true
-	j.Log.Info().Str("event", logger.EventJoined).Send()
 	return rewriteDelay
 }
 
 // watchMembers passes changed members to the messenger.
 func (j *Joiner) watchMembers(ctx context.Context) {
 	var last []samphireturn.VM
-	for timekeeper.Sleep(ctx, checkInterval) {
+	for interval := firstCheckInterval; timekeeper.Sleep(ctx, interval); {
 		members := j.Control.Snapshot().Members
 		if slices.Equal(members, last) {
 			continue
 		}
+		if interval == firstCheckInterval {
+			members = j.withoutSelf(members)
+		}
+		interval = checkInterval
 		last = members
 		j.Messenger.SetMembers(members)
 		j.Log.Info().Str("event", logger.EventMembers).Int("members", len(members)).Send()
 	}
 }
+
+// withoutSelf returns the members without this daemon if others are in its data centre:
+// the messenger then dials them all, without waiting for those that are to dial this one.
+func (j *Joiner) withoutSelf(members []samphireturn.VM) []samphireturn.VM {
+	others := slices.DeleteFunc(slices.Clone(members), func(vm samphireturn.VM) bool { return vm.ID == j.Self.ID })
+	inCentre := func(vm samphireturn.VM) bool { return vm.Centre == j.Self.Centre }
+	if slices.ContainsFunc(others, inCentre) {
+		return others
+	}
+	return members
+}
