--- a/internal/fleet/follower/era_test.go
+++ b/internal/fleet/follower/era_test.go
@@ -129,9 +129,9 @@
 		name string
 		// started is the start of the instance in the copy, and then what happens in the new
 		// era after its first list.
-		started   int64
-		change func(s *source)
-		then   func(s *source)
+		started int64
+		change  func(s *source)
+		then    func(s *source)
 		// leaving is whether the endpoint is leaving after the first list, after then, and
 		// after keptTime.
 		leaving [3]bool
