Add a soak: daemons and servers as processes under drawn faults

standin soak runs daemons and servers of the users' protocol as processes, with callers and the store in its own process, relays all of their connections, carries out a schedule of faults drawn from a seed and checks the promises by what callers and endpoints see. standin server is such a server: it prints each request that it receives.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -75,6 +75,8 @@
 	Service  *serviceCmd  `arg:"subcommand:service" help:"plain service"`
 	Pool     *poolCmd     `arg:"subcommand:pool" help:"many engines in one process, listed at the platform"`
 	Sample   *sampleCmd   `arg:"subcommand:sample" help:"measure what running daemons spend on control"`
+	Server   *serverCmd   `arg:"subcommand:server" help:"server of the users' protocol, which prints what it receives"`
+	Soak     *soakCmd     `arg:"subcommand:soak" help:"run daemons and servers as processes under faults and check the promises"`
 	Load     *loadCmd     `arg:"subcommand:load" help:"send chat requests and measure the answers"`
 }
 
@@ -113,6 +115,10 @@
 	switch {
 	case o.Pool != nil:
 		return o.Pool.run
+	case o.Server != nil:
+		return o.Server.run
+	case o.Soak != nil:
+		return o.Soak.run
 	case o.Sample != nil:
 		return func(ctx context.Context, _ zerolog.Logger) error { return o.Sample.run(ctx) }
 	case o.Load != nil:
@@ -126,7 +132,7 @@
 	switch {
 	case o.Load != nil:
 		return o.Load.check()
-	case o.Pool != nil, o.Sample != nil:
+	case o.Pool != nil, o.Sample != nil, o.Server != nil, o.Soak != nil:
 		return nil
 	}
 	addr, _, _ := o.handler()
--- /dev/null
+++ b/internal/soak/disruptor/disruptor.go
@@ -0,0 +1,266 @@
+// Package disruptor relays TCP connections between processes on loopback addresses
+// and delays, holds, resets and silences them.
+package disruptor
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	bufferBytes = 32 << 10
+	dialTimeout = time.Second
+	// pollInterval is the interval at which a held connection looks for the end of the
+	// fault.
+	pollInterval = 5 * time.Millisecond
+)
+
+type (
+	// Match reports whether a fault concerns the connections between two names.
+	Match func(from, to string) bool
+
+	// Fault is a fault of connections from Begin to End.
+	Fault struct {
+		Match Match
+		// Delay passes before each piece of data is passed on.
+		Delay time.Duration
+		// HoldUp and HoldDown hold data and closes from the dialling end and to it.
+		HoldUp, HoldDown bool
+		// Refuse resets each new connection.
+		Refuse bool
+	}
+
+	// Disruptor relays connections. Set the exported fields before Listen.
+	Disruptor struct {
+		// Identify names the process at the remote end of an accepted connection.
+		Identify func(remote net.Addr) string
+		// Source, if not nil, returns the address from which connections of a process are
+		// dialled on; nil means any.
+		Source func(from, to string) net.Addr
+
+		mu        sync.Mutex
+		listeners []net.Listener
+		conns     map[*conn]struct{}
+		faults    map[*Fault]struct{}
+		closed    bool
+		wait      sync.WaitGroup
+	}
+
+	// conn is one relayed connection.
+	conn struct {
+		disruptor *Disruptor
+		from, to  string
+		near, far *net.TCPConn
+		silent    bool
+		done      chan struct{}
+		once      sync.Once
+	}
+)
+
+// Listen relays the connections to addr on to target, the address of the process
+// named to, until Close.
+func (d *Disruptor) Listen(to, addr, target string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listeners = append(d.listeners, ln)
+	d.wait.Go(func() { d.accept(ln, to, target) })
+	return nil
+}
+
+// Begin makes a fault take effect, also on open connections.
+func (d *Disruptor) Begin(f *Fault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.faults == nil {
+		d.faults = make(map[*Fault]struct{})
+	}
+	d.faults[f] = struct{}{}
+}
+
+// End ends a fault. Data held by it is passed on.
+func (d *Disruptor) End(f *Fault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.faults, f)
+}
+
+// Reset resets the open connections that match.
+func (d *Disruptor) Reset(match Match) {
+	for _, c := range d.open(match) {
+		c.reset()
+	}
+}
+
+// Silence holds the data and the closes of the open connections that match for good.
+func (d *Disruptor) Silence(match Match) {
+	for _, c := range d.open(match) {
+		d.mu.Lock()
+		c.silent = true
+		d.mu.Unlock()
+	}
+}
+
+// Close ends all connections and waits for them.
+func (d *Disruptor) Close() {
+	d.mu.Lock()
+	d.closed = true
+	listeners := d.listeners
+	d.mu.Unlock()
+	for _, ln := range listeners {
+		_ = ln.Close()
+	}
+	d.Reset(func(string, string) bool { return true })
+	d.wait.Wait()
+}
+
+// open returns the open connections that match.
+func (d *Disruptor) open(match Match) []*conn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var matching []*conn
+	for c := range d.conns {
+		if match(c.from, c.to) {
+			matching = append(matching, c)
+		}
+	}
+	return matching
+}
+
+func (d *Disruptor) accept(ln net.Listener, to, target string) {
+	for {
+		near, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		if tcp, ok := near.(*net.TCPConn); ok {
+			d.wait.Go(func() { d.relay(tcp, to, target) })
+		}
+	}
+}
+
+// relay relays one connection until it ends.
+func (d *Disruptor) relay(near *net.TCPConn, to, target string) {
+	from := d.Identify(near.RemoteAddr())
+	refuse := false
+	d.mu.Lock()
+	for f := range d.faults {
+		refuse = refuse || f.Refuse && f.Match(from, to)
+	}
+	d.mu.Unlock()
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if d.Source != nil {
+		dialer.LocalAddr = d.Source(from, to)
+	}
+	var far *net.TCPConn
+	if !refuse {
+		c, err := dialer.DialContext(context.Background(), "tcp", target)
+		if err == nil {
+			far, _ = c.(*net.TCPConn)
+		}
+	}
+	if far == nil {
+		abort(near)
+		return
+	}
+	c := &conn{disruptor: d, from: from, to: to, near: near, far: far, done: make(chan struct{})}
+	d.mu.Lock()
+	if d.conns == nil {
+		d.conns = make(map[*conn]struct{})
+	}
+	d.conns[c] = struct{}{}
+	closed := d.closed
+	d.mu.Unlock()
+	if closed {
+		c.reset()
+	}
+	var both sync.WaitGroup
+	both.Go(func() { c.copy(far, near, true) })
+	both.Go(func() { c.copy(near, far, false) })
+	both.Wait()
+	c.once.Do(func() { close(c.done) })
+	_ = near.Close()
+	_ = far.Close()
+	d.mu.Lock()
+	delete(d.conns, c)
+	d.mu.Unlock()
+}
+
+// copy passes on data and the close of one direction.
+func (c *conn) copy(dst, src *net.TCPConn, up bool) {
+	buf := make([]byte, bufferBytes)
+	for {
+		n, err := src.Read(buf)
+		if !c.hold(up) {
+			return
+		}
+		if n > 0 {
+			if _, writeErr := dst.Write(buf[:n]); writeErr != nil {
+				c.reset()
+				return
+			}
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			_ = dst.CloseWrite()
+			return
+		default:
+			c.reset()
+			return
+		}
+	}
+}
+
+// hold waits for the delay of the connection and while it is held. It returns false
+// if the connection was reset meanwhile.
+func (c *conn) hold(up bool) bool {
+	delay, held := c.state(up)
+	for delay > 0 || held {
+		select {
+		case <-c.done:
+			return false
+		case <-time.After(max(delay, pollInterval)):
+		}
+		delay = 0
+		_, held = c.state(up)
+	}
+	return true
+}
+
+// state returns the delay of a direction and whether it is held.
+func (c *conn) state(up bool) (delay time.Duration, held bool) {
+	d := c.disruptor
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	held = c.silent
+	for f := range d.faults {
+		if !f.Match(c.from, c.to) {
+			continue
+		}
+		delay = max(delay, f.Delay)
+		held = held || up && f.HoldUp || !up && f.HoldDown
+	}
+	return delay, held
+}
+
+// reset resets both ends.
+func (c *conn) reset() {
+	c.once.Do(func() { close(c.done) })
+	abort(c.near)
+	abort(c.far)
+}
+
+// abort closes an end with a reset.
+func abort(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/soak/judge/checks.go
@@ -0,0 +1,325 @@
+package judge
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	success = http.StatusOK
+	// maxGone, maxBudget and maxDenied are the numbers of requests with which the
+	// promises on callers that leave, attempts and denials may not be kept; deniedShare
+	// is added to maxDenied as a part of all requests.
+	maxGone, maxBudget, maxDenied = 3, 3, 5
+	deniedShare                   = 1 / 500.0
+	// goneTime is the time after a caller left in which its request may still reach an
+	// endpoint.
+	goneTime = 500 * time.Millisecond
+	// graceTail is the last part of the grace time, in which an endpoint still at work may
+	// be cut off if its request was sent within lateTime of the shutdown.
+	graceTail = 1 / 6.0
+	lateTime  = 3 * time.Second
+	// killTime is the time after the grace time in which a daemon ends.
+	killTime = time.Second
+	// maxViolations bounds the violations of one check that are listed.
+	maxViolations = 5
+)
+
+// violations collects the texts of violations by check.
+type violations struct {
+	texts  []string
+	counts map[string]int
+}
+
+func (v *violations) add(check, format string, args ...any) {
+	if v.counts == nil {
+		v.counts = make(map[string]int)
+	}
+	v.counts[check]++
+	if v.counts[check] <= maxViolations {
+		v.texts = append(v.texts, check+": "+fmt.Sprintf(format, args...))
+	}
+}
+
+// Violations checks all records and returns a text for each broken promise.
+func (j *Judge) Violations() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var v violations
+	runsByID := make(map[string][]*Run)
+	for i := range j.runs {
+		r := &j.runs[i]
+		runsByID[r.ID] = append(runsByID[r.ID], r)
+		j.checkRun(&v, r)
+	}
+	gone, tooMany, denied := 0, 0, 0
+	for _, id := range j.order {
+		r := j.requests[id]
+		runs := runsByID[id]
+		j.checkRuns(&v, r, runs)
+		gone += j.countGone(r, runs)
+		tooMany += j.countTooMany(r, runs)
+		if r.EndedAt.IsZero() {
+			continue
+		}
+		if isDenied(r) {
+			denied++
+		}
+		checkAnswer(&v, r)
+		j.checkRoute(&v, r)
+		j.checkLost(&v, r, runs)
+	}
+	if gone > maxGone {
+		v.add("gone", "%d requests reached an endpoint over %v after their callers had left", gone, goneTime)
+	}
+	if tooMany > maxBudget {
+		v.add("budget", "%d requests ran on more endpoints than their routes allow", tooMany)
+	}
+	if limit := maxDenied + deniedShare*float64(len(j.order)); float64(denied) > limit {
+		v.add("denied", "%d requests were denied that every configuration allows", denied)
+	}
+	j.checkCanaries(&v)
+	return v.texts
+}
+
+// checkRun checks what an endpoint received against what the caller sent, and when.
+func (j *Judge) checkRun(v *violations, r *Run) {
+	q := j.requests[r.ID]
+	if q == nil {
+		v.add("unasked", "%s ran %q, which no caller sent", r.Endpoint, r.ID)
+		return
+	}
+	h := r.Header
+	got := []string{r.Method, r.Target, r.Body, r.Team, r.Model, h.Get("Prompt-Prefix"), h.Get("Token-Count"), r.Key}
+	want := []string{q.Method, q.Target, q.Body, q.Team, q.Model, q.PromptPrefix, q.TokenCount, ""}
+	if q.Model == "*" && (r.Model == "small" || r.Model == "large") {
+		got[4] = q.Model
+	}
+	for i := range got {
+		if got[i] != want[i] {
+			v.add("unasked", "%s ran %s with %q instead of %q", r.Endpoint, r.ID, got[i], want[i])
+		}
+	}
+	for _, name := range []string{"Hold", "Pin-Ms", "Kv-Backup", "Kv-From"} {
+		if h.Get(name) != "" {
+			v.add("unasked", "%s ran %s with the caller's header %s", r.Endpoint, r.ID, name)
+		}
+	}
+	if r.NotExecuted && h.Get("Expect-Instance") != r.Endpoint {
+		return
+	}
+	j.checkLeft(v, q, r)
+	for _, s := range j.closed[r.Centre] {
+		if !s.to.IsZero() && r.ReceivedAt.After(s.to) || j.heldUp(r) {
+			continue
+		}
+		bound, ok := j.bound(j.Bounds.Evacuate, q.Daemon, s.from, r.ReceivedAt)
+		if late := r.ReceivedAt.Sub(s.from); ok && late > bound {
+			v.add("evac", "%s of %s reached %s %v after the closure of %s", r.ID, q.Daemon, r.Endpoint, late, r.Centre)
+		}
+	}
+}
+
+// checkLeft checks that a request doesn't reach an endpoint that has left.
+func (j *Judge) checkLeft(v *violations, q *Request, r *Run) {
+	left, ok := j.left[r.Endpoint]
+	if !ok || j.heldUp(r) || j.disrupted(Core, left.Add(-j.Bounds.StableWindow), left, nil) || !j.inTouch(q.Daemon, q.SentAt, r.ReceivedAt) {
+		return
+	}
+	if late := r.ReceivedAt.Sub(left); late > j.Bounds.Drain {
+		v.add("drain", "%s of %s reached %s %v after it left", r.ID, q.Daemon, r.Endpoint, late)
+	}
+}
+
+// heldUp reports whether a run may have been late because its endpoint was disrupted.
+func (j *Judge) heldUp(r *Run) bool {
+	return j.disrupted(r.Slot, r.ReceivedAt.Add(-j.Bounds.StableWindow), r.ReceivedAt, nil)
+}
+
+// checkRuns checks the runs of one request together.
+func (j *Judge) checkRuns(v *violations, q *Request, runs []*Run) {
+	executed := 0
+	for _, r := range runs {
+		if !r.NotExecuted {
+			executed++
+		}
+	}
+	if q.Once && executed > 1 {
+		v.add("twice", "%s ran %d times", q.ID, executed)
+	}
+	if executed == 0 {
+		return
+	}
+	if q.Forbidden {
+		v.add("route", "%s of %s ran at %s, which no configuration allows", q.ID, q.Daemon, runs[0].Endpoint)
+	}
+	switch q.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if q.Once {
+			v.add("refused", "%s was answered %d and ran at %s", q.ID, q.Status, runs[0].Endpoint)
+		}
+	}
+	if next, ok := j.accepted[q.KeyVersion+1]; ok && q.KeyVersion > 0 {
+		if late := q.SentAt.Sub(next); late > j.Bounds.Revoke {
+			v.add("revoke", "%s of %s ran, sent %v after the removal of its key", q.ID, q.Daemon, late)
+		}
+	}
+	if next, ok := j.accepted[q.RouteVersion+1]; ok && q.RouteVersion > 0 {
+		bound, ok := j.bound(j.Bounds.Apply, q.Daemon, next, q.SentAt)
+		if late := q.SentAt.Sub(next); ok && late > bound {
+			v.add("config", "%s of %s ran, sent %v after the removal of its route", q.ID, q.Daemon, late)
+		}
+	}
+}
+
+// countGone returns 1 if the request reached an endpoint long after its caller left.
+func (j *Judge) countGone(q *Request, runs []*Run) int {
+	for _, r := range runs {
+		if q.Left && r.ReceivedAt.Sub(q.EndedAt) > goneTime && !j.heldUp(r) && j.inTouch(q.Daemon, q.SentAt, r.ReceivedAt) {
+			return 1
+		}
+	}
+	return 0
+}
+
+// countTooMany returns 1 if the request ran on more endpoints than its route allows.
+func (j *Judge) countTooMany(q *Request, runs []*Run) int {
+	n := 0
+	for _, r := range runs {
+		if !r.NotExecuted && !j.disrupted(r.Slot, r.ReceivedAt, r.ReceivedAt.Add(q.Timeout), nil) {
+			n++
+		}
+	}
+	if n > q.MaxAttempts {
+		return 1
+	}
+	return 0
+}
+
+// isDenied reports whether a request that every configuration allows was denied.
+func isDenied(q *Request) bool {
+	switch q.Status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusMisdirectedRequest:
+		return false
+	}
+	return q.Status >= 300 && q.Status < 500 && q.KeyVersion == 0 && q.RouteVersion == 0 && !q.Forbidden
+}
+
+// checkAnswer checks that an answer is the whole answer of one endpoint to this request.
+func checkAnswer(v *violations, q *Request) {
+	if q.Extra {
+		v.add("mixed", "%s: bytes followed its answer", q.ID)
+	}
+	endpoint, sealed := strings.CutPrefix(q.Seal, "seal.")
+	switch {
+	case q.Status >= 200 && q.Status < 300:
+		if !sealed || q.Encoding != "" {
+			v.add("mixed", "%s: answer %d with seal %q and encoding %q", q.ID, q.Status, q.Seal, q.Encoding)
+		}
+		if q.Stream {
+			checkEvents(v, q)
+			return
+		}
+		if whole := "answer of " + endpoint + " to " + q.ID; q.Complete && q.Answer != whole || !strings.HasPrefix(whole, q.Answer) {
+			v.add("mixed", "%s: answer %q instead of %q", q.ID, q.Answer, whole)
+		}
+	case sealed && q.Status != http.StatusInternalServerError && q.Status != http.StatusServiceUnavailable:
+		v.add("mixed", "%s: sealed answer %d, which no endpoint gives", q.ID, q.Status)
+	}
+}
+
+// checkEvents checks that the events of a stream are in order, each once, and that a
+// stream that ends well is whole.
+func checkEvents(v *violations, q *Request) {
+	rest, next := q.Answer, q.LastEvent+1
+	for {
+		event, after, ok := strings.Cut(rest, "\n\n")
+		if !ok {
+			break
+		}
+		if want := Event(next, q.ID); event+"\n\n" != want {
+			v.add("order", "%s: event %q instead of %q", q.ID, event, want)
+			return
+		}
+		rest = after
+		next++
+	}
+	if q.Complete && (rest != "" || next != q.Events+1) {
+		v.add("order", "%s ended as complete before event %d of %d, with %q", q.ID, next, q.Events, rest)
+	}
+}
+
+// Event returns the text of an event of the stream that answers a request.
+func Event(n int, id string) string {
+	return "id: " + strconv.Itoa(n) + "\ndata: piece " + strconv.Itoa(n) + " of " + id + "\n\n"
+}
+
+// checkRoute checks that a route is there once its configuration is in force.
+func (j *Judge) checkRoute(v *violations, q *Request) {
+	added, ok := j.accepted[q.RouteVersion]
+	if !ok || q.Status != http.StatusNotFound {
+		return
+	}
+	if next, ok := j.accepted[q.RouteVersion+1]; ok && !q.EndedAt.Before(next) {
+		return
+	}
+	bound, ok := j.bound(j.Bounds.Apply, q.Daemon, added, q.EndedAt)
+	if late := q.SentAt.Sub(added); ok && late > bound {
+		v.add("config", "%s of %s was answered 404, sent %v after its route was added", q.ID, q.Daemon, late)
+	}
+}
+
+// checkLost checks that a shutdown cuts no request.
+func (j *Judge) checkLost(v *violations, q *Request, runs []*Run) {
+	if q.Left || q.Complete || q.EndedAt.Sub(q.SentAt) >= q.Timeout {
+		return
+	}
+	var term time.Time
+	for _, d := range j.disruptions {
+		if d.Planned && d.Machine == q.Daemon && d.From.Before(q.EndedAt) && q.EndedAt.Before(d.From.Add(j.Bounds.Grace+killTime)) {
+			term = d.From
+		}
+	}
+	from := q.SentAt.Add(-j.Bounds.StableWindow)
+	unplanned := func(d *Disruption) bool { return d.Planned }
+	if term.IsZero() || j.disrupted(q.Daemon, from, q.EndedAt, unplanned) || (q.Key != "" || q.Stream) && j.disrupted(Core, from, q.EndedAt, nil) {
+		return
+	}
+	for _, r := range runs {
+		if r.Fault != "" || j.disrupted(r.Slot, from, q.EndedAt, nil) {
+			return
+		}
+	}
+	tail := term.Add(j.Bounds.Grace - time.Duration(graceTail*float64(j.Bounds.Grace)))
+	if len(runs) > 0 && q.EndedAt.After(tail) && q.SentAt.Sub(term) <= lateTime {
+		return
+	}
+	if len(runs) > 0 || q.EndedAt.Sub(q.WrittenAt) > j.Bounds.LossSlack {
+		v.add("lost", "%s of %s, sent %v after SIGTERM, ended %v later without an answer; runs: %d",
+			q.ID, q.Daemon, q.SentAt.Sub(term), q.EndedAt.Sub(q.SentAt), len(runs))
+	}
+}
+
+// checkCanaries checks the part of the requests that bad releases got.
+func (j *Judge) checkCanaries(v *violations) {
+	for _, c := range j.canaries {
+		all, bad := 0, 0
+		for i := range j.runs {
+			r := &j.runs[i]
+			if r.Pool != c.pool || r.ReceivedAt.Before(c.span.from) || !c.span.to.IsZero() && r.ReceivedAt.After(c.span.to) {
+				continue
+			}
+			all++
+			q := j.requests[r.ID]
+			if r.Release == c.release && q != nil && j.inTouch(q.Daemon, q.SentAt, r.ReceivedAt) {
+				bad++
+			}
+		}
+		if float64(bad) > j.Bounds.CanaryShare*float64(all)+j.Bounds.CanaryExtra {
+			v.add("exposure", "the bad release %s got %d of %d requests", c.release, bad, all)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/planner/planner.go
@@ -0,0 +1,205 @@
+// Package planner draws the schedule of faults of a soak from a seed.
+package planner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kinds of steps.
+const (
+	// DaemonTerm, DaemonKill, DaemonStop and DaemonHup send the signal to a daemon, which
+	// is started again after its end or continued. DaemonsKill kills all, DaemonsRoll
+	// shuts all down in turn.
+	DaemonTerm  = "daemon_term"
+	DaemonKill  = "daemon_kill"
+	DaemonStop  = "daemon_stop"
+	DaemonHup   = "daemon_hup"
+	DaemonsKill = "daemons_kill"
+	DaemonsRoll = "daemons_roll"
+	// EndpointCrash kills an endpoint and starts it with another id at the same address,
+	// EndpointSwap does so in another pool. EndpointDrain lets it announce that it
+	// leaves, EndpointVanish removes its entry. EndpointStop pauses it.
+	EndpointCrash  = "endpoint_crash"
+	EndpointSwap   = "endpoint_swap"
+	EndpointDrain  = "endpoint_drain"
+	EndpointVanish = "endpoint_vanish"
+	EndpointStop   = "endpoint_stop"
+	// EndpointFault makes an endpoint give a part of the answers with a fault.
+	EndpointFault = "endpoint_fault"
+	// StoreDown and the others make the store answer 503, reset connections, be slow,
+	// lose replies to writes, refuse one daemon, forget its history, hold the
+	// connections that are open, and keep an entry that can't be read.
+	StoreDown    = "store_down"
+	StoreReset   = "store_reset"
+	StoreSlow    = "store_slow"
+	StoreLost    = "store_lost"
+	StoreRefuse  = "store_refuse"
+	StoreForget  = "store_forget"
+	StoreSilence = "store_silence"
+	StoreGarble  = "store_garble"
+	// LinkCut and the others hold all data of a daemon, that to it, that between it and
+	// the store, or delay it; reset or silence its open connections.
+	LinkCut      = "link_cut"
+	LinkCutIn    = "link_cut_in"
+	LinkCutStore = "link_cut_store"
+	LinkSlow     = "link_slow"
+	LinkReset    = "link_reset"
+	LinkSilence  = "link_silence"
+	// EndpointCut holds all data of an endpoint.
+	EndpointCut = "endpoint_cut"
+	// Configure writes a configuration, ConfigureStorm several. Each takes a key and a
+	// route away.
+	Configure      = "configure"
+	ConfigureStorm = "configure_storm"
+	// CentreClose takes a data centre out of service.
+	CentreClose = "centre_close"
+	// RolloutGood and RolloutBad order roll-outs.
+	RolloutGood = "rollout_good"
+	RolloutBad  = "rollout_bad"
+	// Burst doubles the callers' requests, Leave makes them leave early.
+	Burst = "burst"
+	Leave = "leave"
+)
+
+const (
+	maxSeries = 4
+	// maxGap bounds the time between the steps of a series, maxPause that between series.
+	maxGap   = 700 * time.Millisecond
+	maxPause = 2500 * time.Millisecond
+	// seedStream is the second part of the seed of the generator.
+	seedStream = 0x5eed
+)
+
+type (
+	// Step is one fault or change of a schedule.
+	Step struct {
+		// At is the time from the beginning of the schedule.
+		At   time.Duration
+		Kind string
+		// Target is the index of a daemon or of an endpoint.
+		Target int
+		// Length is how long the fault lasts.
+		Length time.Duration
+		// Draw is a number from 0 to 99 that decides details of the step.
+		Draw int
+	}
+
+	// Size is what a schedule is drawn for.
+	Size struct {
+		Daemons, Endpoints int
+		Duration           time.Duration
+		// Kinds limits the kinds of steps; empty means all.
+		Kinds []string
+	}
+
+	// choice is a kind of step with its weight and the bounds of its length.
+	choice struct {
+		kind              string
+		weight            int
+		shortest, longest time.Duration
+	}
+)
+
+// choices are the kinds that are drawn.
+var choices = []choice{
+	{DaemonTerm, 5, 100 * time.Millisecond, 2 * time.Second},
+	{DaemonKill, 4, 100 * time.Millisecond, 2 * time.Second},
+	{DaemonStop, 4, 200 * time.Millisecond, 4 * time.Second},
+	{DaemonHup, 2, 0, 0},
+	{DaemonsKill, 1, 200 * time.Millisecond, time.Second},
+	{DaemonsRoll, 1, 300 * time.Millisecond, time.Second},
+	{EndpointCrash, 4, 200 * time.Millisecond, 3 * time.Second},
+	{EndpointSwap, 2, 2 * time.Second, 4 * time.Second},
+	{EndpointDrain, 4, 2500 * time.Millisecond, 4 * time.Second},
+	{EndpointVanish, 3, 2500 * time.Millisecond, 4 * time.Second},
+	{EndpointStop, 3, 200 * time.Millisecond, 4 * time.Second},
+	{EndpointFault, 5, time.Second, 5 * time.Second},
+	{EndpointCut, 2, 200 * time.Millisecond, 4 * time.Second},
+	{StoreDown, 2, 200 * time.Millisecond, 6 * time.Second},
+	{StoreReset, 1, 200 * time.Millisecond, 4 * time.Second},
+	{StoreSlow, 2, 500 * time.Millisecond, 5 * time.Second},
+	{StoreLost, 1, 500 * time.Millisecond, 4 * time.Second},
+	{StoreRefuse, 2, 500 * time.Millisecond, 6 * time.Second},
+	{StoreForget, 3, 0, 0},
+	{StoreSilence, 1, 0, 0},
+	{StoreGarble, 1, 500 * time.Millisecond, 3 * time.Second},
+	{LinkCut, 2, 200 * time.Millisecond, 5 * time.Second},
+	{LinkCutIn, 2, 200 * time.Millisecond, 5 * time.Second},
+	{LinkCutStore, 3, 200 * time.Millisecond, 6 * time.Second},
+	{LinkSlow, 2, 500 * time.Millisecond, 4 * time.Second},
+	{LinkReset, 3, 0, 0},
+	{LinkSilence, 2, 0, 0},
+	{Configure, 6, 0, 0},
+	{ConfigureStorm, 2, 0, 0},
+	{CentreClose, 3, 2 * time.Second, 8 * time.Second},
+	{RolloutGood, 2, 6 * time.Second, 8 * time.Second},
+	{RolloutBad, 2, 6 * time.Second, 8 * time.Second},
+	{Burst, 2, 500 * time.Millisecond, 3 * time.Second},
+	{Leave, 2, 500 * time.Millisecond, 3 * time.Second},
+}
+
+// Plan draws a schedule: series of steps that follow each other closely and overlap.
+func Plan(seed uint64, size Size) []Step {
+	random := rand.New(rand.NewPCG(seed, seedStream))
+	allowed, total := []choice{}, 0
+	for _, c := range choices {
+		if len(size.Kinds) == 0 || slices.Contains(size.Kinds, c.kind) {
+			allowed, total = append(allowed, c), total+c.weight
+		}
+	}
+	var steps []Step
+	if total == 0 {
+		return steps
+	}
+	at := draw(random, 0, maxPause)
+	for at < size.Duration {
+		for range 1 + random.IntN(maxSeries) {
+			c := pick(random, allowed, total)
+			s := Step{At: at, Kind: c.kind, Length: draw(random, c.shortest, c.longest), Draw: random.IntN(100)}
+			s.Target = random.IntN(size.Daemons)
+			if isEndpoint(c.kind) {
+				s.Target = random.IntN(size.Endpoints)
+			}
+			if at < size.Duration {
+				steps = append(steps, s)
+			}
+			at += draw(random, 0, maxGap)
+		}
+		at += draw(random, 0, maxPause)
+	}
+	return steps
+}
+
+// String returns the step as a line of a schedule.
+func (s Step) String() string {
+	return fmt.Sprintf("%6.2f s %-16s target %d, length %.2f s, draw %d", s.At.Seconds(), s.Kind, s.Target, s.Length.Seconds(), s.Draw)
+}
+
+// isEndpoint reports whether the target of a kind is an endpoint.
+func isEndpoint(kind string) bool {
+	return slices.Contains([]string{EndpointCrash, EndpointSwap, EndpointDrain, EndpointVanish, EndpointStop, EndpointFault, EndpointCut}, kind)
+}
+
+// pick draws a choice by weight.
+func pick(random *rand.Rand, from []choice, total int) choice {
+	n := random.IntN(total)
+	for _, c := range from {
+		if n < c.weight {
+			return c
+		}
+		n -= c.weight
+	}
+	return from[len(from)-1]
+}
+
+// draw draws a time between two bounds, in milliseconds.
+func draw(random *rand.Rand, shortest, longest time.Duration) time.Duration {
+	if longest <= shortest {
+		return shortest
+	}
+	span := int64((longest - shortest) / time.Millisecond)
+	return shortest + time.Duration(random.Int64N(span))*time.Millisecond
+}
--- /dev/null
+++ b/internal/soak/runner/daemon.go
@@ -0,0 +1,246 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"samphireturn/internal/soak/disruptor"
+	"samphireturn/internal/soak/judge"
+)
+
+const (
+	storeName = "store"
+	// The parts of the block of addresses: the store, the daemons' own addresses and
+	// those that others use, the same of endpoints, and the sources of the store's calls.
+	storeNet, daemonNet, daemonPublicNet, endpointPublicNet, endpointNet, sourceNet = 0, 1, 2, 3, 4, 5
+
+	storePort, listenPort, readinessPort, peerPort, endpointPort = 7000, 8227, 8220, 7340, 8000
+
+	readinessTimeout = 500 * time.Millisecond
+)
+
+// daemon is one daemon, over all its processes.
+type daemon struct {
+	runner *Runner
+	index  int
+	name   string
+	path   string
+
+	mu      sync.Mutex
+	process *process
+	// down is true while the process is ended and started by a step.
+	down     bool
+	finished bool
+}
+
+// newDaemon returns a daemon whose connections from others are relayed.
+func (r *Runner) newDaemon(index int) (*daemon, error) {
+	d := &daemon{runner: r, index: index, name: "d" + strconv.Itoa(index+1)}
+	d.path = r.path(d.name + ".conf")
+	for _, port := range []int{listenPort, peerPort} {
+		if err := r.links.Listen(d.name, r.addr(daemonPublicNet, index+1, port), r.addr(daemonNet, index+1, port)); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// start starts the process.
+func (d *daemon) start(first bool) error {
+	if err := d.writeSettings(first); err != nil {
+		return err
+	}
+	p, err := startProcess(d.runner.path(d.name+".log"), []string{"SAMPHIRETURN_SETTINGS=" + d.path}, nil, d.runner.DaemonProgram, "--platform")
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	finished := d.finished
+	d.process = p
+	d.mu.Unlock()
+	if finished {
+		p.kill()
+		return nil
+	}
+	if !first {
+		d.runner.judge.Disrupt(judge.Disruption{Machine: d.name})()
+	}
+	d.runner.wait.Go(func() {
+		<-p.done
+		if !p.ended.Load() {
+			d.runner.violate("end: %s ended by itself: %v", d.name, p.cmd.ProcessState)
+		}
+	})
+	return nil
+}
+
+// take reports whether the daemon runs and no other step ends it, and reserves it.
+func (d *daemon) take() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.down || d.finished {
+		return false
+	}
+	d.down = true
+	return true
+}
+
+// restart ends the process by end, and starts it after pause.
+func (d *daemon) restart(ctx context.Context, planned bool, pause time.Duration, end func(*process)) {
+	if !d.take() {
+		return
+	}
+	over := d.runner.judge.Disrupt(judge.Disruption{Machine: d.name, Planned: planned})
+	end(d.current())
+	over()
+	d.runner.logf("%s ended", d.name)
+	d.runner.sleep(ctx, pause)
+	if err := d.start(false); err != nil {
+		d.runner.violate("start of %s: %v", d.name, err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = false
+}
+
+// current returns the process.
+func (d *daemon) current() *process {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.process
+}
+
+// close ends the daemon for good.
+func (d *daemon) close() {
+	d.mu.Lock()
+	d.finished = true
+	p := d.process
+	d.mu.Unlock()
+	if p != nil {
+		p.kill()
+	}
+}
+
+// involves matches the connections from and to the daemon.
+func (d *daemon) involves(from, to string) bool { return from == d.name || to == d.name }
+
+// checkLimits records a violation if the process uses more than its limits.
+func (d *daemon) checkLimits() {
+	p := d.current()
+	if p == nil || !p.running() {
+		return
+	}
+	if peak := p.peakMemory(); peak > memoryLimit {
+		d.runner.violate("memory: %s used %d MB", d.name, peak>>20)
+	}
+	if n := p.descriptors(); n > descriptorLimit {
+		d.runner.violate("descriptors: %s has %d", d.name, n)
+	}
+}
+
+// ready reports whether the daemon's readiness check succeeds.
+func (d *daemon) ready(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readinessTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.runner.addr(daemonNet, d.index+1, readinessPort)+"/v1/ready", nil)
+	if err != nil {
+		return false
+	}
+	t := &http.Transport{DisableKeepAlives: true}
+	res, err := t.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// writeSettings writes the settings file of the process.
+func (d *daemon) writeSettings(first bool) error {
+	r := d.runner
+	ip := fmt.Sprintf("127.%d.%d.%d", r.block, daemonNet, d.index+1)
+	var seeds bytes.Buffer
+	for i := range min(r.Daemons, 3) {
+		if i != d.index {
+			_, _ = fmt.Fprintf(&seeds, "%s,", r.addr(daemonPublicNet, i+1, peerPort))
+		}
+	}
+	text := fmt.Sprintf(`nodeName=%s
+ip=%s
+zone=%s
+listen.frontend=%s:%d
+listen.readiness=%s:%d
+portRange=%d,%d
+seeds=%s
+bootstrap=%t
+limits.cpuShare=0.4
+limits.cpuCores=1
+limits.memoryMb=%d
+contractParams.strictRevoke=true
+contractParams.drainMs=%d
+contractParams.graceS=%v
+contractParams.configApplyMs=%d
+contractParams.revokeMs=%d
+contractParams.retryBudgetRatio=0.9
+contractParams.budgetWindowS=10
+contractParams.retryBudgetExtra=56
+contractParams.canaryShare=%v
+contractParams.canarySlack=%v
+contractParams.sessionS=5
+provider.address=%s
+`, d.name, ip, centres[d.index%2], ip, listenPort, ip, readinessPort, peerPort, peerPort+15, bytes.TrimSuffix(seeds.Bytes(), []byte(",")), first,
+		memoryLimit>>20, bounds.Drain.Milliseconds(), bounds.Grace.Seconds(), bounds.Apply.Milliseconds(), bounds.Revoke.Milliseconds(),
+		bounds.CanaryShare, bounds.CanaryExtra, r.addr(storeNet, 1, storePort))
+	return os.WriteFile(d.path, []byte(text), 0o600)
+}
+
+// identify names the daemon at the remote end of a connection, or the callers.
+func (r *Runner) identify(remote net.Addr) string {
+	pids := make([]int, len(r.daemons))
+	for i, d := range r.daemons {
+		if p := d.current(); p != nil {
+			pids[i] = p.pid()
+		}
+	}
+	if i := disruptor.Owner(remote, pids); i >= 0 {
+		return r.daemons[i].name
+	}
+	return ""
+}
+
+// source returns the address from which a daemon's calls reach the store.
+func (r *Runner) source(from, to string) net.Addr {
+	if to != storeName {
+		return nil
+	}
+	for _, d := range r.daemons {
+		if d.name == from {
+			return &net.TCPAddr{IP: net.ParseIP(fmt.Sprintf("127.%d.%d.%d", r.block, sourceNet, d.index+1))}
+		}
+	}
+	return nil
+}
+
+// translate replaces the own addresses of daemons in what they write to the store by
+// those that are relayed.
+func (r *Runner) translate(h http.Handler) http.Handler {
+	own, public := fmt.Sprintf("127.%d.%d.", r.block, daemonNet), fmt.Sprintf("127.%d.%d.", r.block, daemonPublicNet)
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Method != http.MethodGet {
+			body, err := io.ReadAll(req.Body)
+			if err != nil {
+				return
+			}
+			req.Body = io.NopCloser(bytes.NewReader(bytes.ReplaceAll(body, []byte(own), []byte(public))))
+		}
+		h.ServeHTTP(w, req)
+	})
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -43,6 +43,10 @@
 	ID, Model, Team, LastEventID, Key, Target, Body, Deadline string
 	NotExecuted                                               bool
 	ReceivedAt                                                time.Time
+	Method                                                    string
+	Header                                                    http.Header
+	// Fault is the fault of the answer.
+	Fault string
 }
 
 // Worker is an http.Handler. Set the exported fields before the first request.
@@ -65,6 +69,11 @@
 	Fault func(n int, r *http.Request) string
 	// KeepAliveSeconds is the idle timeout announced by answers; zero means none.
 	KeepAliveSeconds int
+	// OnRun, if not nil, is called with each request before it is answered. Calls may be
+	// concurrent.
+	OnRun func(Run)
+	// NameEvents makes each event of a stream name its request.
+	NameEvents bool
 
 	mu        sync.Mutex
 	runs      []Run
@@ -94,7 +103,7 @@
 	run := Run{
 		ID: h.Get("Attempt-Id"), Model: h.Get("Model"), Team: h.Get("Tenant"), LastEventID: h.Get("Last-Event-Id"),
 		Key: h.Get("Authorization"), Target: r.RequestURI, Body: string(body), Deadline: h.Get("Deadline-Ms"),
-		ReceivedAt: time.Now(),
+		ReceivedAt: time.Now(), Method: r.Method, Header: h.Clone(),
 	}
 	if id := h.Get("Expect-Instance"); id != "" && id != s.ID {
 		run.NotExecuted = true
@@ -115,6 +124,7 @@
 	if s.Fault != nil {
 		fault = s.Fault(n, r)
 	}
+	run.Fault = fault
 	w.Header().Set("Attempt-Id", run.ID)
 	w.Header().Set("Server-Load", load)
 	if s.KeepAliveSeconds > 0 {
@@ -137,6 +147,9 @@
 
 // record appends run to the runs.
 func (s *Worker) record(run Run) {
+	if s.OnRun != nil {
+		s.OnRun(run)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs = append(s.runs, run)
@@ -218,7 +231,11 @@
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: ha", i)
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		text := ""
+		if s.NameEvents {
+			text = " of " + run.ID
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d%s\n\n", i, i, text)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
