--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build system fmt lint test demo bench slopes fuzz
+.PHONY: build system fmt lint test demo bench slopes fuzz soak
 
 build:
 	mkdir -p bin
@@ -28,3 +28,10 @@
 slopes: build
 	bash scripts/slopes.sh
 	go test -run '^$$' -bench Slope -benchtime 1x ./internal/...
+
+# SEED is the first of SEEDS seeds (0: one of the time), DURATION the time of faults.
+SEED ?= 0
+SEEDS ?= 5
+DURATION ?= 20s
+soak: build
+	bin/standin soak --daemon bin/samphireturnd --seed $(SEED) --seeds $(SEEDS) --duration $(DURATION)
--- /dev/null
+++ b/internal/soak/disruptor/disruptor_test.go
@@ -0,0 +1,147 @@
+package disruptor
+
+import (
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	// shortTime is a time in which data on loopback arrives, and longTime one that a
+	// stalled machine may take.
+	shortTime = 100 * time.Millisecond
+	longTime  = 10 * time.Second
+)
+
+// TestDisruptor checks what each fault does to an open connection and to a new one.
+func TestDisruptor(t *testing.T) {
+	all := func(from, to string) bool { return from == "caller" && to == "echo" }
+	none := func(string, string) bool { return false }
+	tests := []struct {
+		name string
+		// begin makes the fault take effect and returns the function that ends it.
+		begin func(d *Disruptor) func()
+		// during, after and fresh are the errors of exchanges on the open connection during
+		// the fault and after it, and on a new connection during it.
+		during, after, fresh string
+	}{
+		{"none", func(*Disruptor) func() { return func() {} }, "", "", ""},
+		{"other links", func(d *Disruptor) func() {
+			d.Reset(none)
+			d.Silence(none)
+			return hold(d, &Fault{Match: none, HoldUp: true, HoldDown: true, Refuse: true})
+		}, "", "", ""},
+		{"held", func(d *Disruptor) func() { return hold(d, &Fault{Match: all, HoldUp: true, HoldDown: true}) }, "silent", "", "silent"},
+		{"held up", func(d *Disruptor) func() { return hold(d, &Fault{Match: all, HoldUp: true}) }, "silent", "", "silent"},
+		{"held down", func(d *Disruptor) func() { return hold(d, &Fault{Match: all, HoldDown: true}) }, "silent", "", "silent"},
+		{"delayed", func(d *Disruptor) func() { return hold(d, &Fault{Match: all, Delay: 2 * shortTime}) }, "silent", "", "silent"},
+		{"refused", func(d *Disruptor) func() { return hold(d, &Fault{Match: all, Refuse: true}) }, "", "", "closed"},
+		{"reset", func(d *Disruptor) func() {
+			d.Reset(all)
+			return func() {}
+		}, "closed", "closed", ""},
+		{"silenced", func(d *Disruptor) func() {
+			d.Silence(all)
+			return func() {}
+		}, "silent", "silent", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d, addr := newRelay(c)
+			defer d.Close()
+			conn := dial(c, addr)
+			defer conn.Close()
+			c.Assert(exchange(conn, longTime), qt.Equals, "")
+			end := test.begin(d)
+			c.Check(exchange(conn, timeFor(test.during)), qt.Equals, test.during)
+			next := dial(c, addr)
+			defer next.Close()
+			c.Check(exchange(next, timeFor(test.fresh)), qt.Equals, test.fresh)
+			end()
+			if test.during == "silent" && test.after == "" {
+				// The byte held before arrives now.
+				c.Check(receive(conn, longTime), qt.Equals, "")
+			}
+			c.Check(exchange(conn, timeFor(test.after)), qt.Equals, test.after)
+		})
+	}
+}
+
+// TestOwner checks that the owner of a connection is found among processes.
+func TestOwner(t *testing.T) {
+	c := qt.New(t)
+	d, addr := newRelay(c)
+	defer d.Close()
+	conn := dial(c, addr)
+	defer conn.Close()
+	c.Check(Owner(conn.LocalAddr(), []int{0, os.Getpid()}), qt.Equals, 1)
+	c.Check(Owner(conn.LocalAddr(), []int{0}), qt.Equals, -1)
+	c.Check(Owner(&net.TCPAddr{IP: net.IPv4(127, 0, 0, 9), Port: 1}, []int{os.Getpid()}), qt.Equals, -1)
+}
+
+func hold(d *Disruptor, f *Fault) func() {
+	d.Begin(f)
+	return func() { d.End(f) }
+}
+
+// timeFor returns the time to wait for a result.
+func timeFor(want string) time.Duration {
+	if want == "silent" {
+		return shortTime
+	}
+	return longTime
+}
+
+// newRelay returns a disruptor before a server that echoes, and its address.
+func newRelay(c *qt.C) (*Disruptor, string) {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = server.Close() })
+	go func() {
+		for {
+			conn, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	d := &Disruptor{Identify: func(net.Addr) string { return "caller" }}
+	c.Assert(d.Listen("echo", "127.0.0.1:0", server.Addr().String()), qt.IsNil)
+	return d, d.listeners[0].Addr().String()
+}
+
+func dial(c *qt.C, addr string) net.Conn {
+	conn, err := net.Dial("tcp", addr)
+	c.Assert(err, qt.IsNil)
+	return conn
+}
+
+// exchange sends a byte and waits for its echo. It returns "", "silent" or "closed".
+func exchange(conn net.Conn, wait time.Duration) string {
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return "closed"
+	}
+	return receive(conn, wait)
+}
+
+// receive waits for a byte.
+func receive(conn net.Conn, wait time.Duration) string {
+	_ = conn.SetReadDeadline(time.Now().Add(wait))
+	_, err := conn.Read(make([]byte, 1))
+	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		return "silent"
+	}
+	if err != nil {
+		return "closed"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/soak/judge/judge_test.go
@@ -0,0 +1,281 @@
+package judge
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"samphireturn/internal/standin/worker"
+)
+
+// start is the moment from which the tests count.
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// newJudge returns a judge with bounds as in the pages of the users.
+func newJudge() *Judge {
+	return &Judge{Bounds: Bounds{
+		StableWindow: 3 * time.Second, Drain: 2 * time.Second, Revoke: 5 * time.Second, Apply: 2 * time.Second,
+		Evacuate: 5 * time.Second, MaxStretch: 5 * time.Second, Grace: 8 * time.Second, LossSlack: 200 * time.Millisecond,
+		CanaryShare: 0.15, CanaryExtra: 3,
+	}, left: map[string]time.Time{}, closed: map[string][]span{}, accepted: map[int]time.Time{}}
+}
+
+// request returns a request sent at a moment and answered in full 100 ms later.
+func request(id string, sent time.Duration) Request {
+	return Request{
+		ID: id, Daemon: "d1", Method: "POST", Target: "/book/1", Body: "x", Key: "k", Team: "alpha", Once: true, MaxAttempts: 1,
+		Timeout: 3 * time.Second, SentAt: at(sent), WrittenAt: at(sent), EndedAt: at(sent + 100*time.Millisecond),
+		Status: success, Seal: "seal.i1", Answer: "answer of i1 to " + id, Complete: true,
+	}
+}
+
+// runOf returns a run of a request that arrived at a moment.
+func runOf(q Request, received time.Duration) Run {
+	return Run{Run: worker.Run{
+		ID: q.ID, Method: q.Method, Target: q.Target, Body: q.Body, Team: q.Team, Model: q.Model, ReceivedAt: at(received),
+		Header: http.Header{"Expect-Instance": {"i1"}},
+	}, Endpoint: "i1", Slot: "e1", Pool: "app", Centre: "north", Release: "v1"}
+}
+
+// disrupt records a disruption of a span.
+func (j *Judge) disrupt(machine string, from, to time.Duration) {
+	j.disruptions = append(j.disruptions, &Disruption{Machine: machine, From: at(from), To: at(to)})
+}
+
+// shutDown records a SIGTERM of d1 at second 10.
+func shutDown(j *Judge) {
+	j.disruptions = append(j.disruptions, &Disruption{Machine: "d1", From: at(10 * time.Second), To: at(12 * time.Second), Planned: true})
+}
+
+// TestViolations checks that each broken promise is reported and that what is allowed is
+// not.
+func TestViolations(t *testing.T) {
+	const s = time.Second
+	tests := []struct {
+		name string
+		// change changes a request sent at second 20 and its only run, 10 ms later, and
+		// records more.
+		change func(j *Judge, q *Request, r *Run)
+		// want is the check that fails, "" for none.
+		want string
+	}{
+		{"kept", func(*Judge, *Request, *Run) {}, ""},
+		{"ran twice", func(j *Judge, _ *Request, r *Run) { j.runs = append(j.runs, *r) }, "twice"},
+		{"refused once and ran", func(j *Judge, _ *Request, r *Run) {
+			shed := *r
+			shed.NotExecuted = true
+			j.runs = append(j.runs, shed)
+		}, ""},
+		{"repeatable ran twice", func(j *Judge, q *Request, r *Run) {
+			q.Once, q.MaxAttempts = false, 2
+			j.runs = append(j.runs, *r)
+		}, ""},
+		{"answered 503 and ran", func(_ *Judge, q *Request, _ *Run) { q.Status, q.Seal, q.Answer = 503, "", "" }, "refused"},
+		{"answered 502 and ran", func(_ *Judge, q *Request, _ *Run) { q.Status, q.Seal, q.Answer = 502, "", "" }, ""},
+		{"no key that was ever valid", func(_ *Judge, q *Request, _ *Run) { q.Forbidden = true }, "route"},
+		{"no seal", func(_ *Judge, q *Request, _ *Run) { q.Seal = "" }, "mixed"},
+		{"encoded", func(_ *Judge, q *Request, _ *Run) { q.Encoding = "gzip" }, "mixed"},
+		{"answer to another request", func(_ *Judge, q *Request, _ *Run) { q.Answer = "answer of i1 to q2" }, "mixed"},
+		{"part of the answer as the whole", func(_ *Judge, q *Request, _ *Run) { q.Answer = "answer of" }, "mixed"},
+		{"part of the answer, cut", func(_ *Judge, q *Request, _ *Run) { q.Answer, q.Complete = "answer of", false }, ""},
+		{"bytes after the answer", func(_ *Judge, q *Request, _ *Run) { q.Extra = true }, "mixed"},
+		{"status that no endpoint gave", func(_ *Judge, q *Request, _ *Run) { q.Status = 404 }, "mixed"},
+		{"another id", func(_ *Judge, _ *Request, r *Run) { r.ID = "other" }, "unasked"},
+		{"another body", func(_ *Judge, _ *Request, r *Run) { r.Body = "y" }, "unasked"},
+		{"another team", func(_ *Judge, _ *Request, r *Run) { r.Team = "beta" }, "unasked"},
+		{"the key", func(_ *Judge, _ *Request, r *Run) { r.Key = "Bearer k" }, "unasked"},
+		{"another prompt", func(_ *Judge, _ *Request, r *Run) { r.Header.Set("Prompt-Prefix", "a:1") }, "unasked"},
+		{"a header of the router", func(_ *Judge, _ *Request, r *Run) { r.Header.Set("Hold", "h") }, "unasked"},
+		{"at an endpoint that left", func(j *Judge, _ *Request, _ *Run) { j.left["i1"] = at(18 * s) }, "drain"},
+		{"at an endpoint that left just now", func(j *Judge, _ *Request, _ *Run) { j.left["i1"] = at(18*s + 20*time.Millisecond) }, ""},
+		{"at an endpoint that left, daemon disrupted", func(j *Judge, _ *Request, _ *Run) {
+			j.left["i1"] = at(10 * s)
+			j.disrupt("d1", 15*s, 18*s)
+		}, ""},
+		{"at an endpoint that left, daemon disrupted long ago", func(j *Judge, _ *Request, _ *Run) {
+			j.left["i1"] = at(10 * s)
+			j.disrupt("d1", 11*s, 16*s)
+		}, "drain"},
+		{"at an endpoint that left, other daemon disrupted", func(j *Judge, _ *Request, _ *Run) {
+			j.left["i1"] = at(10 * s)
+			j.disrupt("d2", 11*s, 30*s)
+		}, "drain"},
+		{"at an endpoint that left, store disrupted", func(j *Judge, _ *Request, _ *Run) {
+			j.left["i1"] = at(10 * s)
+			j.disrupt(Core, 11*s, 18*s)
+		}, ""},
+		{"at an endpoint that left while the store was disrupted", func(j *Judge, _ *Request, _ *Run) {
+			j.left["i1"] = at(10 * s)
+			j.disrupt(Core, 8*s, 9*s)
+		}, ""},
+		{"at an endpoint that left and was paused", func(j *Judge, _ *Request, _ *Run) {
+			j.left["i1"] = at(10 * s)
+			j.disrupt("e1", 18*s, 19*s)
+		}, ""},
+		{"rejected by an endpoint that left", func(j *Judge, q *Request, r *Run) {
+			j.left["i1"] = at(10 * s)
+			q.Status, q.Seal, q.Answer = 503, "", ""
+			r.NotExecuted = true
+			r.Header.Set("Expect-Instance", "i0")
+		}, ""},
+		{"in a closed centre", func(j *Judge, _ *Request, _ *Run) { j.closed["north"] = []span{{from: at(15 * s)}} }, "evac"},
+		{"in another closed centre", func(j *Judge, _ *Request, _ *Run) { j.closed["south"] = []span{{from: at(15 * s)}} }, ""},
+		{"in a reopened centre", func(j *Judge, _ *Request, _ *Run) { j.closed["north"] = []span{{at(10 * s), at(20 * s)}} }, ""},
+		{"in a closed centre, history lost", func(j *Judge, _ *Request, _ *Run) {
+			j.closed["north"] = []span{{from: at(13 * s)}}
+			j.disruptions = append(j.disruptions, &Disruption{Machine: Core, From: at(14 * s), To: at(14 * s), Forgets: true})
+		}, ""},
+		{"in a centre closed long ago, history lost", func(j *Judge, _ *Request, _ *Run) {
+			j.closed["north"] = []span{{from: at(10 * s)}}
+			j.disruptions = append(j.disruptions, &Disruption{Machine: Core, From: at(14 * s), To: at(14 * s), Forgets: true})
+		}, "evac"},
+		{"with a removed key", func(j *Judge, q *Request, _ *Run) { q.KeyVersion, j.accepted[5] = 4, at(15*s-1) }, "revoke"},
+		{"with a key removed just now", func(j *Judge, q *Request, _ *Run) { q.KeyVersion, j.accepted[5] = 4, at(15*s) }, ""},
+		{"with a removed key, daemon disrupted", func(j *Judge, q *Request, _ *Run) {
+			q.KeyVersion, j.accepted[5] = 4, at(10*s)
+			j.disrupt("d1", 5*s, 30*s)
+		}, "revoke"},
+		{"on a removed route", func(j *Judge, q *Request, _ *Run) { q.RouteVersion, j.accepted[5] = 4, at(18*s-1) }, "config"},
+		{"on a route not there", func(j *Judge, q *Request, r *Run) {
+			q.RouteVersion, j.accepted[5] = 5, at(17*s)
+			q.Status, q.Seal, q.Answer = 404, "", ""
+			r.NotExecuted = true
+		}, "config"},
+		{"on a route not there yet", func(j *Judge, q *Request, r *Run) {
+			q.RouteVersion, j.accepted[5] = 5, at(18*s)
+			q.Status, q.Seal, q.Answer = 404, "", ""
+			r.NotExecuted = true
+		}, ""},
+		{"cut by a shutdown", func(j *Judge, q *Request, _ *Run) {
+			*q = cutRequest(q.ID)
+			shutDown(j)
+		}, "lost"},
+		{"cut by a shutdown, daemon killed before", func(j *Judge, q *Request, _ *Run) {
+			*q = cutRequest(q.ID)
+			shutDown(j)
+			j.disrupt("d1", 7*s, 9*s)
+		}, ""},
+		{"cut by a shutdown and the endpoint", func(j *Judge, q *Request, r *Run) {
+			*q = cutRequest(q.ID)
+			shutDown(j)
+			r.Fault = worker.FaultTruncated
+		}, ""},
+		{"cut by a shutdown at its deadline", func(j *Judge, q *Request, _ *Run) {
+			*q = cutRequest(q.ID)
+			q.Timeout = time.Second / 10
+			shutDown(j)
+		}, ""},
+		{"bad release", func(j *Judge, q *Request, r *Run) {
+			q.MaxAttempts, q.Once = 100, false
+			j.canaries = []*canary{{"app", "v1", span{from: at(0)}}}
+			for range 10 {
+				j.runs = append(j.runs, *r)
+			}
+		}, "exposure"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			j := newJudge()
+			q := request("q1", 20*s)
+			r := runOf(q, 20*s+10*time.Millisecond)
+			test.change(j, &q, &r)
+			j.AddRequest(q)
+			j.AddRun(r)
+			got := j.Violations()
+			if test.want == "" {
+				c.Check(got, qt.HasLen, 0)
+				return
+			}
+			c.Assert(got, qt.Not(qt.HasLen), 0)
+			for _, v := range got {
+				c.Check(strings.HasPrefix(v, test.want+": "), qt.IsTrue, qt.Commentf(v))
+			}
+		})
+	}
+}
+
+// cutRequest returns a request sent a second after the SIGTERM of shutDown, whose
+// connection ends half a second later.
+func cutRequest(id string) Request {
+	q := request(id, 11*time.Second)
+	q.Status, q.Seal, q.Answer, q.Complete = 0, "", "", false
+	q.EndedAt = at(11*time.Second + 500*time.Millisecond)
+	return q
+}
+
+// TestStreams checks the events of streams.
+func TestStreams(t *testing.T) {
+	one, two, three := Event(1, "q1"), Event(2, "q1"), Event(3, "q1")
+	tests := []struct {
+		name, answer string
+		last         int
+		complete     bool
+		want         string
+	}{
+		{"whole", one + two + three, 0, true, ""},
+		{"resumed", three, 2, true, ""},
+		{"cut", one + two + "id: 3", 0, false, ""},
+		{"ended early", one + two, 0, true, "order"},
+		{"missing", one + three, 0, false, "order"},
+		{"twice", one + one + two + three, 0, true, "order"},
+		{"resumed at the wrong place", two + three, 2, true, "order"},
+		{"of another request", one + Event(2, "q2") + three, 0, true, "order"},
+		{"part of an event at the end", one + two + three + "id", 0, true, "order"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			j := newJudge()
+			q := request("q1", 0)
+			q.Stream, q.Events, q.LastEvent, q.Answer, q.Complete = true, 3, test.last, test.answer, test.complete
+			j.AddRequest(q)
+			got := j.Violations()
+			if test.want == "" {
+				c.Check(got, qt.HasLen, 0)
+				return
+			}
+			c.Assert(got, qt.HasLen, 1)
+			c.Check(strings.HasPrefix(got[0], test.want+": "), qt.IsTrue, qt.Commentf(got[0]))
+		})
+	}
+}
+
+// TestCounted checks the promises of which a few breaches are allowed.
+func TestCounted(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(q *Request, r *Run)
+		most   int
+		want   string
+	}{
+		{"callers that left", func(q *Request, r *Run) {
+			q.Left, q.Complete, q.Status, q.Answer, q.Seal = true, false, 0, "", ""
+			r.ReceivedAt = q.EndedAt.Add(time.Second)
+		}, maxGone, "gone"},
+		{"denied", func(q *Request, r *Run) { q.Status, q.Seal, q.Answer, r.NotExecuted = 401, "", "", true }, maxDenied, "denied"},
+		{"attempts", func(q *Request, _ *Run) { q.MaxAttempts = 0 }, maxBudget, "budget"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			j := newJudge()
+			for i := range test.most + 1 {
+				c.Check(j.Violations(), qt.HasLen, 0)
+				q := request("q"+string(rune('a'+i)), 20*time.Second)
+				r := runOf(q, 20*time.Second)
+				test.change(&q, &r)
+				j.AddRequest(q)
+				j.AddRun(r)
+			}
+			got := j.Violations()
+			c.Assert(got, qt.HasLen, 1)
+			c.Check(strings.HasPrefix(got[0], test.want+": "), qt.IsTrue, qt.Commentf(got[0]))
+		})
+	}
+}
--- a/internal/soak/runner/steps.go
+++ b/internal/soak/runner/steps.go
@@ -23,6 +23,9 @@
 	stormGap    = 120 * time.Millisecond
 	// slowest is the longest delay of the store; the shortest is half of it.
 	slowest = 1200 * time.Millisecond
+	// refuseStep, times the draw, is the time in which connections are refused after a
+	// reset.
+	refuseStep = 20 * time.Millisecond
 )
 
 // do carries out one step of the schedule.
@@ -195,7 +198,10 @@
 	switch s.Kind {
 	case planner.LinkReset:
 		r.links.Reset(d.involves)
-		return
+		if s.Draw%2 == 0 {
+			return
+		}
+		f.Refuse, s.Length = true, refuseStep*time.Duration(s.Draw)
 	case planner.LinkSilence:
 		r.links.Silence(d.involves)
 		return
