--- a/internal/soak/judge/checks.go
+++ b/internal/soak/judge/checks.go
@@ -24,6 +24,14 @@
 	lateTime  = 3 * time.Second
 	// killTime is the time after the grace time in which a daemon ends.
 	killTime = time.Second
+	// lateAnswerTime is the time after its timeout in which a request must be answered;
+	// it is broken by minLate requests that are more than lateShare of those that reached
+	// their timeout.
+	lateAnswerTime = 500 * time.Millisecond
+	minLate        = 8
+	lateShare      = 0.25
+	// slowedFactor multiplies the time in which a disrupted daemon may go back.
+	slowedFactor = 8
 	// maxViolations bounds the violations of one check that are listed.
 	maxViolations = 5
 )
@@ -82,6 +90,8 @@
 		v.add("denied", "%d requests were denied that every configuration allows", denied)
 	}
 	j.checkCanaries(&v)
+	j.checkLateAnswers(&v)
+	j.checkBack(&v, runsByID)
 	return v.texts
 }
 
@@ -303,6 +313,71 @@
 	}
 }
 
+// checkLateAnswers checks that requests which reach their timeout are answered soon
+// after.
+func (j *Judge) checkLateAnswers(v *violations) {
+	reached, late := 0, 0
+	for _, q := range j.requests {
+		took := q.EndedAt.Sub(q.SentAt)
+		if q.Stream || q.Left || q.EndedAt.IsZero() || took < q.Timeout || !j.inTouch(q.Daemon, q.SentAt, q.EndedAt) {
+			continue
+		}
+		reached++
+		if took > q.Timeout+lateAnswerTime {
+			late++
+		}
+	}
+	if late >= minLate && float64(late) > lateShare*float64(reached) {
+		v.add("timeout", "%d of %d requests had no answer %v after their timeout", late, reached, lateAnswerTime)
+	}
+}
+
+// effect is the first run that shows a configuration in force at a process.
+type effect struct {
+	version int
+	at      time.Time
+}
+
+// versionOf returns the only configuration that allows a request, or 0.
+func versionOf(q *Request) int { return max(q.RouteVersion, q.KeyVersion) }
+
+// checkBack checks that no process of a daemon goes back to an older configuration.
+func (j *Judge) checkBack(v *violations, runsByID map[string][]*Run) {
+	type process struct {
+		daemon string
+		number int
+	}
+	effects := make(map[process][]effect)
+	for _, id := range j.order {
+		q := j.requests[id]
+		for _, r := range runsByID[id] {
+			if p := (process{q.Daemon, q.Process}); versionOf(q) > 0 && !r.NotExecuted {
+				effects[p] = append(effects[p], effect{versionOf(q), r.ReceivedAt})
+			}
+		}
+	}
+	for _, id := range j.order {
+		q := j.requests[id]
+		version, denied := versionOf(q), q.Status == http.StatusNotFound || q.Status == http.StatusUnauthorized
+		if version == 0 || q.EndedAt.IsZero() || !denied && len(runsByID[id]) == 0 {
+			continue
+		}
+		next, replaced := j.accepted[version+1]
+		for _, e := range effects[process{q.Daemon, q.Process}] {
+			bound := j.Bounds.Back
+			if j.disrupted(q.Daemon, e.at.Add(-j.Bounds.StableWindow), q.EndedAt, nil) {
+				bound *= slowedFactor
+			}
+			older := !denied && version < e.version
+			lost := denied && version == e.version && (!replaced || q.EndedAt.Before(next))
+			if late := q.SentAt.Sub(e.at); late > bound && (older || lost) {
+				v.add("back", "%s of %s, sent %v after configuration %d took effect, was handled by an older one", q.ID, q.Daemon, late, e.version)
+				break
+			}
+		}
+	}
+}
+
 // checkCanaries checks the part of the requests that bad releases got.
 func (j *Judge) checkCanaries(v *violations) {
 	for _, c := range j.canaries {
--- a/internal/soak/judge/judge.go
+++ b/internal/soak/judge/judge.go
@@ -28,6 +28,9 @@
 		MaxStretch time.Duration
 		// Grace is the time from SIGTERM to SIGKILL.
 		Grace time.Duration
+		// Back is the time after a configuration took effect at a daemon in which it may
+		// still handle requests as before it; times eight if the daemon was disrupted.
+		Back time.Duration
 		// LossSlack is the time after a request was written in which its connection may
 		// end without an answer during a shutdown.
 		LossSlack time.Duration
@@ -37,7 +40,9 @@
 
 	// Request is one request as its caller saw it.
 	Request struct {
-		ID, Daemon                      string
+		ID, Daemon string
+		// Process is the number of the daemon's process.
+		Process                         int
 		Method, Target, Body, Key, Team string
 		Model, PromptPrefix, TokenCount string
 		// Once is true for a request that may run once at most.
@@ -223,11 +228,17 @@
 	return served, ended
 }
 
-// Counts returns the number of requests and runs so far.
-func (j *Judge) Counts() (requests, runs int) {
+// Counts returns the number of requests and runs so far, and that of the requests which
+// daemons in touch with a stable store handled.
+func (j *Judge) Counts() (requests, runs, inTouch int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return len(j.order), len(j.runs)
+	for _, q := range j.requests {
+		if !q.EndedAt.IsZero() && j.inTouch(q.Daemon, q.SentAt, q.EndedAt) {
+			inTouch++
+		}
+	}
+	return len(j.order), len(j.runs), inTouch
 }
 
 // disrupted reports whether a machine, or everything, is disrupted at some moment of a
--- a/internal/soak/runner/caller.go
+++ b/internal/soak/runner/caller.go
@@ -109,7 +109,7 @@
 	c.sent++
 	id := fmt.Sprintf("c%d-%d", c.index, c.sent)
 	q := judge.Request{
-		ID: id, Daemon: c.daemon.name, Method: http.MethodPost, Body: "body of " + id, Key: constantKey, Team: "alpha",
+		ID: id, Daemon: c.daemon.name, Process: c.daemon.number(), Method: http.MethodPost, Body: "body of " + id, Key: constantKey, Team: "alpha",
 		MaxAttempts: 2, Timeout: 3 * time.Second,
 	}
 	if c.stream != nil {
--- a/internal/soak/runner/daemon.go
+++ b/internal/soak/runner/daemon.go
@@ -36,6 +36,7 @@
 
 	mu      sync.Mutex
 	process *process
+	starts  int
 	// down is true while the process is ended and started by a step.
 	down     bool
 	finished bool
@@ -58,6 +59,9 @@
 	if err := d.writeSettings(first); err != nil {
 		return err
 	}
+	d.mu.Lock()
+	d.starts++
+	d.mu.Unlock()
 	p, err := startProcess(d.runner.path(d.name+".log"), []string{"SAMPHIRETURN_SETTINGS=" + d.path}, nil, d.runner.DaemonProgram, "--platform")
 	if err != nil {
 		return err
@@ -118,6 +122,13 @@
 	return d.process
 }
 
+// number returns the number of the process.
+func (d *daemon) number() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.starts
+}
+
 // close ends the daemon for good.
 func (d *daemon) close() {
 	d.mu.Lock()
--- a/internal/soak/runner/runner.go
+++ b/internal/soak/runner/runner.go
@@ -33,7 +33,7 @@
 	minServed      = 0.25
 	recoveredShare = 0.75
 	// startTime bounds the time in which the daemons become ready at first.
-	startTime = 10 * time.Second
+	startTime = 30 * time.Second
 	// settleTime is the time for requests in flight to end at the end of a run.
 	settleTime    = 2 * time.Second
 	checkInterval = 2 * time.Second
@@ -52,7 +52,7 @@
 // bounds are the bounds of the promises in the settings of the daemons.
 var bounds = judge.Bounds{
 	StableWindow: 3 * time.Second, Drain: 2 * time.Second, Revoke: 5 * time.Second, Apply: 2 * time.Second,
-	Evacuate: 5 * time.Second, MaxStretch: 5 * time.Second, Grace: 8 * time.Second, LossSlack: 200 * time.Millisecond,
+	Evacuate: 5 * time.Second, MaxStretch: 5 * time.Second, Grace: 8 * time.Second, Back: 250 * time.Millisecond, LossSlack: 200 * time.Millisecond,
 	CanaryShare: 0.15, CanaryExtra: 30,
 }
 
@@ -101,9 +101,10 @@
 
 	// Report is the result of a run.
 	Report struct {
-		Seed           uint64
-		Requests, Runs int
-		Served         int
+		Seed uint64
+		// Requests and Runs are their numbers; InTouch and Served those of the requests that
+		// undisturbed daemons handled and that were answered with success.
+		Requests, Runs, InTouch, Served int
 		// Recovery is the time from the end of the faults until each daemon served again.
 		Recovery time.Duration
 		// Violations names the broken promises.
@@ -137,7 +138,7 @@
 	}
 	stopCallers()
 	r.sleep(ctx, settleTime)
-	report.Requests, report.Runs = r.judge.Counts()
+	report.Requests, report.Runs, report.InTouch = r.judge.Counts()
 	report.Served, _ = r.judge.Served("", r.started, time.Now())
 	violations = append(violations, r.violations()...)
 	slices.Sort(violations)
@@ -378,8 +379,8 @@
 
 // String returns the report as text, with a line for each violation.
 func (r Report) String() string {
-	text := fmt.Sprintf("seed %d: %d requests, %d runs, %d served, recovered in %v, %d violations",
-		r.Seed, r.Requests, r.Runs, r.Served, r.Recovery.Round(time.Millisecond), len(r.Violations))
+	text := fmt.Sprintf("seed %d: %d requests (%d in touch), %d runs, %d served, recovered in %v, %d violations",
+		r.Seed, r.Requests, r.InTouch, r.Runs, r.Served, r.Recovery.Round(time.Millisecond), len(r.Violations))
 	for _, v := range r.Violations {
 		text += "\n  " + v
 	}
