Draw few kinds of faults for most soaks, and check what the pools run

A run in the wrong pool breaks a promise, as does a request that a shutdown cuts while the store is down.

--- a/cmd/standin/server.go
+++ b/cmd/standin/server.go
@@ -23,9 +23,9 @@
 	ID     string        `arg:"--id,required" help:"instance id"`
 	Slots  int           `arg:"--slots" default:"8" help:"requests at the same time"`
 	Events int           `arg:"--events" help:"events of an answer; 0 for one body"`
-	Gap    time.Duration `arg:"--gap" default:"20ms" help:"time before each event"`
+	Gap    time.Duration `arg:"--gap" default:"50ms" help:"time before each event"`
 	Seed   uint64        `arg:"--seed" help:"seed that decides which answers have a fault"`
-	Work   time.Duration `arg:"--work" default:"20ms" help:"time of an answer in one body"`
+	Work   time.Duration `arg:"--work" default:"120ms" help:"time of an answer in one body"`
 }
 
 // serverFaults are the faults of answers until the next line of standard input, each a
--- a/internal/soak/judge/checks.go
+++ b/internal/soak/judge/checks.go
@@ -121,12 +121,15 @@
 	if r.NotExecuted && h.Get("Expect-Instance") != r.Endpoint {
 		return
 	}
+	if !r.NotExecuted && r.Pool != q.Pool {
+		v.add("route", "%s of pool %s ran %s, which is for %s", r.Endpoint, r.Pool, r.ID, q.Pool)
+	}
 	j.checkLeft(v, q, r)
 	for _, s := range j.closed[r.Centre] {
 		if !s.to.IsZero() && r.ReceivedAt.After(s.to) || j.heldUp(r) {
 			continue
 		}
-		bound, ok := j.bound(j.Bounds.Evacuate, q.Daemon, s.from, r.ReceivedAt)
+		bound, ok := j.bound(j.Bounds.Evacuate, q.Daemon, s.from, q.SentAt, r.ReceivedAt)
 		if late := r.ReceivedAt.Sub(s.from); ok && late > bound {
 			v.add("evac", "%s of %s reached %s %v after the closure of %s", r.ID, q.Daemon, r.Endpoint, late, r.Centre)
 		}
@@ -178,7 +181,7 @@
 		}
 	}
 	if next, ok := j.accepted[q.RouteVersion+1]; ok && q.RouteVersion > 0 {
-		bound, ok := j.bound(j.Bounds.Apply, q.Daemon, next, q.SentAt)
+		bound, ok := j.bound(j.Bounds.Apply, q.Daemon, next, q.SentAt, q.EndedAt)
 		if late := q.SentAt.Sub(next); ok && late > bound {
 			v.add("config", "%s of %s ran, sent %v after the removal of its route", q.ID, q.Daemon, late)
 		}
@@ -276,7 +279,7 @@
 	if next, ok := j.accepted[q.RouteVersion+1]; ok && !q.EndedAt.Before(next) {
 		return
 	}
-	bound, ok := j.bound(j.Bounds.Apply, q.Daemon, added, q.EndedAt)
+	bound, ok := j.bound(j.Bounds.Apply, q.Daemon, added, q.SentAt, q.EndedAt)
 	if late := q.SentAt.Sub(added); ok && late > bound {
 		v.add("config", "%s of %s was answered 404, sent %v after its route was added", q.ID, q.Daemon, late)
 	}
@@ -295,7 +298,7 @@
 	}
 	from := q.SentAt.Add(-j.Bounds.StableWindow)
 	unplanned := func(d *Disruption) bool { return d.Planned }
-	if term.IsZero() || j.disrupted(q.Daemon, from, q.EndedAt, unplanned) || (q.Key != "" || q.Stream) && j.disrupted(Core, from, q.EndedAt, nil) {
+	if term.IsZero() || j.disrupted(q.Daemon, from, q.EndedAt, unplanned) || q.Stream && j.disrupted(Core, from, q.EndedAt, nil) {
 		return
 	}
 	for _, r := range runs {
--- a/internal/soak/judge/judge.go
+++ b/internal/soak/judge/judge.go
@@ -45,6 +45,8 @@
 		Process                         int
 		Method, Target, Body, Key, Team string
 		Model, PromptPrefix, TokenCount string
+		// Pool is the only pool that may run the request.
+		Pool string
 		// Once is true for a request that may run once at most.
 		Once bool
 		// Stream is true for a request that is answered with Events events, after the
@@ -262,15 +264,15 @@
 	return !j.disrupted(daemon, from, to, nil) && !j.disrupted(Core, from, to, nil)
 }
 
-// bound returns the bound that holds for a daemon's handling of a change accepted at a
-// moment until the end of a span, and whether one holds.
-func (j *Judge) bound(bound time.Duration, daemon string, accepted, to time.Time) (time.Duration, bool) {
-	from := accepted.Add(-j.Bounds.StableWindow)
-	if j.disrupted(daemon, from, to, nil) || j.disrupted(Core, from, to, func(d *Disruption) bool { return d.Forgets }) {
+// bound returns the bound that holds for a daemon's handling, in a span, of a change
+// accepted at a moment, and whether one holds.
+func (j *Judge) bound(bound time.Duration, daemon string, accepted, from, to time.Time) (time.Duration, bool) {
+	from = from.Add(-j.Bounds.StableWindow)
+	if j.disrupted(daemon, from, to, nil) {
 		return 0, false
 	}
-	if j.disrupted(Core, from, to, nil) {
-		return bound + j.Bounds.MaxStretch, true
+	if !j.disrupted(Core, from, to, nil) {
+		return bound, true
 	}
-	return bound, true
+	return bound + j.Bounds.MaxStretch, !j.disrupted(Core, accepted, to, func(d *Disruption) bool { return d.Forgets })
 }
--- a/internal/soak/judge/judge_test.go
+++ b/internal/soak/judge/judge_test.go
@@ -28,7 +28,7 @@
 // request returns a request sent at a moment and answered in full 100 ms later.
 func request(id string, sent time.Duration) Request {
 	return Request{
-		ID: id, Daemon: "d1", Method: "POST", Target: "/book/1", Body: "x", Key: "k", Team: "alpha", Once: true, MaxAttempts: 1,
+		ID: id, Daemon: "d1", Method: "POST", Target: "/book/1", Body: "x", Key: "k", Team: "alpha", Pool: "app", Once: true, MaxAttempts: 1,
 		Timeout: 3 * time.Second, SentAt: at(sent), WrittenAt: at(sent), EndedAt: at(sent + 100*time.Millisecond),
 		Status: success, Seal: "seal.i1", Answer: "answer of i1 to " + id, Complete: true,
 	}
@@ -78,6 +78,7 @@
 		{"answered 503 and ran", func(_ *Judge, q *Request, _ *Run) { q.Status, q.Seal, q.Answer = 503, "", "" }, "refused"},
 		{"answered 502 and ran", func(_ *Judge, q *Request, _ *Run) { q.Status, q.Seal, q.Answer = 502, "", "" }, ""},
 		{"no key that was ever valid", func(_ *Judge, q *Request, _ *Run) { q.Forbidden = true }, "route"},
+		{"of another pool", func(_ *Judge, _ *Request, r *Run) { r.Pool = "llm" }, "route"},
 		{"no seal", func(_ *Judge, q *Request, _ *Run) { q.Seal = "" }, "mixed"},
 		{"encoded", func(_ *Judge, q *Request, _ *Run) { q.Encoding = "gzip" }, "mixed"},
 		{"answer to another request", func(_ *Judge, q *Request, _ *Run) { q.Answer = "answer of i1 to q2" }, "mixed"},
@@ -127,13 +128,27 @@
 		{"in another closed centre", func(j *Judge, _ *Request, _ *Run) { j.closed["south"] = []span{{from: at(15 * s)}} }, ""},
 		{"in a reopened centre", func(j *Judge, _ *Request, _ *Run) { j.closed["north"] = []span{{at(10 * s), at(20 * s)}} }, ""},
 		{"in a closed centre, history lost", func(j *Judge, _ *Request, _ *Run) {
-			j.closed["north"] = []span{{from: at(13 * s)}}
-			j.disruptions = append(j.disruptions, &Disruption{Machine: Core, From: at(14 * s), To: at(14 * s), Forgets: true})
+			j.closed["north"] = []span{{from: at(11 * s)}}
+			j.disruptions = append(j.disruptions, &Disruption{Machine: Core, From: at(18 * s), To: at(18 * s), Forgets: true})
 		}, ""},
 		{"in a centre closed long ago, history lost", func(j *Judge, _ *Request, _ *Run) {
 			j.closed["north"] = []span{{from: at(10 * s)}}
-			j.disruptions = append(j.disruptions, &Disruption{Machine: Core, From: at(14 * s), To: at(14 * s), Forgets: true})
+			j.disruptions = append(j.disruptions, &Disruption{Machine: Core, From: at(18 * s), To: at(18 * s), Forgets: true})
 		}, "evac"},
+		{"in a centre closed long ago, history lost after an outage", func(j *Judge, _ *Request, _ *Run) {
+			j.closed["north"] = []span{{from: at(10 * s)}}
+			j.disrupt(Core, 11*s, 12*s)
+			j.disruptions = append(j.disruptions, &Disruption{Machine: Core, From: at(18 * s), To: at(18 * s), Forgets: true})
+		}, ""},
+		{"in a closed centre, outage long over", func(j *Judge, _ *Request, _ *Run) {
+			j.closed["north"] = []span{{from: at(10 * s)}}
+			j.disrupt(Core, 11*s, 16*s)
+		}, "evac"},
+		{"cut by a shutdown in an outage", func(j *Judge, q *Request, _ *Run) {
+			*q = cutRequest(q.ID)
+			shutDown(j)
+			j.disrupt(Core, 8*s, 20*s)
+		}, "lost"},
 		{"with a removed key", func(j *Judge, q *Request, _ *Run) { q.KeyVersion, j.accepted[5] = 4, at(15*s-1) }, "revoke"},
 		{"with a key removed just now", func(j *Judge, q *Request, _ *Run) { q.KeyVersion, j.accepted[5] = 4, at(15*s) }, ""},
 		{"with a removed key, daemon disrupted", func(j *Judge, q *Request, _ *Run) {
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -41,10 +41,11 @@
 	StoreSilence = "store_silence"
 	StoreGarble  = "store_garble"
 	// LinkCut and the others hold all data of a daemon, that to it, that between it and
-	// the store, or delay it; reset or silence its open connections.
+	// the store or other daemons, or delay it; reset or silence its open connections.
 	LinkCut      = "link_cut"
 	LinkCutIn    = "link_cut_in"
 	LinkCutStore = "link_cut_store"
+	LinkCutPeers = "link_cut_peers"
 	LinkSlow     = "link_slow"
 	LinkReset    = "link_reset"
 	LinkSilence  = "link_silence"
@@ -69,6 +70,10 @@
 	// maxGap bounds the time between the steps of a series, maxPause that between series.
 	maxGap   = 700 * time.Millisecond
 	maxPause = 2500 * time.Millisecond
+	// fewKinds and moreKinds give the number of kinds of most schedules: fewKinds, and up
+	// to moreKinds more. One schedule in allEvery has all kinds.
+	fewKinds, moreKinds = 3, 8
+	allEvery            = 4
 	// seedStream is the second part of the seed of the generator.
 	seedStream = 0x5eed
 )
@@ -113,42 +118,43 @@
 	{DaemonsRoll, 1, 300 * time.Millisecond, time.Second},
 	{EndpointCrash, 4, 200 * time.Millisecond, 3 * time.Second},
 	{EndpointSwap, 2, 2 * time.Second, 4 * time.Second},
-	{EndpointDrain, 4, 2500 * time.Millisecond, 4 * time.Second},
-	{EndpointVanish, 3, 2500 * time.Millisecond, 4 * time.Second},
+	{EndpointDrain, 4, 2500 * time.Millisecond, 7 * time.Second},
+	{EndpointVanish, 3, 2500 * time.Millisecond, 7 * time.Second},
 	{EndpointStop, 3, 200 * time.Millisecond, 4 * time.Second},
 	{EndpointFault, 5, time.Second, 5 * time.Second},
 	{EndpointCut, 2, 200 * time.Millisecond, 4 * time.Second},
-	{StoreDown, 2, 200 * time.Millisecond, 6 * time.Second},
+	{StoreDown, 2, 200 * time.Millisecond, 9 * time.Second},
 	{StoreReset, 1, 200 * time.Millisecond, 4 * time.Second},
 	{StoreSlow, 2, 500 * time.Millisecond, 5 * time.Second},
 	{StoreLost, 1, 500 * time.Millisecond, 4 * time.Second},
-	{StoreRefuse, 2, 500 * time.Millisecond, 6 * time.Second},
+	{StoreRefuse, 3, 500 * time.Millisecond, 9 * time.Second},
 	{StoreForget, 3, 0, 0},
 	{StoreSilence, 1, 0, 0},
 	{StoreGarble, 1, 500 * time.Millisecond, 3 * time.Second},
 	{LinkCut, 2, 200 * time.Millisecond, 5 * time.Second},
 	{LinkCutIn, 2, 200 * time.Millisecond, 5 * time.Second},
-	{LinkCutStore, 3, 200 * time.Millisecond, 6 * time.Second},
+	{LinkCutStore, 3, 200 * time.Millisecond, 9 * time.Second},
+	{LinkCutPeers, 2, 200 * time.Millisecond, 9 * time.Second},
 	{LinkSlow, 2, 500 * time.Millisecond, 4 * time.Second},
 	{LinkReset, 3, 0, 0},
 	{LinkSilence, 2, 0, 0},
 	{Configure, 6, 0, 0},
 	{ConfigureStorm, 2, 0, 0},
-	{CentreClose, 3, 2 * time.Second, 8 * time.Second},
+	{CentreClose, 3, 2 * time.Second, 12 * time.Second},
 	{RolloutGood, 2, 6 * time.Second, 8 * time.Second},
 	{RolloutBad, 2, 6 * time.Second, 8 * time.Second},
 	{Burst, 2, 500 * time.Millisecond, 3 * time.Second},
 	{Leave, 2, 500 * time.Millisecond, 3 * time.Second},
 }
 
-// Plan draws a schedule: series of steps that follow each other closely and overlap.
+// Plan draws a schedule: series of steps that follow each other closely and overlap. Most
+// schedules have steps of a few kinds, so that some daemons are undisturbed at times.
 func Plan(seed uint64, size Size) []Step {
 	random := rand.New(rand.NewPCG(seed, seedStream))
-	allowed, total := []choice{}, 0
-	for _, c := range choices {
-		if len(size.Kinds) == 0 || slices.Contains(size.Kinds, c.kind) {
-			allowed, total = append(allowed, c), total+c.weight
-		}
+	allowed := allowedChoices(random, size)
+	total := 0
+	for _, c := range allowed {
+		total += c.weight
 	}
 	var steps []Step
 	if total == 0 {
@@ -173,6 +179,19 @@
 	return steps
 }
 
+// allowedChoices returns the choices of one schedule.
+func allowedChoices(random *rand.Rand, size Size) []choice {
+	allowed := slices.Clone(choices)
+	if len(size.Kinds) > 0 {
+		return slices.DeleteFunc(allowed, func(c choice) bool { return !slices.Contains(size.Kinds, c.kind) })
+	}
+	if random.IntN(allEvery) == 0 {
+		return allowed
+	}
+	random.Shuffle(len(allowed), func(i, k int) { allowed[i], allowed[k] = allowed[k], allowed[i] })
+	return allowed[:fewKinds+random.IntN(moreKinds+1)]
+}
+
 // String returns the step as a line of a schedule.
 func (s Step) String() string {
 	return fmt.Sprintf("%6.2f s %-16s target %d, length %.2f s, draw %d", s.At.Seconds(), s.Kind, s.Target, s.Length.Seconds(), s.Draw)
--- a/internal/soak/runner/caller.go
+++ b/internal/soak/runner/caller.go
@@ -32,6 +32,9 @@
 	// leaveSpan bounds the time after which a caller leaves.
 	leaveSpan = 200 * time.Millisecond
 	percent   = 100
+	// recentVersions is the number of the latest configurations whose keys and routes are
+	// used.
+	recentVersions = 5
 	// leaveShare and burstLeaveShare are the parts of the requests, in percent, whose
 	// callers leave.
 	leaveShare, burstLeaveShare = 3, 50
@@ -110,7 +113,7 @@
 	id := fmt.Sprintf("c%d-%d", c.index, c.sent)
 	q := judge.Request{
 		ID: id, Daemon: c.daemon.name, Process: c.daemon.number(), Method: http.MethodPost, Body: "body of " + id, Key: constantKey, Team: "alpha",
-		MaxAttempts: 2, Timeout: 3 * time.Second,
+		Pool: poolApp, MaxAttempts: 2, Timeout: 3 * time.Second,
 	}
 	if c.stream != nil {
 		q.LastEvent = c.stream.LastEvent
@@ -121,22 +124,22 @@
 	version := int(c.runner.version.Load())
 	switch n := c.random.IntN(percent); {
 	case n < 30:
-		q.Target, q.Once, q.MaxAttempts = "/book/"+id+"?x=a%2Fb", true, 1
+		q.Target, q.Once, q.MaxAttempts = "/book/"+id+"?x=a%2Fb", true, 3
 	case n < 45:
 		q.Method, q.Target, q.Body = http.MethodGet, "/book/find/"+id, ""
 	case n < 70:
 		c.draft(&q)
 	case n < 80:
-		q.Target, q.Once, q.MaxAttempts = "/chat/"+id, true, 1
+		q.Target, q.Once, q.MaxAttempts = "/chat/"+id, true, 3
 		c.prompt(&q, "small")
 	case n < 84:
 		q.Target, q.Key, q.Team = "/open/"+id, "", ""
 	case n < 90:
-		q.RouteVersion = max(version-c.random.IntN(2), 1)
+		q.RouteVersion = max(version-c.random.IntN(recentVersions), 1)
 		q.Target = "/" + routeName(q.RouteVersion) + "/" + id
 	case n < 98:
-		q.KeyVersion = max(version-c.random.IntN(2), 1)
-		q.Target, q.Key, q.Team, q.Once, q.MaxAttempts = "/book/"+id, keyOf(q.KeyVersion), "beta", true, 1
+		q.KeyVersion = max(version-c.random.IntN(recentVersions), 1)
+		q.Target, q.Key, q.Team, q.Once, q.MaxAttempts = "/book/"+id, keyOf(q.KeyVersion), "beta", true, 3
 	default:
 		q.Target, q.Key, q.Forbidden = "/book/"+id, foreignKey, true
 	}
@@ -151,7 +154,7 @@
 
 // prompt makes q ask a model for a stream.
 func (c *caller) prompt(q *judge.Request, model string) {
-	q.Stream, q.Events, q.Timeout = true, events, 5*time.Second
+	q.Pool, q.Stream, q.Events, q.Timeout = poolModel, true, events, 5*time.Second
 	q.Model, q.TokenCount = model, "150,20"
 	q.PromptPrefix = "abc" + strconv.Itoa(c.index) + ":100,def" + strconv.Itoa(c.sent) + ":50"
 }
--- a/internal/soak/runner/steps.go
+++ b/internal/soak/runner/steps.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -214,12 +215,20 @@
 	case planner.LinkCutStore:
 		f.Match = func(from, to string) bool { return from == d.name && to == storeName }
 		f.HoldUp, f.HoldDown = s.Draw%2 == 0, true
+	case planner.LinkCutPeers:
+		f.Match = func(from, to string) bool { return d.involves(from, to) && r.isDaemon(from) && r.isDaemon(to) }
+		f.HoldUp, f.HoldDown = true, s.Draw%2 == 0
 	case planner.LinkSlow:
 		f.Delay = slowDelay(s) / 4
 	}
 	r.hold(ctx, f, s.Length)
 }
 
+// isDaemon reports whether a name is that of a daemon.
+func (r *Runner) isDaemon(name string) bool {
+	return slices.ContainsFunc(r.daemons, func(d *daemon) bool { return d.name == name })
+}
+
 // hold keeps a fault of links for a time.
 func (r *Runner) hold(ctx context.Context, f *disruptor.Fault, length time.Duration) {
 	r.links.Begin(f)
