Judge a shutdown's losses only while the process ran

Callers' connections are relayed without asking now, and a request meets a shutdown only if it was sent before the process ended.

--- a/internal/soak/disruptor/disruptor.go
+++ b/internal/soak/disruptor/disruptor.go
@@ -63,8 +63,9 @@
 )
 
 // Listen relays the connections to addr on to target, the address of the process
-// named to, until Close.
-func (d *Disruptor) Listen(to, addr, target string) error {
+// named to, until Close. They come from the process named from, or if that is empty from
+// those that Identify names.
+func (d *Disruptor) Listen(from, to, addr, target string) error {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
@@ -72,7 +73,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.listeners = append(d.listeners, ln)
-	d.wait.Go(func() { d.accept(ln, to, target) })
+	d.wait.Go(func() { d.accept(ln, from, to, target) })
 	return nil
 }
 
@@ -135,21 +136,23 @@
 	return matching
 }
 
-func (d *Disruptor) accept(ln net.Listener, to, target string) {
+func (d *Disruptor) accept(ln net.Listener, from, to, target string) {
 	for {
 		near, err := ln.Accept()
 		if err != nil {
 			return
 		}
 		if tcp, ok := near.(*net.TCPConn); ok {
-			d.wait.Go(func() { d.relay(tcp, to, target) })
+			d.wait.Go(func() { d.relay(tcp, from, to, target) })
 		}
 	}
 }
 
 // relay relays one connection until it ends.
-func (d *Disruptor) relay(near *net.TCPConn, to, target string) {
-	from := d.Identify(near.RemoteAddr())
+func (d *Disruptor) relay(near *net.TCPConn, from, to, target string) {
+	if from == "" {
+		from = d.Identify(near.RemoteAddr())
+	}
 	refuse := false
 	d.mu.Lock()
 	for f := range d.faults {
--- a/internal/soak/judge/judge_test.go
+++ b/internal/soak/judge/judge_test.go
@@ -170,6 +170,13 @@
 			*q = cutRequest(q.ID)
 			shutDown(j)
 		}, "lost"},
+		// Soak seed 2001 of the first schedules: nobody had read such a request.
+		{"sent after the end of the process", func(j *Judge, q *Request, r *Run) {
+			*q = cutRequest(q.ID)
+			shutDown(j)
+			j.disruptions[0].To = at(11*s - time.Millisecond)
+			r.NotExecuted = true
+		}, ""},
 		{"cut by a shutdown, daemon killed before", func(j *Judge, q *Request, _ *Run) {
 			*q = cutRequest(q.ID)
 			shutDown(j)
--- a/internal/soak/runner/daemon.go
+++ b/internal/soak/runner/daemon.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	storeName = "store"
+	storeName, callersName = "store", "callers"
+
 	// The parts of the block of addresses: the store, the daemons' own addresses and
 	// those that others use, the same of endpoints, and the sources of the store's calls.
 	storeNet, daemonNet, daemonPublicNet, endpointPublicNet, endpointNet, sourceNet = 0, 1, 2, 3, 4, 5
@@ -46,8 +47,8 @@
 func (r *Runner) newDaemon(index int) (*daemon, error) {
 	d := &daemon{runner: r, index: index, name: "d" + strconv.Itoa(index+1)}
 	d.path = r.path(d.name + ".conf")
-	for _, port := range []int{listenPort, peerPort} {
-		if err := r.links.Listen(d.name, r.addr(daemonPublicNet, index+1, port), r.addr(daemonNet, index+1, port)); err != nil {
+	for port, from := range map[int]string{listenPort: callersName, peerPort: ""} {
+		if err := r.links.Listen(from, d.name, r.addr(daemonPublicNet, index+1, port), r.addr(daemonNet, index+1, port)); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/soak/runner/runner.go
+++ b/internal/soak/runner/runner.go
@@ -313,7 +313,7 @@
 	s := &http.Server{Handler: r.translate(&r.store), ReadHeaderTimeout: time.Minute}
 	r.wait.Go(func() { _ = s.Serve(ln) })
 	r.closeStore = func() { _ = s.Close() }
-	return r.links.Listen(storeName, r.addr(storeNet, 1, storePort), ln.Addr().String())
+	return r.links.Listen("", storeName, r.addr(storeNet, 1, storePort), ln.Addr().String())
 }
 
 // close ends all processes and goroutines of the run.
--- a/internal/soak/runner/slot.go
+++ b/internal/soak/runner/slot.go
@@ -53,7 +53,7 @@
 // open relays the connections to the slot and starts its first endpoint.
 func (s *slot) open() error {
 	r := s.runner
-	if err := r.links.Listen(s.name, r.addr(endpointPublicNet, s.index+1, endpointPort), r.addr(endpointNet, s.index+1, endpointPort)); err != nil {
+	if err := r.links.Listen("", s.name, r.addr(endpointPublicNet, s.index+1, endpointPort), r.addr(endpointNet, s.index+1, endpointPort)); err != nil {
 		return err
 	}
 	return s.start()
