--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build system fmt lint test demo bench slopes fuzz soak
+.PHONY: build system fmt lint test demo bench slopes fuzz soak soak-kept
 
 build:
 	mkdir -p bin
@@ -35,3 +35,6 @@
 DURATION ?= 20s
 soak: build
 	bin/standin soak --daemon bin/samphireturnd --seed $(SEED) --seeds $(SEEDS) --duration $(DURATION)
+
+soak-kept: build
+	while read -r seed cause; do bin/standin soak --daemon bin/samphireturnd --seed $$seed --duration $(DURATION) </dev/null || exit 1; done < testdata/soak.txt
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -132,7 +132,9 @@
 	switch {
 	case o.Load != nil:
 		return o.Load.check()
-	case o.Pool != nil, o.Sample != nil, o.Server != nil, o.Soak != nil:
+	case o.Soak != nil:
+		return o.Soak.check()
+	case o.Pool != nil, o.Sample != nil, o.Server != nil:
 		return nil
 	}
 	addr, _, _ := o.handler()
--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -30,11 +30,16 @@
 	Plan      bool          `arg:"--plan" help:"print the schedule and exit"`
 }
 
+// check returns an error if an option is out of range.
+func (s *soakCmd) check() error {
+	if s.Daemons < 1 || s.Endpoints < 2 || s.Callers < 1 || s.Seeds < 1 || s.Duration <= 0 {
+		return errors.New("--daemons, --callers and --seeds must be at least 1, --endpoints at least 2, --duration above 0")
+	}
+	return nil
+}
+
 // run carries out the soaks and fails if any broke a promise.
 func (s *soakCmd) run(ctx context.Context, _ zerolog.Logger) error {
-	if s.Daemons < 1 || s.Endpoints < 2 || s.Callers < 1 || s.Seeds < 1 {
-		return errors.New("--daemons, --callers and --seeds must be at least 1, --endpoints at least 2")
-	}
 	if s.Seed == 0 {
 		s.Seed = uint64(time.Now().UnixNano()) % 1_000_000
 	}
--- a/internal/soak/runner/runner_test.go
+++ b/internal/soak/runner/runner_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"samphireturn/internal/soak/planner"
 )
 
 // TestSoak runs daemons and endpoints as processes under the faults of a few seconds.
@@ -18,7 +20,11 @@
 	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
 	var log bytes.Buffer
 	r := &Runner{
-		Seed: 1, Daemons: 3, Endpoints: 2, Callers: 12, Duration: 6 * time.Second, Dir: t.TempDir(), Log: &log,
+		Seed: 6, Daemons: 3, Endpoints: 2, Callers: 12, Duration: 6 * time.Second, Dir: t.TempDir(), Log: &log,
+		Kinds: []string{
+			planner.DaemonTerm, planner.DaemonKill, planner.DaemonStop, planner.EndpointCrash, planner.EndpointDrain, planner.EndpointFault,
+			planner.Configure, planner.LinkReset, planner.LinkCutStore, planner.StoreForget,
+		},
 		DaemonProgram: filepath.Join(bin, "samphireturnd"), StandinProgram: filepath.Join(bin, "standin"),
 	}
 	report, err := r.Run(t.Context())
