--- a/internal/soak/judge/judge_test.go
+++ b/internal/soak/judge/judge_test.go
@@ -177,6 +177,13 @@
 			j.disruptions[0].To = at(11*s - time.Millisecond)
 			r.NotExecuted = true
 		}, ""},
+		// Soak seed 2026: the connection was reset before the request was written.
+		{"not written in a shutdown", func(j *Judge, q *Request, r *Run) {
+			*q = cutRequest(q.ID)
+			q.WrittenAt = time.Time{}
+			shutDown(j)
+			r.NotExecuted = true
+		}, ""},
 		{"cut by a shutdown, daemon killed before", func(j *Judge, q *Request, _ *Run) {
 			*q = cutRequest(q.ID)
 			shutDown(j)
