Make all daemons of a soak known before connections are relayed

go test -race found that a relay which asks for the owner of a connection read the list of daemons while it was filled. TestSoak passes with -race now.

--- a/internal/soak/runner/daemon.go
+++ b/internal/soak/runner/daemon.go
@@ -43,16 +43,20 @@
 	finished bool
 }
 
-// newDaemon returns a daemon whose connections from others are relayed.
-func (r *Runner) newDaemon(index int) (*daemon, error) {
-	d := &daemon{runner: r, index: index, name: "d" + strconv.Itoa(index+1)}
-	d.path = r.path(d.name + ".conf")
+func (r *Runner) newDaemon(index int) *daemon {
+	name := "d" + strconv.Itoa(index+1)
+	return &daemon{runner: r, index: index, name: name, path: r.path(name + ".conf")}
+}
+
+// open relays the connections to the daemon and starts its first process.
+func (d *daemon) open() error {
+	r := d.runner
 	for port, from := range map[int]string{listenPort: callersName, peerPort: ""} {
-		if err := r.links.Listen(from, d.name, r.addr(daemonPublicNet, index+1, port), r.addr(daemonNet, index+1, port)); err != nil {
-			return nil, err
+		if err := r.links.Listen(from, d.name, r.addr(daemonPublicNet, d.index+1, port), r.addr(daemonNet, d.index+1, port)); err != nil {
+			return err
 		}
 	}
-	return d, nil
+	return d.start(true)
 }
 
 // start starts the process.
--- a/internal/soak/runner/runner.go
+++ b/internal/soak/runner/runner.go
@@ -246,6 +246,9 @@
 	if err := r.takeBlock(); err != nil {
 		return err
 	}
+	for i := range r.Daemons {
+		r.daemons = append(r.daemons, r.newDaemon(i))
+	}
 	r.links.Identify = r.identify
 	r.links.Source = r.source
 	if err := r.openStore(); err != nil {
@@ -262,15 +265,8 @@
 			return err
 		}
 	}
-	for i := range r.Daemons {
-		d, err := r.newDaemon(i)
-		if err != nil {
-			return err
-		}
-		r.daemons = append(r.daemons, d)
-	}
 	for _, d := range r.daemons {
-		if err := d.start(true); err != nil {
+		if err := d.open(); err != nil {
 			return err
 		}
 	}
