--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -45,6 +45,10 @@
 	ID, Model, Team, LastEventID, Key, Target, Body, Deadline string
 	NotExecuted                                               bool
 	ReceivedAt                                                time.Time
+	Method                                                    string
+	Header                                                    http.Header
+	// Fault is the fault of the answer.
+	Fault string
 }
 
 // Worker is an http.Handler. Set the exported fields before the first request.
@@ -72,6 +76,11 @@
 	// RetryAfter, if not nil, returns the value of the header Retry-After of answers with
 	// status 503, "" for none.
 	RetryAfter func() string
+	// OnRun, if not nil, is called with each request before it is answered. Calls may be
+	// concurrent.
+	OnRun func(Run)
+	// NameEvents makes each event of a stream name its request.
+	NameEvents bool
 
 	mu        sync.Mutex
 	runs      []Run
@@ -101,7 +110,7 @@
 	run := Run{
 		ID: h.Get("Attempt-Id"), Model: h.Get("Model"), Team: h.Get("Tenant"), LastEventID: h.Get("Last-Event-Id"),
 		Key: h.Get("Authorization"), Target: r.RequestURI, Body: string(body), Deadline: h.Get("Deadline-Ms"),
-		ReceivedAt: time.Now(),
+		ReceivedAt: time.Now(), Method: r.Method, Header: h.Clone(),
 	}
 	if s.Leaving != nil && s.Leaving() {
 		w.Header().Set("Server-Leaving", "1")
@@ -125,6 +134,7 @@
 	if s.Fault != nil {
 		fault = s.Fault(n, r)
 	}
+	run.Fault = fault
 	w.Header().Set("Attempt-Id", run.ID)
 	w.Header().Set("Server-Load", load)
 	if s.KeepAliveSeconds > 0 {
@@ -147,6 +157,9 @@
 
 // record appends run to the runs.
 func (s *Worker) record(run Run) {
+	if s.OnRun != nil {
+		s.OnRun(run)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs = append(s.runs, run)
@@ -240,7 +253,11 @@
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: ha", i)
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		text := ""
+		if s.NameEvents {
+			text = " of " + run.ID
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d%s\n\n", i, i, text)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
