--- a/internal/fleet/follower/publish.go
+++ b/internal/fleet/follower/publish.go
@@ -152,5 +152,6 @@
 	}
 	slices.SortFunc(members, func(a, b samphireturn.VM) int { return strings.Compare(a.ID, b.ID) })
 	_, lost := t.missingSince[f.Self.ID]
-	return func(v *samphireturn.View) { v.Members, v.SelfLost = members, lost }
+	opening := f.era > 0 && !f.opened()
+	return func(v *samphireturn.View) { v.Members, v.SelfLost, v.Opening = members, lost, opening }
 }
--- a/internal/fleet/joiner/joiner.go
+++ b/internal/fleet/joiner/joiner.go
@@ -131,11 +131,12 @@
 func (j *Joiner) watchMembers(ctx context.Context) {
 	var last []samphireturn.VM
 	for interval := firstCheckInterval; timekeeper.Sleep(ctx, interval); {
-		members := j.Control.Snapshot().Members
+		snapshot := j.Control.Snapshot()
+		members := snapshot.Members
 		if slices.Equal(members, last) {
 			continue
 		}
-		if interval == firstCheckInterval {
+		if interval == firstCheckInterval && snapshot.View != nil && snapshot.View.Opening {
 			members = j.withoutSelf(members)
 		}
 		interval = checkInterval
--- a/relay.go
+++ b/relay.go
@@ -309,6 +309,9 @@
 		// SelfLost is true if the source lost this daemon's entry in a new era, although
 		// Members still has it.
 		SelfLost bool
+		// Opening is true if Table waits, at the start, for other daemons to tell what they
+		// keep from older eras.
+		Opening bool
 		// Synced is true once every topic has been read.
 		Synced bool
 		// Confirmed holds, for each topic, the time as of which the source confirmed that
