--- a/internal/fleet/follower/opening.go
+++ b/internal/fleet/follower/opening.go
@@ -42,7 +42,7 @@
 	defer f.mu.Unlock()
 	f.Log.Info().Str("event", logger.EventOpened).Bool("heard", f.isOpen).Dur("took", f.Clock()-f.startedAt).Send()
 	f.isOpen = true
-	if f.topics[samphireturn.TopicTable].listed {
+	if f.era > 0 && f.topics[samphireturn.TopicTable].listed {
 		f.publish(&f.topics[samphireturn.TopicTable])
 	}
 }
