Bring the store back from older copies in the soak

A step of the soak is store_restore: the store is away, comes back from a copy up to five seconds older in the next era, and gets the lost writes up to a second later.

--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -31,7 +31,8 @@
 	EndpointFault = "endpoint_fault"
 	// StoreDown and the others make the store answer 503, reset connections, be slow,
 	// lose replies to writes, refuse one daemon, forget its history, hold the
-	// connections that are open, and keep an entry that can't be read.
+	// connections that are open, keep an entry that can't be read, and come back from an
+	// older copy after it was away.
 	StoreDown    = "store_down"
 	StoreReset   = "store_reset"
 	StoreSlow    = "store_slow"
@@ -40,6 +41,7 @@
 	StoreForget  = "store_forget"
 	StoreSilence = "store_silence"
 	StoreGarble  = "store_garble"
+	StoreRestore = "store_restore"
 	// LinkCut and the others hold all data of a daemon, that to it, that between it and
 	// the store or other daemons, or delay it; reset or silence its open connections.
 	LinkCut      = "link_cut"
@@ -131,6 +133,7 @@
 	{StoreForget, 3, 0, 0},
 	{StoreSilence, 1, 0, 0},
 	{StoreGarble, 1, 500 * time.Millisecond, 3 * time.Second},
+	{StoreRestore, 3, 200 * time.Millisecond, 3 * time.Second},
 	{LinkCut, 2, 200 * time.Millisecond, 5 * time.Second},
 	{LinkCutIn, 2, 200 * time.Millisecond, 5 * time.Second},
 	{LinkCutStore, 3, 200 * time.Millisecond, 9 * time.Second},
--- a/internal/soak/runner/runner.go
+++ b/internal/soak/runner/runner.go
@@ -254,6 +254,7 @@
 	if err := r.openStore(); err != nil {
 		return err
 	}
+	r.store.StartEra(1)
 	r.configure()
 	for i := range 2 * r.Endpoints {
 		s := r.newSlot(i)
--- a/internal/soak/runner/steps.go
+++ b/internal/soak/runner/steps.go
@@ -27,6 +27,11 @@
 	// refuseStep, times the draw, is the time in which connections are refused after a
 	// reset.
 	refuseStep = 20 * time.Millisecond
+	// copyAgeStep, times the draw, is the age of the copy from which the store comes back,
+	// beside the time for which it is away, and writeLostStep, times the draw, the time
+	// after which the operator and the endpoints write again what it lacks.
+	copyAgeStep   = 50 * time.Millisecond
+	writeLostStep = 10 * time.Millisecond
 )
 
 // do carries out one step of the schedule.
@@ -162,7 +167,14 @@
 		defer r.judge.Disrupt(judge.Disruption{Machine: machine})()
 		r.store.SetFaults(faults)
 		r.sleep(ctx, s.Length)
+		if s.Kind == planner.StoreRestore {
+			r.store.Restore(s.Length + time.Duration(s.Draw)*copyAgeStep)
+		}
 		r.store.SetFaults(registrar.Faults{})
+		if s.Kind == planner.StoreRestore {
+			r.sleep(ctx, time.Duration(s.Draw)*writeLostStep)
+			r.store.WriteLost()
+		}
 	}
 }
 
@@ -174,7 +186,7 @@
 		status = http.StatusTooManyRequests
 	}
 	switch s.Kind {
-	case planner.StoreReset:
+	case planner.StoreReset, planner.StoreRestore:
 		return registrar.Faults{Reset: true}, judge.Core
 	case planner.StoreSlow:
 		return registrar.Faults{Delay: slowDelay(s)}, judge.Core
--- a/internal/standin/registrar/registrar.go
+++ b/internal/standin/registrar/registrar.go
@@ -52,6 +52,8 @@
 		name     string
 		revision uint64
 		at       time.Time
+		// outside is true for a change by Put, PutRaw or Delete.
+		outside bool
 	}
 
 	// Faults are the faults that the store injects into calls.
@@ -79,6 +81,9 @@
 		history   []event
 		// changes holds all changes since the start, from which Restore builds a copy.
 		changes []event
+		// lost holds, by kind and name, the last change of each object since the copy that
+		// Put, PutRaw or Delete made, until it is made again.
+		lost map[[2]string]event
 		// era is the era; zero if answers hold none.
 		era uint64
 		// eraText, if not nil, returns the era's header, "" for none.
@@ -123,12 +128,18 @@
 	copied := time.Now().Add(-age)
 	changes := s.changes
 	s.revision, s.objects, s.changes, s.stale = 0, nil, nil, nil
+	if s.lost == nil {
+		s.lost = make(map[[2]string]event)
+	}
 	for _, e := range changes {
-		if e.at.After(copied) {
-			break
+		if !e.at.After(copied) {
+			s.revision = e.revision
+			s.applyChange(e)
+			continue
+		}
+		if e.outside {
+			s.lost[[2]string{e.kind, e.name}] = e
 		}
-		s.revision = e.revision
-		s.applyChange(e)
 	}
 	s.history = slices.DeleteFunc(s.history, func(e event) bool { return e.revision > s.revision })
 	s.compacted = min(s.compacted, s.revision)
@@ -138,6 +149,27 @@
 	s.notifyWatches()
 }
 
+// WriteLost makes the changes again that Put, PutRaw and Delete made and Restore lost, as the
+// operator and the servers would.
+func (s *Registrar) WriteLost() {
+	s.mu.Lock()
+	lost := s.lost
+	s.lost = nil
+	s.mu.Unlock()
+	for key, e := range lost {
+		var o Object
+		switch {
+		case e.Deleted:
+			s.Delete(key[0], key[1])
+		case json.Unmarshal(e.Object, &o) != nil || o.Metadata.Revision == 0:
+			s.PutRaw(key[0], key[1], string(e.Object))
+		default:
+			// The spec is encoded already and encodes as it is.
+			_ = s.Put(key[0], key[1], o.Spec)
+		}
+	}
+}
+
 // FreezeStale makes reads that may be stale return the objects as they are now.
 func (s *Registrar) FreezeStale() {
 	s.mu.Lock()
@@ -174,6 +206,7 @@
 	}
 	o.Spec = data
 	s.save(kind, &o)
+	s.markOutside(kind, name)
 	return nil
 }
 
@@ -198,13 +231,23 @@
 	defer s.mu.Unlock()
 	s.revision++
 	s.recordChange(kind, name, json.RawMessage(object), false)
+	s.markOutside(kind, name)
 }
 
 // Delete removes an object.
 func (s *Registrar) Delete(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.remove(kind, name)
+	if s.remove(kind, name) {
+		s.markOutside(kind, name)
+	}
+}
+
+// markOutside marks the last change, of the named object, as made by Put, PutRaw or Delete.
+// The caller holds mu.
+func (s *Registrar) markOutside(kind, name string) {
+	s.changes[len(s.changes)-1].outside = true
+	delete(s.lost, [2]string{kind, name})
 }
 
 // Get returns an object, or nil.
@@ -251,14 +294,15 @@
 	s.recordChange(kind, o.Metadata.Name, data, false)
 }
 
-// remove removes an object, if there is one. The caller holds mu.
-func (s *Registrar) remove(kind, name string) {
+// remove removes an object and reports whether there was one. The caller holds mu.
+func (s *Registrar) remove(kind, name string) bool {
 	raw, ok := s.objects[kind][name]
 	if !ok {
-		return
+		return false
 	}
 	s.revision++
 	s.recordChange(kind, name, raw, true)
+	return true
 }
 
 // recordChange updates the objects and the history and wakes the watches. The
