Tell endpoints that a copy lacked from those that left

Callers were refused for six seconds (no_endpoint) after the store had come back from two copies in a row, the first without the servers and the second with them.

Cause: an endpoint whose entry a copy lacks is dropped after 1.7 s and remembered as removed. In the next era its entry was then taken for that of an endpoint that had left, and kept out of use until keptTime.

TestLostHosts, row "after its entry was missed": leaving before, in use after; rows of endpoints that had said that they leave hold before and after.

--- a/internal/fleet/follower/changes.go
+++ b/internal/fleet/follower/changes.go
@@ -81,6 +81,7 @@
 func (t *topic) noteRemoved(name string, version samphireturn.Revision) {
 	if len(t.removed) >= maxRemoved {
 		clear(t.removed)
+		clear(t.lost)
 		t.completeFrom = version
 	}
 	t.removed[name] = version
--- a/internal/fleet/follower/era_test.go
+++ b/internal/fleet/follower/era_test.go
@@ -183,6 +183,63 @@
 	}
 }
 
+// TestLostHosts guards against an endpoint that a copy lacks being taken for one that left
+// when the source comes back from another copy, which has it.
+func TestLostHosts(t *testing.T) {
+	const id = "i-3"
+	tests := []struct {
+		name string
+		// leaves has the endpoint say that it leaves before the source is lost.
+		leaves bool
+		// wait is the time between the two copies.
+		wait time.Duration
+	}{
+		{"in quick succession", false, time.Second},
+		{"after its entry was missed", false, 3 * time.Second},
+		{"leaving, in quick succession", true, time.Second},
+		{"leaving, after its entry was missed", true, 3 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Hour
+			s := newSource(2)
+			without := s.copied()
+			s.put(3)
+			with := s.copied()
+			first, second := newPoller(&now), newPoller(&now)
+			first.readEra(s)
+			second.poll(c, first)
+			if test.leaves {
+				e := s.hosts[id]
+				h := *e.Host
+				h.Leaving = true
+				s.put(3)
+				e.Host, e.Version = &h, s.version
+				s.hosts[id] = e
+				s.history[len(s.history)-1] = e
+				first.readEra(s)
+				second.poll(c, first)
+			}
+			for _, older := range []*source{without, with} {
+				s.restore(older)
+				first.readEra(s)
+				second.poll(c, first)
+				now += test.wait
+				for _, d := range []*poller{first, second} {
+					d.removeMissing(&d.topics[samphireturn.TopicHosts])
+				}
+			}
+			for _, d := range []*poller{first, second} {
+				d.dropKept()
+				leaving, listed := d.view()[id]
+				c.Check(listed, qt.IsTrue)
+				c.Check(leaving, qt.Equals, test.leaves)
+			}
+		})
+	}
+}
+
 // TestEarlierInstance guards against an endpoint's next instance being replaced by the one
 // before, which the copy has and whose address may be another's now.
 func TestEarlierInstance(t *testing.T) {
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -190,7 +190,7 @@
 		t.name = samphireturn.Topic(i)
 		t.entries = make(map[string]samphireturn.Entry)
 		t.missingSince = make(map[string]time.Duration)
-		t.removed = make(map[string]samphireturn.Revision)
+		t.removed, t.lost = make(map[string]samphireturn.Revision), make(map[string]bool)
 		t.outageEnd = -MissingRetention
 	}
 	return f
--- a/internal/fleet/follower/kept.go
+++ b/internal/fleet/follower/kept.go
@@ -108,6 +108,7 @@
 		}
 		old, known := t.entries[e.Name]
 		_, left := t.removed[e.Name]
+		left = left && !t.lost[e.Name]
 		k := keptHost{since: first, until: until}
 		switch {
 		case known && old.Host != nil && f.isLeaving(&old):
--- a/internal/fleet/follower/topic.go
+++ b/internal/fleet/follower/topic.go
@@ -34,6 +34,9 @@
 	// since completeFrom are known completely.
 	removed      map[string]samphireturn.Revision
 	completeFrom samphireturn.Revision
+	// lost holds the names in removed of endpoints that a copy of the source lacked, and
+	// that nobody said to leave.
+	lost map[string]bool
 	// packed holds the changes that were packed last.
 	packed []packedChanges
 	// historyGone is true if the topic must be listed as it is now, since the source no
@@ -146,7 +149,8 @@
 	if t.version.Newer(batch.Version) {
 		return
 	}
-	if batch.Version.Era > t.version.Era && t.version != (samphireturn.Revision{}) {
+	newEra := batch.Version.Era > t.version.Era && t.version != (samphireturn.Revision{})
+	if newEra {
 		f.beginEra(t, batch, begun)
 	}
 	if batch.Version.Era != t.begun.first.Era || t.begun.at == 0 {
@@ -157,9 +161,13 @@
 		seen[e.Name] = true
 		f.put(t, e, batch.Version)
 	}
-	for name := range t.entries {
-		if !seen[name] {
-			f.remove(t, name, batch.Version)
+	for name, e := range t.entries {
+		if seen[name] {
+			continue
+		}
+		f.remove(t, name, batch.Version)
+		if newEra && e.Host != nil && !f.isLeaving(&e) {
+			t.lost[name] = true
 		}
 	}
 	// Entries may have come and gone since the version before without being known here.
@@ -219,6 +227,7 @@
 	}
 	delete(t.missingSince, e.Name)
 	delete(t.removed, e.Name)
+	delete(t.lost, e.Name)
 	t.entries[e.Name] = e
 }
 
