--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -513,9 +513,10 @@
 	if req.PrefixID == "" {
 		return p
 	}
+	prefix := xxhash.Sum64String(req.PrefixID)
 	var fleetWeight, centreWeight float64
 	for _, h := range req.Hosts {
-		weight := rendezvousWeight(req.PrefixID, h.ID)
+		weight := rendezvousWeight(prefix, h.ID)
 		if weight <= fleetWeight && (weight <= centreWeight || h.Centre != b.Centre) {
 			continue
 		}
@@ -564,10 +565,11 @@
 }
 
 // rendezvousWeight returns a number in [0, 1] that is the same at all daemons. It mixes
-// the hashes of both names, as it is computed for each endpoint of each request.
-func rendezvousWeight(prefixID, id string) float64 {
+// the hash of a prefix with that of an endpoint's id, as it is computed for each endpoint
+// of each request.
+func rendezvousWeight(prefix uint64, id string) float64 {
 	// Finalizer of SplitMix64.
-	x := xxhash.Sum64String(prefixID) + xxhash.Sum64String(id)
+	x := prefix + xxhash.Sum64String(id)
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return float64(x^x>>31) / (1 << 64)
