Hold a table's confirmation for that of the endpoints after an outage

Callers were refused (platform_unavailable, not run) for a moment after the store had been away for 1.2 to 1.5 s.

Cause: requests are refused where the table was confirmed more than the drain time later than the endpoints. Both are read as soon as the store answers, and in between a request could meet the one without the other. Peers did not pass on such a table; the daemon itself used it.

Change: such a confirmation takes effect with that of the endpoints, or after 0.4 s.

--- a/internal/fleet/follower/era.go
+++ b/internal/fleet/follower/era.go
@@ -9,9 +9,14 @@
 	"samphireturn/internal/core/logger"
 )
 
-// tableDelay bounds the time for which the table of a new era is confirmed later because
-// the endpoints were not read yet: both are read at the same time.
-const tableDelay = 250 * time.Millisecond
+const (
+	// tableDelay bounds the time for which the table of a new era is confirmed later because
+	// the endpoints have not been read in it.
+	tableDelay = 250 * time.Millisecond
+	// hostsDelay is the same for a table that is confirmed much later than the endpoints, as
+	// after an outage of the source.
+	hostsDelay = 400 * time.Millisecond
+)
 
 var errOldEra = errors.New("a newer era of the source began")
 
@@ -52,11 +57,24 @@
 	return f.current(hosts) && t.confirmedAt-hosts.confirmedAt <= MinOutage
 }
 
-// awaitsHosts reports whether a topic is the table of a new era and the endpoints are to be
-// read in that era at any moment. The caller holds mu.
-func (f *Follower) awaitsHosts(t *topic) bool {
+// holdConfirmation reports whether a confirmation of a topic takes effect later: that of
+// the table waits for a moment for that of the endpoints, which are read at once, where it
+// would be much newer than theirs or belongs to an era in which they were not read yet. The
+// caller holds mu.
+func (f *Follower) holdConfirmation(t *topic, sent time.Duration) bool {
 	hosts := &f.topics[samphireturn.TopicHosts]
-	return t.name == samphireturn.TopicTable && hosts.listed && !f.current(hosts) && f.Clock()-t.begun.at < tableDelay
+	switch {
+	case t.name != samphireturn.TopicTable || !hosts.listed:
+		return false
+	case !f.current(hosts):
+		return f.Clock()-t.begun.at < tableDelay
+	case !hosts.confirmed || sent-hosts.confirmedAt <= MinOutage:
+		t.heldSince = 0
+		return false
+	case t.heldSince == 0:
+		t.heldSince = f.Clock()
+	}
+	return f.Clock()-t.heldSince < hostsDelay
 }
 
 // beginEra prepares a topic, which has been read in an older era, for the first list of a
--- a/internal/fleet/follower/topic.go
+++ b/internal/fleet/follower/topic.go
@@ -48,7 +48,10 @@
 	// confirmedAt is the time of the newest confirmation, if confirmed is true, and
 	// pendingAt that of one that takes effect later; zero for none.
 	confirmedAt, pendingAt time.Duration
-	confirmed              bool
+	// heldSince is since when confirmations of the table have been much newer than those
+	// of the endpoints; zero if they are not.
+	heldSince time.Duration
+	confirmed bool
 }
 
 // noteOutage records that an answer, to a call made at sent, ends an outage of the
@@ -65,14 +68,14 @@
 // confirm sets the time of the newest confirmation, if sent is later. In a new era that of
 // the table takes effect with that of the endpoints. The caller holds mu.
 func (f *Follower) confirm(t *topic, sent time.Duration) {
-	if f.awaitsHosts(t) {
+	if f.holdConfirmation(t, sent) {
 		t.pendingAt = max(t.pendingAt, sent)
 		return
 	}
 	f.applyConfirmation(t, sent)
 	if table := &f.topics[samphireturn.TopicTable]; t.name == samphireturn.TopicHosts && table.pendingAt > 0 && f.current(table) {
 		f.applyConfirmation(table, table.pendingAt)
-		table.pendingAt = 0
+		table.pendingAt, table.heldSince = 0, 0
 	}
 }
 
