Keep the names of the users' protocols of soak and stand-ins in one package

The soak's callers, servers and operator spelled headers, kinds and objects themselves. They stand in internal/standin/formatter now, which the stand-in of a server uses too.

--- a/cmd/standin/server.go
+++ b/cmd/standin/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"samphireturn/internal/standin/formatter"
 	"samphireturn/internal/standin/worker"
 )
 
@@ -65,7 +66,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", w)
 	mux.HandleFunc("GET /healthz", func(res http.ResponseWriter, _ *http.Request) {
-		res.Header().Set("Instance-Id", s.ID)
+		res.Header().Set(formatter.Instance, s.ID)
 		_, _ = fmt.Fprint(res, "ok")
 	})
 	return serve(ctx, log, s.Listen, mux, func() {})
--- a/internal/soak/judge/checks.go
+++ b/internal/soak/judge/checks.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"samphireturn/internal/standin/formatter"
 )
 
 const (
@@ -103,7 +105,7 @@
 		return
 	}
 	h := r.Header
-	got := []string{r.Method, r.Target, r.Body, r.Team, r.Model, h.Get("Prompt-Prefix"), h.Get("Token-Count"), r.Key}
+	got := []string{r.Method, r.Target, r.Body, r.Team, r.Model, h.Get(formatter.PromptPrefix), h.Get(formatter.TokenCount), r.Key}
 	want := []string{q.Method, q.Target, q.Body, q.Team, q.Model, q.PromptPrefix, q.TokenCount, ""}
 	if q.Model == "*" && (r.Model == "small" || r.Model == "large") {
 		got[4] = q.Model
@@ -113,12 +115,12 @@
 			v.add("unasked", "%s ran %s with %q instead of %q", r.Endpoint, r.ID, got[i], want[i])
 		}
 	}
-	for _, name := range []string{"Hold", "Pin-Ms", "Kv-Backup", "Kv-From"} {
+	for _, name := range []string{formatter.Hold, formatter.Pin, formatter.Backup, formatter.MemoryFrom} {
 		if h.Get(name) != "" {
 			v.add("unasked", "%s ran %s with the caller's header %s", r.Endpoint, r.ID, name)
 		}
 	}
-	if r.NotExecuted && h.Get("Expect-Instance") != r.Endpoint {
+	if r.NotExecuted && h.Get(formatter.ExpectInstance) != r.Endpoint {
 		return
 	}
 	if !r.NotExecuted && r.Pool != q.Pool {
--- a/internal/soak/runner/caller.go
+++ b/internal/soak/runner/caller.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"samphireturn/internal/soak/judge"
+	"samphireturn/internal/standin/formatter"
 )
 
 const (
@@ -217,11 +218,11 @@
 		return false
 	}
 	defer res.Body.Close()
-	q.Status, q.Seal, q.Encoding = res.StatusCode, res.Header.Get("Server-Seal"), res.Header.Get("Content-Encoding")
+	q.Status, q.Seal, q.Encoding = res.StatusCode, res.Header.Get(formatter.Seal), res.Header.Get("Content-Encoding")
 	body, err := io.ReadAll(res.Body)
 	q.Answer = string(body)
 	q.Complete = err == nil && (res.ContentLength >= 0 || len(res.TransferEncoding) > 0)
-	if id := res.Header.Get("Attempt-Id"); id != "" && id != q.ID {
+	if id := res.Header.Get(formatter.ID); id != "" && id != q.ID {
 		c.runner.violate("mixed: %s was answered as %s", q.ID, id)
 	}
 	q.Extra = q.Complete && c.reader.Buffered() > 0
@@ -239,21 +240,21 @@
 	}
 	b.WriteString(q.Method + " " + q.Target + " HTTP/1.1\r\n")
 	line("Host", serviceHost)
-	line("Attempt-Id", q.ID)
-	line("Deadline-Ms", strconv.FormatInt(q.Timeout.Milliseconds(), 10))
+	line(formatter.ID, q.ID)
+	line(formatter.Deadline, strconv.FormatInt(q.Timeout.Milliseconds(), 10))
 	if q.Key != "" {
 		line("Authorization", "Bearer "+q.Key)
 	}
-	line("Model", q.Model)
-	line("Token-Count", q.TokenCount)
-	line("Prompt-Prefix", q.PromptPrefix)
+	line(formatter.Model, q.Model)
+	line(formatter.TokenCount, q.TokenCount)
+	line(formatter.PromptPrefix, q.PromptPrefix)
 	if q.LastEvent > 0 {
-		line("Last-Event-Id", strconv.Itoa(q.LastEvent))
+		line(formatter.LastEventID, strconv.Itoa(q.LastEvent))
 	}
 	if c.random.IntN(percent) < 10 {
-		line("Tenant", "forged")
-		line("Hold", "forged")
-		line("Pin-Ms", "100")
+		line(formatter.Team, "forged")
+		line(formatter.Hold, "forged")
+		line(formatter.Pin, "100")
 	}
 	if q.Body != "" {
 		line("Content-Length", strconv.Itoa(len(q.Body)))
--- a/internal/soak/runner/operator.go
+++ b/internal/soak/runner/operator.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"strconv"
 	"time"
 
 	"samphireturn/internal/soak/planner"
+	"samphireturn/internal/standin/formatter"
 	"samphireturn/internal/standin/worker"
 )
 
@@ -30,22 +30,8 @@
 	r.configMu.Lock()
 	defer r.configMu.Unlock()
 	version := int(r.version.Load()) + 1
-	spec := fmt.Sprintf(`{"version":%d,"routes":[
-{"name":"draft","host":"desk.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":20000,"goalMs":4000,
- "sizes":["small","large"],"backend":"llm","attempts":3,"resumable":true,"gapAimMs":2000},
-{"name":"chat","host":"desk.example","pathPrefix":"/chat/","kind":"streaming","timeoutMs":20000,"goalMs":4000,
- "backend":"llm","attempts":3,"gapAimMs":2000},
-{"name":"book","host":"desk.example","pathPrefix":"/book/","kind":"unsafe","timeoutMs":3000,"goalMs":300,"backend":"app","attempts":3},
-{"name":"find","host":"desk.example","pathPrefix":"/book/find/","kind":"safe","timeoutMs":3000,"goalMs":300,"backend":"app","attempts":2},
-{"name":"open","host":"desk.example","pathPrefix":"/open/","kind":"safe","timeoutMs":3000,"goalMs":300,"backend":"app","attempts":2,"noAuth":true},
-{"name":%q,"host":"desk.example","pathPrefix":"/%s/","kind":"safe","timeoutMs":3000,"goalMs":300,"backend":"app","attempts":2}],
-"backends":[{"name":"llm","healthPath":"/healthz","maxConns":100,"coldS":3,"coldPerS":10,
- "engine":{"slots":8,"kvCapacity":100000,"models":[{"name":"small","cost":0.1},{"name":"large","cost":1}]}},
- {"name":"app","healthPath":"/healthz","maxConns":100}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-"tenants":[{"name":"alpha","apiKeys":[%q]},{"name":"beta","apiKeys":[%q]}]}`,
-		version, routeName(version), routeName(version), constantKey, keyOf(version))
-	if err := r.store.Put("config", "main", json.RawMessage(spec)); err != nil {
+	table := formatter.Table(version, serviceHost, routeName(version), constantKey, keyOf(version))
+	if err := r.store.Put(formatter.Tables, formatter.CurrentTable, table); err != nil {
 		r.violate("configuration: %v", err)
 	}
 	r.judge.Accept(version)
@@ -68,8 +54,8 @@
 	if s.Kind == planner.RolloutBad {
 		defer r.judge.OrderBad(poolApp, release)()
 	}
-	order := map[string]any{"backend": poolApp, "target": release, "durationS": s.Length.Seconds()}
-	if err := r.store.Put("rollouts", poolApp, order); err != nil {
+	order := formatter.Rollout(poolApp, release, s.Length)
+	if err := r.store.Put(formatter.Rollouts, poolApp, order); err != nil {
 		r.violate("roll-out: %v", err)
 	}
 	state := r.awaitState(ctx, release, s.Length)
@@ -84,7 +70,7 @@
 			slot.retire()
 		}
 	}
-	r.store.Delete("rollouts", poolApp)
+	r.store.Delete(formatter.Rollouts, poolApp)
 }
 
 // addRelease starts one endpoint of a release in each data centre.
@@ -115,7 +101,7 @@
 		Target string `json:"target"`
 	}
 	for deadline := time.Now().Add(length); ctx.Err() == nil && time.Now().Before(deadline); r.sleep(ctx, rolloutInterval) {
-		o := r.store.Get("rollouts", poolApp)
+		o := r.store.Get(formatter.Rollouts, poolApp)
 		if o == nil || json.Unmarshal(o.Status, &status) != nil || status.Target != release {
 			continue
 		}
--- a/internal/soak/runner/slot.go
+++ b/internal/soak/runner/slot.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"samphireturn/internal/soak/judge"
+	"samphireturn/internal/standin/formatter"
 	"samphireturn/internal/standin/worker"
 )
 
@@ -112,14 +113,14 @@
 		}
 	}
 	r.judge.Disrupt(judge.Disruption{Machine: s.name})()
-	return s.putEntry("ready")
+	return s.putEntry(false)
 }
 
 // putEntry writes the entry of the endpoint. The caller holds mu.
-func (s *slot) putEntry(state string) error {
-	return s.runner.store.Put("servers", s.id, map[string]any{
-		"backend": s.pool, "address": s.runner.addr(endpointPublicNet, s.index+1, endpointPort), "zone": s.centre,
-		"version": s.release, "slots": 8, "state": state, "coldLeftMs": 0, "seq": s.starts,
+func (s *slot) putEntry(leaving bool) error {
+	return s.runner.store.Put(formatter.Servers, s.id, formatter.Server{
+		Pool: s.pool, Addr: s.runner.addr(endpointPublicNet, s.index+1, endpointPort), Centre: s.centre,
+		Release: s.release, Slots: 8, Leaving: leaving, Writes: s.starts,
 	})
 }
 
@@ -130,7 +131,7 @@
 	s.mu.Unlock()
 	over = s.runner.judge.Disrupt(judge.Disruption{Machine: s.name})
 	p.kill()
-	time.AfterFunc(expiryTime, func() { s.runner.store.Delete("servers", id) })
+	time.AfterFunc(expiryTime, func() { s.runner.store.Delete(formatter.Servers, id) })
 	return over
 }
 
@@ -164,11 +165,11 @@
 	s.mu.Lock()
 	id, p := s.id, s.process
 	if announce {
-		if err := s.putEntry("draining"); err != nil {
+		if err := s.putEntry(true); err != nil {
 			s.runner.violate("entry of %s: %v", s.name, err)
 		}
 	} else {
-		s.runner.store.Delete("servers", id)
+		s.runner.store.Delete(formatter.Servers, id)
 	}
 	s.mu.Unlock()
 	s.runner.judge.Leave(id)
@@ -176,7 +177,7 @@
 	over := s.runner.judge.Disrupt(judge.Disruption{Machine: s.name})
 	p.terminate(exitTime)
 	over()
-	s.runner.store.Delete("servers", id)
+	s.runner.store.Delete(formatter.Servers, id)
 }
 
 // inject makes the endpoint give a part of its answers with a fault, until the next
--- a/internal/soak/runner/steps.go
+++ b/internal/soak/runner/steps.go
@@ -13,6 +13,7 @@
 	"samphireturn/internal/soak/disruptor"
 	"samphireturn/internal/soak/judge"
 	"samphireturn/internal/soak/planner"
+	"samphireturn/internal/standin/formatter"
 	"samphireturn/internal/standin/registrar"
 )
 
@@ -150,14 +151,10 @@
 		r.links.Silence(toStore)
 	case planner.StoreGarble:
 		name := "odd-" + strconv.Itoa(s.Draw)
-		objects := []string{
-			`{"metadata":{"name":"` + name + `","revision":"x"},"spec":{}}`,
-			`{"metadata":{"name":"` + name + `"},"spec":{"backend":"app","address":7,"zone":"north","state":"ready"}}`,
-			`{"metadata":{"name":"` + name + `"},"spec":{"backend":"app","address":"127.0.0.1:1","zone":"north","state":"odd"}}`,
-		}
-		r.store.PutRaw("servers", name, objects[s.Draw%len(objects)])
+		objects := formatter.Unusable(name)
+		r.store.PutRaw(formatter.Servers, name, objects[s.Draw%len(objects)])
 		r.sleep(ctx, s.Length)
-		r.store.Delete("servers", name)
+		r.store.Delete(formatter.Servers, name)
 	default:
 		if !r.storeBusy.CompareAndSwap(false, true) {
 			return
@@ -263,13 +260,13 @@
 		}
 		defer r.closing.Store(false)
 		centre := centres[s.Draw%len(centres)]
-		if err := r.store.Put("evacuations", centre, map[string]any{}); err != nil {
+		if err := r.store.Put(formatter.Closures, centre, map[string]any{}); err != nil {
 			r.violate("closure: %v", err)
 		}
 		over := r.judge.CloseCentre(centre)
 		r.sleep(ctx, s.Length)
 		over()
-		r.store.Delete("evacuations", centre)
+		r.store.Delete(formatter.Closures, centre)
 	case planner.RolloutGood, planner.RolloutBad:
 		r.rollOut(ctx, s)
 	case planner.Burst:
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"samphireturn/internal/standin/formatter"
 )
 
 // Faults of an answer.
@@ -108,17 +110,17 @@
 	body, _ := io.ReadAll(r.Body)
 	h := r.Header
 	run := Run{
-		ID: h.Get("Attempt-Id"), Model: h.Get("Model"), Team: h.Get("Tenant"), LastEventID: h.Get("Last-Event-Id"),
-		Key: h.Get("Authorization"), Target: r.RequestURI, Body: string(body), Deadline: h.Get("Deadline-Ms"),
+		ID: h.Get(formatter.ID), Model: h.Get(formatter.Model), Team: h.Get(formatter.Team), LastEventID: h.Get(formatter.LastEventID),
+		Key: h.Get("Authorization"), Target: r.RequestURI, Body: string(body), Deadline: h.Get(formatter.Deadline),
 		ReceivedAt: time.Now(), Method: r.Method, Header: h.Clone(),
 	}
 	if s.Leaving != nil && s.Leaving() {
-		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set(formatter.Leaving, "1")
 	}
-	if id := h.Get("Expect-Instance"); id != "" && id != s.ID {
+	if id := h.Get(formatter.ExpectInstance); id != "" && id != s.ID {
 		run.NotExecuted = true
 		s.record(run)
-		w.Header().Set("Instance-Id", s.ID)
+		w.Header().Set(formatter.Instance, s.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -135,15 +137,15 @@
 		fault = s.Fault(n, r)
 	}
 	run.Fault = fault
-	w.Header().Set("Attempt-Id", run.ID)
-	w.Header().Set("Server-Load", load)
+	w.Header().Set(formatter.ID, run.ID)
+	w.Header().Set(formatter.Load, load)
 	if s.KeepAliveSeconds > 0 {
 		w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(s.KeepAliveSeconds))
 	}
 	if full || fault == FaultShed {
 		run.NotExecuted = true
 		s.record(run)
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(formatter.NotExecuted, "1")
 		s.writeUnavailable(w)
 		if !full {
 			s.release()
@@ -189,10 +191,10 @@
 func (s *Worker) writeAnswer(w http.ResponseWriter, r *http.Request, run Run, fault string) {
 	h := w.Header()
 	if fault != FaultUnsealed {
-		h.Set("Server-Seal", "seal."+s.ID)
+		h.Set(formatter.Seal, "seal."+s.ID)
 	}
 	if c, ok := s.Confidence[run.Model]; ok {
-		h.Set("Confidence", strconv.Itoa(c))
+		h.Set(formatter.Confidence, strconv.Itoa(c))
 	}
 	switch fault {
 	case FaultNoAnswer:
