Give no old result of a link check to attempts that check at the same time

An attempt that found another one dialling took the last result, however old: a link that worked minutes ago counted as working. It goes on now until the next check.

--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -188,16 +188,19 @@
 
 // reachableHost returns the id of an endpoint that could be dialled just now, or "" if none
 // of up to maxReachProbes could. All attempts share one result for linkCheckTTL; while one
-// dials, the others get the last.
+// of them dials, the others get "".
 func (f *Forwarder) reachableHost(ctx context.Context, hosts []*samphireturn.Host) string {
 	f.linkMu.Lock()
-	last := f.reachedHost
-	due := !f.checkingLink && (f.linkCheckedAt == 0 || f.Clock()-f.linkCheckedAt >= linkCheckTTL)
-	f.checkingLink = f.checkingLink || due
-	f.linkMu.Unlock()
-	if !due {
-		return last
+	if f.linkCheckedAt > 0 && f.Clock()-f.linkCheckedAt < linkCheckTTL {
+		defer f.linkMu.Unlock()
+		return f.reachedHost
+	}
+	if f.checkingLink {
+		defer f.linkMu.Unlock()
+		return ""
 	}
+	f.checkingLink = true
+	f.linkMu.Unlock()
 	reached := f.dialAny(ctx, hosts)
 	f.linkMu.Lock()
 	defer f.linkMu.Unlock()
