--- a/internal/fleet/follower/cost_test.go
+++ b/internal/fleet/follower/cost_test.go
@@ -37,8 +37,8 @@
 			c := qt.New(t)
 			f := newLargeFleetFollower()
 			best := time.Hour
-			// The shortest run is the one that had the processor for itself.
-			// A run that had the processor for itself may take a while to come on a busy machine.
+			// The shortest run is the one that had the processor for itself, which may take a
+			// while to come on a busy machine.
 			for begun, n := time.Now(), 0; n < runs || best > maxTime && time.Since(begun) < patience; n++ {
 				start := time.Now()
 				for range calls {
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -328,7 +328,7 @@
 			}
 			return nil, c.refusal(samphireturn.ReasonEndpointFailed, 0, err)
 		}
-		c.failedHosts = append(c.failedHosts, host.ID)
+		c.excludeHost(host, err)
 	}
 }
 
