Log answers that endpoints do not complete

An endpoint that crashed could be told from the lines of the daemons only by chance: nothing said whether the answer had begun, nor which parts the prompt had. The event answer_lost says both. The event bytes counter of the pace moves to the attempt, since the stage needs it.

--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -62,6 +62,8 @@
 	kept bool
 	// streaming is true once the answer is accepted and its events are forwarded.
 	streaming atomic.Bool
+	// events is the number of complete events of the answer so far.
+	events int
 	// lastRead is when bytes last came, or the start, in nanoseconds of Clock.
 	lastRead atomic.Int64
 }
@@ -247,6 +249,14 @@
 	return resumeReserve
 }
 
+// stage returns the stage of an answer whose head has come.
+func (a *attempt) stage() string {
+	if a.events == 0 {
+		return stageHead
+	}
+	return stageEvents
+}
+
 // finish stops the checks, cancels the attempt's context and releases its
 // reservation.
 func (a *attempt) finish() {
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -47,6 +47,16 @@
 	extraUnexecutedSends = 2
 	// maxPriority is the priority of the least urgent requests at an engine.
 	maxPriority = 9
+	// maxLoggedParts bounds the parts of a prompt in one log line.
+	maxLoggedParts = 16
+)
+
+// Stages at which an answer is lost, as they are logged.
+const (
+	stageSent    = "sent"
+	stageHead    = "head"
+	stageEvents  = "events"
+	stageDropped = "dropped"
 )
 
 var (
@@ -414,6 +424,7 @@
 		meter.CountAttempt(c.route.Name, c.sends+1, sender.AsError(err).Kind.String())
 		if !sender.AsError(err).NotReceived() {
 			c.recordLostAnswer(wait)
+			c.logLostAnswer(host, stageSent, err)
 		}
 		return nil, err
 	}
@@ -471,6 +482,18 @@
 	}
 }
 
+// logLostAnswer logs an answer that an endpoint did not complete.
+func (c *proxyCall) logLostAnswer(h *samphireturn.Host, stage string, err error) {
+	parts := make([]string, 0, maxLoggedParts)
+	for i, p := range c.request.Parts {
+		if i < len(c.request.Parts)-1 && i < maxLoggedParts {
+			parts = append(parts, p.ID)
+		}
+	}
+	c.Log.Info().Str("event", logger.EventAnswerLost).Str("id", c.request.ID).Str("route", c.route.Name).Str("endpoint", h.ID).
+		Str("stage", stage).Strs("parts", parts).Err(err).Send()
+}
+
 // logAttempt logs the endpoint of an attempt and the load by which it was chosen.
 func (c *proxyCall) logAttempt(reservation *balancer.Reservation, attemptInfo samphireturn.Attempt) {
 	c.Log.Info().Str("event", logger.EventSent).Str("id", c.request.ID).Str("route", c.route.Name).
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -86,6 +86,7 @@
 		}
 		if err != nil {
 			err = a.cause(err)
+			c.logLostAnswer(a.host, a.stage(), err)
 		}
 		if err == nil {
 			a.reservation.ObserveComplete()
@@ -166,6 +167,7 @@
 	c.Log.Info().Str("event", logger.EventEscalated).Str("id", c.request.ID).Str("route", c.route.Name).Int("confidence", a.Meta.Confidence).
 		Int("from", c.step).Int("to", next).Send()
 	retries.Add("escalated", 1)
+	c.logLostAnswer(a.host, stageDropped, nil)
 	c.step = next
 	a.close()
 	return true
@@ -216,7 +218,7 @@
 				break
 			}
 			size += next
-			pace.events++
+			a.events++
 			if eventID != "" {
 				c.lastEventID = eventID
 			}
@@ -260,9 +262,7 @@
 // pacer measures how fast the events of an attempt come.
 type pacer struct {
 	attempt *attempt
-	// events is the number of complete events so far.
-	events int
-	// first is the number of those that came together at firstAt; zero before them.
+	// first is the number of events that came together at firstAt; zero before them.
 	first   int
 	firstAt time.Duration
 	done    bool
@@ -273,10 +273,11 @@
 // streams that are known at a moment would be the fast ones.
 func (p *pacer) observe(ended bool) {
 	c := p.attempt.call
-	if p.first == 0 && p.events > 0 {
-		p.first, p.firstAt = p.events, c.Clock()
+	events := p.attempt.events
+	if p.first == 0 && events > 0 {
+		p.first, p.firstAt = events, c.Clock()
 	}
-	later := p.events - p.first
+	later := events - p.first
 	if p.done || p.first == 0 || ended && later < 1 {
 		return
 	}
