--- a/internal/standin/connector/connector.go
+++ b/internal/standin/connector/connector.go
@@ -26,6 +26,8 @@
 	blackholed  func(from, to string) bool
 	stalled     func(from, to string) bool
 	slowDials   func(from, to string) bool
+	// down holds the addresses set by SetDown.
+	down map[string]bool
 	dialDelay   time.Duration
 	// stallEnded is closed when the stall ends.
 	stallEnded chan struct{}
@@ -82,7 +84,7 @@
 	return func(ctx context.Context, _, to string) (net.Conn, error) {
 		n.mu.Lock()
 		l := n.listeners[to]
-		refuse := n.partitioned != nil && n.partitioned(from, to) || n.refused != nil && n.refused(from, to)
+		refuse := n.partitioned != nil && n.partitioned(from, to) || n.refused != nil && n.refused(from, to) || n.down[to]
 		n.mu.Unlock()
 		if l == nil || refuse {
 			return nil, errors.Wrapf(ErrRefused, "dial %s", to)
@@ -134,6 +136,20 @@
 	n.refused = match
 }
 
+// SetDown closes the open connections to an address and refuses new ones while it is down,
+// as if the process there had ended.
+func (n *Network) SetDown(to string, down bool) {
+	n.mu.Lock()
+	if n.down == nil {
+		n.down = make(map[string]bool)
+	}
+	n.down[to] = down
+	n.mu.Unlock()
+	if down {
+		n.forEachOpen(func(_, at string) bool { return at == to }, func(c *conn) { _ = c.Close() })
+	}
+}
+
 // BlackholeOpen drops all further data of the open connections that match, in both
 // directions. New connections are not affected.
 func (n *Network) BlackholeOpen(match func(from, to string) bool) {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -44,10 +44,15 @@
 	// FaultEndlessBody sends a body without length, end or events, until the connection is
 	// closed.
 	FaultEndlessBody = "endless body"
+	// FaultCrash ends the server, by OnCrash, between the head and the body of the answer.
+	FaultCrash = "crash"
 	// FaultBusy answers 503 without declaring that the request was not run.
 	FaultBusy = "busy"
 )
 
+// crashDelay is the time between the head of an answer and the crash of its server.
+const crashDelay = 20 * time.Millisecond
+
 // endlessPart is the number of bytes that an endless answer sends at a time.
 const endlessPart = 8 << 10
 
@@ -59,6 +64,8 @@
 	ReceivedAt                                                time.Time
 	Method                                                    string
 	Header                                                    http.Header
+	// From is the address that the request came from.
+	From string
 	// Fault is the fault of the answer.
 	Fault string
 	// slowdown is the factor of EventGap after the first event; zero means 1.
@@ -99,6 +106,9 @@
 	// OnRun, if not nil, is called with each request before it is answered. Calls may be
 	// concurrent.
 	OnRun func(Run)
+	// OnCrash ends the server, whose connections are closed, during a run. It must be set for
+	// FaultCrash.
+	OnCrash func(Run)
 	// NameEvents makes each event of a stream name its request.
 	NameEvents bool
 
@@ -132,7 +142,7 @@
 	run := Run{
 		ID: h.Get(formatter.ID), Model: h.Get(formatter.Model), Team: h.Get(formatter.Team), LastEventID: h.Get(formatter.LastEventID),
 		Key: h.Get("Authorization"), Target: r.RequestURI, Body: string(body), Deadline: h.Get(formatter.Deadline),
-		ReceivedAt: time.Now(), Method: r.Method, Header: h.Clone(),
+		ReceivedAt: time.Now(), Method: r.Method, Header: h.Clone(), From: r.RemoteAddr,
 	}
 	if s.Leaving != nil && s.Leaving() {
 		w.Header().Set(formatter.Leaving, "1")
@@ -236,6 +246,8 @@
 	case FaultBusy:
 		s.writeUnavailable(w)
 		return
+	case FaultCrash:
+		s.crash(w, run)
 	case FaultEncoded:
 		h.Set("Content-Encoding", "gzip")
 	case FaultEndlessHead, FaultEndlessBody:
@@ -263,6 +275,15 @@
 	}
 }
 
+// crash writes the head of an answer and ends the server.
+func (s *Worker) crash(w http.ResponseWriter, run Run) {
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(crashDelay)
+	s.OnCrash(run)
+	panic(http.ErrAbortHandler)
+}
+
 // writeUnavailable writes the head of an answer with status 503.
 func (s *Worker) writeUnavailable(w http.ResponseWriter) {
 	if s.RetryAfter != nil {
