Resume streams without chunks that end inside an event

A stream that comes with neither a length nor chunks ends with its connection. One that broke off inside an event, or before its first one, was passed on to the caller as whole. Cause: at the end of the connection all bytes that were left counted as a part of the answer, as they are of one whose end is known. Now a stream that ends inside an event has been broken off, and so has one without chunks that ends before any event; an answer that has chunks or a length and no events is passed on as before.

--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -226,11 +226,14 @@
 			}
 		}
 		ended := errors.Is(err, io.EOF)
+		if ended && a.endsInsideEvent(len(pending)-size) {
+			ended, err = false, io.ErrUnexpectedEOF
+		}
 		if a.events >= isolator.MinEvents || ended && a.events > 0 {
 			a.answer.Succeed()
 		}
 		if ended {
-			// Bytes after the last complete event belong to the answer too.
+			// An answer without events is passed on too.
 			size = len(pending)
 		}
 		pace.observe(ended)
@@ -264,6 +267,15 @@
 	}
 }
 
+// endsInsideEvent reports whether a stream that has ended was broken off, given the number of
+// bytes after its last complete event.
+func (a *attempt) endsInsideEvent(rest int) bool {
+	if a.events == 0 {
+		return !a.Framed
+	}
+	return rest > 0
+}
+
 // pacer measures how fast the events of an attempt come.
 type pacer struct {
 	attempt *attempt
--- a/internal/forward/sender/exchange.go
+++ b/internal/forward/sender/exchange.go
@@ -85,7 +85,7 @@
 // can still be used: the answer is framed and shorter than maxStrayBytes.
 func (x *exchange) skipAnswer(res *http.Response) bool {
 	failures.Add("stray", 1)
-	if res.Close || res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+	if res.Close || !framed(res) {
 		return false
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStrayBytes))
@@ -108,10 +108,16 @@
 		Header: res.Header,
 		Meta:   meta,
 		Length: res.ContentLength,
+		Framed: framed(res),
 		Body:   b,
 	}
 }
 
+// framed reports whether the end of the body is known without the end of the connection.
+func framed(res *http.Response) bool {
+	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+}
+
 // body is the body of an answer. It reuses or closes the connection at its end.
 type body struct {
 	*exchange
@@ -140,8 +146,7 @@
 // closes it otherwise. Only the first call has an effect.
 func (b *body) finish(complete bool) {
 	b.once.Do(func() {
-		framed := b.res.ContentLength >= 0 || len(b.res.TransferEncoding) > 0
-		clean := complete && framed && !b.res.Close && b.exchange.written.Load() && b.conn.reader.Buffered() == 0
+		clean := complete && framed(b.res) && !b.res.Close && b.exchange.written.Load() && b.conn.reader.Buffered() == 0
 		if b.stopCancel() && clean {
 			b.sender.putIdle(b.conn, b.meta.IdleTimeout)
 			return
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -34,6 +34,10 @@
 	FaultExtra = "extra"
 	// FaultUnframed sends a body without a length; closing the connection ends it.
 	FaultUnframed = "unframed"
+	// FaultUnframedCut sends a stream like FaultUnframed that ends in the middle of an event,
+	// and FaultUnframedEmpty one that ends before the first event.
+	FaultUnframedCut   = "unframed cut"
+	FaultUnframedEmpty = "unframed empty"
 	// FaultUnsealed answers without the header Server-Seal, the proof that the answer
 	// comes from this server.
 	FaultUnsealed = "unsealed"
@@ -253,7 +257,11 @@
 	case FaultEndlessHead, FaultEndlessBody:
 		s.writeEndless(w, run, fault)
 		return
-	case FaultExtra, FaultUnframed:
+	case FaultExtra, FaultUnframed, FaultUnframedCut, FaultUnframedEmpty:
+		if s.Events > 0 && fault != FaultExtra {
+			s.writeUnframedStream(w, run, fault)
+			return
+		}
 		s.writeRaw(w, run, fault)
 		return
 	}
@@ -320,6 +328,28 @@
 	}
 }
 
+// writeUnframedStream sends numbered events to the connection itself, without chunks.
+func (s *Worker) writeUnframedStream(w http.ResponseWriter, run Run, fault string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func(c net.Conn) { _ = c.Close() }(conn)
+	text := "HTTP/1.1 200 OK\r\nAttempt-Id: " + run.ID + "\r\nServer-Seal: seal." + s.ID + "\r\nContent-Type: text/event-stream\r\n\r\n"
+	first, _ := strconv.Atoi(run.LastEventID)
+	for i := first + 1; err == nil; i++ {
+		_, err = io.WriteString(conn, text)
+		if fault == FaultUnframedEmpty || fault == FaultUnframedCut && i > s.Events/2 || i > s.Events {
+			return
+		}
+		time.Sleep(s.EventGap)
+		text = fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+		if fault == FaultUnframedCut && i == s.Events/2 {
+			text = fmt.Sprintf("id: %d\ndata: pi", i)
+		}
+	}
+}
+
 // writeRaw writes the malformed answers, which net/http cannot send, to the
 // connection itself.
 func (s *Worker) writeRaw(w http.ResponseWriter, run Run, fault string) {
--- a/relay.go
+++ b/relay.go
@@ -405,5 +405,8 @@
 	Meta   ResponseMeta
 	// Length is the length of the body in bytes, or -1 if unknown.
 	Length int64
+	// Framed is true if the body has a length or chunks; the end of the connection ends it
+	// otherwise.
+	Framed bool
 	Body   io.ReadCloser
 }
