Log a hash of the request with an answer that is lost

The lines of the daemons name requests by an id that is new with each attempt of a caller, so they did not show whether the request that ended endpoints was the same each time. answer_lost has a hash of its target, team and body.

--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -92,7 +92,7 @@
 	{EventSendFailed, "id, endpoint, kind, quiet, error", "an endpoint did not run a request or failed it; how long it had sent nothing to this daemon"},
 	{EventRetry, "id, endpoint, status, error", "a request is retried"},
 	{EventResumed, "id, endpoint, last, sends, took, error", "a stream broke and is resumed at another endpoint"},
-	{EventAnswerLost, "id, route, endpoint, stage, parts, error", "an endpoint did not complete an answer: sent before its head, head before its first event, events after that, dropped if a larger model was asked instead; the prompt's parts but the last"},
+	{EventAnswerLost, "id, route, endpoint, stage, request, parts, error", "an endpoint did not complete an answer: sent before its head, head before its first event, events after that, dropped if a larger model was asked instead; a hash of the request's target, team and body, and the prompt's parts but the last"},
 	{EventAttemptKept, "id, endpoint, quiet", "an attempt makes no progress but goes on, since no endpoint can be reached; how long all were silent"},
 	{EventResumeDelayed, "id, last, sends, left, error", "no endpoint takes up a stream that broke; the daemon waits for one"},
 	{EventEscalated, "id, route, confidence, from, to", "the confidence of an answer was too low, so a larger model is tried"},
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -87,6 +87,8 @@
 	priority     int
 	body         []byte
 	pickRequest  balancer.Request
+	// requestKey is that of the request itself, which may come again under another id.
+	requestKey isolator.Key
 	// keys are those of what the request has in common with others and may be isolated for.
 	keys []isolator.Key
 
@@ -150,6 +152,7 @@
 	if refusal := c.readBody(); refusal != nil {
 		return refusal
 	}
+	c.requestKey = isolator.RequestKey(c.r.RequestURI, c.team, c.body)
 	if !c.route.Repeatable() && !c.onceIDs.add(c.request.ID, c.start) {
 		return refusal(samphireturn.ReasonBadRequest, 0, errors.New("request id was already used"))
 	}
@@ -517,7 +520,7 @@
 		}
 	}
 	c.Log.Info().Str("event", logger.EventAnswerLost).Str("id", c.request.ID).Str("route", c.route.Name).Str("endpoint", h.ID).
-		Str("stage", stage).Strs("parts", parts).Err(err).Send()
+		Str("stage", stage).Str("request", string(c.requestKey)).Strs("parts", parts).Err(err).Send()
 }
 
 // logAttempt logs the endpoint of an attempt and the load by which it was chosen.
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -53,10 +53,12 @@
 	// maxKeys bounds the parts of one prompt, and maxKeyLength the length of a key in bytes.
 	maxKeys      = 16
 	maxKeyLength = 32
+	// requestPrefix begins the keys of requests.
+	requestPrefix = "request "
 )
 
 type (
-	// Key identifies a part of a prompt.
+	// Key identifies a part of a prompt or a request.
 	Key string
 
 	// Crash is the observation that an endpoint crashed by a request, perhaps: it had begun the
@@ -160,6 +162,16 @@
 	return keys
 }
 
+// RequestKey returns the key of the requests of a team with a target and a body.
+func RequestKey(target, team string, body []byte) Key {
+	h := xxhash.New()
+	for _, field := range []string{target, team} {
+		_, _ = h.WriteString(strconv.Itoa(len(field)) + " " + field)
+	}
+	_, _ = h.Write(body)
+	return Key(requestPrefix + strconv.FormatUint(h.Sum64(), 16))
+}
+
 // Isolated returns the time until requests with one of the parts are sent again; zero if they
 // are sent now.
 func (o *Isolator) Isolated(keys []Key) time.Duration {
