Add a failing test of a request that crashes servers and comes again

Nineteen rows: the request differs from harmless ones by path, query or body; lookups, requests that run once, a public route, streams; crashes before the answer and in it; two such requests; rare ones; servers that crash by themselves, daemons that restart and start; one to 24 daemons.

Events of isolations name a key, which may be a part or a request.

--- a/internal/forward/isolator/cause.go
+++ b/internal/forward/isolator/cause.go
@@ -42,13 +42,13 @@
 	for k := range o.isolated {
 		if _, ok := isolated[k]; !ok {
 			meter.CountIsolation(meter.IsolationEnded)
-			o.log.Info().Str("event", logger.EventIsolationOver).Str("part", string(k)).Send()
+			o.log.Info().Str("event", logger.EventIsolationOver).Str("key", string(k)).Send()
 		}
 	}
 	for k, until := range isolated {
 		if _, ok := o.isolated[k]; !ok {
 			meter.CountIsolation(meter.IsolationBegun)
-			o.log.Warn().Str("event", logger.EventIsolated).Str("part", string(k)).Dur("left", until-now).Send()
+			o.log.Warn().Str("event", logger.EventIsolated).Str("key", string(k)).Dur("left", until-now).Send()
 		}
 	}
 	o.isolated = isolated
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -50,11 +50,14 @@
 	FaultEndlessBody = "endless body"
 	// FaultCrash ends the server, by OnCrash, between the head and the body of the answer.
 	FaultCrash = "crash"
+	// FaultCrashUnanswered does so before the answer.
+	FaultCrashUnanswered = "crash unanswered"
 	// FaultBusy answers 503 without declaring that the request was not run.
 	FaultBusy = "busy"
 )
 
-// crashDelay is the time between the head of an answer and the crash of its server.
+// crashDelay is the time between the head of an answer, or the request, and the crash of its
+// server.
 const crashDelay = 20 * time.Millisecond
 
 // endlessPart is the number of bytes that an endless answer sends at a time.
@@ -111,7 +114,7 @@
 	// concurrent.
 	OnRun func(Run)
 	// OnCrash ends the server, whose connections are closed, during a run. It must be set for
-	// FaultCrash.
+	// FaultCrash and FaultCrashUnanswered.
 	OnCrash func(Run)
 	// NameEvents makes each event of a stream name its request.
 	NameEvents bool
@@ -250,7 +253,7 @@
 	case FaultBusy:
 		s.writeUnavailable(w)
 		return
-	case FaultCrash:
+	case FaultCrash, FaultCrashUnanswered:
 		s.crash(w, run)
 	case FaultEncoded:
 		h.Set("Content-Encoding", "gzip")
@@ -283,10 +286,12 @@
 	}
 }
 
-// crash writes the head of an answer and ends the server.
+// crash writes the head of an answer, or nothing, and ends the server.
 func (s *Worker) crash(w http.ResponseWriter, run Run) {
-	w.WriteHeader(http.StatusOK)
-	_ = http.NewResponseController(w).Flush()
+	if run.Fault == FaultCrash {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+	}
 	time.Sleep(crashDelay)
 	s.OnCrash(run)
 	panic(http.ErrAbortHandler)
