Wait for peers before a part that succeeded is isolated

Cause: it knew the crashes that its own requests met, and not yet the observations of others that explain them. The three new rows of TestCauses fail without the change.

--- a/internal/forward/isolator/cause.go
+++ b/internal/forward/isolator/cause.go
@@ -38,7 +38,7 @@
 			o.suspects[k] = true
 		}
 	}
-	isolated := o.causes()
+	isolated := o.causes(now)
 	for k := range o.isolated {
 		if _, ok := isolated[k]; !ok {
 			meter.CountIsolation(meter.IsolationEnded)
@@ -58,7 +58,7 @@
 // explains most crashes is one of them; the others have to explain the rest. A part that never
 // succeeded goes first: with one that crashes endpoints, no answer succeeds. Of parts that explain
 // as many, the one that comes later in the prompts is more specific.
-func (o *Isolator) causes() map[Key]time.Duration {
+func (o *Isolator) causes(now time.Duration) map[Key]time.Duration {
 	causes := make(map[Key]time.Duration)
 	incidents := o.incidents()
 	explained := make([]bool, len(incidents))
@@ -68,14 +68,24 @@
 			return causes
 		}
 		worst := slices.MaxFunc(suspicions, (*suspicion).compare)
-		last := worst.incidents[len(worst.incidents)-MinCrashes]
-		causes[worst.key] = incidents[last].at + CrashTTL
+		n := len(worst.incidents)
+		if now-incidents[worst.incidents[MinCrashes-1]].at >= worst.settleTime() {
+			causes[worst.key] = incidents[worst.incidents[n-MinCrashes]].at + CrashTTL
+		}
 		for _, i := range worst.incidents {
 			explained[i] = true
 		}
 	}
 }
 
+// settleTime returns how long after MinCrashes the key is isolated.
+func (s *suspicion) settleTime() time.Duration {
+	if len(s.incidents) >= sureCrashes || !s.succeeded {
+		return 0
+	}
+	return settleTime
+}
+
 // compare returns a positive number if s is likelier to be a cause than another one, and a
 // negative one if it is less likely.
 func (s *suspicion) compare(other *suspicion) int {
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -30,6 +30,11 @@
 	// CrashTTL is how long a crash counts. A part that is isolated is tried again when so
 	// many of its crashes have expired that MinCrashes are not left.
 	CrashTTL = 10 * time.Minute
+	// settleTime is how long after MinCrashes a part that succeeded before is isolated, unless
+	// sureCrashes have come: peers tell meanwhile what else was in flight, and which parts
+	// succeed.
+	settleTime  = time.Second
+	sureCrashes = 5
 	// SuccessMargin is how long after a success no crash counts against a part: many
 	// endpoints may crash together by another cause.
 	SuccessMargin = 2 * time.Second
