Isolate a request that crashes endpoints and comes again

Cause: a request was known by its id, which is new each time it comes, so each daemon sent it to as many endpoints as its route allows. Ruled out: retries by daemons alone (a request that runs once does the same), and load on endpoints that warm up (one to three requests in flight).

Change: a hash of target, team and body is a key like the parts of a prompt. A request in flight may be the cause without a byte of an answer, so it is isolated a second after the third crash or at the fifth, when peers have told what else was in flight and what succeeds. Answers that are lost with no crash of the endpoint are no evidence.

--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -62,8 +62,8 @@
 	departures = newCounterVec("samphireturn_departures_total", "Endpoints that announced in an answer that they leave, by who received it.", "source")
 	pauses     = newCounterVec("samphireturn_pauses_total", "Pauses that endpoints asked for by outcome.", "outcome")
 	limits     = newCounterVec("samphireturn_limits_total", "Limits of the rate of requests that endpoints named, by outcome.", "outcome")
-	crashes    = newCounterVec("samphireturn_crashes_total", "Endpoints that crashed after they had begun an answer, by who was to receive it.", "source")
-	isolations = newCounterVec("samphireturn_isolations_total", "Isolations of prompt parts by outcome.", "outcome")
+	crashes    = newCounterVec("samphireturn_crashes_total", "Requests that endpoints may have been running when they crashed, by who sent them.", "source")
+	isolations = newCounterVec("samphireturn_isolations_total", "Isolations of requests and prompt parts by outcome.", "outcome")
 
 	routeLabels = &labelValues{known: make(map[string]bool)}
 )
@@ -133,11 +133,11 @@
 	departures.WithLabelValues(source(heard)).Inc()
 }
 
-// CountCrash counts an answer that an endpoint had begun when it crashed. heard is true if
-// another daemon was to receive the answer.
+// CountCrash counts a request that an endpoint may have been running when it crashed. heard is
+// true if another daemon sent it.
 func CountCrash(heard bool) { crashes.WithLabelValues(source(heard)).Inc() }
 
-// CountIsolation counts an isolation of a prompt part, by one of the Isolation constants.
+// CountIsolation counts an isolation of a request or a prompt part, by one of the Isolation constants.
 func CountIsolation(outcome string) { isolations.WithLabelValues(outcome).Inc() }
 
 // source returns the value of the label source.
--- a/internal/fleet/sharer/isolation_test.go
+++ b/internal/fleet/sharer/isolation_test.go
@@ -19,7 +19,7 @@
 func TestCrashesReachAll(t *testing.T) {
 	// reachTime is that of two reports and sums between two data centres.
 	const reachTime = 4*sharer.ReportInterval + 100*time.Millisecond
-	keys := isolator.Keys([]samphireturn.PromptPart{{ID: "a"}, {ID: "x"}, {ID: "own"}})
+	keys := isolator.PartKeys([]samphireturn.PromptPart{{ID: "a"}, {ID: "x"}, {ID: "own"}})
 	for first := range 2 * perCentre {
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
@@ -38,7 +38,9 @@
 					continue
 				}
 				h := &samphireturn.Host{ID: fmt.Sprint("h", seen)}
-				fl.daemons[vm.ID].isolator.Begin(h, keys).End()
+				a := fl.daemons[vm.ID].isolator.Expect(h, isolator.RequestKey(fmt.Sprint(seen), "", nil))
+				a.Begin(keys)
+				a.Lose()
 				fl.daemons[vm.ID].isolator.RecordCrash(h)
 				time.Sleep(100 * time.Millisecond)
 				seen++
--- a/internal/forward/forwarder/answer.go
+++ b/internal/forward/forwarder/answer.go
@@ -63,6 +63,7 @@
 	buffered, err := io.ReadAll(io.LimitReader(a, retryBufferSize))
 	if err != nil {
 		err = errors.Wrap(a.cause(err), "read answer")
+		a.answer.Lose()
 		c.answerLost(a.host, a.stage(), err)
 	} else {
 		a.answer.Succeed()
--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -12,6 +12,7 @@
 	"samphireturn/internal/core/timekeeper"
 	"samphireturn/internal/forward/balancer"
 	"samphireturn/internal/forward/isolator"
+	"samphireturn/internal/forward/sender"
 )
 
 const (
@@ -63,7 +64,7 @@
 	kept bool
 	// streaming is true once the answer is accepted and its events are forwarded.
 	streaming atomic.Bool
-	// answer is the answer once its head has come; nil before.
+	// answer is what the isolator learns of the answer.
 	answer *isolator.Answer
 	// events is the number of complete events of the answer so far.
 	events int
@@ -252,6 +253,16 @@
 	return resumeReserve
 }
 
+// recordSendError records that the attempt ended before the head of an answer.
+func (a *attempt) recordSendError(err error) {
+	switch {
+	case sender.AsError(err).NotReceived():
+		a.answer.Cancel()
+	case a.ctx.Err() == nil:
+		a.answer.Lose()
+	}
+}
+
 // stage returns the stage of an answer whose head has come.
 func (a *attempt) stage() string {
 	if a.events == 0 {
@@ -265,9 +276,7 @@
 func (a *attempt) finish() {
 	a.timer.Stop()
 	a.cancel(nil)
-	if a.answer != nil {
-		a.answer.End()
-	}
+	a.answer.Abandon()
 	a.reservation.Done()
 }
 
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -87,9 +87,8 @@
 	priority     int
 	body         []byte
 	pickRequest  balancer.Request
-	// requestKey is that of the request itself, which may come again under another id.
-	requestKey isolator.Key
-	// keys are those of what the request has in common with others and may be isolated for.
+	// keys are those that the request may be isolated for: the first is its own, since it may
+	// come again under another id, and the others are those of its prompt's parts.
 	keys []isolator.Key
 
 	// sends counts the attempts that connected to an endpoint, executions those of
@@ -147,12 +146,11 @@
 	c.timeout = c.requestTimeout()
 	c.lastEventID = c.request.LastEventID
 	c.initPickRequest()
-	c.keys = isolator.Keys(c.request.Parts)
 	c.budget = c.Forwarder.budget(c.pool.Name)
 	if refusal := c.readBody(); refusal != nil {
 		return refusal
 	}
-	c.requestKey = isolator.RequestKey(c.r.RequestURI, c.team, c.body)
+	c.keys = append([]isolator.Key{isolator.RequestKey(c.r.RequestURI, c.team, c.body)}, isolator.PartKeys(c.request.Parts)...)
 	if !c.route.Repeatable() && !c.onceIDs.add(c.request.ID, c.start) {
 		return refusal(samphireturn.ReasonBadRequest, 0, errors.New("request id was already used"))
 	}
@@ -409,7 +407,7 @@
 func (c *proxyCall) try(reservation *balancer.Reservation, limits waitLimits) (*attempt, error) {
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	host := reservation.Host
-	a := &attempt{call: c, ctx: ctx, host: host, reservation: reservation, cancel: cancel, resumes: c.begun}
+	a := &attempt{call: c, ctx: ctx, host: host, reservation: reservation, cancel: cancel, resumes: c.begun, answer: c.Isolator.Expect(host, c.keys[0])}
 	a.startWatchdog(limits)
 	attemptInfo := samphireturn.Attempt{Request: &c.request, Remaining: c.remaining(), Host: host, Team: c.team, LastEventID: c.lastEventID, Priority: -1}
 	if c.pool.MemoryTokens > 0 {
@@ -433,6 +431,7 @@
 		Once:      !c.route.Repeatable(),
 	})
 	if err != nil {
+		a.recordSendError(err)
 		a.finish()
 		meter.CountAttempt(c.route.Name, c.sends+1, sender.AsError(err).Kind.String())
 		if !sender.AsError(err).NotReceived() {
@@ -456,11 +455,12 @@
 		c.Log.Info().Str("event", logger.EventLimitOver).Str("endpoint", host.ID).Str("centre", host.Centre).Bool("heard", false).Send()
 	}
 	if response.Meta.NotExecuted {
+		a.answer.Cancel()
 		a.close()
 		c.recordFailure(a, response.Meta.Misdirected)
 		return nil, errNotExecuted
 	}
-	a.answer = c.Isolator.Begin(host, c.keys)
+	a.answer.Begin(c.keys[1:])
 	return a, nil
 }
 
@@ -520,7 +520,7 @@
 		}
 	}
 	c.Log.Info().Str("event", logger.EventAnswerLost).Str("id", c.request.ID).Str("route", c.route.Name).Str("endpoint", h.ID).
-		Str("stage", stage).Str("request", string(c.requestKey)).Strs("parts", parts).Err(err).Send()
+		Str("stage", stage).Str("request", string(c.keys[0])).Strs("parts", parts).Err(err).Send()
 }
 
 // logAttempt logs the endpoint of an attempt and the load by which it was chosen.
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -87,7 +87,7 @@
 		}
 		if err != nil {
 			err = a.cause(err)
-			a.answer.End()
+			a.answer.Lose()
 			c.answerLost(a.host, a.stage(), err)
 		}
 		if err == nil {
--- a/internal/forward/isolator/cause.go
+++ b/internal/forward/isolator/cause.go
@@ -17,19 +17,19 @@
 		all []*crash
 	}
 
-	// suspicion is what speaks against a part.
+	// suspicion is what speaks against a key.
 	suspicion struct {
 		key Key
-		// succeeded is true if an answer with the part is known to have succeeded.
+		// succeeded is true if an answer with the key is known to have succeeded.
 		succeeded bool
-		// incidents are the indexes of those that the part may have caused, by time.
+		// incidents are the indexes of those that the key may have caused, by time.
 		incidents []int
-		// position is the last one that the part had in a prompt.
+		// position is the last one that the key had in a crash.
 		position int
 	}
 )
 
-// update drops expired crashes and finds out which parts are isolated. The caller holds mu.
+// update drops expired crashes and finds out which keys are isolated. The caller holds mu.
 func (o *Isolator) update(now time.Duration) {
 	maps.DeleteFunc(o.crashes, func(_ uint64, c *crash) bool { return now-c.at >= CrashTTL })
 	clear(o.suspects)
@@ -54,10 +54,11 @@
 	o.isolated = isolated
 }
 
-// causes returns the parts that are isolated, with the end of the isolation. The part that
-// explains most crashes is one of them; the others have to explain the rest. A part that never
-// succeeded goes first: with one that crashes endpoints, no answer succeeds. Of parts that explain
-// as many, the one that comes later in the prompts is more specific.
+// causes returns the keys that are isolated, with the end of the isolation. The key that
+// explains most crashes is one of them; the others have to explain the rest. A key that never
+// succeeded goes first: with one that crashes endpoints, no answer succeeds. Of keys that explain
+// as many, a part goes before the request, since other requests have it too, and the part that comes
+// later in the prompts is more specific.
 func (o *Isolator) causes(now time.Duration) map[Key]time.Duration {
 	causes := make(map[Key]time.Duration)
 	incidents := o.incidents()
@@ -80,7 +81,7 @@
 
 // settleTime returns how long after MinCrashes the key is isolated.
 func (s *suspicion) settleTime() time.Duration {
-	if len(s.incidents) >= sureCrashes || !s.succeeded {
+	if len(s.incidents) >= sureCrashes || !s.succeeded && !s.key.isRequest() {
 		return 0
 	}
 	return settleTime
@@ -118,7 +119,7 @@
 	return incidents
 }
 
-// suspicions returns what speaks against each part that may have caused MinCrashes or more of
+// suspicions returns what speaks against each key that may have caused MinCrashes or more of
 // the incidents that are not explained.
 func (o *Isolator) suspicions(incidents []incident, explained []bool) []*suspicion {
 	byKey := make(map[Key]*suspicion)
@@ -138,7 +139,7 @@
 	return slices.Collect(maps.Values(byKey))
 }
 
-// suspect adds to the suspicions that a part had a position in a prompt of an incident.
+// suspect adds to the suspicions that a key had a position in a crash of an incident.
 func (o *Isolator) suspect(byKey map[Key]*suspicion, k Key, incident, position int) {
 	s := byKey[k]
 	if s == nil {
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -1,18 +1,22 @@
-// Package isolator finds the parts of prompts that crash endpoints, and isolates them: no
-// request with such a part is sent any more.
+// Package isolator finds the requests and the parts of prompts that crash endpoints, and
+// isolates them: no such request is sent any more.
 //
-// Daemons exchange observations: crashes, each with the parts of a prompt whose answer the
-// endpoint had begun, and the times at which answers with these parts succeeded. Which parts are
+// Daemons exchange observations: crashes, each with the keys of a request that the endpoint may
+// have been running, and the times at which answers with these keys succeeded. Which keys are
 // isolated follows from the observations alone, so that all daemons that have the same ones
-// isolate the same parts, and an observation that arrives twice or late does no harm.
+// isolate the same keys, and an observation that arrives twice or late does no harm.
 package isolator
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,28 +29,29 @@
 )
 
 const (
-	// MinCrashes is the number of crashes, without a success since, that isolate a part.
+	// MinCrashes is the number of crashes, without a success since, that isolate a key.
 	MinCrashes = 3
-	// CrashTTL is how long a crash counts. A part that is isolated is tried again when so
+	// CrashTTL is how long a crash counts. A key that is isolated is tried again when so
 	// many of its crashes have expired that MinCrashes are not left.
 	CrashTTL = 10 * time.Minute
-	// settleTime is how long after MinCrashes a part that succeeded before is isolated, unless
-	// sureCrashes have come: peers tell meanwhile what else was in flight, and which parts
-	// succeed.
+	// settleTime is how long after MinCrashes a request, or a part that succeeded before, is
+	// isolated, unless sureCrashes have come. Each request in flight at a crash may be the cause;
+	// peers tell meanwhile which others were, and which keys succeed.
 	settleTime  = time.Second
 	sureCrashes = 5
-	// SuccessMargin is how long after a success no crash counts against a part: many
+	// SuccessMargin is how long after a success no crash counts against a key: many
 	// endpoints may crash together by another cause.
 	SuccessMargin = 2 * time.Second
 	// MinEvents is the number of events of a stream that make a success of it.
 	MinEvents = 3
 	// maxCrashes bounds the crashes kept; the oldest are dropped.
-	maxCrashes = 256
-	// maxSuccesses bounds the parts of which the last success is kept, and successTTL is how
-	// long it is.
-	maxSuccesses = 4096
-	successTTL   = time.Minute
-	// successStep is the least time between two successes of a part that are told to peers. It
+	maxCrashes = 512
+	// maxSuccesses bounds the keys of which the last success is kept, successTTL is how long
+	// it is for a part, and requestSuccessTTL for a request, of which most come once.
+	maxSuccesses      = 4096
+	successTTL        = time.Minute
+	requestSuccessTTL = 2 * SuccessMargin
+	// successStep is the least time between two successes of a key that are told to peers. It
 	// is longer than a message takes, so that a success that peers tell each other in
 	// circles gets no newer.
 	successStep = time.Second
@@ -55,30 +60,33 @@
 	candidateTime = 500 * time.Millisecond
 	// crashSpan is the time in which observations of one endpoint are of one crash.
 	crashSpan = 1500 * time.Millisecond
-	// maxKeys bounds the parts of one prompt, and maxKeyLength the length of a key in bytes.
-	maxKeys      = 16
+	// maxParts bounds the parts of one prompt, and maxKeyLength the length of a key in bytes.
+	maxParts     = 16
 	maxKeyLength = 32
-	// requestPrefix begins the keys of requests.
-	requestPrefix = "request "
+	// requestPrefix begins the keys of requests, and requestHashSize is the number of bytes of
+	// the hash behind it.
+	requestPrefix   = "request "
+	requestHashSize = 12
 )
 
 type (
 	// Key identifies a part of a prompt or a request.
 	Key string
 
-	// Crash is the observation that an endpoint crashed by a request, perhaps: it had begun the
-	// answer.
+	// Crash is the observation that an endpoint crashed while it may have been running a
+	// request.
 	Crash struct {
 		// ID tells apart observations.
 		ID       uint64 `cbor:"1,keyasint"`
 		Endpoint string `cbor:"2,keyasint"`
-		// Keys are those of the prompt's parts, in order.
+		// Keys are that of the request and, if the answer had begun, those of the prompt's
+		// parts, in order.
 		Keys []Key `cbor:"3,keyasint"`
 		// Age is the time since the crash in microseconds.
 		Age int64 `cbor:"4,keyasint"`
 	}
 
-	// Success is the last known success of an answer to a prompt with a part.
+	// Success is the last known success of an answer to a request with a key.
 	Success struct {
 		Key Key `cbor:"1,keyasint"`
 		// Age is the time since the success in microseconds.
@@ -97,15 +105,15 @@
 		log   zerolog.Logger
 
 		mu sync.Mutex
-		// candidates holds the answers that their endpoints had begun and did not complete, by
+		// candidates holds the requests that their endpoints may have run and did not answer, by
 		// endpoint id, and checking the endpoints that are being dialled for them.
 		candidates map[string][]candidate
 		checking   map[string]bool
 		crashes    map[uint64]*crash
-		// suspects holds the parts of all crashes.
+		// suspects holds the keys of all crashes.
 		suspects  map[Key]bool
 		successes map[Key]success
-		// isolated holds when the isolation of a part ends.
+		// isolated holds when the isolation of a key ends.
 		isolated map[Key]time.Duration
 		// changes is the number of changes to the observations so far.
 		changes uint64
@@ -125,13 +133,15 @@
 		change     uint64
 	}
 
-	// candidate is an answer that ended without success.
+	// candidate is a request whose answer ended without success. It was lost, unless this
+	// daemon gave it up.
 	candidate struct {
 		keys    []Key
 		endedAt time.Duration
+		lost    bool
 	}
 
-	// Answer is an answer that an endpoint has begun.
+	// Answer is the answer of an endpoint to a request.
 	Answer struct {
 		isolator *Isolator
 		endpoint string
@@ -149,14 +159,14 @@
 	}
 }
 
-// Keys returns the keys of the parts of a prompt that may be isolated: all but the last one,
+// PartKeys returns the keys of the parts of a prompt that may be isolated: all but the last one,
 // which belongs to the request alone.
-func Keys(parts []samphireturn.PromptPart) []Key {
+func PartKeys(parts []samphireturn.PromptPart) []Key {
 	if len(parts) < 2 {
 		return nil
 	}
 	parts = parts[:len(parts)-1]
-	parts = parts[max(len(parts)-maxKeys, 0):]
+	parts = parts[max(len(parts)-maxParts, 0):]
 	keys := make([]Key, len(parts))
 	for i, p := range parts {
 		keys[i] = Key(p.ID)
@@ -169,15 +179,18 @@
 
 // RequestKey returns the key of the requests of a team with a target and a body.
 func RequestKey(target, team string, body []byte) Key {
-	h := xxhash.New()
+	h := sha256.New()
 	for _, field := range []string{target, team} {
-		_, _ = h.WriteString(strconv.Itoa(len(field)) + " " + field)
+		_, _ = io.WriteString(h, strconv.Itoa(len(field))+" "+field)
 	}
 	_, _ = h.Write(body)
-	return Key(requestPrefix + strconv.FormatUint(h.Sum64(), 16))
+	return Key(requestPrefix + hex.EncodeToString(h.Sum(nil)[:requestHashSize]))
 }
 
-// Isolated returns the time until requests with one of the parts are sent again; zero if they
+// isRequest reports whether a key is that of a request.
+func (k Key) isRequest() bool { return strings.HasPrefix(string(k), requestPrefix) }
+
+// Isolated returns the time until requests with one of the keys are sent again; zero if they
 // are sent now.
 func (o *Isolator) Isolated(keys []Key) time.Duration {
 	o.mu.Lock()
@@ -190,15 +203,22 @@
 	return left
 }
 
-// Begin records that an endpoint began an answer to a prompt with parts.
-func (o *Isolator) Begin(h *samphireturn.Host, keys []Key) *Answer {
-	return &Answer{isolator: o, endpoint: h.ID, keys: keys}
+// Expect records that a request is sent to an endpoint. The caller must call Succeed, Lose,
+// Abandon or Cancel, of which the first call has an effect.
+func (o *Isolator) Expect(h *samphireturn.Host, request Key) *Answer {
+	return &Answer{isolator: o, endpoint: h.ID, keys: []Key{request}}
 }
 
-// Succeed records that the answer, or enough of it, arrived. Only the first call of Succeed or
-// End has an effect.
+// Begin records that the endpoint began the answer to a prompt with parts. Parts crash
+// endpoints only then.
+func (a *Answer) Begin(parts []Key) { a.keys = append(a.keys, parts...) }
+
+// Cancel records that the endpoint did not run the request.
+func (a *Answer) Cancel() { a.done = true }
+
+// Succeed records that the answer, or enough of it, arrived.
 func (a *Answer) Succeed() {
-	if a.done || len(a.keys) == 0 {
+	if a.done {
 		return
 	}
 	a.done = true
@@ -215,20 +235,26 @@
 	}
 }
 
-// End records that the answer ended without success. The endpoint may crash by it soon after.
-func (a *Answer) End() {
-	if a.done || len(a.keys) == 0 {
+// Lose records that the endpoint did not complete the answer.
+func (a *Answer) Lose() { a.end(true) }
+
+// Abandon records that this daemon gave the answer up. The endpoint may still crash by the
+// request.
+func (a *Answer) Abandon() { a.end(false) }
+
+func (a *Answer) end(lost bool) {
+	if a.done {
 		return
 	}
 	a.done = true
 	o := a.isolator
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.candidates[a.endpoint] = append(o.candidates[a.endpoint], candidate{a.keys, o.clock()})
+	o.candidates[a.endpoint] = append(o.candidates[a.endpoint], candidate{a.keys, o.clock(), lost})
 }
 
-// StartCheck reports whether the caller should find out if an endpoint crashed: an answer that
-// it had begun ended without success lately. The caller must call FinishCheck then.
+// StartCheck reports whether the caller should find out if an endpoint crashed: an answer of it
+// ended without success lately. The caller must call FinishCheck then.
 func (o *Isolator) StartCheck(h *samphireturn.Host) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -239,10 +265,14 @@
 	return true
 }
 
-// FinishCheck ends the check of an endpoint. If it crashed, that is RecordCrash.
+// FinishCheck ends the check of an endpoint. If it crashed, that is RecordCrash; otherwise the
+// answers that were lost had another cause.
 func (o *Isolator) FinishCheck(h *samphireturn.Host, crashed bool) {
 	o.mu.Lock()
 	delete(o.checking, h.ID)
+	if !crashed {
+		o.candidates[h.ID] = slices.DeleteFunc(o.candidates[h.ID], func(c candidate) bool { return c.lost })
+	}
 	o.mu.Unlock()
 	if crashed {
 		o.RecordCrash(h)
@@ -265,7 +295,7 @@
 		}
 		o.addCrash(Crash{ID: rand.Uint64(), Endpoint: h.ID, Keys: c.keys}, c.endedAt)
 		meter.CountCrash(false)
-		o.log.Warn().Str("event", logger.EventEndpointCrashed).Str("endpoint", h.ID).Any("parts", c.keys).Send()
+		o.log.Warn().Str("event", logger.EventEndpointCrashed).Str("endpoint", h.ID).Any("keys", c.keys).Send()
 	}
 	o.update(now)
 }
@@ -316,7 +346,7 @@
 
 // valid reports whether a crash that a peer told is within the bounds.
 func valid(c Crash) bool {
-	if c.Age < 0 || c.Age >= CrashTTL.Microseconds() || len(c.Keys) > maxKeys {
+	if c.Age < 0 || c.Age >= CrashTTL.Microseconds() || len(c.Keys) > maxParts+1 {
 		return false
 	}
 	return !slices.ContainsFunc(c.Keys, func(k Key) bool { return len(k) > maxKeyLength })
@@ -333,7 +363,13 @@
 			delete(o.candidates, id)
 		}
 	}
-	maps.DeleteFunc(o.successes, func(k Key, s success) bool { return !o.suspects[k] && now-s.at >= successTTL })
+	maps.DeleteFunc(o.successes, func(k Key, s success) bool {
+		ttl := successTTL
+		if k.isRequest() {
+			ttl = requestSuccessTTL
+		}
+		return !o.suspects[k] && now-s.at >= ttl
+	})
 	if len(o.crashes) > 0 {
 		o.update(now)
 	}
@@ -356,7 +392,7 @@
 	}
 }
 
-// addSuccess records a success, and reports whether it matters to the isolated parts. The
+// addSuccess records a success, and reports whether it matters to what is isolated. The
 // caller holds mu.
 func (o *Isolator) addSuccess(k Key, at time.Duration) (changed bool) {
 	s, ok := o.successes[k]
--- a/internal/forward/isolator/isolator_test.go
+++ b/internal/forward/isolator/isolator_test.go
@@ -1,6 +1,7 @@
 package isolator_test
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -17,7 +18,8 @@
 // daemon is an isolator with a clock of its own.
 type daemon struct {
 	*isolator.Isolator
-	now time.Duration
+	now      time.Duration
+	requests int
 }
 
 func newDaemon() *daemon {
@@ -33,19 +35,27 @@
 	for id := range strings.SplitSeq(prompt+" own", " ") {
 		parts = append(parts, samphireturn.PromptPart{ID: id})
 	}
-	return isolator.Keys(parts)
+	return isolator.PartKeys(parts)
+}
+
+// expect has an endpoint begin the answer to a prompt, in a request that does not come again.
+func (d *daemon) expect(h *samphireturn.Host, prompt string) *isolator.Answer {
+	d.requests++
+	a := d.Expect(h, isolator.RequestKey(fmt.Sprint(d.requests), "", nil))
+	a.Begin(keysOf(prompt))
+	return a
 }
 
 // crash has an endpoint crash in its answer to a prompt.
 func (d *daemon) crash(endpoint, prompt string) {
 	h := &samphireturn.Host{ID: endpoint}
-	d.Begin(h, keysOf(prompt)).End()
+	d.expect(h, prompt).Lose()
 	d.RecordCrash(h)
 }
 
 // succeed has an endpoint answer a prompt.
 func (d *daemon) succeed(prompt string) {
-	d.Begin(&samphireturn.Host{ID: "e"}, keysOf(prompt)).Succeed()
+	d.expect(&samphireturn.Host{ID: "e"}, prompt).Succeed()
 }
 
 // isolated returns those of some parts that are isolated.
@@ -119,6 +129,82 @@
 	}
 }
 
+// TestRequests checks whether a request is isolated that comes again and again, after a sequence
+// of crashes and successes.
+func TestRequests(t *testing.T) {
+	type step struct {
+		after                     time.Duration
+		endpoint, request, prompt string
+	}
+	const s = time.Second
+	crashed := []step{{0, "e1", "r", ""}, {s, "e2", "r", ""}, {s, "e3", "r", ""}}
+	tests := []struct {
+		name  string
+		steps []step
+		// isolated is whether the request r is, and parts are those that are.
+		isolated bool
+		parts    string
+	}{
+		{"two crashes", append(crashed[:2:2], step{2 * s, "", "q", ""}), false, ""},
+		{"three crashes", append(crashed[:3:3], step{2 * s, "", "q", ""}), true, ""},
+		{"three crashes just now", append(crashed[:3:3], step{s / 2, "", "q", ""}), false, ""},
+		{"another request", []step{{0, "e1", "r", ""}, {s, "e2", "q", ""}, {s, "e3", "r", ""}, {2 * s, "", "p", ""}}, false, ""},
+		{"success between", []step{{0, "e1", "r", ""}, {s, "e2", "r", ""}, {s, "", "r", ""}, {3 * s, "e3", "r", ""}, {2 * s, "", "q", ""}}, false, ""},
+		{"success just before", []step{{0, "", "r", ""}, {s, "e1", "r", ""}, {0, "e2", "r", ""}, {0, "e3", "r", ""}, {2 * s, "", "q", ""}}, false, ""},
+		{"in the answer", []step{
+			{0, "", "p", "a b"}, {0, "e1", "r", "a b"}, {s, "e2", "r", "a b"}, {s, "e3", "r", "a b"}, {2 * s, "", "q", "a b"},
+		}, true, ""},
+		{"by a part", []step{{0, "e1", "r", "a x"}, {s, "e2", "r", "a x"}, {s, "e3", "r", "a x"}, {2 * s, "", "q", "a"}}, false, "x"},
+		{"beside a request with a part", []step{
+			{0, "e1", "p", "a x"}, {0, "e1", "r", ""}, {s, "e2", "q", "a x"}, {0, "e2", "r", ""}, {s, "e3", "o", "a x"}, {0, "e3", "r", ""},
+			{2 * s, "", "q", "a"},
+		}, false, "x"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDaemon()
+			for _, st := range test.steps {
+				d.now += st.after
+				h := &samphireturn.Host{ID: cmp.Or(st.endpoint, "e")}
+				a := d.Expect(h, isolator.RequestKey(st.request, "team", nil))
+				a.Begin(keysOf(st.prompt))
+				if st.endpoint == "" {
+					a.Succeed()
+					continue
+				}
+				a.Lose()
+				d.RecordCrash(h)
+			}
+			d.Sweep()
+			c.Check(d.Isolated([]isolator.Key{isolator.RequestKey("r", "team", nil)}) > 0, qt.Equals, test.isolated)
+			c.Check(d.isolated("a b x"), qt.Equals, test.parts)
+		})
+	}
+}
+
+// TestRequestKey checks what makes requests the same.
+func TestRequestKey(t *testing.T) {
+	tests := []struct {
+		target, team, body string
+		same               bool
+	}{
+		{"/a?b", "t", "body", true},
+		{"/a?c", "t", "body", false},
+		{"/b", "t", "body", false},
+		{"/a?b", "u", "body", false},
+		{"/a?b", "t", "other", false},
+		{"/a?bt", "", "body", false},
+		{"/a?b", "tbody", "", false},
+	}
+	c := qt.New(t)
+	for _, test := range tests {
+		k := isolator.RequestKey(test.target, test.team, []byte(test.body))
+		c.Check(k == isolator.RequestKey("/a?b", "t", []byte("body")), qt.Equals, test.same, qt.Commentf("%v", test))
+		c.Check(len(k) <= 32, qt.IsTrue)
+	}
+}
+
 // TestCandidates checks which answers count in a crash of their endpoint.
 func TestCandidates(t *testing.T) {
 	tests := []struct {
@@ -128,12 +214,12 @@
 		wait time.Duration
 		want string
 	}{
-		{"ended", (*isolator.Answer).End, 0, "x"},
-		{"ended before", (*isolator.Answer).End, 400 * time.Millisecond, "x"},
-		{"ended long before", (*isolator.Answer).End, 600 * time.Millisecond, ""},
+		{"ended", (*isolator.Answer).Lose, 0, "x"},
+		{"ended before", (*isolator.Answer).Lose, 400 * time.Millisecond, "x"},
+		{"ended long before", (*isolator.Answer).Lose, 600 * time.Millisecond, ""},
 		{"not ended", func(*isolator.Answer) {}, 0, ""},
 		{"succeeded", (*isolator.Answer).Succeed, 3 * time.Second, ""},
-		{"ended after success", func(a *isolator.Answer) { a.Succeed(); a.End() }, 0, ""},
+		{"ended after success", func(a *isolator.Answer) { a.Succeed(); a.Lose() }, 0, ""},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -141,7 +227,7 @@
 			d := newDaemon()
 			for i := range isolator.MinCrashes {
 				h := &samphireturn.Host{ID: fmt.Sprint("e", i)}
-				test.end(d.Begin(h, keysOf("x")))
+				test.end(d.expect(h, "x"))
 				d.now += test.wait
 				d.Sweep()
 				started := d.StartCheck(h)
@@ -265,9 +351,9 @@
 	}
 	d.crash("e", strings.TrimSuffix(strings.Repeat("p ", 200), " "))
 	told, _ := d.Since(0)
-	c.Check(len(told.Crashes), qt.Equals, 256)
+	c.Check(len(told.Crashes), qt.Equals, 512)
 	for _, told := range told.Crashes {
-		c.Check(len(told.Keys) <= 16, qt.IsTrue)
+		c.Check(len(told.Keys) <= 17, qt.IsTrue)
 		c.Check(slices.ContainsFunc(told.Keys, func(k isolator.Key) bool { return len(k) > 32 }), qt.IsFalse)
 	}
 	c.Check(len(told.Successes) <= 4096, qt.IsTrue)
@@ -279,7 +365,7 @@
 			{ID: id, Endpoint: endpoint, Keys: []isolator.Key{"x"}, Age: -1},
 			{ID: id + 1, Endpoint: endpoint, Keys: []isolator.Key{"x"}, Age: isolator.CrashTTL.Microseconds()},
 			{ID: id + 2, Endpoint: endpoint, Keys: []isolator.Key{"x", isolator.Key(long)}},
-			{ID: id + 3, Endpoint: endpoint, Keys: slices.Repeat([]isolator.Key{"x"}, 17)},
+			{ID: id + 3, Endpoint: endpoint, Keys: slices.Repeat([]isolator.Key{"x"}, 18)},
 		}})
 	}
 	c.Check(peer.isolated("x"), qt.Equals, "")
--- a/refusal.go
+++ b/refusal.go
@@ -50,8 +50,8 @@
 	// ForwardLimited means the same of endpoints of which the first that is available again
 	// named a limit of its requests.
 	ForwardLimited = "endpoints_limited"
-	// ForwardIsolated means that endpoints crash by a part of the request's prompt.
-	ForwardIsolated = "prompt_isolated"
+	// ForwardIsolated means that endpoints crash by the request or a part of its prompt.
+	ForwardIsolated = "request_isolated"
 )
 
 // Refusal is an error that is reported to the caller.
