Let the interval of reports grow with each daemon of a data centre

Cause: the interval was the number of daemons divided by 24 and rounded down, so that 47 daemons reported as often as 24 and 60 as often as 48. TestReportRate failed before at 30 daemons (29 reports in an interval, 24 allowed).

--- a/internal/fleet/sharer/bytes_test.go
+++ b/internal/fleet/sharer/bytes_test.go
@@ -76,3 +76,39 @@
 		}
 	})
 }
+
+// TestReportRate guards against an aggregator whose work grows with its data centre: however
+// many daemons report, it gets no more reports a second than of 24 that report in each interval.
+func TestReportRate(t *testing.T) {
+	const (
+		duration   = 9 * time.Second
+		maxReports = 24
+	)
+	for _, daemons := range []int{8, 24, 30, 47, 60, 100} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			fl := newFleet()
+			fl.members = nil
+			for i := range daemons {
+				fl.members = append(fl.members, samphireturn.VM{ID: fmt.Sprintf("d%03d", i), Centre: "north"})
+			}
+			for _, vm := range fl.members {
+				fl.start(vm)
+				fl.daemons[vm.ID].view.Rollouts = nil
+			}
+			time.Sleep(time.Second)
+			fl.mu.Lock()
+			fl.calls = 0
+			fl.mu.Unlock()
+			time.Sleep(duration)
+			fl.mu.Lock()
+			rate := float64(fl.calls) / (duration.Seconds() / sharer.ReportInterval.Seconds())
+			fl.mu.Unlock()
+			c.Check(rate <= maxReports, qt.IsTrue, qt.Commentf("%d daemons: %.1f reports in each interval", daemons, rate))
+			c.Check(rate >= 0.9*float64(min(daemons-1, maxReports-1)), qt.IsTrue, qt.Commentf("%d daemons: %.1f reports in each interval", daemons, rate))
+			for _, vm := range fl.members {
+				fl.stop(vm.ID)
+			}
+		})
+	}
+}
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -165,16 +165,23 @@
 		snapshot := s.Control.Snapshot()
 		daemons := len(ranker.InCentre(s.Self.Centre, snapshot.Members))
 		switch {
-		case interval%max(1, daemons/daemonsPerInterval) == 0:
+		case due(interval, daemons, daemonsPerInterval):
 			s.report(ctx, snapshot.Members, false)
 			s.applyRemote()
-		case rollingOut(snapshot.View) && interval%max(1, daemons/daemonsPerEvidence) == 0:
+		case rollingOut(snapshot.View) && due(interval, daemons, daemonsPerEvidence):
 			s.report(ctx, snapshot.Members, true)
 		}
 		s.announceVerdicts("")
 	}
 }
 
+// due reports whether a message is sent in an interval by its number, if one is sent in each up
+// to some number of daemons and proportionally fewer beyond it.
+func due(interval, daemons, perInterval int) bool {
+	daemons = max(daemons, perInterval)
+	return interval*perInterval/daemons > (interval-1)*perInterval/daemons
+}
+
 // rollingOut reports whether any roll-out has not ended.
 func rollingOut(v *samphireturn.View) bool {
 	if v == nil {
