Keep what isolates a request while other requests meet crashes

Retry-After of an isolation is no longer varied to end before it.

TestFlood and TestPartNames fail without the change.

--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -584,8 +584,10 @@
 	refusals.Add(refusal.Reason, 1)
 	meter.CountRefusal(refusal.Reason)
 	// Callers that are refused together must not retry together. The time until an endpoint
-	// is available includes a jitter.
-	if refusal.Reason != samphireturn.ForwardPaused && refusal.Reason != samphireturn.ForwardLimited {
+	// is available includes a jitter, and that of an isolation must not end early.
+	switch refusal.Reason {
+	case samphireturn.ForwardPaused, samphireturn.ForwardLimited, samphireturn.ForwardIsolated:
+	default:
 		refusal.RetryAfter = c.jitter(refusal.RetryAfter)
 	}
 	// A body that comes too late cancels the request's context too, but its caller
--- a/internal/forward/isolator/cause.go
+++ b/internal/forward/isolator/cause.go
@@ -54,6 +54,13 @@
 	o.isolated = isolated
 }
 
+// mayCause reports whether a crash may be due to a key: no success is known since, or shortly
+// before. The caller holds mu.
+func (o *Isolator) mayCause(c *crash, k Key) bool {
+	s, ok := o.successes[k]
+	return !ok || c.at >= s.at+SuccessMargin
+}
+
 // causes returns the keys that are isolated, with the end of the isolation. The key that
 // explains most crashes is one of them; the others have to explain the rest. A key that never
 // succeeded goes first: with one that crashes endpoints, no answer succeeds. Of keys that explain
@@ -129,7 +136,7 @@
 		}
 		for _, c := range in.all {
 			for position, k := range c.Keys {
-				if last, ok := o.successes[k]; !ok || c.at >= last.at+SuccessMargin {
+				if o.mayCause(c, k) {
 					o.suspect(byKey, k, i, position)
 				}
 			}
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -20,7 +20,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"samphireturn"
@@ -44,7 +43,7 @@
 	SuccessMargin = 2 * time.Second
 	// MinEvents is the number of events of a stream that make a success of it.
 	MinEvents = 3
-	// maxCrashes bounds the crashes kept; the oldest are dropped.
+	// maxCrashes bounds the crashes kept.
 	maxCrashes = 512
 	// maxSuccesses bounds the keys of which the last success is kept, successTTL is how long
 	// it is for a part, and requestSuccessTTL for a request, of which most come once.
@@ -60,13 +59,16 @@
 	candidateTime = 500 * time.Millisecond
 	// crashSpan is the time in which observations of one endpoint are of one crash.
 	crashSpan = 1500 * time.Millisecond
-	// maxParts bounds the parts of one prompt, and maxKeyLength the length of a key in bytes.
-	maxParts     = 16
-	maxKeyLength = 32
-	// requestPrefix begins the keys of requests, and requestHashSize is the number of bytes of
-	// the hash behind it.
-	requestPrefix   = "request "
-	requestHashSize = 12
+	// maxParts bounds the parts of one prompt, maxPartLength the length in bytes of a part's id
+	// that is used as it is, and maxKeyLength that of a key.
+	maxParts      = 16
+	maxPartLength = 24
+	maxKeyLength  = 32
+	// partPrefix begins the keys of parts, requestPrefix those of requests, and hashSize is the
+	// number of bytes of a hash behind it.
+	partPrefix    = "part "
+	requestPrefix = "request "
+	hashSize      = 12
 )
 
 type (
@@ -169,10 +171,12 @@
 	parts = parts[max(len(parts)-maxParts, 0):]
 	keys := make([]Key, len(parts))
 	for i, p := range parts {
-		keys[i] = Key(p.ID)
-		if len(p.ID) > maxKeyLength {
-			keys[i] = Key(strconv.FormatUint(xxhash.Sum64String(p.ID), 16))
+		id := p.ID
+		if len(id) > maxPartLength {
+			hash := sha256.Sum256([]byte(id))
+			id = hex.EncodeToString(hash[:hashSize])
 		}
+		keys[i] = Key(partPrefix + id)
 	}
 	return keys
 }
@@ -184,7 +188,7 @@
 		_, _ = io.WriteString(h, strconv.Itoa(len(field))+" "+field)
 	}
 	_, _ = h.Write(body)
-	return Key(requestPrefix + hex.EncodeToString(h.Sum(nil)[:requestHashSize]))
+	return Key(requestPrefix + hex.EncodeToString(h.Sum(nil)[:hashSize]))
 }
 
 // isRequest reports whether a key is that of a request.
@@ -306,6 +310,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var told Observations
+	if change == o.changes {
+		return told, change
+	}
 	now := o.clock()
 	for _, c := range o.crashes {
 		if c.change > change {
@@ -313,8 +320,8 @@
 			told.Crashes = append(told.Crashes, c.Crash)
 		}
 	}
-	for k, s := range o.successes {
-		if s.change > change {
+	for k := range o.suspects {
+		if s := o.successes[k]; s.change > change {
 			told.Successes = append(told.Successes, Success{Key: k, Age: (now - s.toldAt).Microseconds()})
 		}
 	}
@@ -387,9 +394,28 @@
 		}
 	}
 	if len(o.crashes) > maxCrashes {
-		oldest := slices.MinFunc(slices.Collect(maps.Values(o.crashes)), func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
-		delete(o.crashes, oldest.ID)
+		o.dropCrash()
+	}
+}
+
+// dropCrash drops the crash that matters least: one that all its keys succeeded after, rather
+// than one without an isolated key, and of the same kind the oldest. The caller holds mu.
+func (o *Isolator) dropCrash() {
+	least := slices.MinFunc(slices.Collect(maps.Values(o.crashes)), func(a, b *crash) int {
+		return cmp.Or(cmp.Compare(o.importance(a), o.importance(b)), cmp.Compare(a.at, b.at))
+	})
+	delete(o.crashes, least.ID)
+}
+
+// importance returns how much a crash matters to what is isolated. The caller holds mu.
+func (o *Isolator) importance(c *crash) int {
+	switch {
+	case slices.ContainsFunc(c.Keys, func(k Key) bool { return o.isolated[k] > 0 }):
+		return 2
+	case slices.ContainsFunc(c.Keys, func(k Key) bool { return o.mayCause(c, k) }):
+		return 1
 	}
+	return 0
 }
 
 // addSuccess records a success, and reports whether it matters to what is isolated. The
--- a/internal/forward/isolator/isolator_test.go
+++ b/internal/forward/isolator/isolator_test.go
@@ -61,9 +61,9 @@
 // isolated returns those of some parts that are isolated.
 func (d *daemon) isolated(parts string) string {
 	var all []string
-	for k := range strings.SplitSeq(parts, " ") {
-		if d.Isolated([]isolator.Key{isolator.Key(k)}) > 0 {
-			all = append(all, k)
+	for _, k := range keysOf(parts) {
+		if d.Isolated([]isolator.Key{k}) > 0 {
+			all = append(all, strings.TrimPrefix(string(k), "part "))
 		}
 	}
 	return strings.Join(all, " ")
@@ -261,6 +261,38 @@
 	}
 }
 
+// TestFlood has many other requests meet crashes after a part was isolated: it stays isolated, as
+// long as its crashes count.
+func TestFlood(t *testing.T) {
+	c := qt.New(t)
+	d := newDaemon()
+	for i := range isolator.MinCrashes {
+		d.crash(fmt.Sprint("e", i), "a x")
+	}
+	for i := range 2000 {
+		d.crash(fmt.Sprint("f", i), fmt.Sprint("b", i))
+	}
+	c.Check(d.isolated("a x"), qt.Equals, "x")
+	d.now += isolator.CrashTTL
+	d.Sweep()
+	c.Check(d.isolated("a x"), qt.Equals, "")
+}
+
+// TestPartNames checks that a part's id can't be taken for the key of a request.
+func TestPartNames(t *testing.T) {
+	c := qt.New(t)
+	d := newDaemon()
+	key := isolator.RequestKey("/a", "team", nil)
+	for i := range 5 {
+		h := &samphireturn.Host{ID: fmt.Sprint("e", i)}
+		a := d.Expect(h, isolator.RequestKey(fmt.Sprint(i), "other", nil))
+		a.Begin(isolator.PartKeys([]samphireturn.PromptPart{{ID: string(key)}, {ID: "own"}}))
+		a.Lose()
+		d.RecordCrash(h)
+	}
+	c.Check(d.Isolated([]isolator.Key{key}) == 0, qt.IsTrue)
+}
+
 // tell exchanges what two daemons lack of each other, some time on the way.
 func tell(from, to *daemon, since uint64, transit time.Duration) uint64 {
 	told, change := from.Since(since)
@@ -362,10 +394,10 @@
 		id := uint64(10 * (i + 1))
 		endpoint := fmt.Sprint("e", i)
 		peer.Add(isolator.Observations{Crashes: []isolator.Crash{
-			{ID: id, Endpoint: endpoint, Keys: []isolator.Key{"x"}, Age: -1},
-			{ID: id + 1, Endpoint: endpoint, Keys: []isolator.Key{"x"}, Age: isolator.CrashTTL.Microseconds()},
-			{ID: id + 2, Endpoint: endpoint, Keys: []isolator.Key{"x", isolator.Key(long)}},
-			{ID: id + 3, Endpoint: endpoint, Keys: slices.Repeat([]isolator.Key{"x"}, 18)},
+			{ID: id, Endpoint: endpoint, Keys: keysOf("x"), Age: -1},
+			{ID: id + 1, Endpoint: endpoint, Keys: keysOf("x"), Age: isolator.CrashTTL.Microseconds()},
+			{ID: id + 2, Endpoint: endpoint, Keys: append(keysOf("x"), isolator.Key(long))},
+			{ID: id + 3, Endpoint: endpoint, Keys: slices.Repeat(keysOf("x"), 18)},
 		}})
 	}
 	c.Check(peer.isolated("x"), qt.Equals, "")
