--- a/internal/forward/balancer/latency.go
+++ b/internal/forward/balancer/latency.go
@@ -21,6 +21,8 @@
 	// which include waits for other requests: the estimate is that of an otherwise
 	// idle endpoint.
 	fasterSampleWeight, slowerSampleWeight = 0.2, 0.02
+	// defaultHeadTime is assumed before any answer of a latency class was seen.
+	defaultHeadTime = 50 * time.Millisecond
 	// latencyDecay is the weight of each new sample in the averages of the times to
 	// the head and to the end of an answer.
 	latencyDecay = 0.1
--- a/internal/forward/balancer/loads.go
+++ b/internal/forward/balancer/loads.go
@@ -5,6 +5,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
+
+	"samphireturn"
 )
 
 const (
@@ -21,6 +23,14 @@
 	// happens once in some hundred fleets of thousands, count as one there.
 	EndpointKey uint32
 
+	// Load is the work in flight of one daemon at one endpoint.
+	Load struct {
+		Requests, MemoryTokens int
+		// Backlog is the estimated time in microseconds to process the prompts that
+		// wait at the endpoint.
+		Backlog int64
+	}
+
 	// Loads holds the loads of endpoints. It is encoded in about 8 bytes for each, as it
 	// is sent several times a second.
 	Loads map[EndpointKey]Load
@@ -79,3 +89,35 @@
 	}
 	return nil
 }
+
+// InFlight returns the number of requests that all daemons have in flight at an
+// endpoint, as far as this daemon knows.
+func (b *Balancer) InFlight(h *samphireturn.Host) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.endpoint(h)
+	return e.local.Requests + e.remote.Requests
+}
+
+// LocalLoads returns this daemon's loads.
+func (b *Balancer) LocalLoads() Loads {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := make(Loads)
+	for id, e := range b.endpoints {
+		if e.local != (Load{}) {
+			all[KeyOf(id)] = e.local
+		}
+	}
+	return all
+}
+
+// SetRemoteLoads replaces the summed loads of all other daemons.
+func (b *Balancer) SetRemoteLoads(all Loads) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock()
+	for id, e := range b.endpoints {
+		e.remote, e.remoteAt = all[KeyOf(id)], now
+	}
+}
