--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -1,12 +1,9 @@
 package forwarder
 
 import (
-	"cmp"
 	"context"
 	"expvar"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -16,7 +13,6 @@
 	"samphireturn"
 	"samphireturn/internal/core/logger"
 	"samphireturn/internal/core/meter"
-	"samphireturn/internal/core/timekeeper"
 	"samphireturn/internal/forward/balancer"
 	"samphireturn/internal/forward/isolator"
 	"samphireturn/internal/forward/matcher"
@@ -28,21 +24,6 @@
 const (
 	// defaultTimeout bounds every request; callers and routes may set a shorter time.
 	defaultTimeout = 60 * time.Second
-	// notReadyRetryAfter is the Retry-After of a daemon without a routing table or
-	// with one that is not confirmed recently enough.
-	notReadyRetryAfter = 700 * time.Millisecond
-	// startTime is how long after its start a daemon lets requests wait until it has read
-	// what it needs, and startCheckInterval the time between two checks of that.
-	startTime          = time.Second
-	startCheckInterval = 10 * time.Millisecond
-	// busyRetryAfter is the Retry-After when all endpoints are full, none is
-	// available, the attempts failed or the deadline passed.
-	busyRetryAfter = 500 * time.Millisecond
-	// retryAfterJitter is the width of the jitter as a share of Retry-After.
-	retryAfterJitter = 0.5
-	// returnSpreadShare is the share of the time left of a pause over which callers come
-	// back after it, if that is more than busyRetryAfter.
-	returnSpreadShare = 0.25
 	// extraUnexecutedSends bounds the sends beyond the route's MaxAttempts, which
 	// are possible when endpoints did not execute the request.
 	extraUnexecutedSends = 2
@@ -120,59 +101,6 @@
 	lastErr error
 }
 
-// admit finds the route, authorizes the request, chooses the pool and reads the
-// body. It returns nil if the request can be forwarded.
-func (c *proxyCall) admit() *samphireturn.Refusal {
-	c.request = c.CallerProtocol.Decode(c.r)
-	if c.view = c.firstView(); c.view == nil || !c.view.Synced {
-		return refusal(samphireturn.ReasonNotReady, notReadyRetryAfter, nil)
-	}
-	c.tableMatcher = c.matcher(c.view.Table)
-	c.route = c.tableMatcher.Route(c.r.Host, c.r.URL.Path)
-	if c.route == nil {
-		return c.refuseUnknown(samphireturn.ForwardNoRoute)
-	}
-	if refusal := c.authorize(); refusal != nil {
-		return refusal
-	}
-	if c.request.ID == "" {
-		return refusal(samphireturn.ReasonBadRequest, 0, errors.New("request has no id"))
-	}
-	c.pool = c.tableMatcher.PickPool(c.route, cmp.Or(c.request.Session, c.request.ID))
-	if c.pool == nil {
-		return refusal(samphireturn.ReasonNoEndpoint, busyRetryAfter, nil)
-	}
-	requests.Add(c.route.Work.String(), 1)
-	c.timeout = c.requestTimeout()
-	c.lastEventID = c.request.LastEventID
-	c.initPickRequest()
-	c.budget = c.Forwarder.budget(c.pool.Name)
-	if refusal := c.readBody(); refusal != nil {
-		return refusal
-	}
-	c.keys = append([]isolator.Key{isolator.RequestKey(c.r.RequestURI, c.team, c.body)}, isolator.PartKeys(c.request.Parts)...)
-	if !c.route.Repeatable() && !c.onceIDs.add(c.request.ID, c.start) {
-		return refusal(samphireturn.ReasonBadRequest, 0, errors.New("request id was already used"))
-	}
-	c.budget.CountRequest()
-	return nil
-}
-
-// firstView returns the current view. While the daemon starts, it waits for the first
-// complete one, which takes less than it would take the caller to come back.
-func (c *proxyCall) firstView() *samphireturn.View {
-	wait := startTime - (c.start - c.startedAt)
-	if c.request.Timeout > 0 {
-		wait = min(wait, c.request.Timeout/2)
-	}
-	for {
-		v := c.currentView()
-		if v != nil && v.Synced || c.Clock()-c.start >= wait || !timekeeper.Sleep(c.r.Context(), startCheckInterval) {
-			return v
-		}
-	}
-}
-
 // routeName returns the name of the request's route, or "none".
 func (c *proxyCall) routeName() string {
 	if c.route == nil {
@@ -181,102 +109,6 @@
 	return c.route.Name
 }
 
-// refuseUnknown returns the refusal of a request whose route or key is not in the
-// routing table. If the table may be out of date, the caller is asked to retry.
-func (c *proxyCall) refuseUnknown(reason string) *samphireturn.Refusal {
-	if c.tableAge(c.view) >= c.MaxAgeForMisses {
-		return refusal(samphireturn.ReasonNotReady, notReadyRetryAfter, errors.New(reason))
-	}
-	return refusal(reason, 0, nil)
-}
-
-// authorize finds the team that owns the request's key, sets the priority, and
-// refuses an unknown key unless the route is public.
-func (c *proxyCall) authorize() *samphireturn.Refusal {
-	c.priority = c.route.Priority
-	if !c.tableMatcher.HasTeams() {
-		return nil
-	}
-	team := c.tableMatcher.Team(c.request.Key)
-	if team != nil {
-		c.team = team.Name
-		if team.HasPriority {
-			c.priority = team.Priority
-		}
-	}
-	if c.route.Public {
-		return nil
-	}
-	if !c.freshForKeys(c.view) {
-		return refusal(samphireturn.ReasonPlatformUnavailable, notReadyRetryAfter, nil)
-	}
-	if team == nil {
-		return c.refuseUnknown(samphireturn.ReasonUnauthorized)
-	}
-	return nil
-}
-
-// requestTimeout returns the time from now until the complete answer is due.
-func (c *proxyCall) requestTimeout() time.Duration {
-	timeout := defaultTimeout
-	if c.request.Timeout > 0 {
-		timeout = min(timeout, c.request.Timeout)
-	}
-	if c.route.Timeout > 0 {
-		timeout = min(timeout, c.route.Timeout)
-	}
-	return timeout - c.Clock() + c.start
-}
-
-// readBody reads the complete body, so that the request can be retried.
-func (c *proxyCall) readBody() *samphireturn.Refusal {
-	maxBytes := int64(cmp.Or(c.view.Table.Limits.BodyBytes, defaultBodyBytes))
-	control := http.NewResponseController(c.w)
-	if err := control.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
-		return refusal(samphireturn.ReasonBadRequest, 0, err)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, maxBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return refusal(samphireturn.ReasonTooLarge, 0, err)
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return refusal(samphireturn.ForwardRequestSlow, 0, err)
-	}
-	if err != nil {
-		return refusal(samphireturn.ReasonBadRequest, 0, err)
-	}
-	c.body = body
-	// The server's own timeouts apply to the rest of the connection's life.
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return refusal(samphireturn.ReasonBadRequest, 0, err)
-	}
-	return nil
-}
-
-// initPickRequest sets the parts of pickRequest that do not change between
-// attempts.
-func (c *proxyCall) initPickRequest() {
-	c.pickRequest = balancer.Request{
-		Pool:    c.pool,
-		Exclude: make(map[string]bool),
-		Members: c.view.Members,
-
-		PromptTokens: c.request.PromptTokens,
-		Objective:    c.route.Objective,
-	}
-	if c.pool.MemoryTokens > 0 {
-		c.pickRequest.MemoryTokens = c.request.PromptTokens + c.request.MaxOutputTokens/2
-	}
-	if n := len(c.request.Parts); n > 1 {
-		// The last part is not shared with other requests.
-		c.pickRequest.PrefixID = c.request.Parts[n-2].ID
-		for _, p := range c.request.Parts[:n-1] {
-			c.pickRequest.PrefixTokens += p.Tokens
-		}
-	}
-}
-
 // remaining returns the time left until the deadline.
 func (c *proxyCall) remaining() time.Duration { return c.timeout - (c.Clock() - c.start) }
 
@@ -542,81 +374,6 @@
 	return c.route.Name
 }
 
-// deadlineRefusal returns the refusal of a request whose deadline has passed or
-// whose caller left.
-func (c *proxyCall) deadlineRefusal() *samphireturn.Refusal {
-	return c.refusal(samphireturn.ReasonDeadline, busyRetryAfter, context.Cause(c.ctx))
-}
-
-// noEndpointRefusal returns the refusal of a request for which no endpoint is left. If all
-// that can be reached are paused or limited, the caller is asked to come back when the first
-// is available. More urgent requests come back earlier, as there is no queue.
-func (c *proxyCall) noEndpointRefusal() *samphireturn.Refusal {
-	left, limited, ok := c.Balancer.AvailableIn(&c.pickRequest)
-	if !ok {
-		return c.refusal(samphireturn.ReasonNoEndpoint, busyRetryAfter, c.lastErr)
-	}
-	reason := samphireturn.ForwardPaused
-	if limited {
-		reason = samphireturn.ForwardLimited
-	}
-	urgency := float64(min(max(c.priority, 0), maxPriority)) / (maxPriority + 1)
-	spread := max(busyRetryAfter, time.Duration(returnSpreadShare*float64(left)))
-	left += time.Duration((urgency + c.Rand()) / 2 * float64(spread))
-	// Encoded times are rounded, and none may end early.
-	return c.refusal(reason, left.Truncate(time.Millisecond)+time.Millisecond, c.lastErr)
-}
-
-// refusal returns a refusal that says whether the request may have been executed.
-func (c *proxyCall) refusal(reason string, retryAfter time.Duration, err error) *samphireturn.Refusal {
-	r := refusal(reason, retryAfter, err)
-	r.Executed = c.executed
-	return r
-}
-
-func refusal(reason string, retryAfter time.Duration, err error) *samphireturn.Refusal {
-	return &samphireturn.Refusal{Reason: reason, Executed: samphireturn.ExecutedNo, RetryAfter: retryAfter, Err: err}
-}
-
-// refuse answers the caller with a refusal, logs and counts it. It panics with
-// http.ErrAbortHandler if the caller left.
-func (c *proxyCall) refuse(refusal *samphireturn.Refusal) {
-	refusals.Add(refusal.Reason, 1)
-	meter.CountRefusal(refusal.Reason)
-	// Callers that are refused together must not retry together. The time until an endpoint
-	// is available includes a jitter, and that of an isolation must not end early.
-	switch refusal.Reason {
-	case samphireturn.ForwardPaused, samphireturn.ForwardLimited, samphireturn.ForwardIsolated:
-	default:
-		refusal.RetryAfter = c.jitter(refusal.RetryAfter)
-	}
-	// A body that comes too late cancels the request's context too, but its caller
-	// still waits for the answer.
-	if c.r.Context().Err() != nil && refusal.Reason != samphireturn.ForwardRequestSlow {
-		// The caller left.
-		c.Log.Info().Str("event", logger.EventCallerLeft).Str("id", c.request.ID).Str("route", c.routeName()).Int("sends", c.sends).
-			Dur("took", c.Clock()-c.start).Send()
-		panic(http.ErrAbortHandler)
-	}
-	c.outcome = meter.OutcomeFailed
-	if refusal.Executed == samphireturn.ExecutedNo {
-		c.outcome = meter.OutcomeRefused
-	}
-	line := c.Log.Warn().Str("event", logger.EventRefused).Str("id", c.request.ID).Str("reason", refusal.Reason).Str("run", refusal.Executed).
-		Str("route", c.routeName()).Int("sends", c.sends).Dur("took", c.Clock()-c.start).Dur("age", c.tableAge(c.view)).
-		Dur("retry", refusal.RetryAfter)
-	if c.view != nil && c.view.Table != nil {
-		line = line.Int64("table", c.view.Table.Version)
-	}
-	line.Err(refusal.Err).Send()
-	c.CallerProtocol.WriteError(c.w, c.request, refusal)
-}
-
-// jitter returns a time that differs at random from d.
-func (c *proxyCall) jitter(d time.Duration) time.Duration {
-	return time.Duration((1 - retryAfterJitter/2 + retryAfterJitter*c.Rand()) * float64(d))
-}
-
 // writeHead writes the head of an answer to the caller.
 func (c *proxyCall) writeHead(a *attempt) {
 	c.firstByte = c.Clock() - c.start
