Have requests crash endpoints in the soak

The soak played neither prompts nor requests that crash endpoints. Callers now send some in a step of its own; the server ends in its answer, its address refuses connections, and another starts three seconds later. The check of crashes bounds what reaches endpoints after the fifth crash by a part, or the third by a request.

--- a/cmd/standin/server.go
+++ b/cmd/standin/server.go
@@ -18,6 +18,9 @@
 	"samphireturn/internal/standin/worker"
 )
 
+// exitCrashed is the exit code of a server that a request crashed.
+const exitCrashed = 3
+
 // serverCmd runs a server that speaks the users' protocol.
 type serverCmd struct {
 	Listen string        `arg:"--listen,required" help:"host:port to listen on"`
@@ -54,7 +57,13 @@
 	}()
 	w := &worker.Worker{
 		ID: s.ID, MaxInFlight: s.Slots, Events: s.Events, EventGap: s.Gap, WorkTime: s.Work, NameEvents: true,
-		Fault: func(int, *http.Request) string { return faults.draw() },
+		Fault: func(_ int, r *http.Request) string {
+			if r.Header.Get(worker.CauseHeader) != "" {
+				return worker.FaultCrash
+			}
+			return faults.draw()
+		},
+		OnCrash: func(worker.Run) { os.Exit(exitCrashed) },
 		OnRun: func(r worker.Run) {
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/soak/disruptor/disruptor.go
+++ b/internal/soak/disruptor/disruptor.go
@@ -44,13 +44,20 @@
 		Source func(from, to string) net.Addr
 
 		mu        sync.Mutex
-		listeners []net.Listener
+		listeners []*listener
 		conns     map[*conn]struct{}
 		faults    map[*Fault]struct{}
 		closed    bool
 		wait      sync.WaitGroup
 	}
 
+	// listener relays the connections to one address; its net.Listener is nil while the
+	// process behind it is down.
+	listener struct {
+		net.Listener
+		from, to, addr, target string
+	}
+
 	// conn is one relayed connection.
 	conn struct {
 		disruptor *Disruptor
@@ -66,14 +73,45 @@
 // named to, until Close. They come from the process named from, or if that is empty from
 // those that Identify names.
 func (d *Disruptor) Listen(from, to, addr, target string) error {
-	ln, err := net.Listen("tcp", addr)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := &listener{from: from, to: to, addr: addr, target: target}
+	if err := d.listen(l); err != nil {
+		return err
+	}
+	d.listeners = append(d.listeners, l)
+	return nil
+}
+
+// listen opens a listener. The caller holds mu.
+func (d *Disruptor) listen(l *listener) error {
+	ln, err := net.Listen("tcp", l.addr)
 	if err != nil {
 		return err
 	}
+	l.Listener = ln
+	d.wait.Go(func() { d.accept(ln, l.from, l.to, l.target) })
+	return nil
+}
+
+// SetDown makes the addresses of a process refuse connections while it is down.
+func (d *Disruptor) SetDown(to string, down bool) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.listeners = append(d.listeners, ln)
-	d.wait.Go(func() { d.accept(ln, from, to, target) })
+	for _, l := range d.listeners {
+		switch {
+		case l.to != to || d.closed || down == (l.Listener == nil):
+		case down:
+			if err := l.Close(); err != nil {
+				return err
+			}
+			l.Listener = nil
+		default:
+			if err := d.listen(l); err != nil {
+				return err
+			}
+		}
+	}
 	return nil
 }
 
@@ -116,8 +154,10 @@
 	d.closed = true
 	listeners := d.listeners
 	d.mu.Unlock()
-	for _, ln := range listeners {
-		_ = ln.Close()
+	for _, l := range listeners {
+		if l.Listener != nil {
+			_ = l.Close()
+		}
 	}
 	d.Reset(func(string, string) bool { return true })
 	d.wait.Wait()
--- a/internal/soak/judge/checks.go
+++ b/internal/soak/judge/checks.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -16,7 +17,10 @@
 	// promises on callers that leave, attempts and denials may not be kept; deniedShare
 	// is added to maxDenied as a part of all requests.
 	maxGone, maxBudget, maxDenied = 3, 3, 5
-	deniedShare                   = 1 / 500.0
+	// partCrashes and requestCrashes are the numbers of crashes by a part of prompts and by a
+	// request after which maxCrashing more requests with it may reach endpoints.
+	partCrashes, requestCrashes, maxCrashing = 5, 3, 3
+	deniedShare                              = 1 / 500.0
 	// goneTime is the time after a caller left in which its request may still reach an
 	// endpoint.
 	goneTime = 500 * time.Millisecond
@@ -92,6 +96,7 @@
 		v.add("denied", "%d requests were denied that every configuration allows", denied)
 	}
 	j.checkCanaries(&v)
+	j.checkCrashes(&v)
 	j.checkLateAnswers(&v)
 	j.checkBack(&v, runsByID)
 	return v.texts
@@ -154,6 +159,39 @@
 	return j.disrupted(r.Slot, r.ReceivedAt.Add(-j.Bounds.StableWindow), r.ReceivedAt, nil)
 }
 
+// checkCrashes checks that requests that crash endpoints are not sent for ever.
+func (j *Judge) checkCrashes(v *violations) {
+	byCause := make(map[string][]*Run)
+	for i := range j.runs {
+		r := &j.runs[i]
+		if q := j.requests[r.ID]; q != nil && q.Cause != "" && !r.NotExecuted {
+			byCause[q.Cause] = append(byCause[q.Cause], r)
+		}
+	}
+	for cause, runs := range byCause {
+		slices.SortFunc(runs, func(a, b *Run) int { return a.ReceivedAt.Compare(b.ReceivedAt) })
+		allowed := requestCrashes
+		if j.requests[runs[0].ID].CauseIsPart {
+			allowed = partCrashes
+		}
+		crashed := make(map[string]bool)
+		var last time.Time
+		late := 0
+		for _, r := range runs {
+			q := j.requests[r.ID]
+			if len(crashed) >= allowed && r.ReceivedAt.Sub(last) > j.Bounds.StableWindow && j.inTouch(q.Daemon, q.SentAt, r.ReceivedAt) {
+				late++
+			}
+			if len(crashed) < allowed && !crashed[r.Endpoint] {
+				crashed[r.Endpoint], last = true, r.ReceivedAt
+			}
+		}
+		if late > maxCrashing {
+			v.add("crashes", "%d requests reached endpoints after %d had crashed by %s", late, len(crashed), cause)
+		}
+	}
+}
+
 // checkRuns checks the runs of one request together.
 func (j *Judge) checkRuns(v *violations, q *Request, runs []*Run) {
 	executed := 0
--- a/internal/soak/judge/judge.go
+++ b/internal/soak/judge/judge.go
@@ -53,6 +53,10 @@
 		// event LastEvent.
 		Stream            bool
 		LastEvent, Events int
+		// Cause names why the request crashes the endpoints that run it, and CauseIsPart is
+		// true if that is a part of its prompt; Cause is empty if it crashes none.
+		Cause       string
+		CauseIsPart bool
 		// Forbidden is true for a request that no configuration allows.
 		Forbidden bool
 		// MaxAttempts bounds the endpoints that may run the request.
--- a/internal/soak/judge/judge_test.go
+++ b/internal/soak/judge/judge_test.go
@@ -47,6 +47,26 @@
 	j.disruptions = append(j.disruptions, &Disruption{Machine: machine, From: at(from), To: at(to)})
 }
 
+// crash makes q crash its endpoint, by a part of its prompt or by itself, and records such requests
+// that crash more endpoints until second 21, and late ones from second 26 on.
+func crash(j *Judge, q *Request, isPart bool, crashes, late int) {
+	q.Cause, q.CauseIsPart = "x", isPart
+	for i := range crashes - 1 + late {
+		sent := 20*time.Second + time.Duration(i+1)*50*time.Millisecond
+		if i >= crashes-1 {
+			sent += 6 * time.Second
+		}
+		again := request(q.ID+string(rune('a'+i)), sent)
+		again.Cause, again.CauseIsPart = q.Cause, isPart
+		again.Status, again.Seal, again.Answer = http.StatusBadGateway, "", ""
+		run := runOf(again, sent+10*time.Millisecond)
+		run.Endpoint = "i" + again.ID
+		run.Header.Set("Expect-Instance", run.Endpoint)
+		j.AddRequest(again)
+		j.AddRun(run)
+	}
+}
+
 // shutDown records a SIGTERM of d1 at second 10.
 func shutDown(j *Judge) {
 	j.disruptions = append(j.disruptions, &Disruption{Machine: "d1", From: at(10 * time.Second), To: at(12 * time.Second), Planned: true})
@@ -92,6 +112,14 @@
 		{"the key", func(_ *Judge, _ *Request, r *Run) { r.Key = "Bearer k" }, "unasked"},
 		{"another prompt", func(_ *Judge, _ *Request, r *Run) { r.Header.Set("Prompt-Prefix", "a:1") }, "unasked"},
 		{"a header of the router", func(_ *Judge, _ *Request, r *Run) { r.Header.Set("Hold", "h") }, "unasked"},
+		{"crashes by a request, bounded", func(j *Judge, q *Request, _ *Run) { crash(j, q, false, 3, 3) }, ""},
+		{"crashes by a request, for ever", func(j *Judge, q *Request, _ *Run) { crash(j, q, false, 3, 4) }, "crashes"},
+		{"crashes by a part, bounded", func(j *Judge, q *Request, _ *Run) { crash(j, q, true, 5, 3) }, ""},
+		{"crashes by a part, for ever", func(j *Judge, q *Request, _ *Run) { crash(j, q, true, 5, 4) }, "crashes"},
+		{"crashes by a part, daemon disrupted", func(j *Judge, q *Request, _ *Run) {
+			crash(j, q, true, 5, 4)
+			j.disrupt("d1", 24*s, 25*s)
+		}, ""},
 		{"at an endpoint that left", func(j *Judge, _ *Request, _ *Run) { j.left["i1"] = at(18 * s) }, "drain"},
 		{"at an endpoint that left just now", func(j *Judge, _ *Request, _ *Run) { j.left["i1"] = at(18*s + 20*time.Millisecond) }, ""},
 		{"at an endpoint that left, daemon disrupted", func(j *Judge, _ *Request, _ *Run) {
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -2,6 +2,7 @@
 package planner
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -65,6 +66,8 @@
 	// Burst doubles the callers' requests, Leave makes them leave early.
 	Burst = "burst"
 	Leave = "leave"
+	// RequestsCrash makes some of the callers' requests crash the endpoints that run them.
+	RequestsCrash = "requests_crash"
 )
 
 const (
@@ -76,8 +79,12 @@
 	// to moreKinds more. One schedule in allEvery has all kinds.
 	fewKinds, moreKinds = 3, 8
 	allEvery            = 4
-	// seedStream is the second part of the seed of the generator.
-	seedStream = 0x5eed
+	// seedStream is the second part of the seed of the generator, and crashStream that of the
+	// one of steps of RequestsCrash. These are drawn apart, so that the other steps of a seed
+	// stay the same. One schedule in crashEvery has one.
+	seedStream  = 0x5eed
+	crashStream = 0xdead
+	crashEvery  = 3
 )
 
 type (
@@ -110,7 +117,10 @@
 	}
 )
 
-// choices are the kinds that are drawn.
+// crashChoice is the choice of RequestsCrash.
+var crashChoice = choice{RequestsCrash, 1, 8 * time.Second, 12 * time.Second}
+
+// choices are the kinds that are drawn, beside crashChoice.
 var choices = []choice{
 	{DaemonTerm, 5, 100 * time.Millisecond, 2 * time.Second},
 	{DaemonKill, 4, 100 * time.Millisecond, 2 * time.Second},
@@ -159,7 +169,7 @@
 	for _, c := range allowed {
 		total += c.weight
 	}
-	var steps []Step
+	steps := crashSteps(seed, size)
 	if total == 0 {
 		return steps
 	}
@@ -179,9 +189,25 @@
 		}
 		at += draw(random, 0, maxPause)
 	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
 
+// crashSteps returns the steps of RequestsCrash of a schedule, one at most.
+func crashSteps(seed uint64, size Size) []Step {
+	random := rand.New(rand.NewPCG(seed, crashStream))
+	wanted := random.IntN(crashEvery) == 0
+	if len(size.Kinds) > 0 {
+		wanted = slices.Contains(size.Kinds, RequestsCrash)
+	}
+	if !wanted {
+		return nil
+	}
+	return []Step{{
+		At: draw(random, 0, size.Duration/2), Kind: RequestsCrash, Length: draw(random, crashChoice.shortest, crashChoice.longest), Draw: random.IntN(100),
+	}}
+}
+
 // allowedChoices returns the choices of one schedule.
 func allowedChoices(random *rand.Rand, size Size) []choice {
 	allowed := slices.Clone(choices)
--- a/internal/soak/planner/planner_test.go
+++ b/internal/soak/planner/planner_test.go
@@ -34,10 +34,14 @@
 			}
 		}
 	}
-	c.Check(len(drawn), qt.Equals, len(choices))
+	c.Check(len(drawn), qt.Equals, len(choices)+1)
 	c.Check(overlaps > 100, qt.IsTrue)
-	size.Kinds = []string{DaemonKill}
-	for _, s := range Plan(1, size) {
-		c.Check(s.Kind, qt.Equals, DaemonKill)
+	for _, kind := range []string{DaemonKill, RequestsCrash} {
+		size.Kinds = []string{kind}
+		steps := Plan(1, size)
+		c.Check(len(steps) > 0, qt.IsTrue)
+		for _, s := range steps {
+			c.Check(s.Kind, qt.Equals, kind)
+		}
 	}
 }
--- a/internal/soak/runner/caller.go
+++ b/internal/soak/runner/caller.go
@@ -13,7 +13,9 @@
 	"time"
 
 	"samphireturn/internal/soak/judge"
+	"samphireturn/internal/soak/planner"
 	"samphireturn/internal/standin/formatter"
+	"samphireturn/internal/standin/worker"
 )
 
 const (
@@ -39,6 +41,9 @@
 	// leaveShare and burstLeaveShare are the parts of the requests, in percent, whose
 	// callers leave.
 	leaveShare, burstLeaveShare = 3, 50
+	// crashShare is the part of the requests, in percent, that crash endpoints in a step in
+	// which some do.
+	crashShare = 8
 )
 
 // caller sends one request after the other, over connections that it keeps.
@@ -122,6 +127,10 @@
 		c.draft(&q)
 		return q
 	}
+	if s := c.runner.crashing.Load(); s != nil && c.random.IntN(percent) < crashShare {
+		c.crash(&q, s)
+		return q
+	}
 	version := int(c.runner.version.Load())
 	switch n := c.random.IntN(percent); {
 	case n < 30:
@@ -147,6 +156,19 @@
 	return q
 }
 
+// crash makes q crash the endpoints that run it: by a part of its prompt, or by its target,
+// which all such requests of the step have.
+func (c *caller) crash(q *judge.Request, s *planner.Step) {
+	q.Cause = fmt.Sprintf("crash%d", s.Draw)
+	if s.Draw%2 == 0 {
+		q.Method, q.Target, q.Body = http.MethodGet, "/book/find/"+q.Cause, ""
+		return
+	}
+	q.CauseIsPart = true
+	c.draft(q)
+	q.PromptPrefix = q.Cause + ":70," + q.PromptPrefix
+}
+
 // draft makes q ask for a resumable stream.
 func (c *caller) draft(q *judge.Request) {
 	q.Target, q.MaxAttempts = "/draft/"+q.ID, 3
@@ -248,6 +270,7 @@
 	line(formatter.Model, q.Model)
 	line(formatter.TokenCount, q.TokenCount)
 	line(formatter.PromptPrefix, q.PromptPrefix)
+	line(worker.CauseHeader, q.Cause)
 	if q.LastEvent > 0 {
 		line(formatter.LastEventID, strconv.Itoa(q.LastEvent))
 	}
--- a/internal/soak/runner/runner.go
+++ b/internal/soak/runner/runner.go
@@ -75,20 +75,22 @@
 		// Log receives the schedule as it is carried out.
 		Log io.Writer
 
-		judge      judge.Judge
-		links      disruptor.Disruptor
-		store      registrar.Registrar
-		block      int
-		guard      net.Listener
-		daemons    []*daemon
-		slotsMu    sync.Mutex
-		slots      []*slot
-		started    time.Time
-		logMu      sync.Mutex
-		version    atomic.Int64
-		releases   atomic.Int64
-		burst      atomic.Int64
-		leaving    atomic.Int64
+		judge    judge.Judge
+		links    disruptor.Disruptor
+		store    registrar.Registrar
+		block    int
+		guard    net.Listener
+		daemons  []*daemon
+		slotsMu  sync.Mutex
+		slots    []*slot
+		started  time.Time
+		logMu    sync.Mutex
+		version  atomic.Int64
+		releases atomic.Int64
+		burst    atomic.Int64
+		leaving  atomic.Int64
+		// crashing holds the step in which some requests crash endpoints; nil for none.
+		crashing   atomic.Pointer[planner.Step]
 		storeBusy  atomic.Bool
 		closing    atomic.Bool
 		rolling    atomic.Bool
--- a/internal/soak/runner/slot.go
+++ b/internal/soak/runner/slot.go
@@ -23,6 +23,8 @@
 	// expires.
 	expiryTime = 3 * 1200 * time.Millisecond
 	dialWait   = 5 * time.Second
+	// crashPause is the time from a crash by a request until the next endpoint starts.
+	crashPause = 3 * time.Second
 	// exitTime is the time in which an endpoint ends after SIGTERM.
 	exitTime = 3 * time.Second
 )
@@ -105,6 +107,7 @@
 		return err
 	}
 	s.process = p
+	go s.watch(p, s.id)
 	for deadline := time.Now().Add(dialWait); time.Now().Before(deadline); time.Sleep(readyInterval) {
 		c, err := net.Dial("tcp", addr)
 		if err == nil {
@@ -112,6 +115,9 @@
 			break
 		}
 	}
+	if err := r.links.SetDown(s.name, false); err != nil {
+		return err
+	}
 	r.judge.Disrupt(judge.Disruption{Machine: s.name})()
 	return s.putEntry(false)
 }
@@ -135,6 +141,40 @@
 	return over
 }
 
+// watch waits for the end of an endpoint's process, whose address refuses connections then. If a
+// request crashed it, another is started after crashPause.
+func (s *slot) watch(p *process, id string) {
+	<-p.done
+	s.mu.Lock()
+	if s.process == p {
+		if err := s.runner.links.SetDown(s.name, true); err != nil {
+			s.runner.violate("end of %s: %v", s.name, err)
+		}
+	}
+	s.mu.Unlock()
+	if p.ended.Load() {
+		return
+	}
+	over := s.runner.judge.Disrupt(judge.Disruption{Machine: s.name})
+	defer over()
+	time.AfterFunc(expiryTime, func() { s.runner.store.Delete(formatter.Servers, id) })
+	for time.Sleep(crashPause); !s.take(); time.Sleep(readyInterval) {
+		s.mu.Lock()
+		replaced := s.finished || s.process != p
+		s.mu.Unlock()
+		if replaced {
+			return
+		}
+	}
+	defer s.free()
+	s.mu.Lock()
+	replaced := s.process != p
+	s.mu.Unlock()
+	if !replaced {
+		s.restart("", "")
+	}
+}
+
 // replace kills the endpoint and starts another, after pause, in a pool and of a
 // release. Empty ones don't change.
 func (s *slot) replace(ctx context.Context, pause time.Duration, pool, release string) {
--- a/internal/soak/runner/steps.go
+++ b/internal/soak/runner/steps.go
@@ -273,6 +273,10 @@
 		r.burst.Add(1)
 		r.sleep(ctx, s.Length)
 		r.burst.Add(-1)
+	case planner.RequestsCrash:
+		r.crashing.Store(&s)
+		r.sleep(ctx, s.Length)
+		r.crashing.Store(nil)
 	case planner.Leave:
 		r.leaving.Add(1)
 		r.sleep(ctx, s.Length)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -60,6 +60,10 @@
 // server.
 const crashDelay = 20 * time.Millisecond
 
+// CauseHeader is the header of requests that crash the servers that run them; its value tells
+// such requests apart.
+const CauseHeader = "X-Cause"
+
 // endlessPart is the number of bytes that an endless answer sends at a time.
 const endlessPart = 8 << 10
 
