Log when a daemon takes its link to all endpoints for lost

A refusal for want of an endpoint did not tell unreachable endpoints from full or paused ones, and nothing told that a daemon reaches none, so the hypotheses on daemons that serve nobody could not be told apart. A dial that fails now starts a check of up to three others, shared for half a second; its result is logged and counted, and decides nothing.

--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -24,6 +24,8 @@
 	EventResumeDelayed     = "resume_delayed"
 	EventEscalated         = "escalated"
 	EventEscalationSkipped = "kept"
+	EventLinkLost          = "link_lost"
+	EventLinkRegained      = "link_regained"
 	EventEndpointReached   = "endpoint_reached"
 	EventEndpointLeaving   = "endpoint_leaving"
 	EventPaused            = "paused"
@@ -86,7 +88,7 @@
 	{EventReadiness, "ready, leaving, fresh, age", "the result of the readiness check changed; time since the source last confirmed the routing table"},
 	{EventSent, "id, route, endpoint, centre, release, model, attempt, running, delay, cold, left, table, age", "a request is sent to an endpoint; the values behind the choice"},
 	{EventServed, "id, session, route, endpoint, status, sends, attempts, step, confidence, first, late, took", "a request was answered; time to the start of the answer, and whether that exceeded the route's objective"},
-	{EventRefused, "id, route, reason, run, sends, took, table, age, retry, error", "a request was refused or failed"},
+	{EventRefused, "id, route, reason, run, sends, took, table, age, retry, endpoints, unreachable, link_lost, error", "a request was refused or failed; if no endpoint is left, the endpoints that it may go to, those of them that cannot be dialled, and whether none at all can"},
 	{EventBroken, "id, route, last, sends, took, error", "an answer was aborted after a part of it had been passed on; the last event passed on"},
 	{EventCallerLeft, "id, route, sends, took", "the caller disconnected before the end of the answer"},
 	{EventSendFailed, "id, endpoint, kind, quiet, error", "an endpoint did not run a request or failed it; how long it had sent nothing to this daemon"},
@@ -97,6 +99,8 @@
 	{EventResumeDelayed, "id, last, sends, left, error", "no endpoint takes up a stream that broke; the daemon waits for one"},
 	{EventEscalated, "id, route, confidence, from, to", "the confidence of an answer was too low, so a larger model is tried"},
 	{EventEscalationSkipped, "id, route, reason, confidence, step, left, need", "an answer of low confidence is passed on: no_budget if the remaining retries are reserved for failures, no_time if a larger model needs more time than is left, no_endpoint if no endpoint takes a request"},
+	{EventLinkLost, "quiet", "no endpoint can be dialled: this daemon is partitioned from them, or all are lost; how long all were silent"},
+	{EventLinkRegained, "endpoint, away", "an endpoint can be dialled again after that"},
 	{EventEndpointReached, "endpoint, centre", "an endpoint that was unreachable can be reached again"},
 	{EventEndpointLeaving, "endpoint, started, heard", "an endpoint announced in an answer, here or, if heard, to another daemon, that it leaves; when its instance started"},
 	{EventPaused, "endpoint, centre, asked, length, end, bounded", "an endpoint turned a request away and asked for no others for a time; the time until this daemon tries it again, with its jitter, and whether the time asked for exceeded the bound"},
--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -46,6 +46,12 @@
 	IsolationEnded = "ended"
 )
 
+// Values of the label outcome of losses of the link to endpoints.
+const (
+	LinkLost     = "lost"
+	LinkRegained = "regained"
+)
+
 // durationBuckets are the upper bounds of all histograms in seconds. They range from
 // a short plain request to a long stream.
 var durationBuckets = []float64{.005, .01, .025, .05, .1, .2, .3, .5, 1, 2, 4, 8, 16, 30}
@@ -65,6 +71,8 @@
 	crashes    = newCounterVec("samphireturn_crashes_total", "Requests that endpoints may have been running when they crashed, by who sent them.", "source")
 	isolations = newCounterVec("samphireturn_isolations_total", "Isolations of requests and prompt parts by outcome.", "outcome")
 
+	links = newCounterVec("samphireturn_links_total", "Losses of the link to all endpoints by outcome.", "outcome")
+
 	routeLabels = &labelValues{known: make(map[string]bool)}
 )
 
@@ -154,6 +162,9 @@
 // CountLimit counts a limit that an endpoint named, by one of the Limit constants.
 func CountLimit(outcome string) { limits.WithLabelValues(outcome).Inc() }
 
+// CountLink counts a loss of the link to endpoints or its end, by one of the Link constants.
+func CountLink(outcome string) { links.WithLabelValues(outcome).Inc() }
+
 // Handler returns a handler that serves the Prometheus metrics at /metrics and the
 // expvar variables at /debug/vars.
 func Handler() http.Handler {
--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -128,6 +128,19 @@
 	return unreachable
 }
 
+// CountUnreachable returns the number of the endpoints that are marked unreachable.
+func (b *Balancer) CountUnreachable(hosts []*samphireturn.Host) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, h := range hosts {
+		if b.endpoint(h).unreachable {
+			n++
+		}
+	}
+	return n
+}
+
 // MarkReachable records that an endpoint can be reached again and forgets its
 // failures.
 func (b *Balancer) MarkReachable(h *samphireturn.Host) {
--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,12 +25,6 @@
 	// silenceThreshold is how long an endpoint that sends nothing to any request is
 	// assumed to be working; it spans dozens of the endpoint's steps.
 	silenceThreshold = time.Second
-	// maxReachProbes is the number of endpoints that are dialled to find out whether any
-	// can be reached.
-	maxReachProbes = 3
-	// linkCheckTTL is how long the result of such dials is used: a new one is due with each
-	// check of a waiting attempt.
-	linkCheckTTL = maxCheckInterval
 	// linkSettleTime is how long delayed answers may take to arrive after a link is back.
 	linkSettleTime = 100 * time.Millisecond
 )
@@ -177,9 +169,7 @@
 // linkWorks reports whether this daemon reaches any endpoint but the named one.
 func (a *attempt) linkWorks(except string) bool {
 	c := a.call
-	v := c.currentView()
-	hosts := slices.DeleteFunc(c.Stager.Hosts(v, c.pool.Name, c.request.Session, c.request.ID), func(h *samphireturn.Host) bool { return !c.mayProbe(v, h) })
-	reached := c.reachableHost(a.ctx, hosts)
+	reached := c.checkLink(a.ctx)
 	if reached != "" && reached != except {
 		// Answers that were delayed by the link arrive now.
 		return timekeeper.Sleep(a.ctx, linkSettleTime)
@@ -192,59 +182,6 @@
 	return false
 }
 
-// reachableHost returns the id of an endpoint that could be dialled just now, or "" if none
-// of up to maxReachProbes could. All attempts share one result for linkCheckTTL; while one
-// of them dials, the others get "".
-func (f *Forwarder) reachableHost(ctx context.Context, hosts []*samphireturn.Host) string {
-	f.linkMu.Lock()
-	if f.linkCheckedAt > 0 && f.Clock()-f.linkCheckedAt < linkCheckTTL {
-		defer f.linkMu.Unlock()
-		return f.reachedHost
-	}
-	if f.checkingLink {
-		defer f.linkMu.Unlock()
-		return ""
-	}
-	f.checkingLink = true
-	f.linkMu.Unlock()
-	reached := f.dialAny(ctx, hosts)
-	f.linkMu.Lock()
-	defer f.linkMu.Unlock()
-	f.checkingLink = false
-	if ctx.Err() == nil {
-		f.reachedHost, f.linkCheckedAt = reached, f.Clock()
-	}
-	return reached
-}
-
-// dialAny dials up to maxReachProbes of the endpoints at the same time and returns the id of
-// the first that accepts, or "".
-func (f *Forwarder) dialAny(ctx context.Context, hosts []*samphireturn.Host) string {
-	ctx, cancel := context.WithCancel(ctx)
-	var probes sync.WaitGroup
-	defer probes.Wait()
-	defer cancel()
-	n := min(len(hosts), maxReachProbes)
-	first := int(f.Rand() * float64(len(hosts)))
-	results := make(chan string, n)
-	for i := range n {
-		probes.Go(func() {
-			h := hosts[(first+i)%len(hosts)]
-			if f.Sender.Probe(ctx, h) != nil {
-				results <- ""
-				return
-			}
-			results <- h.ID
-		})
-	}
-	for range n {
-		if id := <-results; id != "" {
-			return id
-		}
-	}
-	return ""
-}
-
 // retryReserve is that of the request, which may have begun with this attempt.
 func (a *attempt) retryReserve() float64 {
 	if a.resumes || a.streaming.Load() {
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -101,33 +101,29 @@
 	onceIDs         recentIDs
 	readinessServer *http.Server
 	metricsServer   *http.Server
-	cancel          context.CancelFunc
-	wait            sync.WaitGroup
+	// ctx ends when the servers have shut down.
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
 	// mu guards callerServers and budgets.
 	mu sync.Mutex
 	// budgets holds the retry budgets by pool.
 	budgets map[string]*budgeter.RetryWindow
 	// lastReady is the result of the last readiness check.
 	lastReady atomic.Bool
-	// linkMu guards reachedHost, the id of an endpoint that could be dialled at
-	// linkCheckedAt; empty if none could. linkCheckedAt is zero before the first check.
-	// checkingLink is true while an attempt dials.
-	linkMu        sync.Mutex
-	reachedHost   string
-	linkCheckedAt time.Duration
-	checkingLink  bool
+	link      link
 }
 
 // Run starts the servers and background tasks and returns.
 func (f *Forwarder) Run(ctx context.Context) error {
-	ctx, f.cancel = context.WithCancel(ctx)
+	f.ctx, f.cancel = context.WithCancel(ctx)
 	f.startedAt = f.Clock()
 	f.budgets = make(map[string]*budgeter.RetryWindow)
 	f.Sender.OnAnswer = f.observeAnswer
 	f.readinessServer = &http.Server{Handler: http.HandlerFunc(f.handleReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
 	f.wait.Go(f.accept)
 	f.wait.Go(func() { f.serveListener(f.readinessServer, f.ReadinessListener) })
-	f.wait.Go(func() { f.sweep(ctx) })
+	f.wait.Go(func() { f.sweep(f.ctx) })
 	if f.MetricsListener != nil {
 		f.metricsServer = &http.Server{Handler: meter.Handler(), ReadHeaderTimeout: defaultHeaderTimeout}
 		f.wait.Go(func() { f.serveListener(f.metricsServer, f.MetricsListener) })
@@ -244,6 +240,9 @@
 			f.Balancer.Retain(v.Hosts)
 			f.Recorder.Retain(v.Hosts)
 			f.probeUnreachable(ctx, v)
+			if f.linkLost() {
+				f.startLinkCheck()
+			}
 		}
 	}
 }
@@ -312,6 +311,7 @@
 		f.wait.Go(func() {
 			if f.Sender.Probe(ctx, h) == nil {
 				f.Balancer.MarkReachable(h)
+				f.recordReached(h)
 				f.Log.Info().Str("event", logger.EventEndpointReached).Str("endpoint", h.ID).Str("centre", h.Centre).Send()
 			}
 		})
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -156,6 +156,7 @@
 			if e.Refused() {
 				c.Isolator.RecordCrash(host)
 			}
+			c.startLinkCheck()
 			// The retry has not reached any endpoint and pays for the next send.
 			c.retryPaid.Store(c.sends > 0)
 			continue
