Open streams between daemons

A link carries messages that are held whole in a queue, so an answer of an endpoint can't be passed on over it as it comes. A daemon can now open a connection of its own to another one: a request to the peer listener that switches protocols, then the handshake of links with its proofs of the fleet key. The messages of the handshake have two carriers, WebSocket and a byte stream.

--- a/internal/fleet/messenger/dialer.go
+++ b/internal/fleet/messenger/dialer.go
@@ -168,7 +168,7 @@
 	if err != nil {
 		return &Error{Op: "dial " + cmp.Or(vm.ID, vm.Peer), Kind: KindConnFailed, Err: err}
 	}
-	id, err := m.handshakeDial(handshakeCtx, c, vm.ID)
+	id, err := m.handshakeDial(handshakeCtx, webSocket{c}, vm.ID)
 	if err != nil {
 		_ = c.CloseNow()
 		return err
@@ -216,13 +216,13 @@
 	}
 	handshakeCtx, cancel := context.WithTimeout(m.ctx, m.HandshakeTimeout)
 	defer cancel()
-	id, err := m.handshakeAccept(handshakeCtx, c)
+	id, err := m.handshakeAccept(handshakeCtx, webSocket{c})
 	if err != nil {
 		_ = c.CloseNow()
 		m.reportFailure(id+" "+r.RemoteAddr, err)
 		return
 	}
-	m.serveLink(id, "", c, func() error { return sendMessage(handshakeCtx, c, &welcome{OK: true}) })
+	m.serveLink(id, "", c, func() error { return sendMessage(handshakeCtx, webSocket{c}, &welcome{OK: true}) })
 }
 
 // reportFailure counts and logs a link that was not established.
--- a/internal/fleet/messenger/handshake.go
+++ b/internal/fleet/messenger/handshake.go
@@ -7,15 +7,11 @@
 	"encoding/binary"
 	"io"
 
-	"github.com/coder/websocket"
-
 	"samphireturn/internal/fleet/encoder"
 )
 
 const (
 	nonceSize = 32
-	// maxHandshakeBytes bounds a handshake message.
-	maxHandshakeBytes = 1 << 10
 	// The labels differ so that the proof of one side cannot be replayed as the other's.
 	labelAccept = "samphireturn peer accept 1"
 	labelDial   = "samphireturn peer dial 1"
@@ -52,7 +48,7 @@
 
 // handshakeDial runs the dialler's side of the handshake with the daemon to, or with any
 // daemon of the fleet if to is empty. It returns the id that the peer proved.
-func (m *Messenger) handshakeDial(ctx context.Context, c *websocket.Conn, to string) (string, error) {
+func (m *Messenger) handshakeDial(ctx context.Context, c messageConn, to string) (string, error) {
 	h := hello{Version: encoder.Version, From: m.self.ID, To: to, Nonce: make([]byte, nonceSize)}
 	if _, err := io.ReadFull(m.Nonces, h.Nonce); err != nil {
 		return to, &Error{Op: "draw nonce", Kind: KindConnFailed, Err: err}
@@ -93,7 +89,7 @@
 
 // handshakeAccept runs the acceptor's side of the handshake and returns the id that the
 // peer proved.
-func (m *Messenger) handshakeAccept(ctx context.Context, c *websocket.Conn) (string, error) {
+func (m *Messenger) handshakeAccept(ctx context.Context, c messageConn) (string, error) {
 	var h hello
 	if err := receiveMessage(ctx, c, &h); err != nil {
 		return "", err
@@ -147,29 +143,3 @@
 	}
 	return mac.Sum(nil)
 }
-
-func sendMessage(ctx context.Context, c *websocket.Conn, v any) error {
-	data, err := encoder.Marshal(v)
-	if err != nil {
-		return err
-	}
-	if err := c.Write(ctx, websocket.MessageBinary, data); err != nil {
-		return &Error{Op: "send", Kind: KindConnFailed, Err: err}
-	}
-	return nil
-}
-
-func receiveMessage(ctx context.Context, c *websocket.Conn, v any) error {
-	c.SetReadLimit(maxHandshakeBytes)
-	kind, data, err := c.Read(ctx)
-	if err != nil {
-		return &Error{Op: "receive", Kind: KindConnFailed, Err: err}
-	}
-	if kind != websocket.MessageBinary {
-		return &Error{Op: "receive", Kind: KindInvalidMessage}
-	}
-	if err := encoder.Unmarshal(data, v); err != nil {
-		return &Error{Op: "receive", Kind: KindInvalidMessage, Err: err}
-	}
-	return nil
-}
--- a/internal/fleet/messenger/messenger.go
+++ b/internal/fleet/messenger/messenger.go
@@ -123,6 +123,7 @@
 		relayPool  pond.Pool
 		lastCallID atomic.Uint64
 		wg         sync.WaitGroup
+		streams    *streamListener
 
 		mu      sync.Mutex
 		closed  bool
@@ -169,6 +170,7 @@
 		dialers:          make(map[string]*dialer),
 		ctx:              ctx,
 		cancel:           cancel,
+		streams:          &streamListener{queue: make(chan net.Conn), done: make(chan struct{}), addr: peerName(self.Peer)},
 	}
 }
 
@@ -195,6 +197,7 @@
 	m.relayPool = pond.NewPool(m.MaxHandlers, pond.WithQueueSize(MaxQueuedFrames), pond.WithNonBlocking(true))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /peer", m.servePeer)
+	mux.HandleFunc("GET "+streamPath, m.serveStream)
 	m.server = &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: HeaderTimeout,
@@ -219,9 +222,9 @@
 	}
 	m.mu.Unlock()
 	m.cancel()
-	var err error
+	err := m.streams.Close()
 	if m.server != nil {
-		err = m.server.Close()
+		err = errors.Join(err, m.server.Close())
 	}
 	m.wg.Wait()
 	return err
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -200,12 +200,12 @@
 		conn := dialAt(c, fake, "a")
 		before := reasonCount("proof")
 		h := hello{Version: encoder.Version, From: "b", To: "a", Nonce: make([]byte, nonceSize)}
-		c.Assert(sendMessage(t.Context(), conn, &h), qt.IsNil)
+		c.Assert(sendMessage(t.Context(), webSocket{conn}, &h), qt.IsNil)
 		var ch challenge
-		c.Assert(receiveMessage(t.Context(), conn, &ch), qt.IsNil)
+		c.Assert(receiveMessage(t.Context(), webSocket{conn}, &ch), qt.IsNil)
 		// The acceptor's own proof, replayed to it, must be refused too.
-		c.Assert(sendMessage(t.Context(), conn, &response{Proof: ch.Proof}), qt.IsNil)
-		c.Assert(receiveMessage(t.Context(), conn, &welcome{}), qt.IsNotNil)
+		c.Assert(sendMessage(t.Context(), webSocket{conn}, &response{Proof: ch.Proof}), qt.IsNil)
+		c.Assert(receiveMessage(t.Context(), webSocket{conn}, &welcome{}), qt.IsNotNil)
 		c.Assert(all[0].Connected(), qt.HasLen, 0)
 		c.Assert(reasonCount("proof"), qt.Not(qt.Equals), before)
 		_ = conn.CloseNow()
