Leave streams at endpoints that fall silent for a second

Streams of a sound endpoint that sends nothing for one and a half seconds and goes on were resumed elsewhere while it worked on: in TestFaultSilentServer four of twelve streams ran twice.

Cause: an endpoint that was silent for a second and then did not accept a connection for 0.4 s was taken for lost, and one that was silent for three quarters of a route's pause even without a dial. Change: the dial is due after 1.6 s of silence, and an endpoint that accepts connections keeps its streams for 2.5 s, the time in which unacknowledged bytes fail a connection. That time decides for keep-alive probes too, whatever their count; it was right, and TestDialOptions now states it.

--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -24,8 +24,12 @@
 	// long prompt.
 	silentDelayFactor = 2
 	// silenceThreshold is how long an endpoint that sends nothing to any request is
-	// assumed to be working; it spans dozens of the endpoint's steps.
-	silenceThreshold = time.Second
+	// assumed to be working. Sound endpoints fall silent for a second or so; with the dial that
+	// follows, nearly two seconds pass.
+	silenceThreshold = 1600 * time.Millisecond
+	// maxSilence is how long a stream that has begun stays at a silent endpoint that accepts
+	// connections.
+	maxSilence = sender.UnackedTimeout
 	// linkSettleTime is how long delayed answers may take to arrive after a link is back.
 	linkSettleTime = 100 * time.Millisecond
 )
@@ -158,7 +162,7 @@
 		return a.peerLost()
 	}
 	begun := a.resumes || a.streaming.Load()
-	if a.overdue(waited) {
+	if a.overdue(waited) && (!begun || waited >= maxSilence) {
 		return !begun || c.Balancer.AllSilentFor() < silenceThreshold || a.mayGoOn("")
 	}
 	if !c.mayProbe(c.Control.Snapshot().View, a.host) {
--- a/internal/forward/sender/sender.go
+++ b/internal/forward/sender/sender.go
@@ -44,7 +44,8 @@
 	// takes a few milliseconds. TCP retransmits a lost SYN only after a second, so
 	// another endpoint is tried earlier.
 	DialTimeout = 400 * time.Millisecond
-	// UnackedTimeout is how long written bytes may stay unacknowledged.
+	// UnackedTimeout is how long written bytes and keep-alive probes may stay unacknowledged
+	// before a connection fails. A sound endpoint may be silent for a second or so.
 	UnackedTimeout = 2500 * time.Millisecond
 	// idleReuseShare is the share of the endpoint's idle timeout in which a connection
 	// is reused; the rest covers clock differences and network delay.
@@ -71,6 +72,8 @@
 	opened   = expvar.NewInt("sender_opened")
 	reused   = expvar.NewInt("sender_reused")
 
+	// keepAlive finds idle connections to a host that is lost. UnackedTimeout also decides when
+	// its probes give up, whatever Count.
 	keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 )
 
--- a/internal/forward/sender/sender_test.go
+++ b/internal/forward/sender/sender_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 
 	"samphireturn"
 	"samphireturn/internal/forward/sender"
@@ -217,3 +218,30 @@
 		})
 	}
 }
+
+// TestDialOptions checks what decides when a connection to a lost host fails: bytes and probes
+// that are not acknowledged for UnackedTimeout. A probe is due before that, and a second of
+// silence is no loss.
+func TestDialOptions(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	conn, err := sender.DialTCP(context.Background(), "tcp", ln.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	c.Assert(err, qt.IsNil)
+	options := make(map[int]int)
+	c.Assert(raw.Control(func(fd uintptr) {
+		for _, option := range []int{unix.TCP_USER_TIMEOUT, unix.TCP_KEEPIDLE, unix.TCP_KEEPINTVL} {
+			value, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
+			c.Check(err, qt.IsNil)
+			options[option] = value
+		}
+	}), qt.IsNil)
+	c.Check(options[unix.TCP_USER_TIMEOUT], qt.Equals, int(sender.UnackedTimeout.Milliseconds()))
+	c.Check(sender.UnackedTimeout >= 2*time.Second, qt.IsTrue)
+	probed := time.Duration(options[unix.TCP_KEEPIDLE]+options[unix.TCP_KEEPINTVL]) * time.Second
+	c.Check(probed <= sender.UnackedTimeout, qt.IsTrue)
+}
--- a/internal/standin/connector/connector.go
+++ b/internal/standin/connector/connector.go
@@ -26,7 +26,9 @@
 	refused     func(from, to string) bool
 	blackholed  func(from, to string) bool
 	stalled     func(from, to string) bool
-	slowDials   func(from, to string) bool
+	// dialsPass is true if a stall does not hold up the opening of connections.
+	dialsPass bool
+	slowDials func(from, to string) bool
 	// down holds the addresses set by SetDown.
 	down      map[string]bool
 	dialDelay time.Duration
@@ -90,7 +92,7 @@
 		if l == nil || refuse {
 			return nil, errors.Wrapf(ErrRefused, "dial %s", to)
 		}
-		if err := n.waitStall(from, to, ctx.Done()); err != nil {
+		if err := n.waitDialStall(from, to, ctx.Done()); err != nil {
 			return nil, errors.Wrap(ctx.Err(), "dial "+to)
 		}
 		if err := n.waitDialDelay(ctx, from, to); err != nil {
@@ -178,9 +180,15 @@
 // Stall delays the data of connections that match, in both directions, and the opening of
 // new ones until the next call of Stall, as on a link that is full. Nothing is lost. A nil
 // match ends the stall.
-func (n *Network) Stall(match func(from, to string) bool) {
+func (n *Network) Stall(match func(from, to string) bool) { n.stall(match, false) }
+
+// StallOpen is Stall, but new connections are opened at once.
+func (n *Network) StallOpen(match func(from, to string) bool) { n.stall(match, true) }
+
+func (n *Network) stall(match func(from, to string) bool, dialsPass bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.dialsPass = dialsPass
 	if n.stallEnded != nil {
 		close(n.stallEnded)
 		n.stallEnded = nil
@@ -216,6 +224,17 @@
 	}
 }
 
+// waitDialStall waits until connections may be opened.
+func (n *Network) waitDialStall(from, to string, done <-chan struct{}) error {
+	n.mu.Lock()
+	pass := n.dialsPass
+	n.mu.Unlock()
+	if pass {
+		return nil
+	}
+	return n.waitStall(from, to, done)
+}
+
 // waitStall waits until a connection is not stalled. It returns net.ErrClosed if done is
 // closed before.
 func (n *Network) waitStall(from, to string, done <-chan struct{}) error {
