Keep to shares of endpoints that end when they turn requests away

Cause: Server-Brittle was not read. Full endpoints were offered requests by all daemons at once, and what one turned away was offered to the next.

A value that is no number is logged and changes nothing. The state ends with the first answer that lacks the header.

--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -35,6 +35,9 @@
 	EventPaused            = "paused"
 	EventPauseIgnored      = "pause_ignored"
 	EventPauseOver         = "pause_over"
+	EventBrittle           = "brittle"
+	EventBrittleIgnored    = "brittle_ignored"
+	EventBrittleOver       = "brittle_over"
 	EventLimited           = "limited"
 	EventLimitIgnored      = "limit_ignored"
 	EventLimitOver         = "limit_over"
@@ -115,6 +118,9 @@
 	{EventPaused, "endpoint, centre, asked, length, end, bounded", "an endpoint turned a request away and asked for no others for a time; the time until this daemon tries it again, with its jitter, and whether the time asked for exceeded the bound"},
 	{EventPauseIgnored, "endpoint, value", "an endpoint asked for a pause by a value that is no time in seconds"},
 	{EventPauseOver, "endpoint, centre", "an endpoint ran a request after its pause, so all requests may go there again"},
+	{EventBrittle, "endpoint, centre, rejections, before", "an endpoint said that it ends if it has to turn away more than some requests a second; what held before, negative if nothing"},
+	{EventBrittleIgnored, "endpoint, value", "an endpoint said that it is brittle by a value that is no number"},
+	{EventBrittleOver, "endpoint, centre", "an endpoint no longer says that it is brittle"},
 	{EventLimited, "endpoint, centre, rate, before, heard", "an endpoint named, here or, if heard, to another daemon, the rate in requests per second that it takes from all daemons together; the one that held before, 0 for none"},
 	{EventLimitIgnored, "endpoint, value", "an endpoint named a limit by a value that is no rate"},
 	{EventLimitOver, "endpoint, centre, heard", "an endpoint no longer names a limit, here or, if heard, to another daemon"},
--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -40,6 +40,13 @@
 	LimitIgnored = "ignored"
 )
 
+// Values of the label outcome of brittle endpoints.
+const (
+	BrittleBegun   = "begun"
+	BrittleEnded   = "ended"
+	BrittleIgnored = "ignored"
+)
+
 // Values of the label outcome of isolations.
 const (
 	IsolationBegun = "begun"
@@ -74,6 +81,7 @@
 
 	departures = newCounterVec("samphireturn_departures_total", "Endpoints that announced in an answer that they leave, by who received it.", "source")
 	pauses     = newCounterVec("samphireturn_pauses_total", "Pauses that endpoints asked for by outcome.", "outcome")
+	brittle    = newCounterVec("samphireturn_brittle_total", "Endpoints that said that they end if they turn away too many requests, by outcome.", "outcome")
 	limits     = newCounterVec("samphireturn_limits_total", "Limits of the rate of requests that endpoints named, by outcome.", "outcome")
 	crashes    = newCounterVec("samphireturn_crashes_total", "Requests that endpoints may have been running when they crashed, by who sent them.", "source")
 	isolations = newCounterVec("samphireturn_isolations_total", "Isolations of requests and prompt parts by outcome.", "outcome")
@@ -176,6 +184,10 @@
 // CountPeerAttempt counts an attempt by way of another daemon, by one of the Peer constants.
 func CountPeerAttempt(outcome string) { peerAttempts.WithLabelValues(outcome).Inc() }
 
+// CountBrittle counts an endpoint that said that it is brittle, or no longer does, by one of
+// the Brittle constants.
+func CountBrittle(outcome string) { brittle.WithLabelValues(outcome).Inc() }
+
 // Handler returns a handler that serves the Prometheus metrics at /metrics and the
 // expvar variables at /debug/vars.
 func Handler() http.Handler {
--- a/internal/fleet/sharer/limits_test.go
+++ b/internal/fleet/sharer/limits_test.go
@@ -60,8 +60,7 @@
 					}
 				}
 			}
-			_, ended := r.ObserveHead(samphireturn.ResponseMeta{HasSeal: true})
-			c.Check(ended, qt.IsTrue)
+			c.Check(r.ObserveHead(samphireturn.ResponseMeta{HasSeal: true}).Limit, qt.IsTrue)
 			r.Done()
 			// Daemons that took the one that is cut off for their aggregator choose another.
 			time.Sleep(reachTime + 3*time.Second)
--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -33,6 +33,8 @@
 		mu        sync.Mutex
 		endpoints map[string]*endpoint
 		latencies map[string]*latency
+		// brittlePools holds when an endpoint of a pool last said that it is brittle.
+		brittlePools map[string]time.Duration
 		// lastActive is when any endpoint last sent anything.
 		lastActive time.Duration
 		// local and remote are buffers of sample.
@@ -66,17 +68,18 @@
 		announcedWarmUp time.Duration
 		pause           pause
 		limit           limit
-		// started is Host.Started of the last known instance, to which the pause and the
-		// limit belong.
+		// started is Host.Started of the last known instance, to which the pause, the limit
+		// and the brittleness belong.
 		started    int64
 		sender     sender
 		limitShare limitShare
+		brittle    brittleness
 	}
 )
 
 // New returns a Balancer for the daemon with the id self in the data centre.
 func New(self, centre string, clock func() time.Duration) *Balancer {
-	return &Balancer{Self: self, Centre: centre, Clock: clock, Rand: rand.Float64, endpoints: make(map[string]*endpoint), latencies: make(map[string]*latency)}
+	return &Balancer{Self: self, Centre: centre, Clock: clock, Rand: rand.Float64, endpoints: make(map[string]*endpoint), latencies: make(map[string]*latency), brittlePools: make(map[string]time.Duration)}
 }
 
 // RecordActivity records that an endpoint sent something.
@@ -204,6 +207,7 @@
 		e.started = h.Started
 		e.pause.until, e.pause.onTrial = 0, false
 		e.limit = limit{}
+		e.brittle = brittleness{}
 	}
 	if h.WarmUpLeft > 0 && e.announcedWarmUp != h.WarmUpLeft {
 		e.announcedWarmUp = h.WarmUpLeft
--- a/internal/forward/balancer/choice.go
+++ b/internal/forward/balancer/choice.go
@@ -125,7 +125,7 @@
 // usable reports whether this daemon may send a request to an endpoint now. The caller
 // holds mu.
 func (b *Balancer) usable(h *samphireturn.Host, e *endpoint, req *Request, now time.Duration) bool {
-	return !e.unreachable && e.pause.admits(now) && b.admits(h, e, req, now) && b.admitsByLimit(h, e, req, now)
+	return !e.unreachable && e.pause.admits(now) && b.admits(h, e, req, now) && b.admitsByLimit(h, e, req, now) && b.admitsByRoom(h, e, req, now)
 }
 
 // sample returns the endpoints that compete for a request: those that may have its
--- a/internal/forward/balancer/limit_test.go
+++ b/internal/forward/balancer/limit_test.go
@@ -164,8 +164,7 @@
 			c.Check(other.SetRemoteLimits(b.LocalLimits()), qt.HasLen, 0)
 			c.Check(other.Pick(cl.request("small", 100, "", 0)), qt.IsNotNil)
 			c.Check(other.SetRemoteLimits(b.LocalLimits()), qt.DeepEquals, []balancer.LimitChange{{ID: "h0", Rate: 1, Limited: true}})
-			_, ended := reservation.ObserveHead(test.meta)
-			c.Check(ended, qt.Equals, test.ended)
+			c.Check(reservation.ObserveHead(test.meta).Limit, qt.Equals, test.ended)
 			cl.now += time.Second
 			changes := other.SetRemoteLimits(b.LocalLimits())
 			if !test.ended {
--- a/internal/forward/balancer/reservation.go
+++ b/internal/forward/balancer/reservation.go
@@ -34,6 +34,10 @@
 	trial int
 }
 
+// Ended tells what an answer of an endpoint ended: its trial after a pause, its limit, or that it
+// is brittle.
+type Ended struct{ Trial, Limit, Brittle bool }
+
 // reserve counts a request at an endpoint. The caller holds mu.
 func (b *Balancer) reserve(h *samphireturn.Host, req *Request, now time.Duration) *Reservation {
 	e := b.endpoint(h)
@@ -63,9 +67,8 @@
 }
 
 // ObserveHead records that the head of the answer arrived, and the load that the
-// endpoint reported in it. It reports whether the answer ended the endpoint's trial after
-// a pause, and its limit.
-func (r *Reservation) ObserveHead(meta samphireturn.ResponseMeta) (trialEnded, limitEnded bool) {
+// endpoint reported in it. It returns what the answer ended.
+func (r *Reservation) ObserveHead(meta samphireturn.ResponseMeta) Ended {
 	b := r.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -76,7 +79,12 @@
 	}
 	r.clearBacklog(e)
 	b.applyReport(e, meta)
-	return accepted && e.pause.endTrial(r.sentAt), e.limit.observeHead(meta, r.sentAt, b.Clock())
+	now := b.Clock()
+	return Ended{
+		Trial:   accepted && e.pause.endTrial(r.sentAt),
+		Limit:   e.limit.observeHead(meta, r.sentAt, now),
+		Brittle: b.observeBrittle(r.Host, e, meta, r.sentAt),
+	}
 }
 
 // clearBacklog removes the request's prompt from the backlog, once. The caller
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -289,11 +289,29 @@
 		meter.CountLimit(meter.LimitIgnored)
 		f.Log.Warn().Str("event", logger.EventLimitIgnored).Str("endpoint", h.ID).Str("value", meta.MalformedLimit).Send()
 	}
+	if meta.MalformedBrittle != "" {
+		meter.CountBrittle(meter.BrittleIgnored)
+		f.Log.Warn().Str("event", logger.EventBrittleIgnored).Str("endpoint", h.ID).Str("value", meta.MalformedBrittle).Send()
+	}
+	if meta.IsBrittle && !meta.Misdirected {
+		f.brittle(h, meta.Rejections)
+	}
 	if meta.HasLimit && !meta.Misdirected {
 		f.limit(h, meta.Limit)
 	}
 }
 
+// brittle records that an endpoint ends if it has to turn away more requests.
+func (f *Forwarder) brittle(h *samphireturn.Host, rejections float64) {
+	before, changed := f.Balancer.SetBrittle(h, rejections)
+	if !changed {
+		return
+	}
+	meter.CountBrittle(meter.BrittleBegun)
+	f.Log.Info().Str("event", logger.EventBrittle).Str("endpoint", h.ID).Str("centre", h.Centre).Float64("rejections", rejections).
+		Float64("before", before).Send()
+}
+
 // limit records the rate of requests that an endpoint named.
 func (f *Forwarder) limit(h *samphireturn.Host, rate float64) {
 	before, changed := f.Balancer.SetLimit(h, rate)
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -220,8 +220,8 @@
 		return nil
 	}
 	if errors.Is(err, errNotExecuted) {
-		if c.resumeWait > 0 {
-			// Each further round asks one endpoint.
+		if c.resumeWait > 0 || c.Balancer.Brittle(host) {
+			// Each further round asks one endpoint, and the next one that is brittle is as full.
 			return c.refusal(samphireturn.ReasonNoEndpoint, busyRetryAfter, err)
 		}
 		return nil
@@ -337,14 +337,18 @@
 		meter.ObserveFirstResponse(c.route.Name, c.Clock()-c.start)
 		wait.Answer(response.Status >= http.StatusInternalServerError)
 	}
-	trialEnded, limitEnded := reservation.ObserveHead(response.Meta)
-	if trialEnded {
+	ended := reservation.ObserveHead(response.Meta)
+	if ended.Trial {
 		c.Log.Info().Str("event", logger.EventPauseOver).Str("endpoint", host.ID).Str("centre", host.Centre).Send()
 	}
-	if limitEnded {
+	if ended.Limit {
 		meter.CountLimit(meter.LimitEnded)
 		c.Log.Info().Str("event", logger.EventLimitOver).Str("endpoint", host.ID).Str("centre", host.Centre).Bool("heard", false).Send()
 	}
+	if ended.Brittle {
+		meter.CountBrittle(meter.BrittleEnded)
+		c.Log.Info().Str("event", logger.EventBrittleOver).Str("endpoint", host.ID).Str("centre", host.Centre).Send()
+	}
 	if response.Meta.NotExecuted {
 		a.answer.Cancel()
 		a.close()
--- a/internal/standin/formatter/formatter.go
+++ b/internal/standin/formatter/formatter.go
@@ -28,6 +28,7 @@
 	Load           = "Server-Load"
 	Leaving        = "Server-Leaving"
 	Limit          = "Server-Limit"
+	Brittle        = "Server-Brittle"
 	Confidence     = "Confidence"
 )
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -111,6 +111,12 @@
 	// Limit, if not nil, returns the value of the header Server-Limit of answers, "" for
 	// none.
 	Limit func() string
+	// Brittle, if not nil, returns the value of the header Server-Brittle of answers, "" for
+	// none.
+	Brittle func() string
+	// OnFull, if not nil, is called with each request that is turned away for want of room.
+	// Calls may be concurrent.
+	OnFull func()
 	// RetryAfter, if not nil, returns the value of the header Retry-After of answers with
 	// status 503, "" for none.
 	RetryAfter func() string
@@ -163,6 +169,11 @@
 			w.Header().Set(formatter.Limit, value)
 		}
 	}
+	if s.Brittle != nil {
+		if value := s.Brittle(); value != "" {
+			w.Header().Set(formatter.Brittle, value)
+		}
+	}
 	if id := h.Get(formatter.ExpectInstance); id != "" && id != s.ID {
 		run.NotExecuted = true
 		s.record(run)
@@ -195,6 +206,8 @@
 		s.writeUnavailable(w)
 		if !full {
 			s.release()
+		} else if s.OnFull != nil {
+			s.OnFull()
 		}
 		return
 	}
--- a/relay.go
+++ b/relay.go
@@ -294,6 +294,12 @@
 		Limit          float64
 		HasLimit       bool
 		MalformedLimit string
+		// Rejections is the number of requests per second that the endpoint can turn away
+		// for want of room, from all daemons together, if IsBrittle is true; with more it ends.
+		// MalformedBrittle is what it sent instead of a number, if anything.
+		Rejections       float64
+		IsBrittle        bool
+		MalformedBrittle string
 	}
 
 	// EndpointProtocol encodes requests to endpoints and decodes their answers.
