Keep the process when a message makes its handler panic

A handler of peers' messages ran on a goroutine without a recover, so one message that makes it panic ended the process, and the next retry of the peer the one after. No such message is known. The call fails now, with a log line and a count. TestHandlerPanic ended the test process before.

--- a/internal/fleet/messenger/call.go
+++ b/internal/fleet/messenger/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -203,7 +204,7 @@
 	if f.From != "" {
 		from = f.From
 	}
-	value, err := h(ctx, from, f.Body)
+	value, err := m.callHandler(ctx, h, from, f)
 	if err != nil {
 		m.sendError(l, f, err)
 		return
@@ -216,6 +217,19 @@
 	m.sendReply(l, &encoder.Frame{Kind: encoder.FrameReply, Call: f.Call, Topic: f.Topic, Body: body})
 }
 
+// callHandler calls a handler. A panic of it is an error of this call alone: what one peer
+// sends must not end the process.
+func (m *Messenger) callHandler(ctx context.Context, h samphireturn.Handler, from string, f *encoder.Frame) (value any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			reasons.Add("panic", 1)
+			m.Log.Error().Str("peer", from).Str("topic", f.Topic).Any("cause", cause).Bytes("stack", debug.Stack()).Msg("handler panicked")
+			err = &samphireturn.Error{Op: "handle " + f.Topic, Kind: samphireturn.KindUnknown}
+		}
+	}()
+	return h(ctx, from, f.Body)
+}
+
 // relay forwards a call and sends its reply back.
 func (m *Messenger) relay(ctx context.Context, l *link, f *encoder.Frame) {
 	answer, err := m.route(ctx, f)
--- a/internal/fleet/messenger/messenger_test.go
+++ b/internal/fleet/messenger/messenger_test.go
@@ -174,6 +174,40 @@
 	})
 }
 
+// TestHandlerPanic guards against a message of a peer that ends the process: the call fails, and
+// later ones are handled.
+func TestHandlerPanic(t *testing.T) {
+	tests := []struct {
+		name   string
+		inline []string
+	}{
+		{"worker", nil},
+		{"goroutine of the connection", []string{"panic"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				all := startAll(t, newNetwork(), []string{fleetKey}, vm("a", "x"), vm("b", "x"))
+				defer stopAll(all)
+				all[0].InlineTopics = test.inline
+				all[0].Handle("panic", func(context.Context, string, []byte) (any, error) {
+					var none map[string]int
+					none["x"] = 1
+					return nil, nil
+				})
+				for range 2 {
+					err := all[1].Call(context.Background(), "a", "panic", text{}, nil)
+					c.Assert(samphireturn.KindOf(err), qt.Equals, samphireturn.KindUnknown)
+				}
+				var out text
+				c.Assert(all[1].Call(context.Background(), "a", "echo", text{"1"}, &out), qt.IsNil)
+				c.Check(out.Text, qt.Equals, "a b 1")
+			})
+		})
+	}
+}
+
 // TestKeyRefused checks that daemons with different fleet keys make no link.
 func TestKeyRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
