--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -138,7 +138,7 @@
 	requestForwarder.Peers, requestForwarder.PeerListener = peers, peers.Streams()
 	requestForwarder.DialPeer = peers.DialStream
 	loadSharer := &sharer.Sharer{
-		Peers: peers, Control: k, Balancer: loadBalancer, Stager: rolloutStager, Recorder: departures, Isolator: crashIsolator, Self: b.Self, Clock: b.Clock,
+		Peers: peers, Control: k, Balancer: loadBalancer, Stager: rolloutStager, Recorder: departures, Isolator: crashIsolator, Links: requestForwarder, Self: b.Self, Clock: b.Clock,
 		Log: serviceLog(b.Log, Sharer),
 	}
 	loadSharer.Register()
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -1,5 +1,6 @@
 // Package sharer exchanges the daemons' loads, the outcomes of releases' answers, the limits
-// that endpoints named and the endpoints that announced that they leave across the fleet.
+// that endpoints named, the endpoints that announced that they leave and the daemons that reach
+// no endpoint across the fleet.
 //
 // In each data centre the first daemon in rank is the aggregator. The other daemons
 // report to it and get the sum of all others back; aggregators exchange the sums of
@@ -60,6 +61,15 @@
 		Loads   balancer.Loads  `cbor:"3,keyasint,omitempty"`
 		Tallies []stager.Tally  `cbor:"2,keyasint,omitempty"`
 		Limits  balancer.Limits `cbor:"4,keyasint,omitempty"`
+		// Unlinked holds the ids of daemons that reach no endpoint.
+		Unlinked []string `cbor:"5,keyasint,omitempty"`
+	}
+
+	// Links tells whether this daemon reaches endpoints, and takes the ids of those that do
+	// not. Its methods must not block.
+	Links interface {
+		LinkLost() bool
+		SetUnlinked(ids []string)
 	}
 
 	// Message is a report of a daemon or of a data centre, or the answer to one.
@@ -106,6 +116,7 @@
 		Stager   *stager.Stager
 		Recorder *recorder.Recorder
 		Isolator *isolator.Isolator
+		Links    Links
 		Self     samphireturn.VM
 		Log      zerolog.Logger
 		// Clock returns a time that counts suspensions too.
@@ -417,7 +428,11 @@
 
 // localReport returns this daemon's own report.
 func (s *Sharer) localReport() Report {
-	return Report{Loads: s.Balancer.LocalLoads(), Tallies: s.Stager.LocalTallies(), Limits: s.Balancer.LocalLimits()}
+	r := Report{Loads: s.Balancer.LocalLoads(), Tallies: s.Stager.LocalTallies(), Limits: s.Balancer.LocalLimits()}
+	if s.Links.LinkLost() {
+		r.Unlinked = []string{s.Self.ID}
+	}
+	return r
 }
 
 // sum returns the sum of this data centre without one daemon, and includes the other
@@ -472,6 +487,7 @@
 	s.mu.Unlock()
 	s.Balancer.SetRemoteLoads(sum.Loads)
 	s.Stager.SetRemoteTallies(sum.Tallies)
+	s.Links.SetUnlinked(sum.Unlinked)
 	s.applyLimits(sum.Limits)
 }
 
@@ -497,4 +513,5 @@
 		r.Limits = make(balancer.Limits, len(o.Limits))
 	}
 	r.Limits.Add(o.Limits, now-o.at)
+	r.Unlinked = append(r.Unlinked, o.Unlinked...)
 }
--- a/internal/fleet/sharer/sharer_test.go
+++ b/internal/fleet/sharer/sharer_test.go
@@ -51,6 +51,7 @@
 		stager   *stager.Stager
 		recorder *recorder.Recorder
 		isolator *isolator.Isolator
+		links    *links
 		sharer   *sharer.Sharer
 		view     *samphireturn.View
 	}
@@ -134,8 +135,9 @@
 	d.stager.Hosts(d.view, pool, "", "x")
 	d.recorder = recorder.New(d, clock, zerolog.Nop())
 	d.isolator = isolator.New(clock, zerolog.Nop())
+	d.links = new(links)
 	d.sharer = &sharer.Sharer{
-		Peers: d, Control: d, Balancer: balancer.New(vm.ID, vm.Centre, clock), Stager: d.stager, Recorder: d.recorder, Isolator: d.isolator, Self: vm, Clock: clock, Log: zerolog.Nop(),
+		Peers: d, Control: d, Balancer: balancer.New(vm.ID, vm.Centre, clock), Stager: d.stager, Recorder: d.recorder, Isolator: d.isolator, Links: d.links, Self: vm, Clock: clock, Log: zerolog.Nop(),
 	}
 	d.sharer.Register()
 	_ = d.sharer.Run(context.Background())
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -181,7 +181,7 @@
 // servesAny reports whether requests can be served: an endpoint can be reached, directly or
 // by way of a peer. Otherwise this daemon leaves its callers to others.
 func (f *Forwarder) servesAny(v *samphireturn.View) bool {
-	if !f.linkLost() && f.anyReachable(v) {
+	if !f.LinkLost() && f.anyReachable(v) {
 		return true
 	}
 	now := f.Clock()
@@ -265,7 +265,7 @@
 			f.Recorder.Retain(v.Hosts)
 			f.probeUnreachable(ctx, v)
 			f.sweepPeers(ctx)
-			if f.linkLost() {
+			if f.LinkLost() {
 				f.startLinkCheck()
 			}
 		}
--- a/internal/forward/forwarder/link.go
+++ b/internal/forward/forwarder/link.go
@@ -33,8 +33,8 @@
 	lostAt time.Duration
 }
 
-// linkLost reports whether new connections to endpoints fail, whichever it is.
-func (f *Forwarder) linkLost() bool {
+// LinkLost reports whether new connections to endpoints fail, whichever it is.
+func (f *Forwarder) LinkLost() bool {
 	f.link.mu.Lock()
 	defer f.link.mu.Unlock()
 	return f.link.lostAt > 0
--- a/internal/forward/forwarder/peer.go
+++ b/internal/forward/forwarder/peer.go
@@ -97,6 +97,8 @@
 		hosts   []*samphireturn.Host
 		// left holds the daemons that are no longer members but may still serve, by id.
 		left map[string]formerPeer
+		// unlinked holds the ids of daemons that say that they reach no endpoint.
+		unlinked map[string]bool
 		// avoidUntil holds until when a peer is not asked for attempts to a pool.
 		avoidUntil map[peerPool]time.Duration
 		// servedAt and failedAt are when a peer last answered for an endpoint and when it did
@@ -210,7 +212,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, h := range p.hosts {
-		if now >= p.avoidUntil[peerPool{h.ID, pool}] {
+		if now >= p.avoidUntil[peerPool{h.ID, pool}] && !p.unlinked[h.ID] {
 			members = append(members, h)
 		}
 	}
@@ -222,6 +224,16 @@
 	return members, left
 }
 
+// SetUnlinked takes the ids of the daemons that reach no endpoint, as these say.
+func (f *Forwarder) SetUnlinked(ids []string) {
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	f.peers.unlinked = make(map[string]bool, len(ids))
+	for _, id := range ids {
+		f.peers.unlinked[id] = true
+	}
+}
+
 // avoid keeps attempts to a pool from a peer for avoidTime.
 func (p *peers) avoid(peer, pool string, now time.Duration) {
 	p.mu.Lock()
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -180,7 +180,7 @@
 // pickTarget reserves the endpoint of the next attempt or, if none can be dialled, the peer
 // that makes it. It returns nil if there is neither.
 func (c *proxyCall) pickTarget() (reservation *balancer.Reservation, byPeer bool) {
-	if c.linkLost() {
+	if c.LinkLost() {
 		if reservation := c.pickPeer(); reservation != nil {
 			return reservation, true
 		}
@@ -411,7 +411,7 @@
 // endpoint crashed.
 func (c *proxyCall) answerLost(h *samphireturn.Host, stage string, err error) {
 	c.logLostAnswer(h.ID, stage, err)
-	if c.mayProbe(c.view, h) && !c.linkLost() {
+	if c.mayProbe(c.view, h) && !c.LinkLost() {
 		c.checkCrash(h, false)
 	}
 }
--- a/internal/forward/forwarder/refuse.go
+++ b/internal/forward/forwarder/refuse.go
@@ -91,7 +91,7 @@
 		line = line.Int64("table", c.view.Table.Version)
 	}
 	if refusal.Reason == samphireturn.ReasonNoEndpoint {
-		line = line.Int("endpoints", len(c.pickRequest.Hosts)).Int("unreachable", c.Balancer.CountUnreachable(c.pickRequest.Hosts)).Bool("link_lost", c.linkLost())
+		line = line.Int("endpoints", len(c.pickRequest.Hosts)).Int("unreachable", c.Balancer.CountUnreachable(c.pickRequest.Hosts)).Bool("link_lost", c.LinkLost())
 	}
 	line.Err(refusal.Err).Send()
 	c.CallerProtocol.WriteError(c.w, c.request, refusal)
