Start no background tasks once the forwarder waits for them

Requests that outlast the shutdown may begin a check of the link or of a crash while Close waits for the tasks that are counted, which a WaitGroup does not allow.

--- a/internal/forward/forwarder/crash.go
+++ b/internal/forward/forwarder/crash.go
@@ -101,7 +101,7 @@
 	if !f.Isolator.StartCheck(h) {
 		return
 	}
-	f.wait.Go(func() {
+	f.background(func() {
 		if !refused {
 			err := f.Sender.Probe(f.ctx, h)
 			if refused = err != nil && sender.AsError(err).Refused(); refused {
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -116,8 +116,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
-	// mu guards callerServers and budgets.
+	// mu guards callerServers, budgets and closed.
 	mu sync.Mutex
+	// closed is true once Close waits for background tasks.
+	closed bool
 	// budgets holds the retry budgets by pool.
 	budgets map[string]*budgeter.RetryWindow
 	// lastReady is the result of the last readiness check.
@@ -168,10 +170,23 @@
 		_ = f.metricsServer.Close()
 	}
 	f.cancel()
+	f.mu.Lock()
+	f.closed = true
+	f.mu.Unlock()
 	f.wait.Wait()
 	return errors.Join(err, f.Sender.Close(), f.peers.sender.Close())
 }
 
+// background runs a task for which Close waits. It does nothing once Close waits: requests may
+// outlast the shutdown.
+func (f *Forwarder) background(task func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.closed {
+		f.wait.Go(task)
+	}
+}
+
 // Ready reports whether this daemon should receive new connections.
 func (f *Forwarder) Ready() bool {
 	v := f.Control.Snapshot().View
--- a/internal/forward/forwarder/link.go
+++ b/internal/forward/forwarder/link.go
@@ -112,7 +112,7 @@
 
 // startLinkCheck checks the link in the background, since a dial to an endpoint failed.
 func (f *Forwarder) startLinkCheck() {
-	f.wait.Go(func() { f.checkLink(f.ctx) })
+	f.background(func() { f.checkLink(f.ctx) })
 }
 
 // drawHosts returns up to n endpoints that may be dialled, drawn at random from all pools,
