--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -181,6 +181,9 @@
 // that makes it. It returns nil if there is neither.
 func (c *proxyCall) pickTarget() (reservation *balancer.Reservation, byPeer bool) {
 	if c.LinkLost() {
+		if c.forPeer != nil {
+			return nil, false
+		}
 		if reservation := c.pickPeer(); reservation != nil {
 			return reservation, true
 		}
