Read nothing of a request in the checks that run beside it

The check whether a stream may go on at a peer read the peers that its request excludes, while the request may add to them: two goroutines on one map, which ends the process. Found by reading; the race detector had not met it in a run of the tests. A stream that goes on for a peer is given up if this daemon loses its link, as the daemon that asked for it may go on elsewhere.

--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -189,7 +189,8 @@
 }
 
 // mayGoOn reports whether a stream that has begun may go on elsewhere: this daemon reaches
-// any endpoint but the named one, or a peer.
+// any endpoint but the named one, or a peer, or the daemon that asked for the attempt does. It
+// runs beside the request and reads nothing that changes with it.
 func (a *attempt) mayGoOn(except string) bool {
 	c := a.call
 	reached := c.checkLink(a.ctx)
@@ -197,7 +198,7 @@
 		// Answers that were delayed by the link arrive now.
 		return timekeeper.Sleep(a.ctx, linkSettleTime)
 	}
-	if reached == "" && a.call.anyPeer(a.ctx) {
+	if reached == "" && (c.forPeer != nil || c.anyPeer(a.ctx, c.pool.Name)) {
 		return true
 	}
 	if a.ctx.Err() == nil && !a.kept {
--- a/internal/forward/forwarder/peer.go
+++ b/internal/forward/forwarder/peer.go
@@ -122,14 +122,16 @@
 	return !slices.ContainsFunc(c.pickRequest.Hosts, func(h *samphireturn.Host) bool { return !c.undialled[h.ID] && c.Balancer.Reaches(h) })
 }
 
-// anyPeer reports whether a daemon may be asked for an attempt and accepts a connection.
-func (c *proxyCall) anyPeer(ctx context.Context) bool {
-	reservation := c.pickPeer()
+// anyPeer reports whether a daemon may be asked for an attempt to a pool and accepts a
+// connection.
+func (f *Forwarder) anyPeer(ctx context.Context, pool string) bool {
+	members, left := f.peers.candidates(pool, f.Clock())
+	reservation := f.peers.balancer.Pick(&balancer.Request{Pool: &samphireturn.Pool{}, Hosts: slices.Concat(members, left)})
 	if reservation == nil {
 		return false
 	}
 	defer reservation.Done()
-	return c.peers.sender.Probe(ctx, reservation.Host) == nil
+	return f.peers.sender.Probe(ctx, reservation.Host) == nil
 }
 
 // tryPeer asks a peer for one attempt and reads the head of the endpoint's answer.
