--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -142,7 +142,7 @@
 		Log: serviceLog(b.Log, Sharer),
 	}
 	loadSharer.Register()
-	requestForwarder.RegisterProbes()
+	requestForwarder.Register()
 	services := []struct {
 		name string
 		kernel.Service
--- a/internal/forward/forwarder/crash.go
+++ b/internal/forward/forwarder/crash.go
@@ -55,9 +55,12 @@
 	}
 )
 
-// RegisterProbes registers the handler of peers' questions. It must be called before the peers
-// run.
-func (f *Forwarder) RegisterProbes() { f.Peers.Handle(probeTopic, f.handleProbe) }
+// Register registers the handler of peers' questions. It must be called once the exported
+// fields are set, before the peers run.
+func (f *Forwarder) Register() {
+	f.initPeers()
+	f.Peers.Handle(probeTopic, f.handleProbe)
+}
 
 // handleProbe answers whether an endpoint accepts connections from this daemon.
 func (f *Forwarder) handleProbe(ctx context.Context, _ string, body []byte) (any, error) {
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -52,7 +52,7 @@
 )
 
 // Forwarder is the service that forwards requests. Set the exported fields before
-// Run.
+// Register and Run.
 type Forwarder struct {
 	// Listener accepts callers and ReadinessListener readiness checks.
 	// MetricsListener, which may be nil, serves counters and histograms.
@@ -133,7 +133,6 @@
 	f.startedAt = f.Clock()
 	f.budgets = make(map[string]*budgeter.RetryWindow)
 	f.Sender.OnAnswer = f.observeAnswer
-	f.initPeers()
 	f.peerServer = &http.Server{Handler: http.HandlerFunc(f.servePeer), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	f.readinessServer = &http.Server{Handler: http.HandlerFunc(f.handleReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
 	f.wait.Go(f.accept)
