Leave time for another endpoint when a stream does not begin

The limit was nine tenths of the objective of 4 s, and was checked at intervals of half a second, so that it ended at 4.0 s.

The check is now due when the limit is, and the limit leaves twice the typical delay of the next attempt, and of the larger model that may follow, until the objective. It is no shorter than half of the objective, and than twice the delay expected at the endpoint. Ruled out: endpoints that are silent to all requests (they are found after 1.6 s), and slow prompts (those that were served there began within 4 s).

TestFaultMuteServer failed before: 4.01 s, 4.3 s and 4.9 s of 4 s allowed.

--- a/internal/forward/balancer/latency.go
+++ b/internal/forward/balancer/latency.go
@@ -96,6 +96,14 @@
 	return b.latency(class).complete
 }
 
+// HeadTime returns the average time to the head of an answer of a latency class, or 0
+// before the first.
+func (b *Balancer) HeadTime(class string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.latency(class).head
+}
+
 // latency returns the estimates for a latency class. The caller holds mu.
 func (b *Balancer) latency(class string) *latency {
 	lat := b.latencies[class]
--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -39,6 +39,14 @@
 	// total is the longest wait, silent the longest wait at an endpoint that sends
 	// nothing to any request meanwhile; 0 means no limit.
 	total, silent time.Duration
+	// maxTotal is the longest wait at an endpoint that is expected to need long; 0 if total
+	// holds at any endpoint.
+	maxTotal time.Duration
+}
+
+// totalAt returns the longest wait at an endpoint that is expected to answer after delay.
+func (l waitLimits) totalAt(delay time.Duration) time.Duration {
+	return max(l.total, min(silentDelayFactor*delay, l.maxTotal))
 }
 
 // attempt is one attempt to run a request at an endpoint.
@@ -78,7 +86,7 @@
 // startWatchdog starts the progress checks of an attempt, if the request may be
 // retried at another endpoint.
 func (a *attempt) startWatchdog(limits waitLimits) {
-	a.maxWait.Store(int64(limits.total))
+	a.maxWait.Store(int64(limits.totalAt(a.reservation.EstimatedDelay)))
 	a.maxSilentWait = limits.silent
 	if a.maxSilentWait > 0 {
 		a.maxSilentWait = max(a.maxSilentWait, silentDelayFactor*a.reservation.EstimatedDelay, silentDelayFactor*a.reservation.TypicalDelay)
@@ -95,14 +103,26 @@
 
 // nextCheck returns the time until the next progress check after a wait.
 func (a *attempt) nextCheck(waited time.Duration) time.Duration {
-	maxWait := time.Duration(a.maxWait.Load())
-	if a.maxSilentWait > waited && !a.streaming.Load() {
-		maxWait = a.maxSilentWait
+	if maxWait := time.Duration(a.maxWait.Load()); a.streaming.Load() && maxWait > 0 && waited >= maxWait {
+		return minCheckInterval
 	}
-	if maxWait <= 0 {
-		return maxCheckInterval
+	return a.untilLimit(waited)
+}
+
+// untilLimit returns the time until the next limit of the wait is reached, at most
+// maxCheckInterval.
+func (a *attempt) untilLimit(waited time.Duration) time.Duration {
+	limits := [2]time.Duration{time.Duration(a.maxWait.Load())}
+	if !a.streaming.Load() {
+		limits[1] = a.maxSilentWait
+	}
+	next := maxCheckInterval
+	for _, limit := range limits {
+		if limit > waited {
+			next = min(next, max(limit-waited, minCheckInterval))
+		}
 	}
-	return min(max(maxWait-waited, minCheckInterval), maxCheckInterval)
+	return next
 }
 
 // checkProgress cancels an attempt that makes no progress, if the request can go on
@@ -126,7 +146,7 @@
 			a.cancel(errStalled)
 			return
 		}
-		wait = maxCheckInterval
+		wait = a.untilLimit(waited)
 	}
 	a.timer.Reset(wait)
 }
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -15,9 +15,13 @@
 )
 
 const (
-	// firstEventShare is the share of a stream's objective after which the request
-	// is retried at another endpoint if no event came.
-	firstEventShare = 0.9
+	// firstEventShare and minFirstEventShare are the longest and the shortest wait for the
+	// first event of a stream, as shares of its objective, before the request is retried at
+	// another endpoint.
+	firstEventShare, minFirstEventShare = 0.9, 0.5
+	// retryTimeFactor is how many times its typical delay the next endpoint gets to begin its
+	// answer within the objective.
+	retryTimeFactor = 2
 	// silentShare is the share of the remaining time that a silent endpoint gets.
 	silentShare = 0.45
 	// eventGapShare is the share of the route's MaxEventGap after which a stream is
@@ -191,18 +195,45 @@
 	if !c.mayRetryAfterThis() || c.route.Objective <= 0 {
 		return waitLimits{}
 	}
+	longest := share(firstEventShare, c.route.Objective)
 	return waitLimits{
-		total:  time.Duration(firstEventShare * float64(c.route.Objective)),
-		silent: time.Duration(silentShare * float64(c.remaining())),
+		total:    firstEventWait(c.route.Objective, c.Clock()-c.start, c.typicalDelay()),
+		silent:   share(silentShare, c.remaining()),
+		maxTotal: longest,
 	}
 }
 
+// firstEventWait returns how long a request that is elapsed old waits for its first event, so
+// that the next endpoint can still begin its answer within the objective if it needs as long
+// as is typical. A request that is late already has nothing to gain from an early retry.
+func firstEventWait(objective, elapsed, typical time.Duration) time.Duration {
+	longest := share(firstEventShare, objective)
+	left := objective - elapsed
+	if left <= 0 {
+		return longest
+	}
+	return min(max(left-retryTimeFactor*typical, share(minFirstEventShare, objective)), longest)
+}
+
+// typicalDelay returns the typical time to the first event, with that of the next model if the
+// answer may be escalated to it; 0 while it is unknown.
+func (c *proxyCall) typicalDelay() time.Duration {
+	typical := c.Balancer.HeadTime(c.latencyClass())
+	if next := c.step + 1; next < len(c.route.Steps) {
+		typical += c.Balancer.HeadTime(c.latencyClassAt(len(c.route.Steps) - 1))
+	}
+	return typical
+}
+
+// share returns a share of a duration.
+func share(part float64, of time.Duration) time.Duration { return time.Duration(part * float64(of)) }
+
 // maxEventWait returns the longest wait for the next event, or 0 for no limit.
 func (c *proxyCall) maxEventWait() time.Duration {
 	if !c.mayRetry() || c.route.MaxEventGap <= 0 {
 		return 0
 	}
-	return time.Duration(eventGapShare * float64(c.route.MaxEventGap))
+	return share(eventGapShare, c.route.MaxEventGap)
 }
 
 // copyEvents forwards complete events as they come until the stream ends.
