Use the load and pace that endpoints report

Endpoints report how long work takes at the moment as a fourth figure of Server-Load, which made the adapter ignore the whole header. Four figures now set the load, and the pace multiplies the estimated delay and the cost of occupied slots. The pace is a decayed mean of the reports to all daemons, which exchange sums in a new optional field of their reports.

--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -38,6 +38,7 @@
 	EventBrittle           = "brittle"
 	EventBrittleIgnored    = "brittle_ignored"
 	EventBrittleOver       = "brittle_over"
+	EventLoadIgnored       = "load_ignored"
 	EventLimited           = "limited"
 	EventLimitIgnored      = "limit_ignored"
 	EventLimitOver         = "limit_over"
@@ -94,7 +95,7 @@
 	{EventListenerFailed, "error", "a listener failed"},
 	{EventLinesLeftOut, "lines", "log lines were dropped: the rate limit was reached, the queue was full or a write failed"},
 	{EventReadiness, "ready, leaving, fresh, age", "the result of the readiness check changed; time since the source last confirmed the routing table"},
-	{EventSent, "id, route, endpoint, centre, release, model, for_peer, attempt, running, delay, cold, left, table, age", "a request is sent to an endpoint, for a peer that reaches none if for_peer is true; the values behind the choice"},
+	{EventSent, "id, route, endpoint, centre, release, model, for_peer, attempt, running, delay, pace, cold, left, table, age", "a request is sent to an endpoint, for a peer that reaches none if for_peer is true; the values behind the choice"},
 	{EventSentToPeer, "id, route, peer, centre, attempt, left", "no endpoint can be dialled, so a peer is asked for the attempt"},
 	{EventPeerFailed, "id, peer, reason, run, unreachable, error", "a peer that was asked for an attempt refused it, or was lost; whether an endpoint may have run the request, and whether the peer reaches none either"},
 	{EventForPeerRefused, "id, route, reason, run, sends, error", "an attempt that a peer asked for was refused or failed"},
@@ -121,6 +122,7 @@
 	{EventBrittle, "endpoint, centre, rejections, before", "an endpoint said that it ends if it has to turn away more than some requests a second; what held before, negative if nothing"},
 	{EventBrittleIgnored, "endpoint, value", "an endpoint said that it is brittle by a value that is no number"},
 	{EventBrittleOver, "endpoint, centre", "an endpoint no longer says that it is brittle"},
+	{EventLoadIgnored, "endpoint, value", "an endpoint reported its load by a value that is not three or four figures; the last valid ones stay in use"},
 	{EventLimited, "endpoint, centre, rate, before, heard", "an endpoint named, here or, if heard, to another daemon, the rate in requests per second that it takes from all daemons together; the one that held before, 0 for none"},
 	{EventLimitIgnored, "endpoint, value", "an endpoint named a limit by a value that is no rate"},
 	{EventLimitOver, "endpoint, centre, heard", "an endpoint no longer names a limit, here or, if heard, to another daemon"},
--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -79,12 +79,14 @@
 	eventGaps      = newHistogramVec("samphireturn_pause_seconds", "Pauses between events.", "route")
 	sourceCalls    = newHistogramVec("samphireturn_source_seconds", "Calls to the source of tables, endpoints and members.", "topic", "outcome")
 
-	departures = newCounterVec("samphireturn_departures_total", "Endpoints that announced in an answer that they leave, by who received it.", "source")
-	pauses     = newCounterVec("samphireturn_pauses_total", "Pauses that endpoints asked for by outcome.", "outcome")
-	brittle    = newCounterVec("samphireturn_brittle_total", "Endpoints that said that they end if they turn away too many requests, by outcome.", "outcome")
-	limits     = newCounterVec("samphireturn_limits_total", "Limits of the rate of requests that endpoints named, by outcome.", "outcome")
-	crashes    = newCounterVec("samphireturn_crashes_total", "Requests that endpoints may have been running when they crashed, by who sent them.", "source")
-	isolations = newCounterVec("samphireturn_isolations_total", "Isolations of requests and prompt parts by outcome.", "outcome")
+	departures   = newCounterVec("samphireturn_departures_total", "Endpoints that announced in an answer that they leave, by who received it.", "source")
+	pauses       = newCounterVec("samphireturn_pauses_total", "Pauses that endpoints asked for by outcome.", "outcome")
+	brittle      = newCounterVec("samphireturn_brittle_total", "Endpoints that said that they end if they turn away too many requests, by outcome.", "outcome")
+	limits       = newCounterVec("samphireturn_limits_total", "Limits of the rate of requests that endpoints named, by outcome.", "outcome")
+	loadsIgnored = newCounterVec("samphireturn_loads_ignored_total", "Reports of endpoints' load and pace that were malformed.")
+	paces        = newGaugeVec("samphireturn_endpoint_paces", "Endpoints that report their pace, by the pace in use.", "pace")
+	crashes      = newCounterVec("samphireturn_crashes_total", "Requests that endpoints may have been running when they crashed, by who sent them.", "source")
+	isolations   = newCounterVec("samphireturn_isolations_total", "Isolations of requests and prompt parts by outcome.", "outcome")
 
 	peerAttempts = newCounterVec("samphireturn_peer_attempts_total", "Attempts by way of another daemon by outcome.", "outcome")
 	links        = newCounterVec("samphireturn_links_total", "Losses of the link to all endpoints by outcome.", "outcome")
@@ -115,6 +117,12 @@
 	return v
 }
 
+func newGaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
+	v := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: name, Help: help}, labels)
+	prometheus.MustRegister(v)
+	return v
+}
+
 func newHistogramVec(name, help string, labels ...string) *prometheus.HistogramVec {
 	v := prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: durationBuckets}, labels)
 	prometheus.MustRegister(v)
@@ -178,6 +186,16 @@
 // CountLimit counts a limit that an endpoint named, by one of the Limit constants.
 func CountLimit(outcome string) { limits.WithLabelValues(outcome).Inc() }
 
+// CountLoadIgnored counts a malformed report of an endpoint's load.
+func CountLoadIgnored() { loadsIgnored.WithLabelValues().Inc() }
+
+// SetPaces sets the numbers of endpoints that report their pace and are fast, usual or slow by it.
+func SetPaces(fast, usual, slow int) {
+	paces.WithLabelValues("fast").Set(float64(fast))
+	paces.WithLabelValues("usual").Set(float64(usual))
+	paces.WithLabelValues("slow").Set(float64(slow))
+}
+
 // CountLink counts a loss of the link to endpoints or its end, by one of the Link constants.
 func CountLink(outcome string) { links.WithLabelValues(outcome).Inc() }
 
--- a/internal/fleet/sharer/bytes_test.go
+++ b/internal/fleet/sharer/bytes_test.go
@@ -14,7 +14,7 @@
 )
 
 // newLargeFleet starts 300 daemons in five data centres, three of each on larger VMs, with
-// twenty requests each at 3,000 endpoints.
+// twenty requests each at 3,000 endpoints, all of which report their pace.
 func newLargeFleet() *fleet {
 	const daemons, hosts, requests = 300, 3000, 20
 	fl := newFleet()
@@ -31,9 +31,10 @@
 		fl.start(vm)
 		for j := range requests {
 			host := &samphireturn.Host{ID: fmt.Sprintf("i-%010x", (i+daemons*j)%hosts*77_777), Pool: pool, Centre: vm.Centre, Slots: 12}
-			fl.daemons[vm.ID].sharer.Balancer.Pick(&balancer.Request{
+			r := fl.daemons[vm.ID].sharer.Balancer.Pick(&balancer.Request{
 				Pool: engines, Hosts: []*samphireturn.Host{host}, MemoryTokens: 7000, PromptTokens: 6000, LatencyClass: "draft",
 			})
+			r.ObserveHead(samphireturn.ResponseMeta{Pace: 1.2})
 		}
 	}
 	return fl
@@ -44,7 +45,8 @@
 // more than the link of a small VM that takes its place carries).
 func TestLoadBytes(t *testing.T) {
 	const (
-		duration      = 3 * time.Second
+		// duration has a whole number of intervals of paces.
+		duration      = 2 * sharer.PaceInterval
 		bitsPerSecond = 20e6
 		share         = 0.1
 	)
--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -50,6 +50,9 @@
 	CallTimeout = time.Second
 	// ReportTTL is how long a report counts.
 	ReportTTL = 2 * time.Second
+	// PaceInterval is the least time between two reports of paces to one daemon, and between
+	// two sums of them. They change over 10 s, and are as long as loads.
+	PaceInterval = 8 * ReportInterval
 )
 
 var exchanges = expvar.NewMap("sharer_exchange")
@@ -63,6 +66,8 @@
 		Limits  balancer.Limits `cbor:"4,keyasint,omitempty"`
 		// Unlinked holds the ids of daemons that reach no endpoint.
 		Unlinked []string `cbor:"5,keyasint,omitempty"`
+		// Paces holds the recent reports of endpoints' paces. Most reports have none.
+		Paces balancer.Paces `cbor:"6,keyasint,omitempty"`
 	}
 
 	// Links tells whether this daemon reaches endpoints, and takes the ids of those that do
@@ -136,15 +141,25 @@
 		exchanged map[string]progress
 		// announced holds the verdicts that the linked daemons were told.
 		announced map[stager.Verdict]bool
+		// pacesSent holds when paces were last sent, by the kind of message and the receiver.
+		pacesSent map[receiver]time.Duration
 		ctx       context.Context
 		cancel    context.CancelFunc
 		wg        sync.WaitGroup
 	}
 
-	// timedReport is a report with the time as of which it is valid.
+	// receiver is a daemon that gets reports, or, if reply is true, replies to its own. The id
+	// is empty for the aggregators of all other data centres, and Self's for its balancer.
+	receiver struct {
+		id    string
+		reply bool
+	}
+
+	// timedReport is a report with the time as of which it is valid. Its paces may be of an
+	// earlier report, as of pacesAt.
 	timedReport struct {
 		Report
-		at time.Duration
+		at, pacesAt time.Duration
 	}
 )
 
@@ -152,6 +167,7 @@
 func (s *Sharer) Register() {
 	s.daemonReports, s.centreReports = make(map[string]timedReport), make(map[string]timedReport)
 	s.failedAt, s.inFlight = make(map[string]time.Duration), make(map[string]bool)
+	s.pacesSent = make(map[receiver]time.Duration)
 	s.exchanged, s.announced = make(map[string]progress), make(map[stager.Verdict]bool)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.Peers.Handle(Topic, s.handle)
@@ -212,13 +228,13 @@
 	m := Message{Centre: s.Self.Centre, EvidenceOnly: evidenceOnly}
 	if aggregator := s.aggregator(s.Self.Centre, members); aggregator != s.Self.ID {
 		if !evidenceOnly {
-			m.Report = s.localReport()
+			m.Report = s.localReport(s.pacesDue(receiver{id: aggregator}))
 		}
 		s.exchange(ctx, aggregator, m)
 		return
 	}
 	if !evidenceOnly {
-		m.Report = s.sum("", false)
+		m.Report = s.sum("", false, s.pacesDue(receiver{}))
 	}
 	s.exchangeSums(ctx, members, m)
 }
@@ -290,7 +306,7 @@
 		if reply.EvidenceOnly {
 			return
 		}
-		got := timedReport{reply.Report, sent}
+		got := timedReport{reply.Report, sent, sent}
 		if reply.Centre == s.Self.Centre {
 			s.remoteTotal = newer(s.remoteTotal, got)
 			return
@@ -314,7 +330,7 @@
 	if !m.EvidenceOnly {
 		sameCentre := m.Centre == s.Self.Centre
 		s.keepReport(from, m)
-		reply.Report = s.sum(from, sameCentre)
+		reply.Report = s.sum(from, sameCentre, s.pacesDue(receiver{from, true}))
 	}
 	has := position{Instance: m.Change.Instance}
 	if m.Known.Instance == s.Stager.Instance {
@@ -326,7 +342,8 @@
 
 // keepReport records the report of a daemon of this data centre or the sum of another.
 func (s *Sharer) keepReport(from string, m Message) {
-	got := timedReport{m.Report, s.Clock()}
+	now := s.Clock()
+	got := timedReport{m.Report, now, now}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m.Centre == s.Self.Centre {
@@ -426,9 +443,25 @@
 	return next
 }
 
-// localReport returns this daemon's own report.
-func (s *Sharer) localReport() Report {
+// pacesDue reports whether the next message to a receiver is to have paces, and counts them as
+// sent. Those of a message that is lost are in the next one that is due.
+func (s *Sharer) pacesDue(to receiver) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock()
+	if at, ok := s.pacesSent[to]; ok && now-at < PaceInterval {
+		return false
+	}
+	s.pacesSent[to] = now
+	return true
+}
+
+// localReport returns this daemon's own report, with paces if asked for.
+func (s *Sharer) localReport(paces bool) Report {
 	r := Report{Loads: s.Balancer.LocalLoads(), Tallies: s.Stager.LocalTallies(), Limits: s.Balancer.LocalLimits()}
+	if paces {
+		r.Paces = s.Balancer.LocalPaces()
+	}
 	if s.Links.LinkLost() {
 		r.Unlinked = []string{s.Self.ID}
 	}
@@ -436,15 +469,15 @@
 }
 
 // sum returns the sum of this data centre without one daemon, and includes the other
-// data centres' sums if includeRemote is true.
-func (s *Sharer) sum(except string, includeRemote bool) Report {
-	sum := s.localReport()
+// data centres' sums if includeRemote is true. It has paces if asked for.
+func (s *Sharer) sum(except string, includeRemote, paces bool) Report {
+	sum := s.localReport(paces)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock()
 	for id, r := range s.daemonReports {
 		if id != except && now-r.at < ReportTTL {
-			sum.add(r, now)
+			sum.add(r, now, paces)
 		}
 	}
 	if !includeRemote {
@@ -452,27 +485,32 @@
 	}
 	for _, r := range s.centreReports {
 		if now-r.at < ReportTTL {
-			sum.add(r, now)
+			sum.add(r, now, paces)
 		}
 	}
 	return sum
 }
 
-// newer returns the newer of two reports.
-func newer(a, b timedReport) timedReport {
-	if a.at > b.at {
-		return a
+// newer returns the newer of the last report and another. If the newer one has no paces it gets
+// those of the last.
+func newer(last, got timedReport) timedReport {
+	if last.at > got.at {
+		return last
+	}
+	if len(got.Paces) == 0 {
+		got.Paces, got.pacesAt = last.Paces, last.pacesAt
 	}
-	return b
+	return got
 }
 
 // applyRemote passes the sum of all other daemons to the balancer and the stager.
 func (s *Sharer) applyRemote() {
+	paces := s.pacesDue(receiver{id: s.Self.ID})
 	s.mu.Lock()
 	now := s.Clock()
 	sum := Report{Loads: make(balancer.Loads)}
 	if now-s.remoteTotal.at < ReportTTL {
-		sum.add(s.remoteTotal, now)
+		sum.add(s.remoteTotal, now, paces)
 	} else {
 		for _, reports := range []map[string]timedReport{s.daemonReports, s.centreReports} {
 			for name, r := range reports {
@@ -480,12 +518,13 @@
 					delete(reports, name)
 					continue
 				}
-				sum.add(r, now)
+				sum.add(r, now, paces)
 			}
 		}
 	}
 	s.mu.Unlock()
 	s.Balancer.SetRemoteLoads(sum.Loads)
+	s.Balancer.SetRemotePaces(sum.Paces)
 	s.Stager.SetRemoteTallies(sum.Tallies)
 	s.Links.SetUnlinked(sum.Unlinked)
 	s.applyLimits(sum.Limits)
@@ -502,8 +541,8 @@
 	}
 }
 
-// add adds another report to r.
-func (r *Report) add(o timedReport, now time.Duration) {
+// add adds another report to r, with its paces if asked for.
+func (r *Report) add(o timedReport, now time.Duration, paces bool) {
 	if r.Loads == nil {
 		r.Loads = make(balancer.Loads, len(o.Loads))
 	}
@@ -514,4 +553,11 @@
 	}
 	r.Limits.Add(o.Limits, now-o.at)
 	r.Unlinked = append(r.Unlinked, o.Unlinked...)
+	if !paces || len(o.Paces) == 0 {
+		return
+	}
+	if r.Paces == nil {
+		r.Paces = make(balancer.Paces, len(o.Paces))
+	}
+	r.Paces.Add(o.Paces, now-o.pacesAt)
 }
--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -68,12 +68,13 @@
 		announcedWarmUp time.Duration
 		pause           pause
 		limit           limit
-		// started is Host.Started of the last known instance, to which the pause, the limit
-		// and the brittleness belong.
+		// started is Host.Started of the last known instance, to which the pause, the limit,
+		// the brittleness and the pace belong.
 		started    int64
 		sender     sender
 		limitShare limitShare
 		brittle    brittleness
+		pace       pace
 	}
 )
 
@@ -195,7 +196,7 @@
 }
 
 // endpoint returns the state of an endpoint, created on first use, and applies a
-// newly announced warm-up time. A pause and a limit end with the instance that asked for
+// newly announced warm-up time. A pause, a limit and a pace end with the instance that told
 // them. The caller holds mu.
 func (b *Balancer) endpoint(h *samphireturn.Host) *endpoint {
 	e := b.endpoints[h.ID]
@@ -208,6 +209,7 @@
 		e.pause.until, e.pause.onTrial = 0, false
 		e.limit = limit{}
 		e.brittle = brittleness{}
+		e.pace = pace{}
 	}
 	if h.WarmUpLeft > 0 && e.announcedWarmUp != h.WarmUpLeft {
 		e.announcedWarmUp = h.WarmUpLeft
--- a/internal/forward/balancer/choice.go
+++ b/internal/forward/balancer/choice.go
@@ -174,8 +174,13 @@
 	if objective <= 0 {
 		objective = defaultObjective
 	}
-	lateness := float64(b.estimateDelay(e, req, inFlight, slots, now)) / float64(objective)
-	score := lateness*lateness + occupancyCost*float64(inFlight+1)/float64(slots)
+	pace := e.pace.factor(now)
+	lateness := float64(b.estimateDelay(e, req, inFlight, slots, pace, now)) / float64(objective)
+	occupancy := occupancyCost * float64(inFlight+1) / float64(slots)
+	if pace != 1 {
+		occupancy *= pace
+	}
+	score := lateness*lateness + occupancy
 	if req.Pool.MemoryTokens > 0 {
 		used := float64(e.local.MemoryTokens+e.remote.MemoryTokens+req.MemoryTokens) / float64(req.Pool.MemoryTokens)
 		score += memoryCost * max(used-memoryThreshold, 0)
--- a/internal/forward/balancer/latency.go
+++ b/internal/forward/balancer/latency.go
@@ -31,7 +31,7 @@
 // latency holds the estimates for one latency class; each is 0 before the first
 // sample.
 type latency struct {
-	// perToken is the time to process one prompt token.
+	// perToken is the time to process one prompt token at a pace of 1.
 	perToken time.Duration
 	// head is the time to the head of an answer, complete the time to its end.
 	head, complete time.Duration
@@ -65,8 +65,19 @@
 	return time.Duration(b.uncachedTokens(e, req, now)) * b.latency(req.LatencyClass).perToken
 }
 
-// estimateDelay estimates the time until the answer begins. The caller holds mu.
-func (b *Balancer) estimateDelay(e *endpoint, req *Request, inFlight, slots int, now time.Duration) time.Duration {
+// estimateDelay estimates the time until the answer begins at an endpoint's pace. The caller
+// holds mu.
+func (b *Balancer) estimateDelay(e *endpoint, req *Request, inFlight, slots int, pace float64, now time.Duration) time.Duration {
+	delay := b.estimateUsualDelay(e, req, inFlight, slots, now)
+	if pace == 1 {
+		return delay
+	}
+	return time.Duration(pace * float64(delay))
+}
+
+// estimateUsualDelay estimates the time until the answer begins at an endpoint that is as fast
+// as usual. The caller holds mu.
+func (b *Balancer) estimateUsualDelay(e *endpoint, req *Request, inFlight, slots int, now time.Duration) time.Duration {
 	if req.Pool.MemoryTokens > 0 {
 		return time.Duration(e.local.Backlog+e.remote.Backlog)*time.Microsecond + b.promptTime(e, req, now)
 	}
@@ -116,6 +127,9 @@
 	lat.head += time.Duration(latencyDecay * float64(elapsed-lat.head))
 	if req.Pool.MemoryTokens > 0 && tokens >= minSampleTokens {
 		sample := elapsed / time.Duration(tokens)
+		if pace := e.pace.factor(b.Clock()); pace != 1 {
+			sample = time.Duration(float64(sample) / pace)
+		}
 		switch {
 		case lat.perToken == 0:
 			lat.perToken = sample
--- a/internal/forward/balancer/reservation.go
+++ b/internal/forward/balancer/reservation.go
@@ -16,11 +16,12 @@
 	// The following are the values at the time of the choice: InFlight is the
 	// number of requests at the endpoint, EstimatedDelay the time until the answer
 	// should begin, TypicalDelay the average time until answers of the latency
-	// class begin (0 before the first), and WarmingUp whether the endpoint is
-	// warming up.
+	// class begin (0 before the first), Pace how long work takes at the endpoint (1 as
+	// usual or if unknown), and WarmingUp whether the endpoint is warming up.
 	InFlight       int
 	EstimatedDelay time.Duration
 	TypicalDelay   time.Duration
+	Pace           float64
 	WarmingUp      bool
 
 	balancer *Balancer
@@ -44,7 +45,8 @@
 	r := &Reservation{Host: h, balancer: b, request: *req, sentAt: now, promptTime: b.promptTime(e, req, now)}
 	r.InFlight, r.WarmingUp = e.inFlight(now), now < e.warmUpUntil
 	r.TypicalDelay = b.latency(req.LatencyClass).head
-	r.EstimatedDelay = b.estimateDelay(e, req, r.InFlight, max(h.Slots, 1), now)
+	r.Pace = e.pace.factor(now)
+	r.EstimatedDelay = b.estimateDelay(e, req, r.InFlight, max(h.Slots, 1), r.Pace, now)
 	e.local.Requests++
 	e.local.MemoryTokens += req.MemoryTokens
 	e.local.Backlog += r.promptTime.Microseconds()
@@ -80,6 +82,9 @@
 	r.clearBacklog(e)
 	b.applyReport(e, meta)
 	now := b.Clock()
+	if meta.Pace > 0 && !meta.Misdirected && r.Host.Started >= e.started {
+		e.pace.observe(meta.Pace, now)
+	}
 	return Ended{
 		Trial:   accepted && e.pause.endTrial(r.sentAt),
 		Limit:   e.limit.observeHead(meta, r.sentAt, now),
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -276,6 +276,8 @@
 		f.Isolator.Sweep()
 		if v := f.currentView(); v != nil && v.Hosts != nil {
 			f.Balancer.Retain(v.Hosts)
+			paces := f.Balancer.CountPaces()
+			meter.SetPaces(paces.Fast, paces.Usual, paces.Slow)
 			f.Recorder.Retain(v.Hosts)
 			f.probeUnreachable(ctx, v)
 			f.sweepPeers(ctx)
@@ -303,6 +305,10 @@
 		meter.CountLimit(meter.LimitIgnored)
 		f.Log.Warn().Str("event", logger.EventLimitIgnored).Str("endpoint", h.ID).Str("value", meta.MalformedLimit).Send()
 	}
+	if meta.MalformedLoad != "" {
+		meter.CountLoadIgnored()
+		f.Log.Warn().Str("event", logger.EventLoadIgnored).Str("endpoint", h.ID).Str("value", meta.MalformedLoad).Send()
+	}
 	if meta.MalformedBrittle != "" {
 		meter.CountBrittle(meter.BrittleIgnored)
 		f.Log.Warn().Str("event", logger.EventBrittleIgnored).Str("endpoint", h.ID).Str("value", meta.MalformedBrittle).Send()
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -435,7 +435,7 @@
 func (c *proxyCall) logAttempt(reservation *balancer.Reservation, attemptInfo samphireturn.Attempt) {
 	c.Log.Info().Str("event", logger.EventSent).Str("id", c.request.ID).Str("route", c.route.Name).
 		Str("endpoint", reservation.Host.ID).Str("centre", reservation.Host.Centre).Str("release", reservation.Host.Release).Str("model", attemptInfo.Model).
-		Bool("for_peer", c.forPeer != nil).Int("attempt", c.sends+1).Int("running", reservation.InFlight).Dur("delay", reservation.EstimatedDelay).Bool("cold", reservation.WarmingUp).
+		Bool("for_peer", c.forPeer != nil).Int("attempt", c.sends+1).Int("running", reservation.InFlight).Dur("delay", reservation.EstimatedDelay).Float64("pace", reservation.Pace).Bool("cold", reservation.WarmingUp).
 		Dur("left", attemptInfo.Remaining).Int64("table", c.view.Table.Version).Dur("age", c.tableAge(c.view)).Send()
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -108,6 +108,9 @@
 	KeepAliveSeconds int
 	// Leaving, if not nil, reports whether answers announce that the server leaves.
 	Leaving func() bool
+	// Load, if not nil, returns the value of the header Server-Load of answers, given its three
+	// figures.
+	Load func(figures string) string
 	// Limit, if not nil, returns the value of the header Server-Limit of answers, "" for
 	// none.
 	Limit func() string
@@ -189,6 +192,9 @@
 	}
 	load := fmt.Sprintf("%d,0,%d", s.inFlight, max(s.MaxInFlight, 1))
 	s.mu.Unlock()
+	if s.Load != nil {
+		load = s.Load(load)
+	}
 	fault := ""
 	if s.Fault != nil {
 		fault = s.Fault(n, r)
--- a/relay.go
+++ b/relay.go
@@ -276,6 +276,11 @@
 		// Running, Waiting and Slots are the endpoint's load; Slots is zero if not
 		// reported.
 		Running, Waiting, Slots int
+		// Pace is how long work takes at the endpoint at this moment: 1 as usual, 2 twice as
+		// long; zero if not reported. MalformedLoad is what it sent instead of a load and a
+		// pace, if anything.
+		Pace          float64
+		MalformedLoad string
 		// IdleTimeout is how long the endpoint keeps an idle connection; zero if not
 		// reported.
 		IdleTimeout time.Duration
