Use endpoints that are not suspect after another instance answered

When the endpoints of a data centre restart together as other instances, the list has the old ones for up to 2 s. A request was offered to several of them and refused, and a dial to the new instance marked the old one reachable again.

Attempts that got 421 no longer end a request.

--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -42,6 +42,8 @@
 	EventLimitIgnored      = "limit_ignored"
 	EventLimitOver         = "limit_over"
 	EventProbeFailed       = "probe_failed"
+	EventMisdirected       = "misdirected"
+	EventSuspicionOver     = "suspicion_over"
 	EventEndpointCrashed   = "endpoint_crashed"
 	EventIsolated          = "isolated"
 	EventIsolationOver     = "isolation_over"
@@ -125,6 +127,8 @@
 	{EventLimitIgnored, "endpoint, value", "an endpoint named a limit by a value that is no rate"},
 	{EventLimitOver, "endpoint, centre, heard", "an endpoint no longer names a limit, here or, if heard, to another daemon"},
 	{EventProbeFailed, "endpoint, peer, error", "a peer did not answer whether an endpoint accepts connections"},
+	{EventMisdirected, "id, endpoint, pool, centre, length, confirmed", "another instance answered in place of the endpoint, which is gone, or the endpoint rejected the request so; for how long the endpoints of its pool and data centre that do not answer are suspect, so that others are preferred, and whether this answer confirmed an earlier one of another endpoint"},
+	{EventSuspicionOver, "endpoint, pool, centre", "two suspect endpoints of a pool and data centre answered, so the others are no longer suspect; the last one of them"},
 	{EventEndpointCrashed, "endpoint, keys", "an endpoint crashed, as peers confirm, while it may have been running a request; the keys that may be the cause: a hash of the request, and the parts of its prompt if the answer had begun"},
 	{EventIsolated, "key, left", "endpoints crash by a request or a part of prompts, as the crashes seen here and by other daemons show: requests with the key are refused; for how long"},
 	{EventIsolationOver, "key", "requests with a key that was isolated are sent again"},
--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -47,6 +47,14 @@
 	BrittleIgnored = "ignored"
 )
 
+// Values of the label outcome of suspicions.
+const (
+	SuspicionMisdirected = "misdirected"
+	SuspicionBegun       = "begun"
+	SuspicionConfirmed   = "confirmed"
+	SuspicionEnded       = "ended"
+)
+
 // Values of the label outcome of isolations.
 const (
 	IsolationBegun = "begun"
@@ -83,6 +91,7 @@
 	pauses     = newCounterVec("samphireturn_pauses_total", "Pauses that endpoints asked for by outcome.", "outcome")
 	brittle    = newCounterVec("samphireturn_brittle_total", "Endpoints that said that they end if they turn away too many requests, by outcome.", "outcome")
 	limits     = newCounterVec("samphireturn_limits_total", "Limits of the rate of requests that endpoints named, by outcome.", "outcome")
+	suspicions = newCounterVec("samphireturn_suspicions_total", "Answers of other instances than the addressed ones, and suspicions that the endpoints of a data centre are gone, by outcome.", "outcome")
 	crashes    = newCounterVec("samphireturn_crashes_total", "Requests that endpoints may have been running when they crashed, by who sent them.", "source")
 	isolations = newCounterVec("samphireturn_isolations_total", "Isolations of requests and prompt parts by outcome.", "outcome")
 
@@ -178,6 +187,10 @@
 // CountLimit counts a limit that an endpoint named, by one of the Limit constants.
 func CountLimit(outcome string) { limits.WithLabelValues(outcome).Inc() }
 
+// CountSuspicion counts an answer of another instance than the addressed one, or a change of a
+// suspicion that follows from it, by one of the Suspicion constants.
+func CountSuspicion(outcome string) { suspicions.WithLabelValues(outcome).Inc() }
+
 // CountLink counts a loss of the link to endpoints or its end, by one of the Link constants.
 func CountLink(outcome string) { links.WithLabelValues(outcome).Inc() }
 
--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -35,6 +35,9 @@
 		latencies map[string]*latency
 		// brittlePools holds when an endpoint of a pool last said that it is brittle.
 		brittlePools map[string]time.Duration
+		// suspicions holds the groups that are suspect, caution those of the current choice.
+		suspicions map[groupKey]*suspicion
+		caution    caution
 		// lastActive is when any endpoint last sent anything.
 		lastActive time.Duration
 		// local and remote are buffers of sample.
@@ -74,12 +77,13 @@
 		sender     sender
 		limitShare limitShare
 		brittle    brittleness
+		presence   presence
 	}
 )
 
 // New returns a Balancer for the daemon with the id self in the data centre.
 func New(self, centre string, clock func() time.Duration) *Balancer {
-	return &Balancer{Self: self, Centre: centre, Clock: clock, Rand: rand.Float64, endpoints: make(map[string]*endpoint), latencies: make(map[string]*latency), brittlePools: make(map[string]time.Duration)}
+	return &Balancer{Self: self, Centre: centre, Clock: clock, Rand: rand.Float64, endpoints: make(map[string]*endpoint), latencies: make(map[string]*latency), brittlePools: make(map[string]time.Duration), suspicions: make(map[groupKey]*suspicion)}
 }
 
 // RecordActivity records that an endpoint sent something.
@@ -87,7 +91,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.lastActive = b.Clock()
-	b.endpoint(h).lastActive = b.lastActive
+	e := b.endpoint(h)
+	e.lastActive, e.presence.activeAt = b.lastActive, b.lastActive
 }
 
 // SilentFor returns the time since an endpoint last sent anything.
@@ -131,11 +136,13 @@
 	return unreachable
 }
 
-// Reaches reports whether an endpoint is not marked unreachable.
+// Reaches reports whether an endpoint is neither marked unreachable nor, as far as its address
+// told lately, gone.
 func (b *Balancer) Reaches(h *samphireturn.Host) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return !b.endpoint(h).unreachable
+	e := b.endpoint(h)
+	return !e.unreachable && !e.presence.misdirected(b.Clock())
 }
 
 // CountUnreachable returns the number of the endpoints that are marked unreachable.
@@ -187,6 +194,7 @@
 		}
 	}
 	now := b.Clock()
+	b.retainSuspicions(now)
 	for id, e := range b.endpoints {
 		if !listed[id] && e.local == (Load{}) && !e.pause.active(now) && !e.limit.confirmed(now) {
 			delete(b.endpoints, id)
--- a/internal/forward/balancer/choice.go
+++ b/internal/forward/balancer/choice.go
@@ -96,8 +96,14 @@
 		best   *samphireturn.Host
 		lowest float64
 	)
+	b.considerSuspicions(req, now)
 	p := b.preferredHosts(req, now)
-	for _, h := range b.sample(req, p, now) {
+	sampled := b.sample(req, p, now)
+	for len(sampled) == 0 && b.relax() {
+		p = b.preferredHosts(req, now)
+		sampled = b.sample(req, p, now)
+	}
+	for _, h := range sampled {
 		score := b.score(h, b.endpoint(h), req, now) + b.prefixCost(h, b.endpoint(h), req, p, now)
 		if best == nil || score < lowest {
 			best, lowest = h, score
@@ -114,8 +120,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock()
+	b.considerSuspicions(req, now)
+	b.caution.needed = b.caution.least
 	for _, h := range req.Hosts {
-		if !req.Exclude[h.ID] && b.usable(h, b.endpoint(h), req, now) {
+		if e := b.endpoint(h); !req.Exclude[h.ID] && b.usable(h, e, req, now) && b.trusts(h, e, now) {
 			return true
 		}
 	}
@@ -141,7 +149,7 @@
 		}
 		e := b.endpoint(h)
 		switch {
-		case !b.usable(h, e, req, now):
+		case !b.usable(h, e, req, now) || !b.trusts(h, e, now):
 		case h == p.fleet || h == p.centre || req.PrefixID != "" && e.hasPrefix(req, now):
 			sampled = append(sampled, h)
 		case h.Centre == b.Centre:
@@ -199,7 +207,7 @@
 		if weight <= fleetWeight && (weight <= centreWeight || h.Centre != b.Centre) {
 			continue
 		}
-		if e := b.endpoint(h); req.Exclude[h.ID] || e.unreachable || e.pause.active(now) || e.limit.active() {
+		if e := b.endpoint(h); req.Exclude[h.ID] || e.unreachable || e.pause.active(now) || e.limit.active() || !b.trusts(h, e, now) {
 			continue
 		}
 		if weight > fleetWeight {
--- a/internal/forward/balancer/pause.go
+++ b/internal/forward/balancer/pause.go
@@ -81,7 +81,7 @@
 	now := b.Clock()
 	for _, h := range req.Hosts {
 		e := b.endpoint(h)
-		if e.unreachable {
+		if e.unreachable || e.presence.misdirected(now) {
 			continue
 		}
 		limitWait, maySend := b.limitWait(h, e, req, now)
--- a/internal/forward/balancer/reservation.go
+++ b/internal/forward/balancer/reservation.go
@@ -35,8 +35,11 @@
 }
 
 // Ended tells what an answer of an endpoint ended: its trial after a pause, its limit, or that it
-// is brittle.
-type Ended struct{ Trial, Limit, Brittle bool }
+// is brittle. Suspicion is what the answer changed about the endpoint's group.
+type Ended struct {
+	Trial, Limit, Brittle bool
+	Suspicion             Suspicion
+}
 
 // reserve counts a request at an endpoint. The caller holds mu.
 func (b *Balancer) reserve(h *samphireturn.Host, req *Request, now time.Duration) *Reservation {
@@ -84,6 +87,8 @@
 		Trial:   accepted && e.pause.endTrial(r.sentAt),
 		Limit:   e.limit.observeHead(meta, r.sentAt, now),
 		Brittle: b.observeBrittle(r.Host, e, meta, r.sentAt),
+
+		Suspicion: r.observePresence(e, meta.Misdirected, now),
 	}
 }
 
@@ -114,10 +119,13 @@
 }
 
 // applyReport applies the load and the warm-up time that an endpoint reported in
-// an answer. The caller holds mu.
+// an answer, unless another instance did. The caller holds mu.
 func (b *Balancer) applyReport(e *endpoint, meta samphireturn.ResponseMeta) {
 	now := b.Clock()
 	e.lastActive, b.lastActive = now, now
+	if meta.Misdirected {
+		return
+	}
 	e.unreachable = false
 	if meta.Slots > 0 {
 		e.reported, e.reportedAt, e.sinceReport = meta.Running+meta.Waiting, now, 0
--- a/internal/forward/forwarder/answer.go
+++ b/internal/forward/forwarder/answer.go
@@ -58,7 +58,7 @@
 	c.executions++
 	c.executed = samphireturn.ExecutedYes
 	if a.Status >= http.StatusInternalServerError {
-		c.recordFailure(a, false)
+		c.recordFailure(a)
 	}
 	buffered, err := io.ReadAll(io.LimitReader(a, retryBufferSize))
 	if err != nil {
--- a/internal/forward/forwarder/peer.go
+++ b/internal/forward/forwarder/peer.go
@@ -65,6 +65,9 @@
 		RetryAfter int64  `cbor:"6,keyasint,omitempty"`
 		// Unreachable is true if the peer reaches no endpoint of the pool either.
 		Unreachable bool `cbor:"7,keyasint,omitempty"`
+		// Misdirected is the number of the Sends that other instances than the addressed ones
+		// answered.
+		Misdirected int `cbor:"8,keyasint,omitempty"`
 	}
 
 	// peerRefusal is the error of an attempt that a peer did not make or complete.
@@ -171,7 +174,7 @@
 	reservation.ObserveHead(response.Meta)
 	c.peers.record(true, c.Clock())
 	meter.CountPeerAttempt(meter.PeerServed)
-	c.sends += max(outcome.Sends, 0)
+	c.addSends(outcome)
 	a.endpoint, a.release = outcome.Endpoint, outcome.Release
 	return a, nil
 }
@@ -233,13 +236,19 @@
 	return c.mayHaveRun(err)
 }
 
+// addSends counts the requests that endpoints turned away as a peer offered them.
+func (c *proxyCall) addSends(o peerOutcome) {
+	c.sends += max(o.Sends, 0)
+	c.misdirected += min(max(o.Misdirected, 0), max(o.Sends, 0))
+}
+
 // peerRefused acts on a peer's refusal of an attempt. Endpoints that ask the peer for a pause or
 // a limit, or that a request crashes, are the same by way of another peer.
 func (c *proxyCall) peerRefused(peer *samphireturn.Host, r *peerRefusal) *samphireturn.Refusal {
 	meter.CountPeerAttempt(meter.PeerRefused)
 	c.Log.Info().Str("event", logger.EventPeerFailed).Str("id", c.request.ID).Str("peer", peer.ID).Str("reason", r.Refused).Str("run", r.Executed).
 		Bool("unreachable", r.Unreachable).Send()
-	c.sends += max(r.Sends, 0)
+	c.addSends(r.peerOutcome)
 	if r.Executed != samphireturn.ExecutedNo {
 		c.sends++
 		return c.mayHaveRun(r)
--- a/internal/forward/forwarder/peerserver.go
+++ b/internal/forward/forwarder/peerserver.go
@@ -78,9 +78,9 @@
 	}
 	defer a.close()
 	if a.Status >= http.StatusInternalServerError {
-		c.recordFailure(a, false)
+		c.recordFailure(a)
 	}
-	if err := c.setPeerOutcome(peerOutcome{Endpoint: a.host.ID, Release: a.host.Release, Sends: c.sends}); err != nil {
+	if err := c.setPeerOutcome(peerOutcome{Endpoint: a.host.ID, Release: a.host.Release, Sends: c.sends, Misdirected: c.misdirected}); err != nil {
 		c.executed = samphireturn.ExecutedUnknown
 		return c.refusal(samphireturn.ReasonEndpointFailed, 0, err)
 	}
@@ -113,7 +113,7 @@
 	}
 	err = a.cause(err)
 	a.lose(err)
-	c.recordFailure(a, false)
+	c.recordFailure(a)
 	if c.begun {
 		c.recordBrokenAnswer(a)
 	}
@@ -141,6 +141,7 @@
 		Str("run", refused.Executed).Int("sends", c.sends).Err(refused.Err).Send()
 	err := c.setPeerOutcome(peerOutcome{
 		Refused: refused.Reason, Executed: refused.Executed, RetryAfter: refused.RetryAfter.Milliseconds(), Sends: c.sends - c.executions,
+		Misdirected: c.misdirected,
 		Unreachable: refused.Reason == samphireturn.ReasonNoEndpoint && (c.LinkLost() || c.noneReachable()),
 	})
 	if err != nil {
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -27,6 +27,10 @@
 	// extraUnexecutedSends bounds the sends beyond the route's MaxAttempts, which
 	// are possible when endpoints did not execute the request.
 	extraUnexecutedSends = 2
+	// maxMisdirectedSends bounds the sends beyond these to endpoints in whose place other
+	// instances answer: one in each of 19 data centres, as the first makes the others of its data
+	// centre suspect.
+	maxMisdirectedSends = 19
 	// maxPriority is the priority of the least urgent requests at an engine.
 	maxPriority = 9
 	// maxLoggedParts bounds the parts of a prompt in one log line.
@@ -80,6 +84,9 @@
 	// sends counts the attempts that connected to an endpoint, executions those of
 	// them that may have executed the request.
 	sends, executions int
+	// misdirected counts those of the sends that another instance than the addressed one
+	// answered.
+	misdirected int
 	// begun is true once events of a stream have been forwarded. resumeWait is the last
 	// wait for an endpoint that takes up the stream; zero before the first.
 	begun      bool
@@ -161,7 +168,7 @@
 	if left := c.Isolator.Isolated(c.keys); left > 0 {
 		return c.refusal(samphireturn.ForwardIsolated, left, c.lastErr)
 	}
-	if c.executions >= c.maxExecutions() || c.sends >= c.route.MaxAttempts+extraUnexecutedSends && !c.begun {
+	if c.executions >= c.maxExecutions() || c.sends-min(c.misdirected, maxMisdirectedSends) >= c.route.MaxAttempts+extraUnexecutedSends && !c.begun {
 		return c.refusal(samphireturn.ReasonEndpointFailed, busyRetryAfter, errors.Wrap(c.lastErr, "no attempt left"))
 	}
 	if c.sends > 0 && !c.retryPaid.Load() && !c.budget.TryWithdraw(c.retryReserve()) {
@@ -222,6 +229,11 @@
 	if e.NotReceived() {
 		return nil
 	}
+	if errors.Is(err, errMisdirected) {
+		// That tells nothing of the endpoints that the request may still go to.
+		c.misdirected++
+		return nil
+	}
 	if errors.Is(err, errNotExecuted) {
 		if c.resumeWait > 0 || c.Balancer.Brittle(host) {
 			// Each further round asks one endpoint, and the next one that is brittle is as full.
@@ -266,6 +278,10 @@
 // execute the request.
 var errNotExecuted = errors.New("endpoint did not run the request")
 
+// errMisdirected is the error of an attempt that another instance than the addressed one
+// answered.
+var errMisdirected = errors.Wrap(errNotExecuted, "another instance answered")
+
 // updateView takes the latest view.
 func (c *proxyCall) updateView() {
 	if v := c.currentView(); v != nil {
@@ -352,10 +368,14 @@
 		meter.CountBrittle(meter.BrittleEnded)
 		c.Log.Info().Str("event", logger.EventBrittleOver).Str("endpoint", host.ID).Str("centre", host.Centre).Send()
 	}
+	c.recordSuspicion(host, ended.Suspicion)
 	if response.Meta.NotExecuted {
 		a.answer.Cancel()
 		a.close()
-		c.recordFailure(a, response.Meta.Misdirected)
+		c.recordFailure(a)
+		if response.Meta.Misdirected {
+			return nil, errMisdirected
+		}
 		return nil, errNotExecuted
 	}
 	a.answer.Begin(c.keys[1:])
@@ -378,9 +398,28 @@
 
 // recordFailure records that the endpoint of an attempt failed it, unless its answer only
 // asks for a pause. Of an attempt by way of a peer, the peer knows more.
-func (c *proxyCall) recordFailure(a *attempt, unreachable bool) {
+func (c *proxyCall) recordFailure(a *attempt) {
 	if !a.byPeer && a.Meta.Pause == 0 {
-		c.Balancer.RecordFailure(a.host, unreachable)
+		c.Balancer.RecordFailure(a.host, false)
+	}
+}
+
+// recordSuspicion logs and counts what an answer changed about the group of its endpoint.
+func (c *proxyCall) recordSuspicion(h *samphireturn.Host, s balancer.Suspicion) {
+	if s.Misdirected {
+		meter.CountSuspicion(meter.SuspicionMisdirected)
+		c.Log.Info().Str("event", logger.EventMisdirected).Str("id", c.request.ID).Str("endpoint", h.ID).Str("pool", h.Pool).Str("centre", h.Centre).
+			Dur("length", s.Length).Bool("confirmed", s.Confirmed).Send()
+	}
+	if s.Began {
+		meter.CountSuspicion(meter.SuspicionBegun)
+	}
+	if s.Confirmed {
+		meter.CountSuspicion(meter.SuspicionConfirmed)
+	}
+	if s.Ended {
+		meter.CountSuspicion(meter.SuspicionEnded)
+		c.Log.Info().Str("event", logger.EventSuspicionOver).Str("endpoint", h.ID).Str("pool", h.Pool).Str("centre", h.Centre).Send()
 	}
 }
 
--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -137,7 +137,7 @@
 // abandonAttempt ends a failed attempt before the next one.
 func (c *proxyCall) abandonAttempt(a *attempt, err error) {
 	a.close()
-	c.recordFailure(a, false)
+	c.recordFailure(a)
 	c.excludeHost(a.endpoint, err)
 	retries.Add("resumed", 1)
 	c.Log.Info().Str("event", logger.EventResumed).Str("id", c.request.ID).Str("endpoint", a.endpoint).Str("last", c.lastEventID).
