--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -47,6 +47,14 @@
 	BrittleIgnored = "ignored"
 )
 
+// Values of the label outcome of suspicions.
+const (
+	SuspicionMisdirected = "misdirected"
+	SuspicionBegun       = "begun"
+	SuspicionConfirmed   = "confirmed"
+	SuspicionEnded       = "ended"
+)
+
 // Values of the label outcome of isolations.
 const (
 	IsolationBegun = "begun"
@@ -87,6 +95,7 @@
 	paces        = newGaugeVec("samphireturn_endpoint_paces", "Endpoints that report their pace, by the pace in use.", "pace")
 	crashes      = newCounterVec("samphireturn_crashes_total", "Requests that endpoints may have been running when they crashed, by who sent them.", "source")
 	isolations   = newCounterVec("samphireturn_isolations_total", "Isolations of requests and prompt parts by outcome.", "outcome")
+	suspicions   = newCounterVec("samphireturn_suspicions_total", "Answers of other instances than the addressed ones, and suspicions that the endpoints of a data centre are gone, by outcome.", "outcome")
 
 	peerAttempts = newCounterVec("samphireturn_peer_attempts_total", "Attempts by way of another daemon by outcome.", "outcome")
 	links        = newCounterVec("samphireturn_links_total", "Losses of the link to all endpoints by outcome.", "outcome")
@@ -196,6 +205,10 @@
 	paces.WithLabelValues("slow").Set(float64(slow))
 }
 
+// CountSuspicion counts an answer of another instance than the addressed one, or a change of a
+// suspicion that follows from it, by one of the Suspicion constants.
+func CountSuspicion(outcome string) { suspicions.WithLabelValues(outcome).Inc() }
+
 // CountLink counts a loss of the link to endpoints or its end, by one of the Link constants.
 func CountLink(outcome string) { links.WithLabelValues(outcome).Inc() }
 
