Queue first attempts by rank while no endpoint has room

Each daemon replaces its own requests that end and uses its share of other capacity. The router uses the same queue, with all requests in rank 0; its tests name the pool by a string now.

--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -25,6 +25,7 @@
 	"samphireturn/internal/forward/isolator"
 	"samphireturn/internal/forward/sender"
 	"samphireturn/internal/forward/stager"
+	"samphireturn/internal/traffic/queuer"
 )
 
 // Names of the services.
@@ -95,6 +96,9 @@
 	CanaryShare, CanaryExtra float64
 	// SessionTTL is the lifetime of a session after its last request.
 	SessionTTL time.Duration
+	// RankedQueue is true if requests wait at the daemon, ordered by rank, while no endpoint
+	// has capacity.
+	RankedQueue bool
 	// FleetKey is the key that all daemons share. Seeds are the peer addresses of
 	// some of them.
 	FleetKey string
@@ -135,6 +139,9 @@
 	}
 	requestForwarder.Balancer, requestForwarder.Stager, requestForwarder.Recorder = loadBalancer, rolloutStager, departures
 	requestForwarder.Isolator = crashIsolator
+	if b.RankedQueue {
+		requestForwarder.Queue = &queuer.Queuer{Capacity: forwarder.MaxWaiting, Total: forwarder.MaxWaiting}
+	}
 	requestForwarder.Peers, requestForwarder.PeerListener = peers, peers.Streams()
 	requestForwarder.DialPeer = peers.DialStream
 	loadSharer := &sharer.Sharer{
--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -11,6 +11,8 @@
 	EventListenerFailed    = "listener_failed"
 	EventLinesLeftOut      = "lines_left_out"
 	EventReadiness         = "readiness"
+	EventQueued            = "queued"
+	EventDequeued          = "dequeued"
 	EventSent              = "sent"
 	EventSentToPeer        = "sent_to_peer"
 	EventPeerFailed        = "peer_failed"
@@ -94,6 +96,8 @@
 	{EventListenerFailed, "error", "a listener failed"},
 	{EventLinesLeftOut, "lines", "log lines were dropped: the rate limit was reached, the queue was full or a write failed"},
 	{EventReadiness, "ready, leaving, fresh, age", "the result of the readiness check changed; time since the source last confirmed the routing table"},
+	{EventQueued, "id, queue, rank, team, waiting, running, bound", "no endpoint has capacity, so a request waits at the daemon; the requests that waited before, this daemon's requests at the endpoints, and the longest wait"},
+	{EventDequeued, "id, queue, rank, team, outcome, waited, running, endpoint", "a request no longer waits: sent to the endpoint, waited if the longest wait passed, so that it is sent as without a queue, no_endpoint if none is left, left if its caller left or its deadline passed, full or late if it was refused at once, stopped at the shutdown, or the reason of another refusal"},
 	{EventSent, "id, route, endpoint, centre, release, model, for_peer, attempt, running, delay, cold, left, table, age", "a request is sent to an endpoint, for a peer that reaches none if for_peer is true; the values behind the choice"},
 	{EventSentToPeer, "id, route, peer, centre, attempt, left", "no endpoint can be dialled, so a peer is asked for the attempt"},
 	{EventPeerFailed, "id, peer, reason, run, unreachable, error", "a peer that was asked for an attempt refused it, or was lost; whether an endpoint may have run the request, and whether the peer reaches none either"},
--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -66,6 +66,13 @@
 	PeerLost    = "lost"
 )
 
+// Values of the label outcome of requests that waited at the daemon, beside the kinds of the
+// queue's errors and the reasons of refusals.
+const (
+	QueueSent       = "sent"
+	QueueNoEndpoint = "no_endpoint"
+)
+
 // durationBuckets are the upper bounds of all histograms in seconds. They range from
 // a short plain request to a long stream.
 var durationBuckets = []float64{.005, .01, .025, .05, .1, .2, .3, .5, 1, 2, 4, 8, 16, 30}
@@ -89,6 +96,10 @@
 	peerAttempts = newCounterVec("samphireturn_peer_attempts_total", "Attempts by way of another daemon by outcome.", "outcome")
 	links        = newCounterVec("samphireturn_links_total", "Losses of the link to all endpoints by outcome.", "outcome")
 
+	queued     = newCounterVec("samphireturn_queued_total", "Requests that were to wait at the daemon by rank, team and outcome.", "rank", "team", "outcome")
+	queueWaits = newHistogramVec("samphireturn_queue_seconds", "Time for which requests waited at the daemon.", "rank", "team")
+
+	teamLabels  = &labelValues{known: make(map[string]bool)}
 	routeLabels = &labelValues{known: make(map[string]bool)}
 )
 
@@ -184,6 +195,13 @@
 // CountPeerAttempt counts an attempt by way of another daemon, by one of the Peer constants.
 func CountPeerAttempt(outcome string) { peerAttempts.WithLabelValues(outcome).Inc() }
 
+// ObserveQueued counts a request that was to wait at the daemon and records how long it waited.
+func ObserveQueued(rank int, team, outcome string, waited time.Duration) {
+	team = teamLabels.bound(team)
+	queued.WithLabelValues(strconv.Itoa(rank), team, outcome).Inc()
+	queueWaits.WithLabelValues(strconv.Itoa(rank), team).Observe(waited.Seconds())
+}
+
 // CountBrittle counts an endpoint that said that it is brittle, or no longer does, by one of
 // the Brittle constants.
 func CountBrittle(outcome string) { brittle.WithLabelValues(outcome).Inc() }
--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -29,6 +29,8 @@
 		Clock func() time.Duration
 		// Rand returns a number in [0, 1) that breaks ties.
 		Rand func() float64
+		// OnRelease, if not nil, is called after a reservation ended.
+		OnRelease func(Release)
 
 		mu        sync.Mutex
 		endpoints map[string]*endpoint
@@ -39,6 +41,7 @@
 		lastActive time.Duration
 		// local and remote are buffers of sample.
 		local, remote []*samphireturn.Host
+		rooms         rooms
 	}
 
 	// endpoint is the state of one endpoint.
@@ -74,6 +77,8 @@
 		sender     sender
 		limitShare limitShare
 		brittle    brittleness
+		// roomIndex is the endpoint's index in the latest search for room.
+		roomIndex int
 	}
 )
 
--- a/internal/forward/balancer/loads.go
+++ b/internal/forward/balancer/loads.go
@@ -117,6 +117,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock()
+	b.rooms.hearsOthers = len(all) > 0
 	for id, e := range b.endpoints {
 		e.remote, e.remoteAt = all[KeyOf(id)], now
 	}
--- a/internal/forward/balancer/reservation.go
+++ b/internal/forward/balancer/reservation.go
@@ -98,11 +98,19 @@
 
 // Done ends the reservation.
 func (r *Reservation) Done() {
+	release, ended := r.end()
+	if ended && r.balancer.OnRelease != nil {
+		r.balancer.OnRelease(release)
+	}
+}
+
+// end ends the reservation, and returns false if it had ended before.
+func (r *Reservation) end() (release Release, ended bool) {
 	b := r.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r.done {
-		return
+		return Release{}, false
 	}
 	e := b.endpoint(r.Host)
 	r.clearBacklog(e)
@@ -111,6 +119,9 @@
 	e.local.MemoryTokens -= r.request.MemoryTokens
 	e.sinceReport--
 	e.pause.finishTrial(r.trial)
+	released := Release{r.Host, b.Clock() - r.sentAt}
+	b.releaseRoom(released, e)
+	return released, true
 }
 
 // applyReport applies the load and the warm-up time that an endpoint reported in
--- /dev/null
+++ b/internal/forward/balancer/room.go
@@ -0,0 +1,297 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"samphireturn"
+)
+
+const (
+	// roomTTL is how long the answer of a search for endpoints with room is used, and
+	// minRoomTTL the least time between two searches for one set of endpoints. A search looks
+	// at all of them, as a choice does.
+	roomTTL    = 25 * time.Millisecond
+	minRoomTTL = 5 * time.Millisecond
+	// maxRoomy bounds the endpoints with room that a search returns. It ends when it has
+	// found them.
+	maxRoomy = 32
+	// scarceFactor is the number of endpoints, for each one with room, beyond which room is
+	// scarce: the few endpoints that compete for a request would mostly be full.
+	scarceFactor = 4
+	// maxFreed bounds the places that own requests left and freedTTL is how long they are
+	// known; then other daemons see them too.
+	maxFreed = 1024
+	freedTTL = time.Second
+	// excessTime is the time in which all daemons together move the excess load of an
+	// endpoint to others. Loads that others share are up to a second old; with a shorter
+	// time, too much is moved before that is seen.
+	excessTime = 2 * time.Second
+	// maxRoomSets bounds the sets of endpoints of which a search is kept: one or two for
+	// each pool.
+	maxRoomSets = 64
+)
+
+type (
+	// Room is the capacity that a request's endpoints have, as far as this daemon knows.
+	Room struct {
+		// Usable is true if any endpoint may be used, full or not.
+		Usable bool
+		// Free is the number of requests for which there is capacity, or fewer if many
+		// endpoints have some.
+		Free int
+		// Spare is the capacity of all usable endpoints less their load, in requests; it is
+		// negative if they have more than that.
+		Spare float64
+		// Own is the number of this daemon's requests in flight, if Free is 0.
+		Own int
+		// Scarce is true if few of the endpoints have capacity.
+		Scarce bool
+	}
+
+	// Release describes a reservation that ended.
+	Release struct {
+		Host *samphireturn.Host
+		// Held is how long it lasted.
+		Held time.Duration
+	}
+
+	// rooms holds the results of the latest searches for endpoints with room.
+	rooms struct {
+		sets map[roomSet]*roomSearch
+		// hearsOthers is true if other daemons lately shared their loads.
+		hearsOthers bool
+	}
+
+	// roomSet identifies a set of endpoints: those of a pool, or of one release there. If two
+	// sets are taken for one, a search is repeated.
+	roomSet struct {
+		pool, first string
+		count       int
+	}
+
+	// roomSearch is the result of a search.
+	roomSearch struct {
+		at     time.Duration
+		usable bool
+		own    int
+		spare  float64
+		scarce bool
+		// memory is that of the request for which the search was made, in tokens.
+		memory int
+		// roomy holds the indexes of the endpoints that had room or had a request of this
+		// daemon end since; cursor is where the next search begins.
+		roomy  []int
+		cursor int
+		// freed holds the places that own requests left, the last one at the end.
+		freed []freedPlace
+	}
+
+	// freedPlace is a place at an endpoint that an own request left.
+	freedPlace struct {
+		index int
+		id    string
+		at    time.Duration
+	}
+)
+
+// HasRoom reports whether a request need not wait for capacity: any of its endpoints has
+// some, in whichever data centre, or none may be used at all, so that waiting is no use.
+func (b *Balancer) HasRoom(req *Request) bool {
+	r := b.Room(req)
+	return !r.Usable || r.Free > 0
+}
+
+// Room returns the capacity that a request's endpoints have. Its answer is up to roomTTL old,
+// apart from the endpoints that have room, which are checked.
+func (b *Balancer) Room(req *Request) Room {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock()
+	s := b.roomSearch(req, now)
+	r := b.checkRoom(s, req, now)
+	outdated := r.Free == 0 && (len(s.roomy) > 0 || s.memory > req.MemoryTokens)
+	if outdated && now-s.at >= minRoomTTL {
+		b.search(s, req, now)
+		r = b.checkRoom(s, req, now)
+	}
+	return r
+}
+
+// PickRoomy reserves a place that an own request left or, if there is none, is Pick among the
+// endpoints that have room, as far as a search for them found. Daemons that all chose
+// endpoints by loads that are a second old would fill some of them and leave others unused;
+// requests that follow own ones leave the loads as they are.
+func (b *Balancer) PickRoomy(req *Request) *Reservation {
+	b.mu.Lock()
+	now := b.Clock()
+	s := b.roomSearch(req, now)
+	if h := b.takeFreed(s, req, now); h != nil {
+		defer b.mu.Unlock()
+		req.prefix = req.prefixHash()
+		return b.reserve(h, req, now)
+	}
+	hosts := make([]*samphireturn.Host, 0, len(s.roomy))
+	for _, i := range s.roomy {
+		if b.roomAt(i, req, now) > 0 {
+			hosts = append(hosts, req.Hosts[i])
+		}
+	}
+	b.mu.Unlock()
+	if len(hosts) == 0 {
+		return nil
+	}
+	restricted := *req
+	restricted.Hosts = hosts
+	return b.Pick(&restricted)
+}
+
+// HearsOthers reports whether other daemons shared their loads in the last seconds.
+func (b *Balancer) HearsOthers() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rooms.hearsOthers
+}
+
+// roomSearch returns the latest search for a request's endpoints, repeated if it is out of
+// date. The caller holds mu.
+func (b *Balancer) roomSearch(req *Request, now time.Duration) *roomSearch {
+	set := roomSet{pool: req.Pool.Name, count: len(req.Hosts)}
+	if set.count > 0 {
+		set.first = req.Hosts[0].ID
+	}
+	s := b.rooms.sets[set]
+	if s != nil && now-s.at < roomTTL {
+		return s
+	}
+	if s == nil {
+		if b.rooms.sets == nil || len(b.rooms.sets) >= maxRoomSets {
+			b.rooms.sets = make(map[roomSet]*roomSearch)
+		}
+		s = &roomSearch{roomy: make([]int, 0, maxRoomy)}
+		b.rooms.sets[set] = s
+	}
+	b.search(s, req, now)
+	return s
+}
+
+// search looks for endpoints with room until it has found maxRoomy. The caller holds mu.
+func (b *Balancer) search(s *roomSearch, req *Request, now time.Duration) {
+	s.at, s.memory, s.usable, s.own, s.roomy = now, req.MemoryTokens, false, 0, s.roomy[:0]
+	looked, spare := 0, 0
+	for ; looked < len(req.Hosts) && len(s.roomy) < maxRoomy; looked++ {
+		i := (s.cursor + looked) % len(req.Hosts)
+		h := req.Hosts[i]
+		e := b.endpoint(h)
+		e.roomIndex = i
+		s.own += e.local.Requests
+		if req.Exclude[h.ID] || !b.usable(h, e, req, now) {
+			continue
+		}
+		s.usable = true
+		spare += max(h.Slots, 1) - e.inFlight(now)
+		if freeSlots(h, e, req, now) > 0 {
+			s.roomy = append(s.roomy, i)
+		}
+	}
+	s.cursor = (s.cursor + looked) % max(len(req.Hosts), 1)
+	s.scarce = looked > scarceFactor*len(s.roomy)
+	// Those that were not looked at are taken to have as much.
+	s.spare = float64(spare) * float64(len(req.Hosts)) / float64(max(looked, 1))
+}
+
+// checkRoom returns what is left of the capacity that a search found, and forgets endpoints
+// that became full. The caller holds mu.
+func (b *Balancer) checkRoom(s *roomSearch, req *Request, now time.Duration) Room {
+	r := Room{Usable: s.usable, Spare: s.spare, Own: s.own, Scarce: s.scarce}
+	for n := 0; n < len(s.roomy); {
+		free := b.roomAt(s.roomy[n], req, now)
+		if free == 0 && req.MemoryTokens <= s.memory {
+			last := len(s.roomy) - 1
+			s.roomy[n] = s.roomy[last]
+			s.roomy = s.roomy[:last]
+			continue
+		}
+		r.Free += free
+		n++
+	}
+	return r
+}
+
+// roomAt returns the capacity of the endpoint at an index of a request's endpoints. The caller
+// holds mu.
+func (b *Balancer) roomAt(i int, req *Request, now time.Duration) int {
+	if i >= len(req.Hosts) {
+		return 0
+	}
+	h := req.Hosts[i]
+	e := b.endpoint(h)
+	if req.Exclude[h.ID] || !b.usable(h, e, req, now) {
+		return 0
+	}
+	return freeSlots(h, e, req, now)
+}
+
+// freeSlots returns the number of requests like the given one that an endpoint takes without
+// queueing them. Of an endpoint whose slots are not known it is 1, as it may take any number.
+func freeSlots(h *samphireturn.Host, e *endpoint, req *Request, now time.Duration) int {
+	if !hasMemory(e, req) {
+		return 0
+	}
+	if h.Slots <= 0 {
+		return 1
+	}
+	return max(h.Slots-e.inFlight(now), 0)
+}
+
+// takeFreed returns the endpoint of a place that an own request left and that a request may
+// take, or nil. The caller holds mu.
+func (b *Balancer) takeFreed(s *roomSearch, req *Request, now time.Duration) *samphireturn.Host {
+	for len(s.freed) > 0 {
+		place := s.freed[len(s.freed)-1]
+		s.freed = s.freed[:len(s.freed)-1]
+		if now-place.at > freedTTL {
+			s.freed = s.freed[:0]
+			return nil
+		}
+		if place.index >= len(req.Hosts) || req.Hosts[place.index].ID != place.id || req.Exclude[place.id] {
+			continue
+		}
+		h := req.Hosts[place.index]
+		e := b.endpoint(h)
+		// What this daemon knows of the load alone is exact.
+		fits := freeSlots(h, e, req, now) > 0 || b.rooms.hearsOthers && hasMemory(e, req)
+		if fits && b.usable(h, e, req, now) {
+			return h
+		}
+	}
+	return nil
+}
+
+// releaseRoom records in the latest searches that a request of this daemon left an endpoint.
+// If the endpoint has more load than slots, a part of the places is not used again there. The
+// caller holds mu.
+func (b *Balancer) releaseRoom(r Release, e *endpoint) {
+	if b.OnRelease == nil {
+		return
+	}
+	h, now := r.Host, b.Clock()
+	inFlight := e.inFlight(now)
+	excess := float64(inFlight+1-h.Slots) / float64(inFlight+1)
+	moved := h.Slots > 0 && excess > 0 && b.Rand() < excess*min(float64(r.Held)/float64(excessTime), 1)
+	for set, s := range b.rooms.sets {
+		if set.pool != h.Pool || e.roomIndex >= set.count {
+			continue
+		}
+		if len(s.roomy) < maxRoomy && !slices.Contains(s.roomy, e.roomIndex) {
+			s.roomy = append(s.roomy, e.roomIndex)
+		}
+		if moved {
+			continue
+		}
+		if len(s.freed) == maxFreed {
+			s.freed = s.freed[:copy(s.freed, s.freed[maxFreed/2:])]
+		}
+		s.freed = append(s.freed, freedPlace{e.roomIndex, h.ID, now})
+	}
+}
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"samphireturn/internal/forward/sender"
 	"samphireturn/internal/forward/stager"
 	"samphireturn/internal/traffic/budgeter"
+	"samphireturn/internal/traffic/queuer"
 )
 
 const (
@@ -67,6 +68,8 @@
 	Recorder                                     *recorder.Recorder
 	Isolator                                     *isolator.Isolator
 	Peers                                        samphireturn.Peers
+	// Queue holds the requests that wait for capacity; nil if none may wait.
+	Queue *queuer.Queuer
 	// Self is this daemon. PeerListener accepts connections of other daemons, and DialPeer
 	// opens one to another daemon.
 	Self         samphireturn.VM
@@ -104,6 +107,9 @@
 	// view is the view that currentView returned last.
 	view          atomic.Pointer[samphireturn.View]
 	cachedMatcher atomic.Pointer[matcher.Matcher]
+	admissions    admissions
+	// stopWaiting ends the wait of requests some time after Leave.
+	stopWaiting *time.Timer
 	// callerServers holds a server for each set of limits so far, the current one at
 	// the end.
 	callerServers   []*callerServer
@@ -133,6 +139,9 @@
 	f.startedAt = f.Clock()
 	f.budgets = make(map[string]*budgeter.RetryWindow)
 	f.Sender.OnAnswer = f.observeAnswer
+	if f.Queue != nil {
+		f.Balancer.OnRelease = f.observeRelease
+	}
 	f.peerServer = &http.Server{Handler: http.HandlerFunc(f.servePeer), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 	f.readinessServer = &http.Server{Handler: http.HandlerFunc(f.handleReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
 	f.wait.Go(f.accept)
@@ -150,6 +159,9 @@
 func (f *Forwarder) Leave() {
 	f.leftAt = time.Now()
 	f.leaving.Store(true)
+	if f.Queue != nil {
+		f.stopWaiting = time.AfterFunc(time.Duration(stopWaitShare*float64(f.ShutdownGrace)), f.Queue.Stop)
+	}
 	f.Log.Info().Str("event", logger.EventLeaving).Int64("active", f.activeRequests.Load()).Send()
 }
 
@@ -164,6 +176,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := f.shutdownServers(ctx)
+	if f.stopWaiting != nil {
+		f.stopWaiting.Stop()
+	}
 	_ = f.readinessServer.Close()
 	if f.metricsServer != nil {
 		_ = f.metricsServer.Close()
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -87,6 +87,8 @@
 	// retryPaid is true if the next attempt was already withdrawn from the retry
 	// budget.
 	retryPaid atomic.Bool
+	// waited is true once the request has waited for room.
+	waited bool
 	// executed is one of the Executed constants.
 	executed string
 	// outcome is the metric label for how the request ended.
@@ -124,15 +126,21 @@
 		if refusal := c.checkAttempt(); refusal != nil {
 			return nil, refusal
 		}
-		reservation, byPeer := c.pickTarget()
+		reservation, refusal := c.waitForRoom()
+		if refusal != nil {
+			return nil, refusal
+		}
+		byPeer := false
+		if reservation == nil {
+			reservation, byPeer = c.pickTarget()
+		}
 		if reservation == nil {
 			c.retryPaid.Store(c.sends > 0)
 			return nil, c.noEndpointRefusal()
 		}
 		var (
-			a       *attempt
-			err     error
-			refusal *samphireturn.Refusal
+			a   *attempt
+			err error
 		)
 		if byPeer {
 			if a, err = c.tryPeer(reservation); err == nil {
--- /dev/null
+++ b/internal/forward/forwarder/room.go
@@ -0,0 +1,281 @@
+package forwarder
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"samphireturn"
+	"samphireturn/internal/core/logger"
+	"samphireturn/internal/core/meter"
+	"samphireturn/internal/forward/balancer"
+	"samphireturn/internal/traffic/queuer"
+)
+
+const (
+	// MaxWaiting bounds the requests that wait for capacity at one daemon. Beside the memory
+	// that each request in flight has already, a waiting one takes less than a kilobyte.
+	MaxWaiting = 10_000
+	// objectiveWaitShare is the share of the time left to the objective, and deadlineWaitShare
+	// that of the time left to the deadline, for which a request waits at most.
+	objectiveWaitShare = 0.5
+	deadlineWaitShare  = 0.25
+	// stopWaitShare is the share of ShutdownGrace after which waiting requests are refused;
+	// requests that were sent need the rest.
+	stopWaitShare = 0.5
+	// holdWeight is the weight of one more request in the mean time for which requests hold
+	// their endpoints.
+	holdWeight = 0.05
+	// canarySuffix distinguishes the queue of a release under test, which has endpoints of its
+	// own.
+	canarySuffix = " canary"
+)
+
+// admission decides which waiting requests of one queue are sent.
+type admission struct {
+	mu        sync.Mutex
+	allowance queuer.Allowance
+	// held is the mean time for which requests held their endpoints; zero before the first.
+	held time.Duration
+}
+
+// admissions holds the admissions by queue.
+type admissions struct {
+	mu      sync.Mutex
+	byQueue map[string]*admission
+}
+
+func (a *admissions) get(queue string) *admission {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byQueue == nil {
+		a.byQueue = make(map[string]*admission)
+	}
+	found := a.byQueue[queue]
+	if found == nil {
+		found = new(admission)
+		a.byQueue[queue] = found
+	}
+	return found
+}
+
+// queueName returns the name of the queue for the endpoints of one release.
+func queueName(v *samphireturn.View, pool, release string) string {
+	if r := v.Rollouts[pool]; r != nil && release == r.Release {
+		return pool + canarySuffix
+	}
+	return pool
+}
+
+// observeRelease records that a request of this daemon no longer holds an endpoint.
+func (f *Forwarder) observeRelease(r balancer.Release) {
+	v := f.Control.Snapshot().View
+	if v == nil {
+		return
+	}
+	queue := queueName(v, r.Host.Pool, r.Host.Release)
+	f.admissions.get(queue).release(r, f.Clock())
+	f.Queue.RecordReleased(queue, 1)
+}
+
+func (a *admission) release(r balancer.Release, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.held == 0 {
+		a.held = r.Held
+	}
+	a.held += time.Duration(holdWeight * float64(r.Held-a.held))
+	a.allowance.Release(now)
+}
+
+// rate returns the requests per second that are expected to end of those in flight, or zero if
+// unknown.
+func (a *admission) rate(inFlight int) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.held <= 0 {
+		return 0
+	}
+	return float64(inFlight) / a.held.Seconds()
+}
+
+// waitForRoom has a first attempt wait while no endpoint of its pool has room for it. It
+// returns the endpoint reserved at the end of the wait. If it returns neither that nor a
+// refusal, the request is sent as if there were no queue.
+func (c *proxyCall) waitForRoom() (*balancer.Reservation, *samphireturn.Refusal) {
+	if !c.mayWaitForRoom() {
+		return nil, nil
+	}
+	c.updateCandidates()
+	queue := c.queueName()
+	room := c.Balancer.Room(&c.pickRequest)
+	waiting := c.Queue.Waiting(queue)
+	if !room.Usable || waiting == 0 && room.Free > 0 {
+		if room.Scarce && room.Free >= c.sharingDaemons() {
+			// There is one for each daemon, but a few endpoints drawn at random would be full.
+			return c.Balancer.PickRoomy(&c.pickRequest), nil
+		}
+		return nil, nil
+	}
+	bound := c.waitBound()
+	if bound <= 0 {
+		return nil, nil
+	}
+	return c.queueForRoom(queue, waiting, bound, room)
+}
+
+// mayWaitForRoom reports whether the attempt may wait for capacity: it is the first, and its
+// endpoint is chosen here. A stream that goes on elsewhere and an attempt of a peer don't wait
+// behind others.
+func (c *proxyCall) mayWaitForRoom() bool {
+	if c.Queue == nil || c.waited || c.forPeer != nil || c.begun || c.leaving.Load() {
+		return false
+	}
+	return c.sends == 0 && c.executions == 0 && len(c.undialled) == 0 && !c.LinkLost()
+}
+
+// waitBound returns the longest time for which the request waits.
+func (c *proxyCall) waitBound() time.Duration {
+	bound := time.Duration(deadlineWaitShare * float64(c.remaining()))
+	if c.route.Objective > 0 {
+		left := c.route.Objective - (c.Clock() - c.start)
+		bound = min(bound, time.Duration(objectiveWaitShare*float64(left)))
+	}
+	return bound
+}
+
+// queueForRoom waits in a queue.
+func (c *proxyCall) queueForRoom(queue string, waiting int, bound time.Duration, room balancer.Room) (*balancer.Reservation, *samphireturn.Refusal) {
+	c.waited = true
+	a := c.admissions.get(queue)
+	if waiting == 0 {
+		a.start(c.Clock(), c.Rand())
+	}
+	c.Log.Debug().Str("event", logger.EventQueued).Str("id", c.request.ID).Str("queue", queue).Int("rank", c.priority).Str("team", c.team).
+		Int("waiting", waiting).Int("running", room.Own).Dur("bound", bound).Send()
+	start := c.Clock()
+	var (
+		reservation *balancer.Reservation
+		refusal     *samphireturn.Refusal
+	)
+	err := c.Queue.Join(c.ctx, queuer.Entry{
+		Pool: queue, Team: c.team, Rank: c.priority, Cost: 1, MayWait: true, Bound: bound, Rate: a.rate(room.Own),
+	}, func() (done bool) {
+		reservation, refusal, done = c.tryRoom(a)
+		return done
+	})
+	outcome := meter.QueueSent
+	switch {
+	case err != nil:
+		outcome, refusal = c.queueRefusal(err)
+	case refusal != nil:
+		outcome = refusal.Reason
+	case reservation == nil:
+		outcome = meter.QueueNoEndpoint
+	}
+	took := c.Clock() - start
+	meter.ObserveQueued(min(max(c.priority, 0), maxPriority), c.team, outcome, took)
+	line := c.Log.Info().Str("event", logger.EventDequeued).Str("id", c.request.ID).Str("queue", queue).Int("rank", c.priority).Str("team", c.team).
+		Str("outcome", outcome).Dur("waited", took).Int("running", room.Own)
+	if reservation != nil {
+		line = line.Str("endpoint", reservation.Host.ID)
+	}
+	line.Send()
+	if refusal == nil && reservation == nil {
+		refusal = c.checkAttempt()
+	}
+	return reservation, refusal
+}
+
+// start begins a time in which requests wait.
+func (a *admission) start(now time.Duration, phase float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.allowance.Start(now, phase)
+}
+
+// tryRoom reserves an endpoint for the next request of a queue if there is capacity of which
+// this daemon may use a part now. It is done too if the request is not to wait any more: it is
+// refused, or no endpoint is left.
+func (c *proxyCall) tryRoom(a *admission) (reservation *balancer.Reservation, refusal *samphireturn.Refusal, done bool) {
+	if refusal := c.checkWaiting(); refusal != nil {
+		return nil, refusal, true
+	}
+	c.updateCandidates()
+	room := c.Balancer.Room(&c.pickRequest)
+	if !room.Usable {
+		return nil, nil, true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.allowance.Allows(c.Clock(), room.Spare, c.sharingDaemons()) {
+		return nil, nil, false
+	}
+	if reservation = c.Balancer.PickRoomy(&c.pickRequest); reservation == nil {
+		return nil, nil, false
+	}
+	a.allowance.Use()
+	return reservation, nil, true
+}
+
+// checkWaiting checks again what was checked before the wait: the table and the endpoints may
+// have changed, the key may have been removed and the request isolated.
+func (c *proxyCall) checkWaiting() *samphireturn.Refusal {
+	if refusal := c.checkAttempt(); refusal != nil {
+		return refusal
+	}
+	admitted := c.route
+	defer func() { c.route = admitted }()
+	if c.view.Table != c.tableMatcher.Table {
+		c.tableMatcher = c.matcher(c.view.Table)
+	}
+	if c.route = c.tableMatcher.Route(c.r.Host, c.r.URL.Path); c.route == nil {
+		return c.refuseUnknown(samphireturn.ForwardNoRoute)
+	}
+	return c.authorize()
+}
+
+// updateCandidates sets the endpoints that the next attempt may use.
+func (c *proxyCall) updateCandidates() {
+	c.pickRequest.LatencyClass = c.latencyClass()
+	c.pickRequest.Hosts = c.Stager.Hosts(c.view, c.pool.Name, c.request.Session, c.request.ID)
+}
+
+// queueName returns the name of the queue for the request's endpoints.
+func (c *proxyCall) queueName() string {
+	release := ""
+	if len(c.pickRequest.Hosts) > 0 {
+		release = c.pickRequest.Hosts[0].Release
+	}
+	return queueName(c.view, c.pool.Name, release)
+}
+
+// sharingDaemons returns the number of daemons that use the capacity that this one sees. A
+// daemon that hears nothing from others uses all of it.
+func (c *proxyCall) sharingDaemons() int {
+	if !c.Balancer.HearsOthers() {
+		return 1
+	}
+	return max(len(c.view.Members), 1)
+}
+
+// queueRefusal returns the outcome of a wait that ended without capacity, and the refusal of
+// its request; nil if it is sent nevertheless.
+func (c *proxyCall) queueRefusal(err error) (outcome string, refusal *samphireturn.Refusal) {
+	var e *queuer.Error
+	if !errors.As(err, &e) {
+		return meter.QueueSent, c.refusal(samphireturn.ReasonBusy, busyRetryAfter, err)
+	}
+	outcome = e.Kind.String()
+	switch e.Kind {
+	case queuer.KindTimeout:
+		return outcome, nil
+	case queuer.KindCancelled:
+		return outcome, c.deadlineRefusal()
+	case queuer.KindStopped:
+		return outcome, c.refusal(samphireturn.ReasonClosing, busyRetryAfter, err)
+	default:
+		return outcome, c.refusal(samphireturn.ReasonBusy, max(e.RetryAfter, busyRetryAfter), err)
+	}
+}
--- a/internal/traffic/queuer/queue.go
+++ b/internal/traffic/queuer/queue.go
@@ -2,145 +2,140 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 )
 
-// queue holds the waiting requests of one pool of endpoints. Teams are served by
-// start-time fair queueing: each request gets the virtual time at which its team's
-// share of the work reaches it.
+// queue holds the waiting requests of one pool of endpoints. One request at a time, the next
+// in order, tries to get capacity.
 type queue struct {
-	mu      sync.Mutex
-	waiters []*waiter
-	// finishTags holds the virtual finish time of each team's last waiting request.
-	finishTags map[string]float64
-	// virtualTime is the tag of the request served last.
-	virtualTime float64
-	queuedCost  int64
+	mu    sync.Mutex
+	order order
+	// trying is the request that tries now; again is true if capacity may have become free
+	// since it began.
+	trying *waiter
+	again  bool
+	// ticker lets the next request try again, since capacity also becomes free without a
+	// signal; ticking is true while it is due.
+	ticker  *time.Timer
+	ticking bool
 	// windowStart begins the window in which releasedWork is counted.
 	windowStart  time.Time
 	releasedWork int64
 	previousRate float64 // work per second in the previous window
 }
 
-// waiter is one waiting request.
-type waiter struct {
-	entry     Entry
-	finishTag float64
-	// ready is signalled when the request comes first or capacity may be free.
-	ready chan struct{}
-}
-
-func (q *queue) empty() bool {
+func (q *queue) waiting() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiters) == 0
+	return q.order.count
 }
 
-// join appends a request unless the queue is full or the work ahead is expected to take
-// longer than maxWait.
-func (q *queue) join(e Entry, capacity int, maxWait time.Duration) (*waiter, error) {
+// join adds a request unless the queue is full or the work ahead is expected to take longer
+// than maxWait.
+func (q *queue) join(e Entry, capacity int, bound, maxWait time.Duration) (*waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	drain := q.drainTime(q.queuedCost + e.Cost)
-	if len(q.waiters) >= capacity {
+	drain := q.drainTime(q.order.costAhead(e.Rank)+e.Cost, e.Rate)
+	if q.order.count >= capacity {
 		return nil, refuse(e, KindFull, drain)
 	}
 	if drain > maxWait {
 		return nil, refuse(e, KindWaitTooLong, drain)
 	}
-	weight := e.Weight
-	if weight <= 0 {
-		weight = 1
-	}
-	w := &waiter{entry: e, ready: make(chan struct{}, 1)}
-	w.finishTag = max(q.virtualTime, q.finishTags[e.Team]) + float64(e.Cost)/weight
-	q.finishTags[e.Team] = w.finishTag
-	q.queuedCost += e.Cost
-	q.insert(w)
-	q.wake()
+	w := q.order.add(e, time.Now(), bound)
+	q.dispatch()
 	return w, nil
 }
 
-// insert adds a request in order of tags. Within a team, requests of higher priority
-// take the earlier tags. The caller holds mu.
-func (q *queue) insert(w *waiter) {
-	q.waiters = append(q.waiters, w)
-	for i := len(q.waiters) - 2; i >= 0; i-- {
-		other := q.waiters[i]
-		if other.entry.Team == w.entry.Team && other.entry.Priority < w.entry.Priority {
-			other.finishTag, w.finishTag = w.finishTag, other.finishTag
-		}
-	}
-	slices.SortStableFunc(q.waiters, func(a, b *waiter) int {
-		if a.finishTag < b.finishTag {
-			return -1
-		}
-		if a.finishTag > b.finishTag {
-			return 1
-		}
-		return 0
-	})
-}
-
-// wait calls try whenever the request is at the head of the queue, until try succeeds,
-// limit has passed or ctx is done.
-func (q *queue) wait(ctx context.Context, e Entry, w *waiter, limit time.Duration, try func() bool) error {
+// wait calls try whenever the request is next and capacity may be free, until try succeeds,
+// limit has passed, ctx is done or stopped is closed.
+func (q *queue) wait(ctx context.Context, w *waiter, limit time.Duration, stopped <-chan struct{}, try func() bool) error {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
-	ticker := time.NewTicker(retryInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-w.ready:
-		case <-ticker.C:
+			if ctx.Err() != nil {
+				return q.leave(w, KindCancelled)
+			}
+			if q.tried(w, try()) {
+				return nil
+			}
 		case <-timer.C:
-			return refuse(e, KindTimeout, q.estimateWait(e.Cost))
+			return q.leave(w, KindTimeout)
 		case <-ctx.Done():
-			return refuse(e, KindCancelled, 0)
-		}
-		if q.isHead(w) && try() {
-			return nil
+			return q.leave(w, KindCancelled)
+		case <-stopped:
+			return q.leave(w, KindStopped)
 		}
 	}
 }
 
-func (q *queue) isHead(w *waiter) bool {
+// dispatch lets the next request try, unless one does already. The caller holds mu.
+func (q *queue) dispatch() {
+	if q.trying != nil {
+		q.again = true
+		return
+	}
+	q.again = false
+	if q.trying = q.order.next(time.Now()); q.trying != nil {
+		q.trying.ready <- struct{}{}
+	}
+}
+
+// tried records whether the request that tried got capacity, and returns that.
+func (q *queue) tried(w *waiter, ok bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.waiters[0] == w
+	q.trying = nil
+	if ok {
+		q.order.place(w)
+	}
+	if ok || q.again {
+		q.dispatch()
+	}
+	q.tickLater()
+	return ok
 }
 
-// leave removes a request from the queue and lets the next one try.
-func (q *queue) leave(w *waiter) {
+// leave removes a request that got no capacity and returns its refusal.
+func (q *queue) leave(w *waiter, kind Kind) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	i := slices.Index(q.waiters, w)
-	if i == 0 {
-		q.virtualTime = max(q.virtualTime, w.finishTag)
+	if q.trying == w {
+		q.trying = nil
 	}
-	q.waiters = slices.Delete(q.waiters, i, i+1)
-	q.queuedCost -= w.entry.Cost
-	if len(q.waiters) == 0 {
-		q.virtualTime = 0
-		clear(q.finishTags)
+	q.order.remove(w)
+	q.dispatch()
+	wait := time.Duration(0)
+	if kind != KindCancelled {
+		wait = q.drainTime(q.order.costAhead(w.entry.Rank)+w.entry.Cost, w.entry.Rate)
 	}
-	q.wake()
+	return refuse(w.entry, kind, wait)
 }
 
-// wake lets the head of the queue try. The caller holds mu.
-func (q *queue) wake() {
-	if len(q.waiters) == 0 {
+// tickLater lets the next request try after retryInterval. The caller holds mu.
+func (q *queue) tickLater() {
+	if q.ticking || q.order.count == 0 {
 		return
 	}
-	select {
-	case q.waiters[0].ready <- struct{}{}:
-	default:
+	q.ticking = true
+	if q.ticker == nil {
+		q.ticker = time.AfterFunc(retryInterval, q.tick)
+		return
 	}
+	q.ticker.Reset(retryInterval)
 }
 
-// recordReleased counts released work and lets the head of the queue try.
+func (q *queue) tick() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ticking = false
+	q.dispatch()
+}
+
+// recordReleased counts released work and lets the next request try.
 func (q *queue) recordReleased(work int64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -153,25 +148,35 @@
 		q.windowStart, q.releasedWork = now, 0
 	}
 	q.releasedWork += work
-	q.wake()
+	if q.order.count > 0 {
+		q.dispatch()
+	}
 }
 
-// estimateWait returns the expected time until the queued work plus work is done.
-func (q *queue) estimateWait(work int64) time.Duration {
+// estimateWait returns the expected time until the work ahead of a request and its own is
+// done.
+func (q *queue) estimateWait(e Entry) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.drainTime(q.queuedCost + work)
+	return q.drainTime(q.order.costAhead(e.Rank)+e.Cost, e.Rate)
 }
 
 // drainTime returns the expected time until work is done at the recent rate of released
-// work, or zero while the rate is unknown. The caller holds mu.
-func (q *queue) drainTime(work int64) time.Duration {
+// work or the expected one, whichever is greater, or zero while both are unknown. The caller
+// holds mu.
+func (q *queue) drainTime(work int64, expectedRate float64) time.Duration {
 	rate := q.previousRate
 	if elapsed := time.Since(q.windowStart); rate == 0 && elapsed >= time.Second {
 		rate = float64(q.releasedWork) / elapsed.Seconds()
 	}
+	return waitFor(work, max(rate, expectedRate))
+}
+
+// waitFor returns the time that work takes at a rate in work per second, or zero if the rate
+// is not known.
+func waitFor(work int64, rate float64) time.Duration {
 	if rate <= 0 {
 		return 0
 	}
-	return time.Duration(float64(work) / rate * float64(time.Second))
+	return time.Duration(min(float64(work)/rate, maxEstimate.Seconds()) * float64(time.Second))
 }
--- a/internal/traffic/queuer/queuer_test.go
+++ b/internal/traffic/queuer/queuer_test.go
@@ -14,7 +14,7 @@
 	"samphireturn/internal/traffic/queuer"
 )
 
-var poolRef = sr.VersionRef{Model: "m", Version: "v1"}
+var poolRef = sr.VersionRef{Model: "m", Version: "v1"}.String()
 
 // testPool is a pool with free capacity.
 type testPool struct {
--- a/internal/traffic/router/place.go
+++ b/internal/traffic/router/place.go
@@ -32,7 +32,7 @@
 		return refusal == nil || refusal.Reason != samphireturn.ReasonBusy
 	}
 	err := r.Queue.Join(ctx, queuer.Entry{
-		Pool:     w.poolRef(),
+		Pool:     w.poolRef().String(),
 		Team:     w.Request.Team,
 		Weight:   w.Weight,
 		Priority: w.Request.Priority,
--- a/internal/traffic/router/router.go
+++ b/internal/traffic/router/router.go
@@ -220,7 +220,7 @@
 // release returns the quota that w holds at e and wakes the pool's queue.
 func (r *Router) release(e *samphireturn.Endpoint, w Work) {
 	r.Limiter.Release(e, w.cost())
-	r.Queue.RecordReleased(w.poolRef(), w.cost())
+	r.Queue.RecordReleased(w.poolRef().String(), w.cost())
 }
 
 // observe reports an attempt to the observer.
