--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -29,6 +29,8 @@
 		Clock func() time.Duration
 		// Rand returns a number in [0, 1) that breaks ties.
 		Rand func() float64
+		// OnRelease, if not nil, is called after a reservation ended.
+		OnRelease func(Release)
 
 		mu        sync.Mutex
 		endpoints map[string]*endpoint
@@ -42,6 +44,7 @@
 		lastActive time.Duration
 		// local and remote are buffers of sample.
 		local, remote []*samphireturn.Host
+		rooms         rooms
 	}
 
 	// endpoint is the state of one endpoint.
@@ -79,6 +82,8 @@
 		brittle    brittleness
 		pace       pace
 		presence   presence
+		// roomIndex is the endpoint's index in the latest search for room.
+		roomIndex int
 	}
 )
 
