Choose endpoints in one pass over them

A choice looked up and hashed each endpoint twice. What is known of the endpoints of the last request to a pool is kept, and one pass ranks and collects them.

--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -37,12 +37,26 @@
 		brittlePools map[string]time.Duration
 		// lastActive is when any endpoint last sent anything.
 		lastActive time.Duration
-		// local and remote are buffers of sample.
-		local, remote []*samphireturn.Host
+		// known holds the endpoints of the last request to each pool.
+		known map[string][]knownHost
+		// sampled, local and remote are buffers of sample.
+		sampled, local, remote []candidate
 	}
 
 	// endpoint is the state of one endpoint.
 	endpoint struct {
+		// The following fields, up to limit, are those that are read for each endpoint of each
+		// request; they are together since reading memory takes most of that time.
+
+		unreachable bool
+		// prefixSent holds when each prompt prefix was last sent, by prefixHash.
+		prefixSent map[uint64]time.Duration
+		// warmUpUntil is when warm-up ends; nextWarmUpSend is when this daemon may next
+		// send a request during warm-up.
+		warmUpUntil, nextWarmUpSend time.Duration
+		pause                       pause
+		brittle                     brittleness
+		limit                       limit
 		// local is the load of this daemon.
 		local Load
 		// remote is the load of all other daemons, received at remoteAt.
@@ -56,31 +70,22 @@
 		// lastActive is when the endpoint last sent anything, or was first used.
 		lastActive time.Duration
 		// failures is the decayed number of failures as of failuresAt.
-		failures    float64
-		failuresAt  time.Duration
-		unreachable bool
-		// prefixSent holds when each prompt prefix was last sent, by prefixHash.
-		prefixSent map[uint64]time.Duration
-		// warmUpUntil is when warm-up ends; nextWarmUpSend is when this daemon may next
-		// send a request during warm-up.
-		warmUpUntil, nextWarmUpSend time.Duration
+		failures   float64
+		failuresAt time.Duration
 		// announcedWarmUp is the last WarmUpLeft applied from the endpoint's entry.
 		announcedWarmUp time.Duration
-		pause           pause
-		limit           limit
 		// started is Host.Started of the last known instance, to which the pause, the limit,
 		// the brittleness and the pace belong.
 		started    int64
 		sender     sender
 		limitShare limitShare
-		brittle    brittleness
 		pace       pace
 	}
 )
 
 // New returns a Balancer for the daemon with the id self in the data centre.
 func New(self, centre string, clock func() time.Duration) *Balancer {
-	return &Balancer{Self: self, Centre: centre, Clock: clock, Rand: rand.Float64, endpoints: make(map[string]*endpoint), latencies: make(map[string]*latency), brittlePools: make(map[string]time.Duration)}
+	return &Balancer{Self: self, Centre: centre, Clock: clock, Rand: rand.Float64, endpoints: make(map[string]*endpoint), latencies: make(map[string]*latency), brittlePools: make(map[string]time.Duration), known: make(map[string][]knownHost)}
 }
 
 // RecordActivity records that an endpoint sent something.
@@ -191,19 +196,27 @@
 	for id, e := range b.endpoints {
 		if !listed[id] && e.local == (Load{}) && !e.pause.active(now) && !e.limit.confirmed(now) {
 			delete(b.endpoints, id)
+			// It may be among them.
+			clear(b.known)
 		}
 	}
 }
 
-// endpoint returns the state of an endpoint, created on first use, and applies a
-// newly announced warm-up time. A pause, a limit and a pace end with the instance that told
-// them. The caller holds mu.
+// endpoint returns the state of an endpoint, created on first use and updated. The caller
+// holds mu.
 func (b *Balancer) endpoint(h *samphireturn.Host) *endpoint {
 	e := b.endpoints[h.ID]
 	if e == nil {
 		e = &endpoint{lastActive: b.Clock()}
 		b.endpoints[h.ID] = e
 	}
+	b.update(e, h)
+	return e
+}
+
+// update applies an endpoint's entry to its state: a newly announced warm-up time, and a new
+// instance, with which a pause, a limit, the brittleness and a pace end. The caller holds mu.
+func (b *Balancer) update(e *endpoint, h *samphireturn.Host) {
 	if h.Started > e.started {
 		e.started = h.Started
 		e.pause.until, e.pause.onTrial = 0, false
@@ -215,7 +228,6 @@
 		e.announcedWarmUp = h.WarmUpLeft
 		e.warmUpUntil = max(e.warmUpUntil, b.Clock()+h.WarmUpLeft)
 	}
-	return e
 }
 
 // inFlight estimates the number of requests at an endpoint.
--- a/internal/forward/balancer/choice.go
+++ b/internal/forward/balancer/choice.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -83,6 +84,29 @@
 		// data centre.
 		fleet, centre *samphireturn.Host
 	}
+
+	// knownHost is an endpoint with its state and the hash of its id. It is local if it is of
+	// this data centre.
+	knownHost struct {
+		host     *samphireturn.Host
+		endpoint *endpoint
+		hash     uint64
+		local    bool
+	}
+
+	// candidate is an endpoint of a request, at index among its endpoints.
+	candidate struct {
+		knownHost
+		index int
+	}
+
+	// ranking holds the endpoints of the highest weights so far for a prefix, in the fleet and
+	// in this data centre.
+	ranking struct {
+		prefix                    uint64
+		fleet, centre             candidate
+		fleetWeight, centreWeight float64
+	}
 )
 
 // Pick reserves the endpoint with the lowest score, or returns nil if no endpoint
@@ -93,20 +117,21 @@
 	now := b.Clock()
 	req.prefix = req.prefixHash()
 	var (
-		best   *samphireturn.Host
+		best   *candidate
 		lowest float64
 	)
-	p := b.preferredHosts(req, now)
-	for _, h := range b.sample(req, p, now) {
-		score := b.score(h, b.endpoint(h), req, now) + b.prefixCost(h, b.endpoint(h), req, p, now)
+	sampled, p := b.sample(req, now)
+	for i := range sampled {
+		c := &sampled[i]
+		score := b.score(c.host, c.endpoint, req, now) + b.prefixCost(c.host, c.endpoint, req, p, now)
 		if best == nil || score < lowest {
-			best, lowest = h, score
+			best, lowest = c, score
 		}
 	}
 	if best == nil {
 		return nil
 	}
-	return b.reserve(best, req, now)
+	return b.reserve(best.host, req, now)
 }
 
 // CanPick reports whether Pick would find an endpoint for a request.
@@ -131,32 +156,80 @@
 // sample returns the endpoints that compete for a request: those that may have its
 // prefix cached and a few others, drawn at random. The loads that other daemons share are
 // up to a second old; if each daemon compared all endpoints, all would send their
-// requests to the one that looked idle to all of them. The caller holds mu.
-func (b *Balancer) sample(req *Request, p preferred, now time.Duration) []*samphireturn.Host {
-	var sampled []*samphireturn.Host
-	local, remote := b.local[:0], b.remote[:0]
-	for _, h := range req.Hosts {
-		if req.Exclude[h.ID] {
+// requests to the one that looked idle to all of them. The result is valid until the next
+// call. The caller holds mu.
+func (b *Balancer) sample(req *Request, now time.Duration) (sampled []candidate, p preferred) {
+	ranking := ranking{prefix: xxhash.Sum64String(req.PrefixID)}
+	sampled, local, remote := b.sampled[:0], b.local[:0], b.remote[:0]
+	known := b.knownHosts(req.Pool.Name, len(req.Hosts))
+	for i, h := range req.Hosts {
+		if len(req.Exclude) > 0 && req.Exclude[h.ID] {
 			continue
 		}
-		e := b.endpoint(h)
+		b.refresh(&known[i], h)
+		c := candidate{known[i], i}
+		e := c.endpoint
+		if req.PrefixID != "" {
+			ranking.add(c, now)
+		}
 		switch {
 		case !b.usable(h, e, req, now):
-		case h == p.fleet || h == p.centre || req.PrefixID != "" && e.hasPrefix(req, now):
-			sampled = append(sampled, h)
-		case h.Centre == b.Centre:
-			local = append(local, h)
+		case req.PrefixID != "" && e.hasPrefix(req, now):
+			sampled = append(sampled, c)
+		case c.local:
+			local = append(local, c)
 		default:
-			remote = append(remote, h)
+			remote = append(remote, c)
+		}
+	}
+	p = preferred{ranking.fleet.host, ranking.centre.host}
+	for _, c := range []candidate{ranking.fleet, ranking.centre} {
+		from := &remote
+		if c.local {
+			from = &local
+		}
+		if at, ok := find(*from, c); ok {
+			*from = slices.Delete(*from, at, at+1)
+			at, _ = find(sampled, c)
+			sampled = slices.Insert(sampled, at, c)
 		}
 	}
-	b.local, b.remote = local, remote
 	sampled = b.draw(sampled, local, localSamples)
-	return b.draw(sampled, remote, remoteSamples)
+	sampled = b.draw(sampled, remote, remoteSamples)
+	b.sampled, b.local, b.remote = sampled, local, remote
+	return sampled, p
+}
+
+// find returns the position of a candidate among others in the order of the request's
+// endpoints, or where it would be, and whether it is there.
+func find(others []candidate, c candidate) (at int, ok bool) {
+	at, ok = slices.BinarySearchFunc(others, c, func(o, c candidate) int { return o.index - c.index })
+	return at, ok && others[at].host == c.host
+}
+
+// knownHosts returns what is known of the endpoints of the last request to a pool, extended to n.
+// Successive requests mostly have the same endpoints, so it saves looking up each one by its id.
+// The caller holds mu.
+func (b *Balancer) knownHosts(pool string, n int) []knownHost {
+	known := b.known[pool]
+	if len(known) < n {
+		known = slices.Grow(known, n-len(known))[:n]
+		b.known[pool] = known
+	}
+	return known
+}
+
+// refresh sets what is known of an endpoint of a request. The caller holds mu.
+func (b *Balancer) refresh(k *knownHost, h *samphireturn.Host) {
+	if k.host == h {
+		b.update(k.endpoint, h)
+		return
+	}
+	*k = knownHost{h, b.endpoint(h), xxhash.Sum64String(h.ID), h.Centre == b.Centre}
 }
 
 // draw appends up to n endpoints drawn at random from the given ones, which it reorders.
-func (b *Balancer) draw(sampled, from []*samphireturn.Host, n int) []*samphireturn.Host {
+func (b *Balancer) draw(sampled, from []candidate, n int) []candidate {
 	for i := range min(n, len(from)) {
 		j := i + int(b.Rand()*float64(len(from)-i))
 		from[i], from[j] = from[j], from[i]
@@ -192,29 +265,21 @@
 	return score + tieBreakCost*b.Rand()
 }
 
-// preferredHosts returns the preferred endpoints for a request's prefix.
-func (b *Balancer) preferredHosts(req *Request, now time.Duration) (p preferred) {
-	if req.PrefixID == "" {
-		return p
+// add ranks an endpoint.
+func (r *ranking) add(c candidate, now time.Duration) {
+	weight := rendezvousWeight(r.prefix, c.hash)
+	if weight <= r.fleetWeight && (weight <= r.centreWeight || !c.local) {
+		return
 	}
-	prefix := xxhash.Sum64String(req.PrefixID)
-	var fleetWeight, centreWeight float64
-	for _, h := range req.Hosts {
-		weight := rendezvousWeight(prefix, h.ID)
-		if weight <= fleetWeight && (weight <= centreWeight || h.Centre != b.Centre) {
-			continue
-		}
-		if e := b.endpoint(h); req.Exclude[h.ID] || e.unreachable || e.pause.active(now) || e.limit.active() {
-			continue
-		}
-		if weight > fleetWeight {
-			p.fleet, fleetWeight = h, weight
-		}
-		if weight > centreWeight && h.Centre == b.Centre {
-			p.centre, centreWeight = h, weight
-		}
+	if e := c.endpoint; e.unreachable || e.pause.active(now) || e.limit.active() {
+		return
+	}
+	if weight > r.fleetWeight {
+		r.fleet, r.fleetWeight = c, weight
+	}
+	if weight > r.centreWeight && c.local {
+		r.centre, r.centreWeight = c, weight
 	}
-	return p
 }
 
 // prefixCost returns the expected cost of processing the shared prefix again. It is
@@ -238,9 +303,9 @@
 // rendezvousWeight returns a number in [0, 1] that is the same at all daemons. It mixes
 // the hash of a prefix with that of an endpoint's id, as it is computed for each endpoint
 // of each request.
-func rendezvousWeight(prefix uint64, id string) float64 {
+func rendezvousWeight(prefix, id uint64) float64 {
 	// Finalizer of SplitMix64.
-	x := prefix + xxhash.Sum64String(id)
+	x := prefix + id
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return float64(x^x>>31) / (1 << 64)
--- a/internal/forward/balancer/cost_test.go
+++ b/internal/forward/balancer/cost_test.go
@@ -2,18 +2,22 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 
+	"samphireturn"
 	"samphireturn/internal/forward/balancer"
 )
 
-// newLargeFleet returns a balancer of 300 daemons and a request that 3,000 endpoints may
+// newLargeFleet returns a balancer of 300 daemons and a request that a number of endpoints may
 // serve, the first of which are warming up.
-func newLargeFleet(warmingUp int) (*balancer.Balancer, *balancer.Request) {
-	cl := newCluster(300, 3000, "north", "south", "west", "east", "centre")
+func newLargeFleet(endpoints, warmingUp int) (*balancer.Balancer, *balancer.Request) {
+	cl := newCluster(300, endpoints, "north", "south", "west", "east", "centre")
 	for i := range cl.members {
 		cl.members[i].Cores = 0.192
 	}
@@ -50,7 +54,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			b, req := newLargeFleet(test.warmingUp)
+			b, req := newLargeFleet(3000, test.warmingUp)
 			best := time.Hour
 			// The shortest run is the one that had the processor for itself, which may take a
 			// while to come on a busy machine.
@@ -67,11 +71,70 @@
 	}
 }
 
+// TestChoicesKept guards against a cheaper choice that chooses otherwise: with the same random
+// numbers, while endpoints fail, pause, warm up, restart and leave the list, all choices are those
+// of commit 7fc650c, from which the recorded sum is.
+func TestChoicesKept(t *testing.T) {
+	const recorded = 4444846086377281373
+	c := qt.New(t)
+	cl := newCluster(4, 60, "north", "south", "west")
+	random := rand.New(rand.NewPCG(5, 6))
+	sum := xxhash.New()
+	listed := cl.hosts
+	var open []*balancer.Reservation
+	for i := range 20_000 {
+		cl.now += time.Duration(random.IntN(20)) * time.Millisecond
+		b, at := cl.daemons[random.IntN(4)], random.IntN(60)
+		h := cl.hosts[at]
+		req := cl.request("c", random.IntN(3000), []string{"", "p", "q", "r"}[random.IntN(4)], 200)
+		req.Hosts = listed
+		if i%7 == 0 {
+			req.Exclude = map[string]bool{h.ID: true}
+		}
+		switch i % 50 {
+		case 1:
+			b.RecordFailure(h, i%100 == 1)
+		case 2:
+			b.Pause(h, time.Second)
+		case 3:
+			b.MarkReachable(h)
+		case 4:
+			restarted := *h
+			restarted.Started++
+			restarted.WarmUpLeft = 500 * time.Millisecond
+			*h = restarted
+		case 5:
+			from := random.IntN(30)
+			listed = append([]*samphireturn.Host(nil), cl.hosts[from:from+25+random.IntN(5)]...)
+			b.Retain(map[string][]*samphireturn.Host{"llm": listed})
+		case 6:
+			replaced := *h
+			cl.hosts[at] = &replaced
+		case 7:
+			cl.exchangeLoads()
+		}
+		r := b.Pick(req)
+		if r == nil {
+			_, _ = fmt.Fprintln(sum, "none")
+			continue
+		}
+		_, _ = fmt.Fprintln(sum, r.Host.ID, r.EstimatedDelay.Nanoseconds(), r.InFlight)
+		open = append(open, r)
+		for len(open) > 100 {
+			at := random.IntN(len(open))
+			open[at].ObserveHead(samphireturn.ResponseMeta{})
+			open[at].Done()
+			open = slices.Delete(open, at, at+1)
+		}
+	}
+	c.Check(sum.Sum64(), qt.Equals, uint64(recorded))
+}
+
 // BenchmarkChoice is one choice in a large fleet.
 func BenchmarkChoice(b *testing.B) {
-	for _, warmingUp := range []int{0, 600} {
-		b.Run(fmt.Sprint("warming_up_", warmingUp), func(b *testing.B) {
-			balancer, req := newLargeFleet(warmingUp)
+	for _, size := range []struct{ endpoints, warmingUp int }{{3000, 0}, {3000, 600}, {12_000, 0}} {
+		b.Run(fmt.Sprintf("%d_endpoints_%d_warming_up", size.endpoints, size.warmingUp), func(b *testing.B) {
+			balancer, req := newLargeFleet(size.endpoints, size.warmingUp)
 			b.ReportAllocs()
 			for b.Loop() {
 				balancer.Pick(req).Done()
--- a/internal/forward/balancer/latency.go
+++ b/internal/forward/balancer/latency.go
@@ -39,7 +39,12 @@
 
 // prefixHash identifies the shared prefix within a latency class.
 func (req *Request) prefixHash() uint64 {
-	return xxhash.Sum64String(req.LatencyClass + "\x00" + req.PrefixID)
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(req.LatencyClass)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(req.PrefixID)
+	return d.Sum64()
 }
 
 // hasPrefix reports whether the endpoint is likely to have the shared prefix cached.
