--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,6 +20,8 @@
 // soakCmd runs soaks, one seed after the other.
 type soakCmd struct {
 	Daemon    string        `arg:"--daemon,required" help:"path of samphireturnd"`
+	Earlier   string        `arg:"--earlier" help:"path of samphireturnd of another build, with which the daemons start and are replaced"`
+	Settings  []string      `arg:"--setting,separate" help:"line added to the daemons' settings, NAME=VALUE; may be repeated"`
 	Seed      uint64        `arg:"--seed" help:"first seed; 0 for one of the time"`
 	Seeds     int           `arg:"--seeds" default:"1" help:"number of seeds"`
 	Duration  time.Duration `arg:"--duration" default:"20s" help:"time in which faults begin"`
@@ -35,6 +38,16 @@
 	if s.Daemons < 1 || s.Endpoints < 2 || s.Callers < 1 || s.Seeds < 1 || s.Duration <= 0 {
 		return errors.New("--daemons, --callers and --seeds must be at least 1, --endpoints at least 2, --duration above 0")
 	}
+	for _, kind := range s.Kinds {
+		if s.Earlier == "" && (kind == planner.DaemonsUpgrade || kind == planner.DaemonsDowngrade) {
+			return errors.Errorf("--kind %s needs --earlier", kind)
+		}
+	}
+	for _, line := range s.Settings {
+		if name, _, ok := strings.Cut(line, "="); !ok || name == "" || strings.Contains(line, "\n") {
+			return errors.Errorf("--setting %q is not NAME=VALUE", line)
+		}
+	}
 	return nil
 }
 
@@ -54,7 +67,7 @@
 	for i := range s.Seeds {
 		seed := s.Seed + uint64(i)
 		if s.Plan {
-			size := planner.Size{Daemons: s.Daemons, Endpoints: 2 * s.Endpoints, Duration: s.Duration, Kinds: s.Kinds}
+			size := planner.Size{Daemons: s.Daemons, Endpoints: 2 * s.Endpoints, Duration: s.Duration, Kinds: s.Kinds, Replace: s.Earlier != ""}
 			for _, step := range planner.Plan(seed, size) {
 				fmt.Println(step)
 			}
@@ -91,7 +104,7 @@
 	}
 	r := runner.Runner{
 		Seed: seed, Daemons: s.Daemons, Endpoints: s.Endpoints, Callers: s.Callers, Duration: s.Duration, Kinds: s.Kinds,
-		DaemonProgram: s.Daemon, StandinProgram: self, Dir: dir, Log: log,
+		DaemonProgram: s.Daemon, EarlierProgram: s.Earlier, Settings: s.Settings, StandinProgram: self, Dir: dir, Log: log,
 	}
 	report, err := r.Run(ctx)
 	if err != nil {
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -20,6 +20,10 @@
 	DaemonHup   = "daemon_hup"
 	DaemonsKill = "daemons_kill"
 	DaemonsRoll = "daemons_roll"
+	// DaemonsUpgrade shuts all daemons down in turn and starts each with the current
+	// program, DaemonsDowngrade does so with the earlier one.
+	DaemonsUpgrade   = "daemons_upgrade"
+	DaemonsDowngrade = "daemons_downgrade"
 	// EndpointCrash kills an endpoint and starts it with another id at the same address,
 	// EndpointSwap does so in another pool. EndpointDrain lets it announce that it
 	// leaves, EndpointVanish removes its entry. EndpointStop pauses it.
@@ -79,12 +83,18 @@
 	// to moreKinds more. One schedule in allEvery has all kinds.
 	fewKinds, moreKinds = 3, 8
 	allEvery            = 4
-	// seedStream is the second part of the seed of the generator, and crashStream that of the
-	// one of steps of RequestsCrash. These are drawn apart, so that the other steps of a seed
-	// stay the same. One schedule in crashEvery has one.
-	seedStream  = 0x5eed
-	crashStream = 0xdead
-	crashEvery  = 3
+	// seedStream is the second part of the seed of the generator, crashStream that of the one
+	// of steps of RequestsCrash, and replaceStream that of the one of replacements. These are
+	// drawn apart, so that the other steps of a seed stay the same. One schedule in crashEvery
+	// has a step of RequestsCrash.
+	seedStream    = 0x5eed
+	crashStream   = 0xdead
+	replaceStream = 0xb01d
+	crashEvery    = 3
+	// linkFaults is the number of faults of links in the first linkFaultSpan of a
+	// replacement.
+	linkFaults    = 3
+	linkFaultSpan = 6 * time.Second
 )
 
 type (
@@ -107,6 +117,8 @@
 		Duration           time.Duration
 		// Kinds limits the kinds of steps; empty means all.
 		Kinds []string
+		// Replace adds replacements of the daemons by those of another program.
+		Replace bool
 	}
 
 	// choice is a kind of step with its weight and the bounds of its length.
@@ -120,7 +132,14 @@
 // crashChoice is the choice of RequestsCrash.
 var crashChoice = choice{RequestsCrash, 1, 8 * time.Second, 12 * time.Second}
 
-// choices are the kinds that are drawn, beside crashChoice.
+// replaceChoices are the replacements of a schedule, in their order, with the bounds of the
+// pause between the end of a daemon and its start.
+var replaceChoices = []choice{
+	{DaemonsUpgrade, 1, 100 * time.Millisecond, 800 * time.Millisecond},
+	{DaemonsDowngrade, 1, 100 * time.Millisecond, 800 * time.Millisecond},
+}
+
+// choices are the kinds that are drawn, beside crashChoice and replaceChoices.
 var choices = []choice{
 	{DaemonTerm, 5, 100 * time.Millisecond, 2 * time.Second},
 	{DaemonKill, 4, 100 * time.Millisecond, 2 * time.Second},
@@ -169,8 +188,9 @@
 	for _, c := range allowed {
 		total += c.weight
 	}
-	steps := crashSteps(seed, size)
+	steps := append(crashSteps(seed, size), replaceSteps(seed, size)...)
 	if total == 0 {
+		sortSteps(steps)
 		return steps
 	}
 	at := draw(random, 0, maxPause)
@@ -189,10 +209,14 @@
 		}
 		at += draw(random, 0, maxPause)
 	}
-	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	sortSteps(steps)
 	return steps
 }
 
+func sortSteps(steps []Step) {
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+}
+
 // crashSteps returns the steps of RequestsCrash of a schedule, one at most.
 func crashSteps(seed uint64, size Size) []Step {
 	random := rand.New(rand.NewPCG(seed, crashStream))
@@ -208,6 +232,39 @@
 	}}
 }
 
+// replaceSteps returns the replacements of a schedule, an upgrade in its first quarter and a
+// downgrade in its third, each with faults of links meanwhile. All kinds of these that Kinds
+// allows are drawn, whatever few kinds the other steps have.
+func replaceSteps(seed uint64, size Size) []Step {
+	if !size.Replace {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(seed, replaceStream))
+	allowed := func(kind string) bool { return len(size.Kinds) == 0 || slices.Contains(size.Kinds, kind) }
+	links := slices.DeleteFunc(slices.Clone(choices), func(c choice) bool { return !isLink(c.kind) || !allowed(c.kind) })
+	var steps []Step
+	for i, c := range replaceChoices {
+		begin := size.Duration * time.Duration(i) / time.Duration(len(replaceChoices))
+		at := begin + draw(random, 0, size.Duration/4)
+		s := Step{At: at, Kind: c.kind, Target: random.IntN(size.Daemons), Length: draw(random, c.shortest, c.longest), Draw: random.IntN(100)}
+		if !allowed(c.kind) {
+			continue
+		}
+		steps = append(steps, s)
+		for range linkFaults {
+			if len(links) == 0 {
+				break
+			}
+			link := links[random.IntN(len(links))]
+			steps = append(steps, Step{
+				At: min(at+draw(random, 0, linkFaultSpan), size.Duration-1), Kind: link.kind, Target: random.IntN(size.Daemons),
+				Length: draw(random, link.shortest, link.longest), Draw: random.IntN(100),
+			})
+		}
+	}
+	return steps
+}
+
 // allowedChoices returns the choices of one schedule.
 func allowedChoices(random *rand.Rand, size Size) []choice {
 	allowed := slices.Clone(choices)
@@ -231,6 +288,11 @@
 	return slices.Contains([]string{EndpointCrash, EndpointSwap, EndpointDrain, EndpointVanish, EndpointStop, EndpointFault, EndpointCut}, kind)
 }
 
+// isLink reports whether a kind is a fault of a daemon's links.
+func isLink(kind string) bool {
+	return slices.Contains([]string{LinkCut, LinkCutIn, LinkCutStore, LinkCutPeers, LinkSlow, LinkReset, LinkSilence}, kind)
+}
+
 // pick draws a choice by weight.
 func pick(random *rand.Rand, from []choice, total int) choice {
 	n := random.IntN(total)
--- a/internal/soak/runner/daemon.go
+++ b/internal/soak/runner/daemon.go
@@ -37,6 +37,8 @@
 
 	mu      sync.Mutex
 	process *process
+	// program is the path of the program of the next process.
+	program string
 	starts  int
 	// down is true while the process is ended and started by a step.
 	down     bool
@@ -45,7 +47,11 @@
 
 func (r *Runner) newDaemon(index int) *daemon {
 	name := "d" + strconv.Itoa(index+1)
-	return &daemon{runner: r, index: index, name: name, path: r.path(name + ".conf")}
+	program := r.DaemonProgram
+	if r.EarlierProgram != "" {
+		program = r.EarlierProgram
+	}
+	return &daemon{runner: r, index: index, name: name, path: r.path(name + ".conf"), program: program}
 }
 
 // open relays the connections to the daemon and starts its first process.
@@ -66,11 +72,15 @@
 	}
 	d.mu.Lock()
 	d.starts++
+	program := d.program
 	d.mu.Unlock()
-	p, err := startProcess(d.runner.path(d.name+".log"), []string{"SAMPHIRETURN_SETTINGS=" + d.path}, nil, d.runner.DaemonProgram, "--platform")
+	p, err := startProcess(d.runner.path(d.name+".log"), []string{"SAMPHIRETURN_SETTINGS=" + d.path}, nil, program, "--platform")
 	if err != nil {
 		return err
 	}
+	if d.runner.EarlierProgram != "" {
+		d.runner.logf("%s started with %s", d.name, program)
+	}
 	d.mu.Lock()
 	finished := d.finished
 	d.process = p
@@ -104,9 +114,32 @@
 
 // restart ends the process by end, and starts it after pause.
 func (d *daemon) restart(ctx context.Context, planned bool, pause time.Duration, end func(*process)) {
-	if !d.take() {
-		return
+	if d.take() {
+		d.restartTaken(ctx, planned, pause, end)
+	}
+}
+
+// replace shuts the daemon down and starts it with a program after pause. If another step has
+// ended it, it waits until it runs again. A replacement that has begun when ctx ends is
+// completed.
+func (d *daemon) replace(ctx context.Context, program string, pause time.Duration) {
+	for !d.take() {
+		d.runner.sleep(ctx, readyInterval)
+		if ctx.Err() != nil {
+			return
+		}
 	}
+	d.mu.Lock()
+	d.program = program
+	d.mu.Unlock()
+	d.restartTaken(ctx, true, pause, terminate)
+}
+
+// terminate ends a process by SIGTERM, and after the grace time by SIGKILL.
+func terminate(p *process) { p.terminate(bounds.Grace) }
+
+// restartTaken is restart of a daemon that take has reserved.
+func (d *daemon) restartTaken(ctx context.Context, planned bool, pause time.Duration, end func(*process)) {
 	over := d.runner.judge.Disrupt(judge.Disruption{Machine: d.name, Planned: planned})
 	end(d.current())
 	over()
@@ -215,6 +248,9 @@
 `, d.name, ip, centres[d.index%2], ip, listenPort, ip, readinessPort, peerPort, peerPort+15, bytes.TrimSuffix(seeds.Bytes(), []byte(",")), first,
 		memoryLimit>>20, bounds.Drain.Milliseconds(), bounds.Grace.Seconds(), bounds.Apply.Milliseconds(), bounds.Revoke.Milliseconds(),
 		bounds.CanaryShare, bounds.CanaryExtra, r.addr(storeNet, 1, storePort))
+	for _, line := range r.Settings {
+		text += line + "\n"
+	}
 	return os.WriteFile(d.path, []byte(text), 0o600)
 }
 
--- a/internal/soak/runner/runner.go
+++ b/internal/soak/runner/runner.go
@@ -57,7 +57,8 @@
 }
 
 type (
-	// Runner is one run. Set the exported fields before Run; all but Kinds are required.
+	// Runner is one run. Set the exported fields before Run; all but Kinds, EarlierProgram and
+	// Settings are required.
 	Runner struct {
 		Seed uint64
 		// Daemons is the number of daemons; Endpoints is that of each of two pools.
@@ -70,6 +71,11 @@
 		Kinds []string
 		// DaemonProgram and StandinProgram are the paths of the programs.
 		DaemonProgram, StandinProgram string
+		// EarlierProgram is the path of a daemon program of another build; empty for none. The
+		// daemons start with it and are replaced by DaemonProgram and back.
+		EarlierProgram string
+		// Settings holds lines that are added to the daemons' settings files.
+		Settings []string
 		// Dir is an existing directory for settings and logs.
 		Dir string
 		// Log receives the schedule as it is carried out.
@@ -90,10 +96,12 @@
 		burst    atomic.Int64
 		leaving  atomic.Int64
 		// crashing holds the step in which some requests crash endpoints; nil for none.
-		crashing   atomic.Pointer[planner.Step]
-		storeBusy  atomic.Bool
-		closing    atomic.Bool
-		rolling    atomic.Bool
+		crashing  atomic.Pointer[planner.Step]
+		storeBusy atomic.Bool
+		closing   atomic.Bool
+		rolling   atomic.Bool
+		// replaceMu is held while the daemons are replaced.
+		replaceMu  sync.Mutex
 		wait       sync.WaitGroup
 		closeStore func()
 		configMu   sync.Mutex
@@ -177,7 +185,7 @@
 }
 
 func (r *Runner) size() planner.Size {
-	return planner.Size{Daemons: r.Daemons, Endpoints: 2 * r.Endpoints, Duration: r.Duration, Kinds: r.Kinds}
+	return planner.Size{Daemons: r.Daemons, Endpoints: 2 * r.Endpoints, Duration: r.Duration, Kinds: r.Kinds, Replace: r.EarlierProgram != ""}
 }
 
 // recover waits until each daemon serves again, and returns how long that took, or what
--- a/internal/soak/runner/steps.go
+++ b/internal/soak/runner/steps.go
@@ -33,6 +33,9 @@
 	// after which the operator and the endpoints write again what it lacks.
 	copyAgeStep   = 50 * time.Millisecond
 	writeLostStep = 10 * time.Millisecond
+	// replaceReadyTime bounds the wait for a replaced daemon to be ready, which other faults
+	// may prevent.
+	replaceReadyTime = 3 * time.Second
 )
 
 // do carries out one step of the schedule.
@@ -54,7 +57,6 @@
 
 func (r *Runner) doDaemon(ctx context.Context, s planner.Step) {
 	d := r.daemons[s.Target]
-	terminate := func(p *process) { p.terminate(bounds.Grace) }
 	switch s.Kind {
 	case planner.DaemonTerm:
 		d.restart(ctx, true, s.Length, terminate)
@@ -87,6 +89,32 @@
 		for _, d := range r.daemons {
 			d.restart(ctx, true, s.Length, terminate)
 		}
+	case planner.DaemonsUpgrade:
+		r.replaceDaemons(ctx, s, r.DaemonProgram)
+	case planner.DaemonsDowngrade:
+		r.replaceDaemons(ctx, s, r.EarlierProgram)
+	}
+}
+
+// replaceDaemons starts all daemons again with a program, one after the other from the target
+// of the step on. By the draw it waits, a time, until each is ready.
+func (r *Runner) replaceDaemons(ctx context.Context, s planner.Step, program string) {
+	r.replaceMu.Lock()
+	defer r.replaceMu.Unlock()
+	for i := range r.daemons {
+		if ctx.Err() != nil {
+			return
+		}
+		d := r.daemons[(s.Target+i)%len(r.daemons)]
+		d.replace(ctx, program, s.Length)
+		if s.Draw%2 == 0 {
+			continue
+		}
+		readyCtx, cancel := context.WithTimeout(ctx, replaceReadyTime)
+		for readyCtx.Err() == nil && !d.ready(readyCtx) {
+			r.sleep(readyCtx, readyInterval)
+		}
+		cancel()
 	}
 }
 
