--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build system fmt lint test demo bench slopes fuzz soak soak-kept
+.PHONY: build system fmt lint test demo bench slopes fuzz soak soak-kept soak-mixed
 
 build:
 	mkdir -p bin
@@ -38,3 +38,7 @@
 
 soak-kept: build
 	while read -r seed cause; do bin/standin soak --daemon bin/samphireturnd --seed $$seed --duration $(DURATION) </dev/null || exit 1; done < testdata/soak.txt
+
+# The daemons start as those of an earlier commit and are replaced by this build and back.
+soak-mixed: build
+	SEED=$(SEED) SEEDS=$(SEEDS) DURATION=$(DURATION) bash scripts/mixed.sh
