--- a/internal/soak/runner/daemon.go
+++ b/internal/soak/runner/daemon.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +30,10 @@
 	readinessTimeout = 500 * time.Millisecond
 )
 
+// rejection matches the lines of a daemon's log that say that it can't read what another
+// daemon sent. Connections that break off match no line.
+var rejection = regexp.MustCompile(`"service":"messenger".*"reason":"(proof|hello|frame)"|malformed message|unknown version`)
+
 // daemon is one daemon, over all its processes.
 type daemon struct {
 	runner *Runner
@@ -62,6 +68,10 @@
 			return err
 		}
 	}
+	// checkMessages must not find what an earlier run in the same directory logged.
+	if err := os.WriteFile(r.path(d.name+".log"), nil, 0o600); err != nil {
+		return err
+	}
 	return d.start(true)
 }
 
@@ -195,6 +205,27 @@
 	}
 }
 
+// checkMessages records a violation if the daemon rejected messages of others.
+func (d *daemon) checkMessages() error {
+	log, err := os.ReadFile(d.runner.path(d.name + ".log"))
+	if err != nil {
+		return err
+	}
+	rejected, first := 0, ""
+	for line := range strings.Lines(string(log)) {
+		if !rejection.MatchString(line) {
+			continue
+		}
+		if rejected++; rejected == 1 {
+			first = strings.TrimSpace(line)
+		}
+	}
+	if rejected > 0 {
+		d.runner.violate("messages: %s rejected %d of other daemons, first %s", d.name, rejected, first)
+	}
+	return nil
+}
+
 // ready reports whether the daemon's readiness check succeeds.
 func (d *daemon) ready(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readinessTimeout)
--- a/internal/soak/runner/runner.go
+++ b/internal/soak/runner/runner.go
@@ -150,6 +150,11 @@
 	r.sleep(ctx, settleTime)
 	report.Requests, report.Runs, report.InTouch = r.judge.Counts()
 	report.Served, _ = r.judge.Served("", r.started, time.Now())
+	for _, d := range r.daemons {
+		if err := d.checkMessages(); err != nil {
+			return report, err
+		}
+	}
 	violations = append(violations, r.violations()...)
 	slices.Sort(violations)
 	report.Violations = slices.Compact(violations)
--- a/internal/soak/runner/runner_test.go
+++ b/internal/soak/runner/runner_test.go
@@ -71,3 +71,21 @@
 	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
 	return bin
 }
+
+// TestRejection guards against a run of two builds that passes although they can't read each
+// other's messages, and against one that fails as links break off. The lines are of runs with a
+// daemon of another frame version, and of 65b2a42 and 7fc650c.
+func TestRejection(t *testing.T) {
+	tests := []struct {
+		line string
+		want bool
+	}{
+		{`{"level":"warn","daemon":"d3","service":"messenger","peer":"d1","reason":"hello","error":"x","message":"peer link refused or failed"}`, true},
+		{`{"level":"info","daemon":"d2","service":"follower","event":"follow_failed","peer":"d3","error":"unmarshal: malformed message: cbor: x"}`, true},
+		{`{"level":"warn","daemon":"d1","service":"messenger","peer":"d3","reason":"broken","error":"receive: connection failed: EOF"}`, false},
+		{`{"level":"info","daemon":"d4","event":"peer_failed","peer":"d3","error":"dial d3: dial: open stream: not the expected daemon: status 404"}`, false},
+	}
+	for _, test := range tests {
+		qt.New(t).Check(rejection.MatchString(test.line), qt.Equals, test.want, qt.Commentf(test.line))
+	}
+}
