--- a/internal/soak/runner/daemon.go
+++ b/internal/soak/runner/daemon.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +30,10 @@
 	readinessTimeout = 500 * time.Millisecond
 )
 
+// rejection matches the lines of a daemon's log that say that it can't read what another
+// daemon sent. Connections that break off match no line.
+var rejection = regexp.MustCompile(`"service":"messenger".*"reason":"(proof|hello|frame)"|malformed message|unknown version`)
+
 // daemon is one daemon, over all its processes.
 type daemon struct {
 	runner *Runner
@@ -37,6 +43,8 @@
 
 	mu      sync.Mutex
 	process *process
+	// program is the path of the program of the next process.
+	program string
 	starts  int
 	// down is true while the process is ended and started by a step.
 	down     bool
@@ -45,7 +53,11 @@
 
 func (r *Runner) newDaemon(index int) *daemon {
 	name := "d" + strconv.Itoa(index+1)
-	return &daemon{runner: r, index: index, name: name, path: r.path(name + ".conf")}
+	program := r.DaemonProgram
+	if r.EarlierProgram != "" {
+		program = r.EarlierProgram
+	}
+	return &daemon{runner: r, index: index, name: name, path: r.path(name + ".conf"), program: program}
 }
 
 // open relays the connections to the daemon and starts its first process.
@@ -56,6 +68,10 @@
 			return err
 		}
 	}
+	// checkMessages must not find what an earlier run in the same directory logged.
+	if err := os.WriteFile(r.path(d.name+".log"), nil, 0o600); err != nil {
+		return err
+	}
 	return d.start(true)
 }
 
@@ -66,11 +82,15 @@
 	}
 	d.mu.Lock()
 	d.starts++
+	program := d.program
 	d.mu.Unlock()
-	p, err := startProcess(d.runner.path(d.name+".log"), []string{"SAMPHIRETURN_SETTINGS=" + d.path}, nil, d.runner.DaemonProgram, "--platform")
+	p, err := startProcess(d.runner.path(d.name+".log"), []string{"SAMPHIRETURN_SETTINGS=" + d.path}, nil, program, "--platform")
 	if err != nil {
 		return err
 	}
+	if d.runner.EarlierProgram != "" {
+		d.runner.logf("%s started with %s", d.name, program)
+	}
 	d.mu.Lock()
 	finished := d.finished
 	d.process = p
@@ -104,9 +124,32 @@
 
 // restart ends the process by end, and starts it after pause.
 func (d *daemon) restart(ctx context.Context, planned bool, pause time.Duration, end func(*process)) {
-	if !d.take() {
-		return
+	if d.take() {
+		d.restartTaken(ctx, planned, pause, end)
 	}
+}
+
+// replace shuts the daemon down and starts it with a program after pause. If another step has
+// ended it, it waits until it runs again. A replacement that has begun when ctx ends is
+// completed.
+func (d *daemon) replace(ctx context.Context, program string, pause time.Duration) {
+	for !d.take() {
+		d.runner.sleep(ctx, readyInterval)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	d.mu.Lock()
+	d.program = program
+	d.mu.Unlock()
+	d.restartTaken(ctx, true, pause, terminate)
+}
+
+// terminate ends a process by SIGTERM, and after the grace time by SIGKILL.
+func terminate(p *process) { p.terminate(bounds.Grace) }
+
+// restartTaken is restart of a daemon that take has reserved.
+func (d *daemon) restartTaken(ctx context.Context, planned bool, pause time.Duration, end func(*process)) {
 	over := d.runner.judge.Disrupt(judge.Disruption{Machine: d.name, Planned: planned})
 	end(d.current())
 	over()
@@ -162,6 +205,27 @@
 	}
 }
 
+// checkMessages records a violation if the daemon rejected messages of others.
+func (d *daemon) checkMessages() error {
+	log, err := os.ReadFile(d.runner.path(d.name + ".log"))
+	if err != nil {
+		return err
+	}
+	rejected, first := 0, ""
+	for line := range strings.Lines(string(log)) {
+		if !rejection.MatchString(line) {
+			continue
+		}
+		if rejected++; rejected == 1 {
+			first = strings.TrimSpace(line)
+		}
+	}
+	if rejected > 0 {
+		d.runner.violate("messages: %s rejected %d of other daemons, first %s", d.name, rejected, first)
+	}
+	return nil
+}
+
 // ready reports whether the daemon's readiness check succeeds.
 func (d *daemon) ready(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readinessTimeout)
@@ -215,6 +279,9 @@
 `, d.name, ip, centres[d.index%2], ip, listenPort, ip, readinessPort, peerPort, peerPort+15, bytes.TrimSuffix(seeds.Bytes(), []byte(",")), first,
 		memoryLimit>>20, bounds.Drain.Milliseconds(), bounds.Grace.Seconds(), bounds.Apply.Milliseconds(), bounds.Revoke.Milliseconds(),
 		bounds.CanaryShare, bounds.CanaryExtra, r.addr(storeNet, 1, storePort))
+	for _, line := range r.Settings {
+		text += line + "\n"
+	}
 	return os.WriteFile(d.path, []byte(text), 0o600)
 }
 
