Share which pools are brittle between daemons

Brittle servers that ended together ended again when they returned: most daemons had no answer that says that they are brittle, and used them without shares. The report has a new optional field (CBOR key 7) with the pools and their ages.

--- a/internal/fleet/sharer/sharer.go
+++ b/internal/fleet/sharer/sharer.go
@@ -1,6 +1,6 @@
 // Package sharer exchanges the daemons' loads, the outcomes of releases' answers, the limits
-// that endpoints named, the endpoints that announced that they leave and the daemons that reach
-// no endpoint across the fleet.
+// that endpoints named, the pools with brittle endpoints, the endpoints that announced that they
+// leave and the daemons that reach no endpoint across the fleet.
 //
 // In each data centre the first daemon in rank is the aggregator. The other daemons
 // report to it and get the sum of all others back; aggregators exchange the sums of
@@ -63,6 +63,8 @@
 		Limits  balancer.Limits `cbor:"4,keyasint,omitempty"`
 		// Unlinked holds the ids of daemons that reach no endpoint.
 		Unlinked []string `cbor:"5,keyasint,omitempty"`
+		// Brittle holds the pools of which an endpoint said lately that it is brittle.
+		Brittle balancer.BrittlePools `cbor:"7,keyasint,omitempty"`
 	}
 
 	// Links tells whether this daemon reaches endpoints, and takes the ids of those that do
@@ -428,7 +430,7 @@
 
 // localReport returns this daemon's own report.
 func (s *Sharer) localReport() Report {
-	r := Report{Loads: s.Balancer.LocalLoads(), Tallies: s.Stager.LocalTallies(), Limits: s.Balancer.LocalLimits()}
+	r := Report{Loads: s.Balancer.LocalLoads(), Tallies: s.Stager.LocalTallies(), Limits: s.Balancer.LocalLimits(), Brittle: s.Balancer.LocalBrittle()}
 	if s.Links.LinkLost() {
 		r.Unlinked = []string{s.Self.ID}
 	}
@@ -489,6 +491,7 @@
 	s.Stager.SetRemoteTallies(sum.Tallies)
 	s.Links.SetUnlinked(sum.Unlinked)
 	s.applyLimits(sum.Limits)
+	s.Balancer.SetRemoteBrittle(sum.Brittle)
 }
 
 // applyLimits passes what other daemons told of endpoints' limits to the balancer.
@@ -513,5 +516,9 @@
 		r.Limits = make(balancer.Limits, len(o.Limits))
 	}
 	r.Limits.Add(o.Limits, now-o.at)
+	if r.Brittle == nil && len(o.Brittle) > 0 {
+		r.Brittle = make(balancer.BrittlePools, len(o.Brittle))
+	}
+	r.Brittle.Add(o.Brittle, now-o.at)
 	r.Unlinked = append(r.Unlinked, o.Unlinked...)
 }
--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -33,8 +33,9 @@
 		mu        sync.Mutex
 		endpoints map[string]*endpoint
 		latencies map[string]*latency
-		// brittlePools holds when an endpoint of a pool last said that it is brittle.
-		brittlePools map[string]time.Duration
+		// brittlePools holds when an endpoint of a pool last said to this daemon that it is
+		// brittle, and heardBrittlePools when one said so to another.
+		brittlePools, heardBrittlePools map[string]time.Duration
 		// suspicions holds the groups that are suspect, caution those of the current choice.
 		suspicions map[groupKey]*suspicion
 		caution    caution
@@ -83,7 +84,7 @@
 
 // New returns a Balancer for the daemon with the id self in the data centre.
 func New(self, centre string, clock func() time.Duration) *Balancer {
-	return &Balancer{Self: self, Centre: centre, Clock: clock, Rand: rand.Float64, endpoints: make(map[string]*endpoint), latencies: make(map[string]*latency), brittlePools: make(map[string]time.Duration), suspicions: make(map[groupKey]*suspicion)}
+	return &Balancer{Self: self, Centre: centre, Clock: clock, Rand: rand.Float64, endpoints: make(map[string]*endpoint), latencies: make(map[string]*latency), brittlePools: make(map[string]time.Duration), heardBrittlePools: make(map[string]time.Duration), suspicions: make(map[groupKey]*suspicion)}
 }
 
 // RecordActivity records that an endpoint sent something.
--- a/internal/forward/balancer/brittle.go
+++ b/internal/forward/balancer/brittle.go
@@ -32,6 +32,9 @@
 		share      slotShare
 	}
 
+	// BrittlePools holds how long ago an endpoint of a pool last said that it is brittle.
+	BrittlePools map[string]time.Duration
+
 	// slotShare is the number of an endpoint's slots that this daemon may always use. It is
 	// kept while the member list is the same: it takes the hash of many members.
 	slotShare struct {
@@ -47,11 +50,54 @@
 	if s := &e.brittle; s.at > 0 && now-s.at < brittleTTL {
 		return s.said
 	}
-	if len(b.brittlePools) == 0 {
+	if len(b.brittlePools)+len(b.heardBrittlePools) == 0 {
 		return false
 	}
-	at, ok := b.brittlePools[pool]
-	return ok && now-at < brittleTTL
+	at := max(b.brittlePools[pool], b.heardBrittlePools[pool])
+	return at > 0 && now-at < brittleTTL
+}
+
+// LocalBrittle returns how long ago endpoints of pools last said to this daemon that they are
+// brittle.
+func (b *Balancer) LocalBrittle() BrittlePools {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock()
+	var pools BrittlePools
+	for pool, at := range b.brittlePools {
+		if now-at >= brittleTTL {
+			continue
+		}
+		if pools == nil {
+			pools = make(BrittlePools)
+		}
+		pools[pool] = now - at
+	}
+	return pools
+}
+
+// SetRemoteBrittle replaces what endpoints of pools said to other daemons. Endpoints that end
+// together do so before most daemons have an answer of them, and when they are back all daemons
+// send at the same moment.
+func (b *Balancer) SetRemoteBrittle(pools BrittlePools) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	clear(b.heardBrittlePools)
+	now := b.Clock()
+	for pool, age := range pools {
+		if age = max(age, 0); age < brittleTTL {
+			b.heardBrittlePools[pool] = now - age
+		}
+	}
+}
+
+// Add adds what other daemons told some time ago; of two times of a pool the later one holds.
+func (p BrittlePools) Add(other BrittlePools, ago time.Duration) {
+	for pool, age := range other {
+		if known, ok := p[pool]; !ok || age+ago < known {
+			p[pool] = age + ago
+		}
+	}
 }
 
 // SetBrittle records that an endpoint said in an answer that it is brittle, and how many requests
@@ -95,6 +141,7 @@
 	}
 	s.said, s.at = false, now
 	delete(b.brittlePools, h.Pool)
+	delete(b.heardBrittlePools, h.Pool)
 	return true
 }
 
