Check keys after the bound, place oversized requests, bound the debt of an allowance

A request whose bound passed was sent without another look at its key and route. A request that no endpoint has memory for waited its full bound and kept the others waiting; promotion let such requests do so one after the other. A debt of up to 16 requests, which expiring places did not reduce, stopped daemons with few requests.

--- a/internal/forward/balancer/room.go
+++ b/internal/forward/balancer/room.go
@@ -265,7 +265,7 @@
 // freeSlots returns the number of requests like the given one that an endpoint takes without
 // queueing them. Of an endpoint whose slots are not known it is 1, as it may take any number.
 func freeSlots(h *samphireturn.Host, e *endpoint, req *Request, now time.Duration) int {
-	if !hasMemory(e, req) {
+	if !fitsMemory(e, req) {
 		return 0
 	}
 	if h.Slots <= 0 {
@@ -274,6 +274,12 @@
 	return max(h.Slots-e.inFlight(now), 0)
 }
 
+// fitsMemory reports whether an engine has memory for a request. One that is too large for any
+// engine would wait in vain and keep others waiting, so it goes where a slot is free.
+func fitsMemory(e *endpoint, req *Request) bool {
+	return float64(req.MemoryTokens) > memoryThreshold*float64(req.Pool.MemoryTokens) || hasMemory(e, req)
+}
+
 // takeFreed returns the endpoint with the lowest score of the last places that own requests
 // left and that a request may take, or nil. The caller holds mu.
 func (b *Balancer) takeFreed(s *roomSearch, req *Request, now time.Duration) *samphireturn.Host {
@@ -296,7 +302,7 @@
 		h := req.Hosts[place.index]
 		e := b.endpoint(h)
 		// What this daemon knows of the load alone is exact.
-		fits := freeSlots(h, e, req, now) > 0 || b.rooms.hearsOthers && hasMemory(e, req)
+		fits := freeSlots(h, e, req, now) > 0 || b.rooms.hearsOthers && fitsMemory(e, req)
 		if !fits || !b.usable(h, e, req, now) {
 			continue
 		}
--- a/internal/forward/forwarder/room.go
+++ b/internal/forward/forwarder/room.go
@@ -121,7 +121,8 @@
 		if !room.Scarce {
 			return nil, nil
 		}
-		a.use()
+		a.observe(c.Clock(), room, c.sharingDaemons())
+		a.use(c.Clock())
 		return c.Balancer.PickRoomy(&c.pickRequest), nil
 	}
 	bound := c.waitBound()
@@ -193,17 +194,25 @@
 	}
 	line.Send()
 	if refusal == nil && reservation == nil {
-		a.use()
-		refusal = c.checkAttempt()
+		if refusal = c.checkWaiting(); refusal == nil {
+			a.use(c.Clock())
+		}
 	}
 	return reservation, refusal
 }
 
 // use counts a request that is sent without a wait or after its bound.
-func (a *admission) use() {
+func (a *admission) use(now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.allowance.Use(now)
+}
+
+// observe records the capacity that a number of daemons share.
+func (a *admission) observe(now time.Duration, room balancer.Room, daemons int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.allowance.Use()
+	a.allowance.Observe(now, room.Spare, daemons)
 }
 
 // tryRoom reserves an endpoint for the next request of a queue if there is capacity of which
@@ -226,7 +235,7 @@
 	if reservation = c.Balancer.PickRoomy(&c.pickRequest); reservation == nil {
 		return nil, nil, false
 	}
-	a.allowance.Use()
+	a.allowance.Use(c.Clock())
 	return reservation, nil, true
 }
 
--- a/internal/traffic/queuer/order.go
+++ b/internal/traffic/queuer/order.go
@@ -33,7 +33,9 @@
 		promotions heap[*waiter]
 		count      int
 		// placed counts the placements since a promoted rank last had one.
-		placed   int
+		placed int
+		// turn is the request that is next because its rank was promoted.
+		turn     *waiter
 		sequence uint64
 	}
 
@@ -115,6 +117,10 @@
 // remove removes a request that leaves without being placed.
 func (o *order) remove(w *waiter) {
 	o.count--
+	if w == o.turn {
+		// The next promoted one would hold up the first rank too if it can't be placed.
+		o.placed, o.turn = 0, nil
+	}
 	if w.promotion >= 0 {
 		o.promotions.remove(w.promotion)
 		w.promotion = -1
@@ -139,9 +145,11 @@
 		return nil
 	}
 	rank := bits.TrailingZeros32(o.nonEmpty)
+	o.turn = nil
 	if o.placed == promotedEvery-1 && len(o.promotions.items) > 0 {
 		if first := o.promotions.items[0]; !now.Before(first.promoteAt) {
-			rank = first.rank
+			o.turn = o.levels[first.rank].active.items[0].first
+			return o.turn
 		}
 	}
 	return o.levels[rank].active.items[0].first
