Don't queue for endpoints that reject, nor refuse by the rate of a quiet time

An attempt that an endpoint rejected or did not receive counted as capacity that became free, so that a rejecting endpoint attracted the queue. The rate of a quiet time made the first request after it look too late. Requests that wait for a pool with fewer slots than daemons may use any room, as newcomers may.

--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -29,7 +29,7 @@
 		Clock func() time.Duration
 		// Rand returns a number in [0, 1) that breaks ties.
 		Rand func() float64
-		// OnRelease, if not nil, is called after a reservation ended.
+		// OnRelease, if not nil, is called after a reservation ended whose request may have run.
 		OnRelease func(Release)
 
 		mu        sync.Mutex
--- a/internal/forward/balancer/reservation.go
+++ b/internal/forward/balancer/reservation.go
@@ -31,6 +31,9 @@
 	promptTime time.Duration
 	headSeen   bool
 	done       bool
+	// notRun is true if the request did not run at the endpoint, so that its end leaves no
+	// capacity that was in use.
+	notRun bool
 	// trial is the number of the pause after which the request is a trial, or 0.
 	trial int
 }
@@ -78,6 +81,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.endpoint(r.Host)
+	r.notRun = meta.NotExecuted
 	accepted := !meta.NotExecuted && meta.Pause == 0
 	if !r.headSeen && !r.done && accepted {
 		b.observeHead(&r.request, b.uncachedTokens(e, &r.request, r.sentAt), b.Clock()-r.sentAt, e)
@@ -106,16 +110,23 @@
 	}
 }
 
+// NotReceived records that the endpoint did not receive the request.
+func (r *Reservation) NotReceived() {
+	r.balancer.mu.Lock()
+	defer r.balancer.mu.Unlock()
+	r.notRun = true
+}
+
 // Done ends the reservation.
 func (r *Reservation) Done() {
-	release, ended := r.end()
-	if ended && r.balancer.OnRelease != nil {
+	release, left := r.end()
+	if left && r.balancer.OnRelease != nil {
 		r.balancer.OnRelease(release)
 	}
 }
 
-// end ends the reservation, and returns false if it had ended before.
-func (r *Reservation) end() (release Release, ended bool) {
+// end ends the reservation, and reports whether the request left capacity of the endpoint.
+func (r *Reservation) end() (release Release, left bool) {
 	b := r.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -129,6 +140,9 @@
 	e.local.MemoryTokens -= r.request.MemoryTokens
 	e.sinceReport--
 	e.pause.finishTrial(r.trial)
+	if r.notRun {
+		return Release{}, false
+	}
 	released := Release{r.Host, b.Clock() - r.sentAt}
 	b.releaseRoom(released, e)
 	return released, true
--- a/internal/forward/balancer/room.go
+++ b/internal/forward/balancer/room.go
@@ -302,8 +302,9 @@
 		h := req.Hosts[place.index]
 		e := b.endpoint(h)
 		// What this daemon knows of the load alone is exact.
+		rejected := e.brittle.rejectedAt > 0 && e.brittle.rejectedAt >= place.at
 		fits := freeSlots(h, e, req, now) > 0 || b.rooms.hearsOthers && fitsMemory(e, req)
-		if !fits || !b.usable(h, e, req, now) {
+		if !fits || rejected || !b.usable(h, e, req, now) {
 			continue
 		}
 		if score := b.score(h, e, req, now) + b.prefixCost(h, e, req, p, now); best == nil || score < lowest {
--- a/internal/forward/balancer/room_test.go
+++ b/internal/forward/balancer/room_test.go
@@ -190,6 +190,32 @@
 	}
 }
 
+// TestHardLoadRejections guards against endpoints that attract waiting requests by rejecting
+// others: only the end of a request that may have run leaves a place.
+func TestHardLoadRejections(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(r *balancer.Reservation)
+		want int
+	}{
+		{"ran", func(r *balancer.Reservation) { r.ObserveHead(samphireturn.ResponseMeta{}) }, 1},
+		{"may have run", func(*balancer.Reservation) {}, 1},
+		{"rejected", func(r *balancer.Reservation) { r.ObserveHead(samphireturn.ResponseMeta{NotExecuted: true}) }, 0},
+		{"not received", (*balancer.Reservation).NotReceived, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			hosts, b := roomFleet(1, 2, func() time.Duration { return time.Hour })
+			releases := 0
+			b.OnRelease = func(balancer.Release) { releases++ }
+			r := b.Pick(&balancer.Request{Pool: &samphireturn.Pool{Name: "llm"}, Hosts: hosts})
+			test.end(r)
+			r.Done()
+			qt.Check(t, releases, qt.Equals, test.want)
+		})
+	}
+}
+
 // roomFleet returns endpoints of three data centres and a balancer.
 func roomFleet(endpoints, slots int, clock func() time.Duration) ([]*samphireturn.Host, *balancer.Balancer) {
 	hosts := make([]*samphireturn.Host, endpoints)
--- a/internal/forward/forwarder/attempt.go
+++ b/internal/forward/forwarder/attempt.go
@@ -262,6 +262,7 @@
 	switch {
 	case sender.AsError(err).NotReceived():
 		a.answer.Cancel()
+		a.reservation.NotReceived()
 	case a.ctx.Err() == nil:
 		a.answer.Lose()
 	}
--- a/internal/forward/forwarder/room.go
+++ b/internal/forward/forwarder/room.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	// canarySuffix distinguishes the queue of a release under test, which has endpoints of its
 	// own.
 	canarySuffix = " canary"
+	// maxQueueRetryAfter bounds the time after which a request refused by the queue may be
+	// retried: the load of a pool changes within seconds.
+	maxQueueRetryAfter = 10 * time.Second
 )
 
 // admission decides which waiting requests of one queue are sent.
@@ -91,15 +95,16 @@
 	a.allowance.Release(now)
 }
 
-// rate returns the requests per second that are expected to end of those in flight, or zero if
-// unknown.
+// rate returns the requests per second that are expected to be sent: those in flight that end
+// and this daemon's share. It is infinite if nothing is known of it, as others have all slots:
+// the rate measured before tells nothing either.
 func (a *admission) rate(inFlight int) float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.held <= 0 {
-		return 0
+	if a.held <= 0 || inFlight == 0 {
+		return math.Inf(1)
 	}
-	return float64(inFlight) / a.held.Seconds()
+	return float64(inFlight)/a.held.Seconds() + a.allowance.ShareRate()
 }
 
 // waitForRoom has a first attempt wait while no endpoint of its pool has room for it. It
@@ -117,11 +122,11 @@
 		return nil, nil
 	}
 	a := c.admissions.get(queue, c.Clock(), c.Rand)
+	a.observe(c.Clock(), room, c.sharingDaemons())
 	if waiting == 0 && room.Free > 0 && c.enoughRoom(room) {
 		if !room.Scarce {
 			return nil, nil
 		}
-		a.observe(c.Clock(), room, c.sharingDaemons())
 		a.use(c.Clock())
 		return c.Balancer.PickRoomy(&c.pickRequest), nil
 	}
@@ -132,12 +137,17 @@
 	return c.queueForRoom(queue, a, waiting, bound, room)
 }
 
-// enoughRoom reports whether all daemons may send requests at once without exceeding the
-// capacity that they see. In a pool with fewer slots than daemons, most daemons have no request
-// there whose end they could wait for, so that any room is enough.
+// enoughRoom reports whether all daemons may send a request at once without exceeding the
+// capacity that they see. Many that wait would exceed it.
 func (c *proxyCall) enoughRoom(room balancer.Room) bool {
-	daemons := float64(c.sharingDaemons())
-	return !room.Scarce || room.Spare >= daemons || room.Slots < daemons
+	return !room.Scarce || room.Spare >= float64(c.sharingDaemons()) || c.fewSlots(room)
+}
+
+// fewSlots reports whether a pool has fewer slots than daemons. Most daemons then have no request
+// there whose end they could wait for, and a share that takes longer than any bound, so that
+// any room is enough, also for those that wait.
+func (c *proxyCall) fewSlots(room balancer.Room) bool {
+	return room.Slots < float64(c.sharingDaemons())
 }
 
 // mayWaitForRoom reports whether the attempt may wait for capacity: it is the first, and its
@@ -229,7 +239,8 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.allowance.Allows(c.Clock(), room.Spare, c.sharingDaemons()) {
+	allowed := a.allowance.Allows(c.Clock(), room.Spare, c.sharingDaemons())
+	if !allowed && (room.Free == 0 || !c.fewSlots(room)) {
 		return nil, nil, false
 	}
 	if reservation = c.Balancer.PickRoomy(&c.pickRequest); reservation == nil {
@@ -296,6 +307,6 @@
 	case queuer.KindStopped:
 		return outcome, c.refusal(samphireturn.ReasonClosing, busyRetryAfter, err)
 	default:
-		return outcome, c.refusal(samphireturn.ReasonBusy, max(e.RetryAfter, busyRetryAfter), err)
+		return outcome, c.refusal(samphireturn.ReasonBusy, min(max(e.RetryAfter, busyRetryAfter), maxQueueRetryAfter), err)
 	}
 }
--- a/internal/traffic/queuer/allowance.go
+++ b/internal/traffic/queuer/allowance.go
@@ -67,6 +67,9 @@
 	return (a.spare - float64(a.own+a.older)) / float64(max(a.daemons, 1))
 }
 
+// ShareRate returns the requests per second that the share last observed allows, if not negative.
+func (a *Allowance) ShareRate() float64 { return max(a.share(), 0) / shareTime.Seconds() }
+
 // maxDebt bounds what own requests that end make up for: one share, since a larger debt says
 // nothing of the load that is seen now.
 func (a *Allowance) maxDebt() float64 {
--- a/internal/traffic/queuer/queue.go
+++ b/internal/traffic/queuer/queue.go
@@ -144,7 +144,10 @@
 		q.windowStart = now
 	}
 	if elapsed := now.Sub(q.windowStart); elapsed >= rateWindow {
-		q.previousRate = float64(q.releasedWork) / elapsed.Seconds()
+		q.previousRate = 0
+		if elapsed < maxRateAge {
+			q.previousRate = float64(q.releasedWork) / elapsed.Seconds()
+		}
 		q.windowStart, q.releasedWork = now, 0
 	}
 	q.releasedWork += work
@@ -166,7 +169,10 @@
 // holds mu.
 func (q *queue) drainTime(work int64, expectedRate float64) time.Duration {
 	rate := q.previousRate
-	if elapsed := time.Since(q.windowStart); rate == 0 && elapsed >= time.Second {
+	switch elapsed := time.Since(q.windowStart); {
+	case elapsed >= maxRateAge:
+		rate = 0
+	case rate == 0 && elapsed >= time.Second:
 		rate = float64(q.releasedWork) / elapsed.Seconds()
 	}
 	return waitFor(work, max(rate, expectedRate))
--- a/internal/traffic/queuer/queuer.go
+++ b/internal/traffic/queuer/queuer.go
@@ -35,8 +35,11 @@
 	// retryInterval is the time after which the head of a queue tries again without
 	// a signal, since quotas also grow by new grants.
 	retryInterval = 25 * time.Millisecond
-	// rateWindow is the time over which the rate of released work is measured.
+	// rateWindow is the time over which the rate of released work is measured, and maxRateAge
+	// the time since its begin after which a window tells nothing of the present: in a quiet
+	// time the rate is that of the few requests that came.
 	rateWindow = 5 * time.Second
+	maxRateAge = 2 * rateWindow
 	// minRetryAfter is the shortest known wait returned to a caller.
 	minRetryAfter = 100 * time.Millisecond
 	// maxEstimate bounds an expected wait.
@@ -79,7 +82,8 @@
 	// that only the deadline refuses it earlier. If it is zero, the queue's MaxWait is the
 	// bound and refuses it too.
 	Bound time.Duration
-	// Rate is the work per second that is expected to be released; zero if unknown.
+	// Rate is the work per second that is expected to be released: zero if only the measured
+	// rate is known, infinite if the wait can't be estimated, so that none is too long.
 	Rate float64
 	// MayWait is true if the request may wait in the queue.
 	MayWait bool
--- a/internal/traffic/queuer/queuer_test.go
+++ b/internal/traffic/queuer/queuer_test.go
@@ -110,19 +110,22 @@
 		name       string
 		waiting    int           // requests that wait already
 		rate       int64         // work released per second before
+		quiet      time.Duration // after that
 		deadline   time.Duration // of the request
 		freeAfter  time.Duration // when capacity is released; zero for never
 		kind       string
 		took       time.Duration
 		retryAfter time.Duration // Retry-After
 	}{
-		{"capacity in time", 0, 0, time.Minute, time.Second, "", time.Second, 0},
-		{"waits no longer than the bound", 0, 0, time.Minute, 0, "waited", 2 * time.Second, 0},
-		{"deadline in the queue", 0, 0, time.Second, 0, "left", time.Second, 0},
-		{"queue full", 4, 0, time.Minute, 0, "full", 0, 0},
-		{"would be too late", 2, 1, time.Minute, 0, "late", 0, 3 * time.Second},
-		{"would miss the deadline", 1, 2, 500 * time.Millisecond, 0, "late", 0, time.Second},
-		{"queue full, rate known", 4, 100, time.Minute, 0, "full", 0, 100 * time.Millisecond},
+		{"capacity in time", 0, 0, 0, time.Minute, time.Second, "", time.Second, 0},
+		{"waits no longer than the bound", 0, 0, 0, time.Minute, 0, "waited", 2 * time.Second, 0},
+		{"deadline in the queue", 0, 0, 0, time.Second, 0, "left", time.Second, 0},
+		{"queue full", 4, 0, 0, time.Minute, 0, "full", 0, 0},
+		{"would be too late", 2, 1, 0, time.Minute, 0, "late", 0, 3 * time.Second},
+		{"would miss the deadline", 1, 2, 0, 500 * time.Millisecond, 0, "late", 0, time.Second},
+		{"queue full, rate known", 4, 100, 0, time.Minute, 0, "full", 0, 100 * time.Millisecond},
+		// The rate of a quiet time is not that of the capacity.
+		{"first after a quiet time", 0, 1, time.Minute, 500 * time.Millisecond, 100 * time.Millisecond, "", 100 * time.Millisecond, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -134,6 +137,7 @@
 					p.RecordReleased(poolRef, tt.rate)
 					time.Sleep(time.Second)
 				}
+				time.Sleep(tt.quiet)
 				ctx, cancel := context.WithCancel(context.Background())
 				for range tt.waiting {
 					go func() { _ = p.join(ctx, queuer.Entry{Team: "other", Cost: 1}, "other") }()
