--- a/internal/forward/forwarder/room.go
+++ b/internal/forward/forwarder/room.go
@@ -151,10 +151,10 @@
 }
 
 // mayWaitForRoom reports whether the attempt may wait for capacity: it is the first, and its
-// endpoint is chosen here. A stream that goes on elsewhere and an attempt of a peer don't wait
-// behind others.
+// endpoint is chosen here. A stream that goes on elsewhere, also one that its caller
+// resumes, and an attempt of a peer don't wait behind others.
 func (c *proxyCall) mayWaitForRoom() bool {
-	if c.Queue == nil || c.waited || c.forPeer != nil || c.begun || c.leaving.Load() {
+	if c.Queue == nil || c.waited || c.forPeer != nil || c.begun || c.request.LastEventID != "" || c.leaving.Load() {
 		return false
 	}
 	return c.sends == 0 && c.executions == 0 && len(c.undialled) == 0 && !c.LinkLost()
@@ -232,6 +232,10 @@
 	if refusal := c.checkWaiting(); refusal != nil {
 		return nil, refusal, true
 	}
+	if c.LinkLost() {
+		// A peer makes the attempt.
+		return nil, nil, true
+	}
 	c.updateCandidates()
 	room := c.Balancer.Room(&c.pickRequest)
 	if !room.Usable {
--- a/internal/traffic/queuer/queue.go
+++ b/internal/traffic/queuer/queue.go
@@ -53,13 +53,23 @@
 func (q *queue) wait(ctx context.Context, w *waiter, limit time.Duration, stopped <-chan struct{}, try func() bool) error {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
+	trying := false
+	defer func() {
+		// A panic in try must not keep the others waiting.
+		if trying {
+			_ = q.leave(w, KindCancelled)
+		}
+	}()
 	for {
 		select {
 		case <-w.ready:
 			if ctx.Err() != nil {
 				return q.leave(w, KindCancelled)
 			}
-			if q.tried(w, try()) {
+			trying = true
+			ok := try()
+			trying = false
+			if q.tried(w, ok) {
 				return nil
 			}
 		case <-timer.C:
--- a/internal/traffic/queuer/queuer_test.go
+++ b/internal/traffic/queuer/queuer_test.go
@@ -162,6 +162,28 @@
 	}
 }
 
+// TestFaultPanic guards against a queue that is stuck after the function of one request panicked.
+func TestFaultPanic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := &testPool{}
+		calls := 0
+		go func() {
+			defer func() { _ = recover() }()
+			_ = p.Join(context.Background(), queuer.Entry{Pool: poolRef, Cost: 1, MayWait: true}, func() bool {
+				if calls++; calls > 1 {
+					panic("try")
+				}
+				return false
+			})
+		}()
+		synctest.Wait()
+		p.release(1)
+		c.Check(p.join(context.Background(), queuer.Entry{Team: "a", Cost: 1}, "next"), qt.IsNil)
+		c.Check(p.Waiting(poolRef), qt.Equals, 0)
+	})
+}
+
 // TestFaultOvertaking checks that a request does not overtake a larger waiting one
 // although the free capacity suffices for the small one.
 func TestFaultOvertaking(t *testing.T) {
