--- a/internal/forward/balancer/room_test.go
+++ b/internal/forward/balancer/room_test.go
@@ -50,7 +50,7 @@
 		return false
 	}
 	if !atOnce || room.Scarce {
-		p.allowances[i].Use()
+		p.allowances[i].Use(p.now)
 	}
 	slots := p.slots[r.Host.ID]
 	start := max(slots[0], p.now)
@@ -170,7 +170,11 @@
 			r.ObserveHead(samphireturn.ResponseMeta{Running: 2, Waiting: 1, Slots: 2})
 			r.Done()
 		}, false},
-		{"no memory", func(_ *balancer.Balancer, _ *samphireturn.Host, req *balancer.Request) { req.MemoryTokens = 800 }, false},
+		{"no memory", func(b *balancer.Balancer, _ *samphireturn.Host, req *balancer.Request) {
+			b.Pick(req)
+			req.MemoryTokens = 700
+		}, false},
+		{"larger than any memory", func(_ *balancer.Balancer, _ *samphireturn.Host, req *balancer.Request) { req.MemoryTokens = 800 }, true},
 		{"slots not known", func(b *balancer.Balancer, h *samphireturn.Host, req *balancer.Request) { h.Slots = 0; fill(b, req) }, true},
 		// Nothing to wait for: such requests are refused as before.
 		{"unreachable", func(b *balancer.Balancer, h *samphireturn.Host, _ *balancer.Request) { b.RecordFailure(h, true) }, true},
@@ -186,6 +190,32 @@
 	}
 }
 
+// TestHardLoadRejections guards against endpoints that attract waiting requests by rejecting
+// others: only the end of a request that may have run leaves a place.
+func TestHardLoadRejections(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(r *balancer.Reservation)
+		want int
+	}{
+		{"ran", func(r *balancer.Reservation) { r.ObserveHead(samphireturn.ResponseMeta{}) }, 1},
+		{"may have run", func(*balancer.Reservation) {}, 1},
+		{"rejected", func(r *balancer.Reservation) { r.ObserveHead(samphireturn.ResponseMeta{NotExecuted: true}) }, 0},
+		{"not received", (*balancer.Reservation).NotReceived, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			hosts, b := roomFleet(1, 2, func() time.Duration { return time.Hour })
+			releases := 0
+			b.OnRelease = func(balancer.Release) { releases++ }
+			r := b.Pick(&balancer.Request{Pool: &samphireturn.Pool{Name: "llm"}, Hosts: hosts})
+			test.end(r)
+			r.Done()
+			qt.Check(t, releases, qt.Equals, test.want)
+		})
+	}
+}
+
 // roomFleet returns endpoints of three data centres and a balancer.
 func roomFleet(endpoints, slots int, clock func() time.Duration) ([]*samphireturn.Host, *balancer.Balancer) {
 	hosts := make([]*samphireturn.Host, endpoints)
--- a/internal/forward/forwarder/room.go
+++ b/internal/forward/forwarder/room.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	// canarySuffix distinguishes the queue of a release under test, which has endpoints of its
 	// own.
 	canarySuffix = " canary"
+	// maxQueueRetryAfter bounds the time after which a request refused by the queue may be
+	// retried: the load of a pool changes within seconds.
+	maxQueueRetryAfter = 10 * time.Second
 )
 
 // admission decides which waiting requests of one queue are sent.
@@ -91,15 +95,16 @@
 	a.allowance.Release(now)
 }
 
-// rate returns the requests per second that are expected to end of those in flight, or zero if
-// unknown.
+// rate returns the requests per second that are expected to be sent: those in flight that end
+// and this daemon's share. It is infinite if nothing is known of it, as others have all slots:
+// the rate measured before tells nothing either.
 func (a *admission) rate(inFlight int) float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.held <= 0 {
-		return 0
+	if a.held <= 0 || inFlight == 0 {
+		return math.Inf(1)
 	}
-	return float64(inFlight) / a.held.Seconds()
+	return float64(inFlight)/a.held.Seconds() + a.allowance.ShareRate()
 }
 
 // waitForRoom has a first attempt wait while no endpoint of its pool has room for it. It
@@ -117,11 +122,12 @@
 		return nil, nil
 	}
 	a := c.admissions.get(queue, c.Clock(), c.Rand)
+	a.observe(c.Clock(), room, c.sharingDaemons())
 	if waiting == 0 && room.Free > 0 && c.enoughRoom(room) {
 		if !room.Scarce {
 			return nil, nil
 		}
-		a.use()
+		a.use(c.Clock())
 		return c.Balancer.PickRoomy(&c.pickRequest), nil
 	}
 	bound := c.waitBound()
@@ -131,19 +137,24 @@
 	return c.queueForRoom(queue, a, waiting, bound, room)
 }
 
-// enoughRoom reports whether all daemons may send requests at once without exceeding the
-// capacity that they see. In a pool with fewer slots than daemons, most daemons have no request
-// there whose end they could wait for, so that any room is enough.
+// enoughRoom reports whether all daemons may send a request at once without exceeding the
+// capacity that they see. Many that wait would exceed it.
 func (c *proxyCall) enoughRoom(room balancer.Room) bool {
-	daemons := float64(c.sharingDaemons())
-	return !room.Scarce || room.Spare >= daemons || room.Slots < daemons
+	return !room.Scarce || room.Spare >= float64(c.sharingDaemons()) || c.fewSlots(room)
+}
+
+// fewSlots reports whether a pool has fewer slots than daemons. Most daemons then have no request
+// there whose end they could wait for, and a share that takes longer than any bound, so that
+// any room is enough, also for those that wait.
+func (c *proxyCall) fewSlots(room balancer.Room) bool {
+	return room.Slots < float64(c.sharingDaemons())
 }
 
 // mayWaitForRoom reports whether the attempt may wait for capacity: it is the first, and its
-// endpoint is chosen here. A stream that goes on elsewhere and an attempt of a peer don't wait
-// behind others.
+// endpoint is chosen here. A stream that goes on elsewhere, also one that its caller
+// resumes, and an attempt of a peer don't wait behind others.
 func (c *proxyCall) mayWaitForRoom() bool {
-	if c.Queue == nil || c.waited || c.forPeer != nil || c.begun || c.leaving.Load() {
+	if c.Queue == nil || c.waited || c.forPeer != nil || c.begun || c.request.LastEventID != "" || c.leaving.Load() {
 		return false
 	}
 	return c.sends == 0 && c.executions == 0 && len(c.undialled) == 0 && !c.LinkLost()
@@ -193,17 +204,25 @@
 	}
 	line.Send()
 	if refusal == nil && reservation == nil {
-		a.use()
-		refusal = c.checkAttempt()
+		if refusal = c.checkWaiting(); refusal == nil {
+			a.use(c.Clock())
+		}
 	}
 	return reservation, refusal
 }
 
 // use counts a request that is sent without a wait or after its bound.
-func (a *admission) use() {
+func (a *admission) use(now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.allowance.Use()
+	a.allowance.Use(now)
+}
+
+// observe records the capacity that a number of daemons share.
+func (a *admission) observe(now time.Duration, room balancer.Room, daemons int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.allowance.Observe(now, room.Spare, daemons)
 }
 
 // tryRoom reserves an endpoint for the next request of a queue if there is capacity of which
@@ -213,6 +232,10 @@
 	if refusal := c.checkWaiting(); refusal != nil {
 		return nil, refusal, true
 	}
+	if c.LinkLost() {
+		// A peer makes the attempt.
+		return nil, nil, true
+	}
 	c.updateCandidates()
 	room := c.Balancer.Room(&c.pickRequest)
 	if !room.Usable {
@@ -220,13 +243,14 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.allowance.Allows(c.Clock(), room.Spare, c.sharingDaemons()) {
+	allowed := a.allowance.Allows(c.Clock(), room.Spare, c.sharingDaemons())
+	if !allowed && (room.Free == 0 || !c.fewSlots(room)) {
 		return nil, nil, false
 	}
 	if reservation = c.Balancer.PickRoomy(&c.pickRequest); reservation == nil {
 		return nil, nil, false
 	}
-	a.allowance.Use()
+	a.allowance.Use(c.Clock())
 	return reservation, nil, true
 }
 
@@ -287,6 +311,6 @@
 	case queuer.KindStopped:
 		return outcome, c.refusal(samphireturn.ReasonClosing, busyRetryAfter, err)
 	default:
-		return outcome, c.refusal(samphireturn.ReasonBusy, max(e.RetryAfter, busyRetryAfter), err)
+		return outcome, c.refusal(samphireturn.ReasonBusy, min(max(e.RetryAfter, busyRetryAfter), maxQueueRetryAfter), err)
 	}
 }
--- a/internal/traffic/queuer/queue.go
+++ b/internal/traffic/queuer/queue.go
@@ -53,13 +53,23 @@
 func (q *queue) wait(ctx context.Context, w *waiter, limit time.Duration, stopped <-chan struct{}, try func() bool) error {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
+	trying := false
+	defer func() {
+		// A panic in try must not keep the others waiting.
+		if trying {
+			_ = q.leave(w, KindCancelled)
+		}
+	}()
 	for {
 		select {
 		case <-w.ready:
 			if ctx.Err() != nil {
 				return q.leave(w, KindCancelled)
 			}
-			if q.tried(w, try()) {
+			trying = true
+			ok := try()
+			trying = false
+			if q.tried(w, ok) {
 				return nil
 			}
 		case <-timer.C:
@@ -144,7 +154,10 @@
 		q.windowStart = now
 	}
 	if elapsed := now.Sub(q.windowStart); elapsed >= rateWindow {
-		q.previousRate = float64(q.releasedWork) / elapsed.Seconds()
+		q.previousRate = 0
+		if elapsed < maxRateAge {
+			q.previousRate = float64(q.releasedWork) / elapsed.Seconds()
+		}
 		q.windowStart, q.releasedWork = now, 0
 	}
 	q.releasedWork += work
@@ -166,7 +179,10 @@
 // holds mu.
 func (q *queue) drainTime(work int64, expectedRate float64) time.Duration {
 	rate := q.previousRate
-	if elapsed := time.Since(q.windowStart); rate == 0 && elapsed >= time.Second {
+	switch elapsed := time.Since(q.windowStart); {
+	case elapsed >= maxRateAge:
+		rate = 0
+	case rate == 0 && elapsed >= time.Second:
 		rate = float64(q.releasedWork) / elapsed.Seconds()
 	}
 	return waitFor(work, max(rate, expectedRate))
