--- a/internal/forward/balancer/room.go
+++ b/internal/forward/balancer/room.go
@@ -53,6 +53,9 @@
 		Own int
 		// Scarce is true if little of the capacity is free.
 		Scarce bool
+		// Unknown is true if an endpoint may be used whose slots are not known; it is left out
+		// of Spare and Slots.
+		Unknown bool
 	}
 
 	// Release describes a reservation that ended.
@@ -78,16 +81,15 @@
 
 	// roomSearch is the result of a search.
 	roomSearch struct {
-		at     time.Duration
-		usable bool
-		own    int
-		spare  float64
-		slots  float64
+		at      time.Duration
+		usable  bool
+		unknown bool
+		own     int
+		spare   float64
+		slots   float64
 		// partial is true if the search ended before it had looked at all endpoints.
 		partial bool
-		// memory is that of the request for which the search was made, in tokens.
-		memory int
-		// roomy holds the indexes of the endpoints that had room or had a request of this
+		// roomy holds the indexes of the endpoints that had free slots or had a request of this
 		// daemon end since; cursor is where the next search begins.
 		roomy  []int
 		cursor int
@@ -118,8 +120,8 @@
 	now := b.Clock()
 	s := b.roomSearch(req, now)
 	r := b.checkRoom(s, req, now)
-	// Other endpoints may have room: some were not looked at, or not for so small a request.
-	outdated := s.partial || (len(s.roomy) > 0 || s.memory > req.MemoryTokens) && now-s.at >= minRoomTTL
+	// Other endpoints may have room: some were not looked at, or not kept for want of memory.
+	outdated := s.partial && len(s.roomy) == 0 || len(s.roomy) > 0 && now-s.at >= minRoomTTL
 	if r.Free == 0 && outdated {
 		b.search(s, req, now)
 		r = b.checkRoom(s, req, now)
@@ -156,7 +158,7 @@
 	var free [maxRoomy]int
 	sum := 0
 	for n, i := range s.roomy {
-		free[n] = b.roomAt(i, req, now)
+		free[n], _ = b.roomAt(i, req, now)
 		sum += free[n]
 	}
 	hosts := make([]*samphireturn.Host, 0, roomySamples)
@@ -203,11 +205,12 @@
 	return s
 }
 
-// search looks for endpoints with room until it has found maxRoomy. The caller holds mu.
+// search looks for endpoints with room until it has found maxRoomy that the request fits. Others
+// with free slots are kept as long as there is space, for smaller requests. The caller holds mu.
 func (b *Balancer) search(s *roomSearch, req *Request, now time.Duration) {
-	s.at, s.memory, s.usable, s.own, s.roomy = now, req.MemoryTokens, false, 0, s.roomy[:0]
-	looked, load, slots := 0, 0, 0
-	for ; looked < len(req.Hosts) && len(s.roomy) < maxRoomy; looked++ {
+	s.at, s.usable, s.unknown, s.own, s.roomy = now, false, false, 0, s.roomy[:0]
+	looked, load, slots, fits := 0, 0, 0, 0
+	for ; looked < len(req.Hosts) && fits < maxRoomy; looked++ {
 		i := (s.cursor + looked) % len(req.Hosts)
 		h := req.Hosts[i]
 		e := b.endpoint(h)
@@ -217,9 +220,18 @@
 			continue
 		}
 		s.usable = true
-		load += e.inFlight(now)
-		slots += max(h.Slots, 1)
-		if freeSlots(h, e, req, now) > 0 {
+		if h.Slots > 0 {
+			load += e.inFlight(now)
+			slots += h.Slots
+		} else {
+			s.unknown = true
+		}
+		if freeSlots(h, e, now) == 0 {
+			continue
+		}
+		if fitsMemory(e, req) {
+			fits = s.addFitting(i, fits)
+		} else if len(s.roomy) < maxRoomy {
 			s.roomy = append(s.roomy, i)
 		}
 	}
@@ -230,13 +242,27 @@
 	s.spare, s.slots = factor*float64(slots-load), factor*float64(slots)
 }
 
+// addFitting adds an endpoint to those with room, of which the first ones fit the request of
+// the search, and returns the number of these.
+func (s *roomSearch) addFitting(i, fits int) int {
+	switch {
+	case len(s.roomy) == maxRoomy:
+		s.roomy[fits] = i
+	default:
+		s.roomy = append(s.roomy, i)
+		last := len(s.roomy) - 1
+		s.roomy[fits], s.roomy[last] = i, s.roomy[fits]
+	}
+	return fits + 1
+}
+
 // checkRoom returns what is left of the capacity that a search found, and forgets endpoints
 // that became full. The caller holds mu.
 func (b *Balancer) checkRoom(s *roomSearch, req *Request, now time.Duration) Room {
-	r := Room{Usable: s.usable, Spare: s.spare, Slots: s.slots, Own: s.own, Scarce: s.spare < scarceShare*s.slots}
+	r := Room{Usable: s.usable, Spare: s.spare, Slots: s.slots, Own: s.own, Scarce: s.spare < scarceShare*s.slots, Unknown: s.unknown}
 	for n := 0; n < len(s.roomy); {
-		free := b.roomAt(s.roomy[n], req, now)
-		if free == 0 && req.MemoryTokens <= s.memory {
+		free, slots := b.roomAt(s.roomy[n], req, now)
+		if slots == 0 {
 			last := len(s.roomy) - 1
 			s.roomy[n] = s.roomy[last]
 			s.roomy = s.roomy[:last]
@@ -248,26 +274,27 @@
 	return r
 }
 
-// roomAt returns the capacity of the endpoint at an index of a request's endpoints. The caller
-// holds mu.
-func (b *Balancer) roomAt(i int, req *Request, now time.Duration) int {
+// roomAt returns the capacity of the endpoint at an index of a request's endpoints, for the
+// request and for one that needs no memory. The caller holds mu.
+func (b *Balancer) roomAt(i int, req *Request, now time.Duration) (free, slots int) {
 	if i >= len(req.Hosts) {
-		return 0
+		return 0, 0
 	}
 	h := req.Hosts[i]
 	e := b.endpoint(h)
 	if req.Exclude[h.ID] || !b.usable(h, e, req, now) {
-		return 0
+		return 0, 0
 	}
-	return freeSlots(h, e, req, now)
-}
-
-// freeSlots returns the number of requests like the given one that an endpoint takes without
-// queueing them. Of an endpoint whose slots are not known it is 1, as it may take any number.
-func freeSlots(h *samphireturn.Host, e *endpoint, req *Request, now time.Duration) int {
+	slots = freeSlots(h, e, now)
 	if !fitsMemory(e, req) {
-		return 0
+		return 0, slots
 	}
+	return slots, slots
+}
+
+// freeSlots returns the number of requests that an endpoint takes without queueing them, memory
+// apart. Of an endpoint whose slots are not known it is 1, as it may take any number.
+func freeSlots(h *samphireturn.Host, e *endpoint, now time.Duration) int {
 	if h.Slots <= 0 {
 		return 1
 	}
@@ -303,7 +330,7 @@
 		e := b.endpoint(h)
 		// What this daemon knows of the load alone is exact.
 		rejected := e.brittle.rejectedAt > 0 && e.brittle.rejectedAt >= place.at
-		fits := freeSlots(h, e, req, now) > 0 || b.rooms.hearsOthers && fitsMemory(e, req)
+		fits := fitsMemory(e, req) && (freeSlots(h, e, now) > 0 || b.rooms.hearsOthers)
 		if !fits || rejected || !b.usable(h, e, req, now) {
 			continue
 		}
--- a/internal/forward/balancer/room_test.go
+++ b/internal/forward/balancer/room_test.go
@@ -190,6 +190,30 @@
 	}
 }
 
+// TestRoomMixed guards against endpoints of unknown slots that count as full, and against requests
+// that wait because another one, larger than they are, found no memory a moment before.
+func TestRoomMixed(t *testing.T) {
+	now := time.Hour
+	hosts, b := roomFleet(40, 2, func() time.Duration { return now })
+	pool := &samphireturn.Pool{Name: "llm", MemoryTokens: 1000}
+	small := &balancer.Request{Pool: pool, Hosts: hosts, MemoryTokens: 100}
+	large := &balancer.Request{Pool: pool, Hosts: hosts, MemoryTokens: 700}
+	for _, h := range hosts {
+		b.Pick(&balancer.Request{Pool: pool, Hosts: []*samphireturn.Host{h}, MemoryTokens: 100})
+	}
+	for range 3 {
+		now += time.Millisecond
+		qt.Check(t, b.Room(large).Free, qt.Equals, 0)
+		qt.Check(t, b.Room(small).Free > 0, qt.IsTrue)
+	}
+	hosts[0].Slots = 0
+	now += time.Second
+	r := b.Room(small)
+	qt.Check(t, r.Unknown, qt.IsTrue)
+	qt.Check(t, r.Free > 0, qt.IsTrue)
+	qt.Check(t, r.Slots <= 78, qt.IsTrue)
+}
+
 // TestHardLoadRejections guards against endpoints that attract waiting requests by rejecting
 // others: only the end of a request that may have run leaves a place.
 func TestHardLoadRejections(t *testing.T) {
--- a/internal/forward/forwarder/room.go
+++ b/internal/forward/forwarder/room.go
@@ -118,7 +118,7 @@
 	queue := c.queueName()
 	room := c.Balancer.Room(&c.pickRequest)
 	waiting := c.Queue.Waiting(queue)
-	if !room.Usable {
+	if !room.Usable || room.Unknown {
 		return nil, nil
 	}
 	a := c.admissions.get(queue, c.Clock(), c.Rand)
@@ -238,7 +238,7 @@
 	}
 	c.updateCandidates()
 	room := c.Balancer.Room(&c.pickRequest)
-	if !room.Usable {
+	if !room.Usable || room.Unknown {
 		return nil, nil, true
 	}
 	a.mu.Lock()
