Charge requests that are sent at once to the allowance

Own requests that ended while enough was free were counted although others had followed them, and were replaced a second time once capacity became short.

--- a/internal/forward/balancer/room.go
+++ b/internal/forward/balancer/room.go
@@ -176,6 +176,16 @@
 	return hosts
 }
 
+// TakePlace discards the last place that an own request left, as another request is sent that
+// follows it, although to any endpoint: else a place would be used twice once room is scarce.
+func (b *Balancer) TakePlace(req *Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.roomSearch(req, b.Clock()); len(s.freed) > 0 {
+		s.freed = s.freed[:len(s.freed)-1]
+	}
+}
+
 // HearsOthers reports whether other daemons shared their loads in the last seconds.
 func (b *Balancer) HearsOthers() bool {
 	b.mu.Lock()
--- a/internal/forward/balancer/room_test.go
+++ b/internal/forward/balancer/room_test.go
@@ -49,9 +49,10 @@
 	if r == nil {
 		return false
 	}
-	if !atOnce || room.Scarce {
-		p.allowances[i].Use(p.now)
+	if atOnce && !room.Scarce {
+		b.TakePlace(&req)
 	}
+	p.allowances[i].Use(p.now)
 	slots := p.slots[r.Host.ID]
 	start := max(slots[0], p.now)
 	slots[0] = start + pressureHold
@@ -240,6 +241,22 @@
 	}
 }
 
+// TestHardLoadSuddenScarcity guards against places that are used twice: first by a request that
+// was sent at once while enough was free, then by one that waits.
+func TestHardLoadSuddenScarcity(t *testing.T) {
+	now := time.Hour
+	hosts, b := roomFleet(1, 2, func() time.Duration { return now })
+	b.OnRelease = func(balancer.Release) {}
+	req := &balancer.Request{Pool: &samphireturn.Pool{Name: "llm"}, Hosts: hosts}
+	b.Room(req)
+	b.Pick(req).Done()
+	b.TakePlace(req)
+	b.Pick(req)
+	b.Pick(req)
+	b.SetRemoteLoads(balancer.Loads{balancer.KeyOf(hosts[0].ID): {Requests: 1}})
+	qt.Check(t, b.PickRoomy(req), qt.IsNil)
+}
+
 // roomFleet returns endpoints of three data centres and a balancer.
 func roomFleet(endpoints, slots int, clock func() time.Duration) ([]*samphireturn.Host, *balancer.Balancer) {
 	hosts := make([]*samphireturn.Host, endpoints)
--- a/internal/forward/forwarder/room.go
+++ b/internal/forward/forwarder/room.go
@@ -125,6 +125,8 @@
 	a.observe(c.Clock(), room, c.sharingDaemons())
 	if waiting == 0 && room.Free > 0 && c.enoughRoom(room) {
 		if !room.Scarce {
+			c.Balancer.TakePlace(&c.pickRequest)
+			a.use(c.Clock())
 			return nil, nil
 		}
 		a.use(c.Clock())
@@ -205,6 +207,7 @@
 	line.Send()
 	if refusal == nil && reservation == nil {
 		if refusal = c.checkWaiting(); refusal == nil {
+			c.Balancer.TakePlace(&c.pickRequest)
 			a.use(c.Clock())
 		}
 	}
