Keep each endpoint's index in the search that looked at it

Sets of endpoints of one pool, as those of a release under test, shared one index, so that places were recorded at other endpoints and discarded.

--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -82,8 +82,10 @@
 		brittle    brittleness
 		pace       pace
 		presence   presence
-		// roomIndex is the endpoint's index in the latest search for room.
-		roomIndex int
+		// roomSearch is the latest search for room that looked at the endpoint, and roomIndex its
+		// index there.
+		roomSearch *roomSearch
+		roomIndex  int
 	}
 )
 
--- a/internal/forward/balancer/room.go
+++ b/internal/forward/balancer/room.go
@@ -224,7 +224,7 @@
 		i := (s.cursor + looked) % len(req.Hosts)
 		h := req.Hosts[i]
 		e := b.endpoint(h)
-		e.roomIndex = i
+		e.roomSearch, e.roomIndex = s, i
 		s.own += e.local.Requests
 		if req.Exclude[h.ID] || !b.usable(h, e, req, now) {
 			continue
@@ -354,7 +354,7 @@
 	return best
 }
 
-// releaseRoom records in the latest searches that a request of this daemon left an endpoint.
+// releaseRoom records in the latest search of its set that a request of this daemon left an endpoint.
 // If the endpoint has more load than slots, a part of the places is not used again there. The
 // caller holds mu.
 func (b *Balancer) releaseRoom(r Release, e *endpoint) {
@@ -365,19 +365,18 @@
 	inFlight := e.inFlight(now)
 	excess := float64(inFlight+1-h.Slots) / float64(inFlight+1)
 	moved := h.Slots > 0 && excess > 0 && b.Rand() < excess*min(float64(r.Held)/float64(excessTime), 1)
-	for set, s := range b.rooms.sets {
-		if set.pool != h.Pool || e.roomIndex >= set.count {
-			continue
-		}
-		if len(s.roomy) < maxRoomy && !slices.Contains(s.roomy, e.roomIndex) {
-			s.roomy = append(s.roomy, e.roomIndex)
-		}
-		if moved {
-			continue
-		}
-		if len(s.freed) == maxFreed {
-			s.freed = s.freed[:copy(s.freed, s.freed[maxFreed/2:])]
-		}
-		s.freed = append(s.freed, freedPlace{e.roomIndex, h.ID, now})
+	s := e.roomSearch
+	if s == nil {
+		return
+	}
+	if len(s.roomy) < maxRoomy && !slices.Contains(s.roomy, e.roomIndex) {
+		s.roomy = append(s.roomy, e.roomIndex)
+	}
+	if moved {
+		return
+	}
+	if len(s.freed) == maxFreed {
+		s.freed = s.freed[:copy(s.freed, s.freed[maxFreed/2:])]
 	}
+	s.freed = append(s.freed, freedPlace{e.roomIndex, h.ID, now})
 }
