--- a/internal/forward/balancer/balancer.go
+++ b/internal/forward/balancer/balancer.go
@@ -88,8 +88,10 @@
 		limitShare limitShare
 		pace       pace
 		presence   presence
-		// roomIndex is the endpoint's index in the latest search for room.
-		roomIndex int
+		// roomSearch is the latest search for room that looked at the endpoint, and roomIndex its
+		// index there.
+		roomSearch *roomSearch
+		roomIndex  int
 	}
 )
 
--- a/internal/forward/balancer/room_test.go
+++ b/internal/forward/balancer/room_test.go
@@ -49,9 +49,10 @@
 	if r == nil {
 		return false
 	}
-	if !atOnce || room.Scarce {
-		p.allowances[i].Use(p.now)
+	if atOnce && !room.Scarce {
+		b.TakePlace(&req)
 	}
+	p.allowances[i].Use(p.now)
 	slots := p.slots[r.Host.ID]
 	start := max(slots[0], p.now)
 	slots[0] = start + pressureHold
@@ -190,6 +191,30 @@
 	}
 }
 
+// TestRoomMixed guards against endpoints of unknown slots that count as full, and against requests
+// that wait because another one, larger than they are, found no memory a moment before.
+func TestRoomMixed(t *testing.T) {
+	now := time.Hour
+	hosts, b := roomFleet(40, 2, func() time.Duration { return now })
+	pool := &samphireturn.Pool{Name: "llm", MemoryTokens: 1000}
+	small := &balancer.Request{Pool: pool, Hosts: hosts, MemoryTokens: 100}
+	large := &balancer.Request{Pool: pool, Hosts: hosts, MemoryTokens: 700}
+	for _, h := range hosts {
+		b.Pick(&balancer.Request{Pool: pool, Hosts: []*samphireturn.Host{h}, MemoryTokens: 100})
+	}
+	for range 3 {
+		now += time.Millisecond
+		qt.Check(t, b.Room(large).Free, qt.Equals, 0)
+		qt.Check(t, b.Room(small).Free > 0, qt.IsTrue)
+	}
+	hosts[0].Slots = 0
+	now += time.Second
+	r := b.Room(small)
+	qt.Check(t, r.Unknown, qt.IsTrue)
+	qt.Check(t, r.Free > 0, qt.IsTrue)
+	qt.Check(t, r.Slots <= 78, qt.IsTrue)
+}
+
 // TestHardLoadRejections guards against endpoints that attract waiting requests by rejecting
 // others: only the end of a request that may have run leaves a place.
 func TestHardLoadRejections(t *testing.T) {
@@ -216,6 +241,22 @@
 	}
 }
 
+// TestHardLoadSuddenScarcity guards against places that are used twice: first by a request that
+// was sent at once while enough was free, then by one that waits.
+func TestHardLoadSuddenScarcity(t *testing.T) {
+	now := time.Hour
+	hosts, b := roomFleet(1, 2, func() time.Duration { return now })
+	b.OnRelease = func(balancer.Release) {}
+	req := &balancer.Request{Pool: &samphireturn.Pool{Name: "llm"}, Hosts: hosts}
+	b.Room(req)
+	b.Pick(req).Done()
+	b.TakePlace(req)
+	b.Pick(req)
+	b.Pick(req)
+	b.SetRemoteLoads(balancer.Loads{balancer.KeyOf(hosts[0].ID): {Requests: 1}})
+	qt.Check(t, b.PickRoomy(req), qt.IsNil)
+}
+
 // roomFleet returns endpoints of three data centres and a balancer.
 func roomFleet(endpoints, slots int, clock func() time.Duration) ([]*samphireturn.Host, *balancer.Balancer) {
 	hosts := make([]*samphireturn.Host, endpoints)
--- a/internal/forward/forwarder/room.go
+++ b/internal/forward/forwarder/room.go
@@ -118,13 +118,15 @@
 	queue := c.queueName()
 	room := c.Balancer.Room(&c.pickRequest)
 	waiting := c.Queue.Waiting(queue)
-	if !room.Usable {
+	if !room.Usable || room.Unknown {
 		return nil, nil
 	}
 	a := c.admissions.get(queue, c.Clock(), c.Rand)
 	a.observe(c.Clock(), room, c.sharingDaemons())
 	if waiting == 0 && room.Free > 0 && c.enoughRoom(room) {
 		if !room.Scarce {
+			c.Balancer.TakePlace(&c.pickRequest)
+			a.use(c.Clock())
 			return nil, nil
 		}
 		a.use(c.Clock())
@@ -205,6 +207,7 @@
 	line.Send()
 	if refusal == nil && reservation == nil {
 		if refusal = c.checkWaiting(); refusal == nil {
+			c.Balancer.TakePlace(&c.pickRequest)
 			a.use(c.Clock())
 		}
 	}
@@ -238,7 +241,7 @@
 	}
 	c.updateCandidates()
 	room := c.Balancer.Room(&c.pickRequest)
-	if !room.Usable {
+	if !room.Usable || room.Unknown {
 		return nil, nil, true
 	}
 	a.mu.Lock()
