--- a/internal/traffic/queuer/retry_test.go
+++ b/internal/traffic/queuer/retry_test.go
@@ -33,6 +33,7 @@
 			wait            sync.WaitGroup
 			mu              sync.Mutex
 			served, refused int
+			others          = make(map[string]int) // by kind
 		)
 		for i := range callers {
 			wait.Go(func() {
@@ -52,6 +53,11 @@
 						refused++
 						c.Check(took, qt.Equals, time.Duration(0))
 						c.Check(e.RetryAfter >= 100*time.Millisecond && e.RetryAfter <= time.Second, qt.IsTrue, qt.Commentf("%v", e.RetryAfter))
+					default:
+						others[kindOf(err)]++
+						// Only those that wait when the test ends see their deadline.
+						c.Check(kindOf(err) != "left" || ctx.Err() != nil, qt.IsTrue)
+						c.Check(kindOf(err) != "late" || took == 0, qt.IsTrue)
 					}
 					mu.Unlock()
 					time.Sleep(10 * time.Millisecond)
@@ -63,7 +69,7 @@
 			time.Sleep(time.Second / rate)
 		}
 		wait.Wait()
-		t.Logf("%d served, %d refused", served, refused)
+		t.Logf("%d served, %d refused, others %v", served, refused, others)
 		c.Check(served >= rate*int(length.Seconds())*9/10, qt.IsTrue)
 		c.Check(refused > 0, qt.IsTrue)
 		c.Check(p.Waiting(poolRef), qt.Equals, 0)
