--- a/internal/traffic/queuer/order.go
+++ b/internal/traffic/queuer/order.go
@@ -71,11 +71,19 @@
 		ready chan struct{}
 	}
 
-	// heap is a binary heap whose items know their index.
-	heap[T interface {
+	// heapItem is an item of a heap that knows its index there.
+	heapItem[T any] interface {
 		less(T) bool
 		setIndex(int)
-	}] struct{ items []T }
+	}
+
+	// heap is a binary heap.
+	heap[T heapItem[T]] struct{ items []T }
+)
+
+var (
+	_ heapItem[*waiter] = (*waiter)(nil)
+	_ heapItem[*flow]   = (*flow)(nil)
 )
 
 func (w *waiter) less(other *waiter) bool { return w.promoteAt.Before(other.promoteAt) }
