Queue no request for an endpoint that answered as another instance

Waiting requests follow own ones that ended, without the checks of a choice: one went to an endpoint in whose place another instance had answered since. TestRoomSuspect failed before.

--- a/internal/forward/balancer/room.go
+++ b/internal/forward/balancer/room.go
@@ -118,6 +118,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock()
+	b.considerSuspicions(req, now)
 	s := b.roomSearch(req, now)
 	r := b.checkRoom(s, req, now)
 	// Other endpoints may have room: some were not looked at, or not kept for want of memory.
@@ -136,6 +137,7 @@
 func (b *Balancer) PickRoomy(req *Request) *Reservation {
 	b.mu.Lock()
 	now := b.Clock()
+	b.considerSuspicions(req, now)
 	s := b.roomSearch(req, now)
 	req.prefix = req.prefixHash()
 	if h := b.takeFreed(s, req, now); h != nil {
@@ -226,7 +228,7 @@
 		e := b.endpoint(h)
 		e.roomSearch, e.roomIndex = s, i
 		s.own += e.local.Requests
-		if req.Exclude[h.ID] || !b.usable(h, e, req, now) {
+		if req.Exclude[h.ID] || !b.usable(h, e, req, now) || !b.trusts(h, e, now) {
 			continue
 		}
 		s.usable = true
@@ -292,7 +294,7 @@
 	}
 	h := req.Hosts[i]
 	e := b.endpoint(h)
-	if req.Exclude[h.ID] || !b.usable(h, e, req, now) {
+	if req.Exclude[h.ID] || !b.usable(h, e, req, now) || !b.trusts(h, e, now) {
 		return 0, 0
 	}
 	slots = freeSlots(h, e, now)
@@ -341,7 +343,7 @@
 		// What this daemon knows of the load alone is exact.
 		rejected := e.brittle.rejectedAt > 0 && e.brittle.rejectedAt >= place.at
 		fits := fitsMemory(e, req) && (freeSlots(h, e, now) > 0 || b.rooms.hearsOthers)
-		if !fits || rejected || !b.usable(h, e, req, now) {
+		if !fits || rejected || !b.usable(h, e, req, now) || !b.trusts(h, e, now) {
 			continue
 		}
 		if score := b.score(h, e, req, now) + b.prefixCost(h, e, req, p, now); best == nil || score < lowest {
--- a/internal/forward/balancer/room_test.go
+++ b/internal/forward/balancer/room_test.go
@@ -215,6 +215,26 @@
 	qt.Check(t, r.Slots <= 78, qt.IsTrue)
 }
 
+// TestRoomSuspect guards against waiting requests that follow an own one at an endpoint in whose
+// place another instance has answered since.
+func TestRoomSuspect(t *testing.T) {
+	now := time.Hour
+	hosts, b := roomFleet(3, 8, func() time.Duration { return now })
+	pool := &samphireturn.Pool{Name: "llm"}
+	b.OnRelease = func(balancer.Release) {}
+	all := func() *balancer.Request { return &balancer.Request{Pool: pool, Hosts: hosts} }
+	b.Room(all())
+	for _, misdirected := range []bool{false, true} {
+		r := b.Pick(&balancer.Request{Pool: pool, Hosts: hosts[:1]})
+		now += time.Millisecond
+		r.ObserveHead(samphireturn.ResponseMeta{NotExecuted: misdirected, Misdirected: misdirected})
+		r.Done()
+	}
+	picked := b.PickRoomy(all())
+	qt.Assert(t, picked, qt.IsNotNil)
+	qt.Check(t, picked.Host.ID, qt.Not(qt.Equals), hosts[0].ID)
+}
+
 // TestHardLoadRejections guards against endpoints that attract waiting requests by rejecting
 // others: only the end of a request that may have run leaves a place.
 func TestHardLoadRejections(t *testing.T) {
