Search for a queue's next endpoint without scanning twice

Each try of a waiting request scanned the pool for the preferred endpoints of its prompt, also where no own request had left a place to compare, and looked at the suspicions a second time. HasRoom had no caller but tests; they ask Room. No behaviour changes: the tests keep their assertions.

--- a/internal/forward/balancer/choice.go
+++ b/internal/forward/balancer/choice.go
@@ -289,12 +289,12 @@
 	}
 }
 
-// preferredHosts returns the preferred endpoints for a request's prefix. The caller holds mu.
+// preferredHosts returns the preferred endpoints for a request's prefix. The caller holds mu and
+// has called considerSuspicions.
 func (b *Balancer) preferredHosts(req *Request, now time.Duration) preferred {
 	if req.PrefixID == "" {
 		return preferred{}
 	}
-	b.considerSuspicions(req, now)
 	ranking := ranking{prefix: xxhash.Sum64String(req.PrefixID)}
 	known := b.knownHosts(req.Pool.Name, len(req.Hosts))
 	for i, h := range req.Hosts {
--- a/internal/forward/balancer/room.go
+++ b/internal/forward/balancer/room.go
@@ -105,13 +105,6 @@
 	}
 )
 
-// HasRoom reports whether a request need not wait for capacity: any of its endpoints has
-// some, in whichever data centre, or none may be used at all, so that waiting is no use.
-func (b *Balancer) HasRoom(req *Request) bool {
-	r := b.Room(req)
-	return !r.Usable || r.Free > 0
-}
-
 // Room returns the capacity that a request's endpoints have. Its answer is up to roomTTL old,
 // apart from the endpoints that have room, which are checked.
 func (b *Balancer) Room(req *Request) Room {
@@ -322,6 +315,10 @@
 // takeFreed returns the endpoint with the lowest score of the last places that own requests
 // left and that a request may take, or nil. The caller holds mu.
 func (b *Balancer) takeFreed(s *roomSearch, req *Request, now time.Duration) *samphireturn.Host {
+	if len(s.freed) == 0 {
+		// The preferred endpoints are found among all of the pool.
+		return nil
+	}
 	var (
 		best   *samphireturn.Host
 		taken  int
--- a/internal/forward/balancer/room_test.go
+++ b/internal/forward/balancer/room_test.go
@@ -148,6 +148,13 @@
 	}
 }
 
+// hasRoom reports whether a request need not wait for capacity: any of its endpoints has some, or
+// none may be used at all.
+func hasRoom(b *balancer.Balancer, req *balancer.Request) bool {
+	r := b.Room(req)
+	return !r.Usable || r.Free > 0
+}
+
 // TestRoom states which endpoints have room.
 func TestRoom(t *testing.T) {
 	fill := func(b *balancer.Balancer, req *balancer.Request) *balancer.Reservation {
@@ -186,7 +193,7 @@
 			hosts, b := roomFleet(1, 2, func() time.Duration { return time.Hour })
 			req := &balancer.Request{Pool: &samphireturn.Pool{Name: "llm", MemoryTokens: 1000}, Hosts: hosts, MemoryTokens: 100}
 			test.prepare(b, hosts[0], req)
-			qt.Check(t, b.HasRoom(req), qt.Equals, test.want)
+			qt.Check(t, hasRoom(b, req), qt.Equals, test.want)
 		})
 	}
 }
@@ -288,10 +295,10 @@
 	return hosts, b
 }
 
-// BenchmarkHasRoom asks for room at 12,000 endpoints, all of them full or one of them with room,
+// BenchmarkRoom asks for room at 12,000 endpoints, all of them full or one of them with room,
 // 25 microseconds after the last time: the time of a search in between is part of it. Search
 // is the time of one alone.
-func BenchmarkHasRoom(b *testing.B) {
+func BenchmarkRoom(b *testing.B) {
 	for _, bench := range []struct {
 		name string
 		full int
@@ -312,7 +319,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				now += bench.gap
-				loads.HasRoom(req)
+				hasRoom(loads, req)
 			}
 		})
 	}
--- a/internal/forward/forwarder/room.go
+++ b/internal/forward/forwarder/room.go
@@ -164,10 +164,10 @@
 
 // waitBound returns the longest time for which the request waits.
 func (c *proxyCall) waitBound() time.Duration {
-	bound := time.Duration(deadlineWaitShare * float64(c.remaining()))
+	bound := share(deadlineWaitShare, c.remaining())
 	if c.route.Objective > 0 {
 		left := c.route.Objective - (c.Clock() - c.start)
-		bound = min(bound, time.Duration(objectiveWaitShare*float64(left)))
+		bound = min(bound, share(objectiveWaitShare, left))
 	}
 	return bound
 }
