--- a/review/stand/accept.go
+++ b/review/stand/accept.go
@@ -156,7 +156,7 @@
 	record.Line("traffic of %d daemons ends; at most %d connections of clients were open", len(live), most.Load())
 	if trouble {
 		for _, d := range f.Daemons[1:] {
-			if err := d.Start(); err != nil {
+			if err := d.Restart(); err != nil {
 				return failed, err
 			}
 			record.Line("%s is started again", d.Name)
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -156,6 +156,19 @@
 	return nil
 }
 
+// Restart starts the process again after its end. The fleet doesn't start for the first time.
+func (d *Daemon) Restart() error {
+	data, err := os.ReadFile(d.settings)
+	if err != nil {
+		return err
+	}
+	text := strings.Replace(string(data), "bootstrap=true", "bootstrap=false", 1)
+	if err := os.WriteFile(d.settings, []byte(text), 0o644); err != nil {
+		return err
+	}
+	return d.Start()
+}
+
 // Signal sends a signal to the process.
 func (d *Daemon) Signal(s syscall.Signal) { _ = d.cmd.Process.Signal(s) }
 
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -13,6 +13,8 @@
 	held   = 0
 	broken = 1
 	failed = 2
+
+	couldNotRun = failed
 )
 
 type scenario func(dir string, record *Record, trouble bool) (int, error)
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -24,6 +24,9 @@
 	l       net.Listener
 	born    int64
 	seq     int
+	// leaving is true once the server drains, stopped once it has ended.
+	leaving, stopped bool
+	conns            map[net.Conn]bool
 }
 
 // NewServer starts a server and registers it.
@@ -32,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ID: id, Backend: backend, Zone: zone, Version: version, Addr: l.Addr().String(), Slots: slots, l: l, born: time.Now().UnixMilli()}
+	s := &Server{ID: id, Backend: backend, Zone: zone, Version: version, Addr: l.Addr().String(), Slots: slots, l: l, conns: make(map[net.Conn]bool), born: time.Now().UnixMilli()}
 	go s.accept()
 	s.Heartbeat(store)
 	return s, nil
@@ -44,12 +47,20 @@
 		if err != nil {
 			return
 		}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
 		go s.serveConn(c)
 	}
 }
 
 func (s *Server) serveConn(c net.Conn) {
-	defer c.Close()
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
@@ -100,10 +111,35 @@
 func (s *Server) Heartbeat(store *Store) {
 	s.mu.Lock()
 	s.seq++
-	seq := s.seq
+	seq, state, stopped := s.seq, "ready", s.stopped
+	if s.leaving {
+		state = "draining"
+	}
 	s.mu.Unlock()
+	if stopped {
+		return
+	}
 	store.Put("servers", s.ID, map[string]any{
-		"backend": s.Backend, "address": s.Addr, "zone": s.Zone, "version": s.Version, "slots": s.Slots, "state": "ready",
+		"backend": s.Backend, "address": s.Addr, "zone": s.Zone, "version": s.Version, "slots": s.Slots, "state": state,
 		"coldLeftMs": 0, "seq": seq, "born": s.born,
 	})
 }
+
+// Leave makes the server say that it drains; it goes on serving.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// Stop ends the server at once, without draining, and removes its entry.
+func (s *Server) Stop(store *Store) {
+	s.mu.Lock()
+	s.stopped = true
+	_ = s.l.Close()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	store.Remove("servers", s.ID)
+}
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -25,6 +25,7 @@
 	objects  map[string]map[string]*storeObject
 	events   []storeEvent
 	changed  chan struct{}
+	down     bool
 }
 
 type storeMeta struct {
@@ -76,6 +77,34 @@
 	return time.Now()
 }
 
+// Status returns the status of an object.
+func (s *Store) Status(kind, name string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o := s.object(kind, name); o != nil {
+		return o.Status
+	}
+	return nil
+}
+
+// SetDown makes the store answer each call with 503, or serve again. Watches that wait are cut.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Remove removes an object.
+func (s *Store) Remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o := s.object(kind, name); o != nil {
+		s.record(kind, o, true)
+	}
+}
+
 func (s *Store) object(kind, name string) *storeObject {
 	o := s.objects[kind][name]
 	if o == nil {
@@ -104,6 +133,13 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(answerTime)
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
 	body, _ := io.ReadAll(r.Body)
 	switch {
@@ -163,8 +199,12 @@
 				events = append(events, map[string]any{"object": e.object, "deleted": e.deleted})
 			}
 		}
-		revision, changed := s.revision, s.changed
+		revision, changed, down := s.revision, s.changed, s.down
 		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if len(events) == 0 {
 			select {
 			case <-changed:
