Log what a daemon knows when it writes the state of a roll-out

The line concluded did not say whether the release had been proven, whether so few requests came that all of them may go to it, or which share of the sessions it had, so four causes looked alike: a wrong proof, the share that an unproven release gets, the rule for few requests, and evidence that is not asked for.

The line now has the basis of the state.

--- a/internal/fleet/concluder/concluder.go
+++ b/internal/fleet/concluder/concluder.go
@@ -112,9 +112,11 @@
 	}
 	d.notBefore = now + rewriteDelay
 	c.pending[r.Pool] = d
+	basis := c.Stager.Basis(r)
 	err := c.Source.UpdateRollout(ctx, next)
 	c.Log.Info().Str("event", logger.EventConcluded).Str("pool", r.Pool).Str("release", r.Release).Str("state", next.State).
-		Bool("again", r.Unwritten).Uint64("era", r.Version.Era).Uint64("version", r.Version.Number).Err(err).Send()
+		Bool("again", r.Unwritten).Uint64("era", r.Version.Era).Uint64("version", r.Version.Number).
+		Interface("basis", basis).Err(err).Send()
 }
 
 // rank returns the position of this daemon among those that are linked.
--- a/internal/forward/stager/verdict.go
+++ b/internal/forward/stager/verdict.go
@@ -297,3 +297,31 @@
 	}
 	return next, true
 }
+
+// Basis is what a daemon knows when it writes the state of a roll-out. The JSON names are those
+// of the log.
+type Basis struct {
+	// Passed is the elapsed share of the roll-out, Share the session share, and Proven the
+	// elapsed share at which the release was proven; zero if it is not.
+	Passed, Share, Proven float64
+	// Sent is the number of requests to the release, Answers that of the answers, of which
+	// Failed have failed. Total counts the requests to the other releases too.
+	Sent, Answers, Failed, Total int
+	// Affords is true if so few requests come that all may go to the release.
+	Affords bool
+}
+
+// Basis returns what this daemon knows of a roll-out.
+func (s *Stager) Basis(r *samphireturn.Rollout) Basis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ro := s.rollout(r)
+	base := byRoute(Sum(ro.local, s.remote), ro.pool, ro.release)
+	canary := s.evidence[releaseKey{ro.pool, ro.release}].byRoute()
+	return Basis{
+		Passed: s.elapsedShare(ro), Share: s.sessionShare(ro), Proven: ro.provenAt,
+		Sent: canary[sendRoute].Answers, Answers: canary[""].Answers, Failed: canary[""].Failed,
+		Total: canary[sendRoute].Answers + base[sendRoute].Answers,
+		Affords: ro.assessment.affordsAll,
+	}
+}
