Write no release done that no answer speaks for

Cause: what a daemon had not seen counted as known. The end of a roll-out asked for the time, the session share and idle endpoints, not for a proof. All sessions may go to a release if so few requests come that its bound can't be exceeded; a daemon that had just started had counted none, divided that by the time since the order, and took it for few. The same held for a daemon that is cut off from its peers, and it ended a roll-out on its own.

Change: each daemon tells for how long it has counted a roll-out's requests. Few requests come only if half of the listed daemons tell their counts and have counted for 4 s on average; the rate follows from the time that was really watched, over all that are listed, with three more requests than were counted. Without that, sessions stay at the share of an unproven release, the weaker proof of the last quarter is not taken, and in-flight requests of others are not taken to be none. A roll-out is done only with a proof or, in its last tenth, with few requests and no suspicion.

This works since no state follows any more from the absence of counts: after a restart the release has the share that it had before its proof, until its answers decide, at a daemon or at a peer.

Tests that moved sessions by time alone now prove the release first; TestStartTimeFromOrder also asks that a daemon that knows nothing writes nothing. TestDoneBesideRestarts keeps good releases done in time beside restarts.

--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -131,6 +131,7 @@
 	rolloutStager := stager.New(b.Clock, serviceLog(b.Log, "stager"))
 	rolloutStager.Instance = rand.Uint64()
 	rolloutStager.CanaryShare, rolloutStager.CanaryExtra, rolloutStager.SessionTTL = b.CanaryShare, b.CanaryExtra, b.SessionTTL
+	rolloutStager.Fleet = func() int { return len(k.Snapshot().Members) }
 	departures := recorder.New(k, b.Clock, serviceLog(b.Log, "recorder"))
 	crashIsolator := isolator.New(b.Clock, serviceLog(b.Log, "isolator"))
 	requestForwarder, err := b.newForwarder(k)
--- a/internal/forward/stager/assessment.go
+++ b/internal/forward/stager/assessment.go
@@ -19,8 +19,8 @@
 	// answeredShare is the share of the requests to a release that must be answered before
 	// it is proven: the first answers are those that were not slow.
 	answeredShare = 0.7
-	// lateShare is the elapsed share of a roll-out from which the lesser proof suffices, as it
-	// has to be decided then.
+	// lateShare is the elapsed share of a roll-out from which the lesser proof suffices to
+	// daemons that see the fleet, as it has to be decided then.
 	lateShare = 0.75
 	// suspectScore is the log likelihood ratio (faulty release to good one) of the answers on
 	// one route from which a release is not proven.
@@ -51,8 +51,8 @@
 	// that it is good: those to all requests sent when they first did. It is zero if they
 	// don't.
 	confirmAt int
-	// affordsAll is true if so few requests come that all of them may go to the release
-	// until its deadline, whether or not it is good.
+	// affordsAll is true if so few requests are known to come that all of them may go to the
+	// release until its deadline, whether or not it is good.
 	affordsAll bool
 }
 
@@ -65,6 +65,7 @@
 		return
 	}
 	a.at, a.changes = now, s.changes
+	watch := s.watch(ro)
 	base := byRoute(Sum(ro.local, s.remote), ro.pool, ro.release)
 	canary := s.evidence[releaseKey{ro.pool, ro.release}].byRoute()
 	exposed := float64(canary[sendRoute].Answers)
@@ -72,7 +73,7 @@
 	bound := s.CanaryShare*total + s.CanaryExtra
 	exhausted := exposed > inconclusiveShare*bound
 	needed := earlyProof
-	if exhausted || s.elapsedShare(ro) >= lateShare {
+	if exhausted || s.elapsedShare(ro) >= lateShare && watch.broad() {
 		needed = lateProof
 	}
 	a.suspect = suspect(canary, base)
@@ -81,9 +82,8 @@
 		s.Log.Info().Str("event", logger.EventReleaseProven).Str("pool", ro.pool).Str("release", ro.release).Int("answers", canary[""].Answers).
 			Int("paced", canary[paceSuffix].Answers).Float64("passed", ro.provenAt).Send()
 	}
-	elapsed := now - ro.started
-	ahead := total * float64(max(ro.duration-elapsed, verdictTime)) / float64(max(elapsed, 1))
-	a.affordsAll = exposed+ahead <= unprovenShare*bound
+	ahead := watch.expect(total, max(ro.duration-(now-ro.started), verdictTime))
+	a.affordsAll = watch.broad() && exposed+ahead <= unprovenShare*bound
 	inconclusive := exhausted && a.confirmAt == 0 || a.suspect && s.elapsedShare(ro) >= forcedEnd
 	if ro.provenAt == 0 && inconclusive && !ro.faulty && !ended(ro.state) {
 		s.Log.Warn().Str("event", logger.EventReleaseUnproven).Str("pool", ro.pool).Str("release", ro.release).Float64("sent", exposed).
--- a/internal/forward/stager/migration_test.go
+++ b/internal/forward/stager/migration_test.go
@@ -51,6 +51,10 @@
 	// the requests that are on a route whose answers take two milliseconds.
 	factor       int
 	share, brief float64
+	// disturb returns what disturbs the fleet at each tick, by the elapsed share of the
+	// roll-out; nil for nothing. late is by how much later the state may be written then.
+	disturb func() func(cl *cluster, elapsed float64)
+	late    time.Duration
 }
 
 // check plays the roll-out with a seed. A faulty release must get no more than its share of
@@ -61,12 +65,17 @@
 	random := rand.New(rand.NewPCG(seed, 7))
 	start := cl.now + 3*time.Second
 	deadline := start + m.duration
-	end, want := deadline, samphireturn.RolloutDone
+	end, want := deadline+m.late, samphireturn.RolloutDone
 	if m.kind != good {
-		end, want = deadline+verdictTime, samphireturn.RolloutRolledBack
+		end, want = end+verdictTime, samphireturn.RolloutRolledBack
 	}
 	total, canary := 0, 0
 	state := samphireturn.RolloutOrdered
+	disturb := func(*cluster, float64) {}
+	if m.disturb != nil {
+		cl.followWallClock()
+		disturb = m.disturb()
+	}
 	var pending []outcome
 	exchanged, next := cl.now, cl.now
 	for i := 0; cl.now < end; {
@@ -78,6 +87,9 @@
 			pending[0].wait.Answer(pending[0].failed)
 			pending = pending[1:]
 		}
+		if cl.now >= start {
+			disturb(cl, float64(cl.now-start)/float64(m.duration))
+		}
 		if cl.now-exchanged >= 300*time.Millisecond {
 			exchanged = cl.now
 			cl.exchangeTallies()
@@ -111,7 +123,7 @@
 		}
 		pending = slices.Insert(pending, sortedIndex(pending, o.at), o)
 		if r := cl.view.Rollouts["llm"]; r != nil {
-			if next, ok := s.NextState(r, func(string) bool { return true }); ok {
+			if next, ok := s.NextState(r, func(string) bool { return true }); ok && !cl.outage {
 				state = next.State
 				next.Version.Number++
 				cl.view.Rollouts = map[string]*samphireturn.Rollout{"llm": &next}
@@ -131,26 +143,26 @@
 // is rolled back, no later than verdictTime after it; a good one is done before the deadline.
 func TestUnprovenMigration(t *testing.T) {
 	tests := []migration{
-		{"good", good, 200 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0},
-		{"good, answers come late", good, 600 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0},
-		{"good, long", good, time.Second, 50, time.Minute, 0, 0, 0},
-		{"good, few requests", good, 200 * time.Millisecond, 3, 15 * time.Second, 0, 0, 0},
-		{"good, some requests", good, 200 * time.Millisecond, 20, 15 * time.Second, 0, 0, 0},
-		{"good, many requests", good, 200 * time.Millisecond, 500, 15 * time.Second, 0, 0, 0},
-		{"failing", failing, 200 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0},
-		{"failing, many requests", failing, 200 * time.Millisecond, 300, 15 * time.Second, 0, 0, 0},
-		{"failing, answers come late", failing, 2 * time.Second, 50, 20 * time.Second, 0, 0, 0},
-		{"slow", slow, 200 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0},
-		{"slow, short", slow, 200 * time.Millisecond, 50, 10 * time.Second, 0, 0, 0},
-		{"slow, long", slow, 200 * time.Millisecond, 50, time.Minute, 0, 0, 0},
-		{"slow, few requests", slow, 200 * time.Millisecond, 12, 20 * time.Second, 0, 0, 0},
-		{"slow, many requests", slow, 200 * time.Millisecond, 300, 15 * time.Second, 0, 0, 0},
-		{"slow, answers come late", slow, 600 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0},
-		{"good, beside brief answers", good, 60 * time.Millisecond, 30, 20 * time.Second, 0, 0, 0.4},
-		{"three times as slow", slow, 60 * time.Millisecond, 30, 20 * time.Second, 3, 1, 0},
-		{"three times as slow, beside brief answers", slow, 60 * time.Millisecond, 30, 20 * time.Second, 3, 1, 0.4},
-		{"a third slow, beside brief answers", slow, 60 * time.Millisecond, 30, 30 * time.Second, 0, 0.33, 0.4},
-		{"a third slow", slow, 60 * time.Millisecond, 30, 30 * time.Second, 0, 0.33, 0},
+		{"good", good, 200 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0},
+		{"good, answers come late", good, 600 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0},
+		{"good, long", good, time.Second, 50, time.Minute, 0, 0, 0, nil, 0},
+		{"good, few requests", good, 200 * time.Millisecond, 3, 15 * time.Second, 0, 0, 0, nil, 0},
+		{"good, some requests", good, 200 * time.Millisecond, 20, 15 * time.Second, 0, 0, 0, nil, 0},
+		{"good, many requests", good, 200 * time.Millisecond, 500, 15 * time.Second, 0, 0, 0, nil, 0},
+		{"failing", failing, 200 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0},
+		{"failing, many requests", failing, 200 * time.Millisecond, 300, 15 * time.Second, 0, 0, 0, nil, 0},
+		{"failing, answers come late", failing, 2 * time.Second, 50, 20 * time.Second, 0, 0, 0, nil, 0},
+		{"slow", slow, 200 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0},
+		{"slow, short", slow, 200 * time.Millisecond, 50, 10 * time.Second, 0, 0, 0, nil, 0},
+		{"slow, long", slow, 200 * time.Millisecond, 50, time.Minute, 0, 0, 0, nil, 0},
+		{"slow, few requests", slow, 200 * time.Millisecond, 12, 20 * time.Second, 0, 0, 0, nil, 0},
+		{"slow, many requests", slow, 200 * time.Millisecond, 300, 15 * time.Second, 0, 0, 0, nil, 0},
+		{"slow, answers come late", slow, 600 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0},
+		{"good, beside brief answers", good, 60 * time.Millisecond, 30, 20 * time.Second, 0, 0, 0.4, nil, 0},
+		{"three times as slow", slow, 60 * time.Millisecond, 30, 20 * time.Second, 3, 1, 0, nil, 0},
+		{"three times as slow, beside brief answers", slow, 60 * time.Millisecond, 30, 20 * time.Second, 3, 1, 0.4, nil, 0},
+		{"a third slow, beside brief answers", slow, 60 * time.Millisecond, 30, 30 * time.Second, 0, 0.33, 0.4, nil, 0},
+		{"a third slow", slow, 60 * time.Millisecond, 30, 30 * time.Second, 0, 0.33, 0, nil, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- /dev/null
+++ b/internal/forward/stager/restart_test.go
@@ -0,0 +1,125 @@
+package stager_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// lost is how much longer a state may take if all daemons restart late and few requests come.
+const lost = 8 * time.Second
+
+// restartAll returns what restarts all daemons at each of the given elapsed shares.
+func restartAll(at ...float64) func() func(cl *cluster, elapsed float64) {
+	return func() func(cl *cluster, elapsed float64) {
+		next := 0
+		return func(cl *cluster, elapsed float64) {
+			if next == len(at) || elapsed < at[next] {
+				return
+			}
+			next++
+			for i := range cl.stagers {
+				cl.restart(i)
+			}
+		}
+	}
+}
+
+// restartInTurn returns what restarts one daemon after the other between two elapsed shares.
+func restartInTurn(from, to float64) func() func(cl *cluster, elapsed float64) {
+	return func() func(cl *cluster, elapsed float64) {
+		next := 0
+		return func(cl *cluster, elapsed float64) {
+			if next < len(cl.stagers) && elapsed >= from+(to-from)*float64(next)/float64(len(cl.stagers)) {
+				cl.restart(next)
+				next++
+			}
+		}
+	}
+}
+
+// restartOne returns what restarts a daemon at an elapsed share and keeps it cut off from the
+// others from then on.
+func restartOne(at float64) func() func(cl *cluster, elapsed float64) {
+	return func() func(cl *cluster, elapsed float64) {
+		return func(cl *cluster, elapsed float64) {
+			if elapsed >= at && cl.cut == 0 {
+				cl.restart(0)
+				cl.cut = 1
+			}
+		}
+	}
+}
+
+// cutOne returns what cuts a daemon off from all others from an elapsed share on.
+func cutOne(at float64) func() func(cl *cluster, elapsed float64) {
+	return func() func(cl *cluster, elapsed float64) {
+		return func(cl *cluster, elapsed float64) {
+			if elapsed >= at {
+				cl.cut = 1
+			}
+		}
+	}
+}
+
+// outageUntil returns what keeps states from being written in a span of elapsed shares, at
+// whose end all daemons restart.
+func outageUntil(from, to float64) func() func(cl *cluster, elapsed float64) {
+	return func() func(cl *cluster, elapsed float64) {
+		restart := restartAll(to)()
+		return func(cl *cluster, elapsed float64) {
+			restart(cl, elapsed)
+			cl.outage = elapsed >= from && elapsed < to
+		}
+	}
+}
+
+// TestDoneWithoutEvidence guards against a release that is written done by daemons that know no
+// answer of it, since they have just started or are cut off from those that do.
+func TestDoneWithoutEvidence(t *testing.T) {
+	tests := []migration{
+		{name: "all restart late in an outage", kind: failing, rate: 16, duration: 12 * time.Second, disturb: outageUntil(0.1, 0.8)},
+		{name: "all restart late", kind: failing, rate: 16, duration: 12 * time.Second, disturb: restartAll(0.76)},
+		{name: "all restart at the end", kind: failing, rate: 16, duration: 12 * time.Second, disturb: restartAll(0.94)},
+		{name: "all restart twice", kind: failing, rate: 16, duration: 12 * time.Second, disturb: restartAll(0.7, 0.85)},
+		{name: "all restart, long", kind: failing, rate: 16, duration: 90 * time.Second, disturb: restartAll(0.15, 0.45, 0.8)},
+		{name: "one restarts and is cut off", kind: failing, rate: 16, duration: 12 * time.Second, disturb: restartOne(0.76)},
+		{name: "one cut off from the beginning", kind: failing, rate: 16, duration: 16 * time.Second, disturb: cutOne(0)},
+		{name: "one cut off late", kind: failing, rate: 16, duration: 16 * time.Second, disturb: cutOne(0.6)},
+		{name: "few requests, all restart late", kind: failing, rate: 4, duration: 16 * time.Second, disturb: restartAll(0.78), late: lost},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.latency = 60 * time.Millisecond
+			for seed := range uint64(6) {
+				test.check(qt.New(t), seed)
+			}
+		})
+	}
+}
+
+// TestDoneBesideRestarts guards against a good release that is not done in time since daemons
+// restart or are cut off during its roll-out.
+func TestDoneBesideRestarts(t *testing.T) {
+	tests := []migration{
+		{name: "all restart in the first half", rate: 16, duration: 16 * time.Second, disturb: restartAll(0.3)},
+		{name: "all restart late, long", rate: 16, duration: time.Minute, disturb: restartAll(0.7)},
+		{name: "one restarts and is cut off", rate: 16, duration: 16 * time.Second, disturb: restartOne(0.76)},
+		{name: "one cut off from the beginning", rate: 16, duration: 16 * time.Second, disturb: cutOne(0)},
+		{name: "restart in turn", rate: 16, duration: 16 * time.Second, disturb: restartInTurn(0.1, 0.95)},
+		{name: "few requests, restart in turn", rate: 1, duration: 16 * time.Second, disturb: restartInTurn(0.1, 0.95)},
+		{name: "few requests, one restarts", rate: 1, duration: 16 * time.Second, disturb: restartOne(0.76)},
+		{name: "few requests, all restart", rate: 1, duration: 16 * time.Second, disturb: restartAll(0.6)},
+		{name: "few requests, all restart late", rate: 1, duration: 16 * time.Second, disturb: restartAll(0.8), late: lost},
+		{name: "all restart late", rate: 16, duration: 16 * time.Second, disturb: restartAll(0.8), late: lost},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.kind, test.latency = good, 60*time.Millisecond
+			for seed := range uint64(6) {
+				test.check(qt.New(t), seed)
+			}
+		})
+	}
+}
--- a/internal/forward/stager/stager.go
+++ b/internal/forward/stager/stager.go
@@ -41,6 +41,8 @@
 	// earliestEnd is from when it is done as soon as no request is in flight at the
 	// old release.
 	earliestEnd = 0.8
+	// unprovenEnd is from when a release that gets too few requests to be proven may be done.
+	unprovenEnd = 0.9
 	// unprovenShare is the part of the bound on canary requests that is used until
 	// the release is proven.
 	unprovenShare = 0.7
@@ -72,7 +74,10 @@
 		SessionTTL time.Duration
 		// Instance names this run of this daemon; no two instances have the same.
 		Instance uint64
-		Log      zerolog.Logger
+		// Fleet returns the number of daemons that are listed, this one included. If it is
+		// nil, there is no other.
+		Fleet func() int
+		Log   zerolog.Logger
 
 		mu sync.Mutex
 		// rollouts is keyed by pool, sessions by session id, latencies by route.
@@ -106,6 +111,9 @@
 		// elapsed share at which the first daemon found the release proven; zero before.
 		maxShare, provenAt float64
 		assessment         assessment
+		// watched is for how long this daemon has counted the roll-out's requests, up to
+		// watchedAt.
+		watched, watchedAt time.Duration
 		detector           detector
 		// testedAt is when the detector was last updated.
 		testedAt time.Duration
@@ -257,7 +265,7 @@
 	ro := s.rollouts[r.Pool]
 	if ro == nil || ro.release != r.Release || ended(ro.state) && r.State == samphireturn.RolloutOrdered {
 		ro = &rollout{pool: r.Pool, release: r.Release, started: s.Clock(), duration: r.Duration, previous: s.previousRelease(ro, r)}
-		ro.detector = newDetector()
+		ro.detector, ro.watchedAt = newDetector(), s.Clock()
 		if !r.Started.IsZero() {
 			// Another daemon saw the order first, or this one did before a restart.
 			ro.started -= max(0, min(s.Now().Sub(r.Started), r.Duration))
--- a/internal/forward/stager/stager_test.go
+++ b/internal/forward/stager/stager_test.go
@@ -24,6 +24,12 @@
 	canary  *samphireturn.Host
 	// instances is the number of stagers created so far.
 	instances uint64
+	// cut is the number of daemons, the first ones, that are cut off from all others, and
+	// outage is true while no state can be written.
+	cut    int
+	outage bool
+	// wall is true if the daemons' wall clocks follow the simulated clock.
+	wall bool
 }
 
 func newCluster(n int) *cluster {
@@ -45,20 +51,40 @@
 	cl.instances++
 	s.Instance = cl.instances
 	s.CanaryShare, s.CanaryExtra, s.SessionTTL = 0.13, 27, 5*time.Second
+	if cl.wall {
+		s.Now = func() time.Time { return time.Unix(1e9, 0).Add(cl.now) }
+	}
+	s.Fleet = func() int { return len(cl.stagers) }
 	return s
 }
 
+// followWallClock lets the daemons' wall clocks follow the simulated clock.
+func (cl *cluster) followWallClock() {
+	cl.wall = true
+	for i := range cl.stagers {
+		cl.stagers[i] = cl.newStager()
+	}
+}
+
 // startRollout orders a roll-out of v2.
 func (cl *cluster) startRollout() {
 	cl.view.Rollouts = map[string]*samphireturn.Rollout{"llm": {Pool: "llm", Release: "v2", Duration: duration, Version: samphireturn.Revision{Number: 1}}}
 }
 
+// prove has a daemon find an endpoint's release proven, by answers that it receives.
+func (cl *cluster) prove(s *stager.Stager, h *samphireturn.Host) {
+	for range 40 {
+		s.RecordAnswer(h, "r", false, 50*time.Millisecond)
+	}
+	s.SetRemoteTallies(nil)
+}
+
 // exchangeTallies gives each daemon the summed tallies of the others and their evidence.
 func (cl *cluster) exchangeTallies() {
 	for i, s := range cl.stagers {
 		var sum []stager.Tally
 		for j, o := range cl.stagers {
-			if i != j {
+			if i != j && i >= cl.cut && j >= cl.cut {
 				sum = stager.Sum(sum, o.LocalTallies())
 				evidence, _ := o.Evidence(0, 0)
 				s.AddEvidence(o.Instance, evidence)
@@ -221,21 +247,22 @@
 }
 
 // TestStartTimeFromOrder checks that a daemon that starts during a roll-out counts
-// its time from when the first daemon saw the order, and that an ended roll-out stays
-// ended.
+// its time from when the first daemon saw the order, that it writes no end before it knows
+// answers, and that an ended roll-out stays ended.
 func TestStartTimeFromOrder(t *testing.T) {
 	c := qt.New(t)
 	cl := newCluster(2)
-	wall := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	for _, s := range cl.stagers {
-		s.Now = func() time.Time { return wall.Add(cl.now) }
-	}
+	cl.followWallClock()
 	cl.startRollout()
 	first, ok := cl.stagers[0].NextState(cl.view.Rollouts["llm"], func(string) bool { return true })
 	c.Assert(ok, qt.IsTrue)
 	c.Check(first.State, qt.Equals, samphireturn.RolloutRunning)
 	cl.view.Rollouts["llm"] = &first
 	cl.now += duration * 98 / 100
+	_, ok = cl.stagers[1].NextState(&first, func(string) bool { return true })
+	c.Assert(ok, qt.IsFalse)
+	cl.prove(cl.stagers[1], cl.canary)
+	cl.now += 3 * time.Second
 	last, ok := cl.stagers[1].NextState(&first, func(string) bool { return true })
 	c.Assert(ok, qt.IsTrue)
 	c.Check(last.State, qt.Equals, samphireturn.RolloutDone)
@@ -273,6 +300,7 @@
 			cl.old.Release = "v1x"
 			// An earlier order rolled out the first release.
 			firstDaemon.Hosts(cl.view, "llm", "", "x")
+			cl.prove(firstDaemon, cl.old)
 			cl.now += duration
 			if r, ok := firstDaemon.NextState(cl.view.Rollouts["llm"], func(string) bool { return true }); ok {
 				cl.view.Rollouts["llm"] = &r
@@ -379,6 +407,7 @@
 	}
 	// At the first daemon v2 has taken over; the second finds it faulty by its own
 	// answers, which it does not share.
+	cl.prove(cl.stagers[0], cl.canary)
 	cl.now += duration * 8 / 10
 	cl.stagers[0].Hosts(cl.view, "llm", "", "y")
 	for range 60 {
--- a/internal/forward/stager/tally.go
+++ b/internal/forward/stager/tally.go
@@ -65,7 +65,7 @@
 	// counts answers or streams by their time; that of sendRoute counts requests.
 	Route string `cbor:"3,keyasint"`
 	// Canary is true for the state of the new release, which has no counts: MaxShare,
-	// ProvenAt and FoundFaulty.
+	// ProvenAt, FoundFaulty, Daemons and Watched.
 	Canary  bool `cbor:"4,keyasint,omitempty" json:"New"`
 	Answers int  `cbor:"5,keyasint" json:"Asked"`
 	// Failed and Slow are included in Answers.
@@ -79,6 +79,10 @@
 	ProvenAt float64 `cbor:"10,keyasint,omitempty" json:"Proven"`
 	// FoundFaulty is true once any daemon found the new release faulty.
 	FoundFaulty bool `cbor:"9,keyasint,omitempty" json:"Judged"`
+	// Daemons is the number of daemons that the state is of, and Watched the sum of the times
+	// for which each has counted the requests of the roll-out.
+	Daemons int           `cbor:"11,keyasint,omitempty"`
+	Watched time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // sameKey reports whether two tallies count the same answers.
@@ -101,6 +105,8 @@
 		sum[at].MaxShare = max(sum[at].MaxShare, b[i].MaxShare)
 		sum[at].ProvenAt = earlier(sum[at].ProvenAt, b[i].ProvenAt)
 		sum[at].FoundFaulty = sum[at].FoundFaulty || b[i].FoundFaulty
+		sum[at].Daemons += b[i].Daemons
+		sum[at].Watched += b[i].Watched
 	}
 	return sum
 }
--- a/internal/forward/stager/verdict.go
+++ b/internal/forward/stager/verdict.go
@@ -180,7 +180,10 @@
 	for pool, ro := range s.rollouts {
 		if !ended(ro.state) {
 			all = append(all, ro.local...)
-			all = append(all, Tally{Pool: pool, Release: ro.release, Canary: true, MaxShare: ro.maxShare, ProvenAt: ro.provenAt, FoundFaulty: ro.faulty})
+			all = append(all, Tally{
+				Pool: pool, Release: ro.release, Canary: true, MaxShare: ro.maxShare, ProvenAt: ro.provenAt, FoundFaulty: ro.faulty,
+				Daemons: 1, Watched: ro.watched,
+			})
 		}
 	}
 	return all
@@ -277,7 +280,8 @@
 	next.PreviousRelease = ro.previous
 	elapsed := s.elapsedShare(ro)
 	started := s.Now().Add(ro.started - s.Clock())
-	faulty, state, share := ro.faulty, ro.state, s.sessionShare(ro)
+	settled, watch := s.settled(ro), s.watch(ro)
+	faulty, state := ro.faulty, ro.state
 	s.mu.Unlock()
 	if next.Started.IsZero() {
 		next.Started = started
@@ -288,7 +292,7 @@
 		return next, r.Unwritten
 	case faulty:
 		next.State = samphireturn.RolloutRolledBack
-	case elapsed >= forcedEnd && share >= 1, elapsed >= earliestEnd && share >= 1 && idle(r.Release):
+	case settled && (elapsed >= forcedEnd || elapsed >= earliestEnd && watch.broad() && idle(r.Release)):
 		next.State = samphireturn.RolloutDone
 	case state == samphireturn.RolloutOrdered:
 		next.State = samphireturn.RolloutRunning
@@ -298,6 +302,17 @@
 	return next, true
 }
 
+// settled reports whether nothing is left to learn of a roll-out's release: all sessions may
+// go to it, and it is proven or, at the end, gets too few requests for that. The caller
+// holds mu.
+func (s *Stager) settled(ro *rollout) bool {
+	if s.sessionShare(ro) < 1 {
+		return false
+	}
+	a := &ro.assessment
+	return ro.provenAt > 0 || a.affordsAll && !a.suspect && s.elapsedShare(ro) >= unprovenEnd
+}
+
 // Basis is what a daemon knows when it writes the state of a roll-out. The JSON names are those
 // of the log.
 type Basis struct {
@@ -309,6 +324,10 @@
 	Sent, Answers, Failed, Total int
 	// Affords is true if so few requests come that all may go to the release.
 	Affords bool
+	// Fleet is the number of daemons that are listed, Daemons that of those whose counts
+	// are known, and Watched for how many seconds these have counted on average.
+	Fleet, Daemons int
+	Watched        float64
 }
 
 // Basis returns what this daemon knows of a roll-out.
@@ -318,10 +337,12 @@
 	ro := s.rollout(r)
 	base := byRoute(Sum(ro.local, s.remote), ro.pool, ro.release)
 	canary := s.evidence[releaseKey{ro.pool, ro.release}].byRoute()
+	w := s.watch(ro)
 	return Basis{
 		Passed: s.elapsedShare(ro), Share: s.sessionShare(ro), Proven: ro.provenAt,
 		Sent: canary[sendRoute].Answers, Answers: canary[""].Answers, Failed: canary[""].Failed,
-		Total: canary[sendRoute].Answers + base[sendRoute].Answers,
+		Total:   canary[sendRoute].Answers + base[sendRoute].Answers,
 		Affords: ro.assessment.affordsAll,
+		Fleet:   w.fleet, Daemons: w.daemons, Watched: w.total.Seconds() / float64(w.daemons),
 	}
 }
