--- a/internal/standin/registrar/registrar.go
+++ b/internal/standin/registrar/registrar.go
@@ -420,7 +420,7 @@
 	if res.era != "" {
 		w.Header().Set(eraHeader, res.era)
 	}
-	data, err := json.Marshal(res.body)
+	data, err := encode(res.body)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -464,7 +464,7 @@
 	for _, name := range names {
 		items = append(items, objects[name])
 	}
-	res.body = map[string]any{"items": items, "morePages": more, "storeRevision": s.revision}
+	res.body = listAnswer{items, more, s.revision}
 	return res
 }
 
@@ -511,8 +511,7 @@
 	if len(events) == 0 && !expired {
 		return response{}, s.changed
 	}
-	body := map[string]any{"events": events, "storeRevision": s.revision}
-	return response{status: http.StatusOK, body: body, era: s.eraValueLocked()}, s.changed
+	return response{status: http.StatusOK, body: watchAnswer{events, s.revision}, era: s.eraValueLocked()}, s.changed
 }
 
 func (s *Registrar) applyWrite(r *http.Request, parts []string) response {
