Take no earlier answer for that to a request on the same connection

Reported by an operator of a similar system: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told that requests had not run that a server ran.

It can happen here, in two ways. Answers are told apart by the id that they echo. The second attempt of a request has the id of the first, and could go to the same endpoint on the same connection: the refusal of the first, written again, was taken for the answer to the second while the endpoint ran it. And a refusal without an id was taken for the answer to whatever request was waiting. Either way the caller got 503, which promises that the request has not run and will not, or it ran at a second endpoint.

Change: a connection remembers the last 16 requests that it carried and carries none of them again; another connection is used or opened. A refusal without an id counts only on a connection that has carried nothing else; otherwise the outcome is unknown.

Before: 5 of 6 rows of TestRepeatedAnswer failed, also one in which an earlier answer of a cascade's first step stands for that of the second. TestIdle sent one id twice and now sends two, with the same bounds.

--- a/internal/forward/sender/exchange.go
+++ b/internal/forward/sender/exchange.go
@@ -34,6 +34,7 @@
 
 // roundTrip writes the request and reads the head of its answer.
 func (x *exchange) roundTrip() (*samphireturn.Response, error) {
+	x.conn.carry(x.call.ID)
 	if len(x.call.Body) > maxInlineBody {
 		x.sender.wait.Go(func() { _ = x.writeRequest() })
 	} else if err := x.writeRequest(); err != nil && !x.started.Load() {
@@ -53,7 +54,7 @@
 		if x.sender.OnAnswer != nil {
 			x.sender.OnAnswer(x.call.Host, meta)
 		}
-		if meta.ID == x.call.ID || meta.NotExecuted && meta.ID == "" {
+		if meta.ID == x.call.ID || meta.NotExecuted && meta.ID == "" && len(x.conn.carried) == 1 {
 			return x.response(res, meta), nil
 		}
 		if meta.ID == "" || !x.skipAnswer(res) {
--- a/internal/forward/sender/sender.go
+++ b/internal/forward/sender/sender.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -58,6 +59,8 @@
 	// maxInlineBody is the longest body in bytes that is written before the answer is
 	// read: it fits in the send buffer of a socket.
 	maxInlineBody = 32 << 10
+	// maxCarried bounds the requests that a connection remembers.
+	maxCarried = 16
 	// maxStrayAnswers bounds the number of answers to other requests that are skipped
 	// before the expected one.
 	maxStrayAnswers = 2
@@ -138,6 +141,8 @@
 		key        string
 		idleSince  time.Duration
 		reuseUntil time.Duration
+		// carried holds the ids of the last requests that were sent.
+		carried []string
 	}
 )
 
@@ -163,6 +168,14 @@
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
+// carry notes that a request is sent on the connection.
+func (c *conn) carry(id string) {
+	if len(c.carried) == maxCarried {
+		c.carried = c.carried[1:]
+	}
+	c.carried = append(c.carried, id)
+}
+
 // String returns the kind's name in logs and counters.
 func (k Kind) String() string {
 	names := [...]string{"dial", "unread", "broken", "crossed", "ended"}
@@ -292,20 +305,23 @@
 }
 
 // popIdle returns the idle connection that was used last, or nil. Expired ones are
-// closed on the way.
+// closed on the way. One that has carried the request before is left: an endpoint that writes
+// its earlier answer once more would be taken to answer the request of now.
 func (s *Sender) popIdle(c *Call) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	conns := s.idle[connKey(c.Host)]
-	now := s.now()
-	for len(conns) > 0 {
-		cn := conns[len(conns)-1]
-		if c.Once && now-cn.idleSince > maxOnceIdle && now < cn.reuseUntil {
+	key, now := connKey(c.Host), s.now()
+	for i := len(s.idle[key]) - 1; i >= 0; i-- {
+		cn := s.idle[key][i]
+		expired := now >= cn.reuseUntil
+		if c.Once && now-cn.idleSince > maxOnceIdle && !expired {
 			return nil
 		}
-		conns = conns[:len(conns)-1]
-		s.idle[connKey(c.Host)] = conns
-		if now < cn.reuseUntil {
+		if !expired && slices.Contains(cn.carried, c.ID) {
+			continue
+		}
+		s.idle[key] = slices.Delete(s.idle[key], i, i+1)
+		if !expired {
 			return cn
 		}
 		_ = cn.Close()
--- a/internal/forward/sender/sender_test.go
+++ b/internal/forward/sender/sender_test.go
@@ -78,6 +78,70 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
 }
 
+// refusal returns the answer of an endpoint that did not run the request with the id.
+func refusal(id string) string {
+	head := "HTTP/1.1 503 Service Unavailable\r\nRefused: 1\r\nContent-Length: 0\r\n"
+	if id != "" {
+		head += "Id: " + id + "\r\n"
+	}
+	return head + "\r\n"
+}
+
+// TestRepeatedAnswer guards against an earlier answer that an endpoint writes once more being
+// taken for that to a request that it runs: callers were told that it had not run.
+func TestRepeatedAnswer(t *testing.T) {
+	tests := []struct {
+		name    string
+		scripts []script
+		// ids are those of the requests, and want the bodies of their answers, the kinds of
+		// their errors, or "refused".
+		ids, want []string
+	}{
+		{"refusal of the same request", []script{{refusal("r1"), refusal("r1") + answer("r1", "one")}, {answer("r1", "one")}}, []string{"r1", "r1"}, []string{"refused", "one"}},
+		{"refusal of the same request, after another", []script{{refusal("r1"), answer("r2", "two"), refusal("r1") + answer("r1", "one")}, {answer("r1", "one")}}, []string{"r1", "r2", "r1"}, []string{"refused", "two", "one"}},
+		{"refusal of another request", []script{{refusal("r1"), refusal("r1") + answer("r2", "two")}}, []string{"r1", "r2"}, []string{"refused", "two"}},
+		{"refusal without an id", []script{{refusal(""), refusal("") + answer("r2", "two")}}, []string{"r1", "r2"}, []string{"refused", "crossed"}},
+		{"refusal without an id, after an answer", []script{{answer("r1", "one"), refusal("") + answer("r2", "two")}}, []string{"r1", "r2"}, []string{"one", "crossed"}},
+		{"answer to the same request", []script{{answer("r1", "one"), answer("r1", "one") + answer("r1", "two")}, {answer("r1", "two")}}, []string{"r1", "r1"}, []string{"one", "two"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				e := &endpoint{scripts: test.scripts}
+				s := &sender.Sender{EndpointProtocol: testProtocol{}, Dial: e.dial}
+				var got []string
+				for _, id := range test.ids {
+					got = append(got, sendOnce(s, id))
+					synctest.Wait()
+				}
+				c.Check(got, qt.DeepEquals, test.want)
+				c.Check(s.Close(), qt.IsNil)
+			})
+		})
+	}
+}
+
+// sendOnce sends a request and returns the body of its answer, the kind of the error, or
+// "refused" if the endpoint says that it did not run it.
+func sendOnce(s *sender.Sender, id string) string {
+	response, err := s.Send(context.Background(), &sender.Call{
+		Host: &samphireturn.Host{ID: "h", Addr: "h:80"}, ID: id, Method: "POST", Target: "/", Authority: "site", Header: http.Header{},
+	})
+	if err != nil {
+		return sender.AsError(err).Kind.String()
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err.Error()
+	}
+	if response.Meta.NotExecuted {
+		return "refused"
+	}
+	return string(data)
+}
+
 // TestSend sends the requests r1 and r2 to an endpoint that misbehaves in the first
 // answer, and checks that r2 never gets a part of another answer and that connections
 // are reused only when that is safe.
@@ -163,12 +227,12 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			now := time.Hour
-			e := &endpoint{scripts: []script{{answer("r", "one"), answer("r", "two")}, {answer("r", "two")}}}
+			e := &endpoint{scripts: []script{{answer("r0", "one"), answer("r1", "two")}, {answer("r1", "two")}}}
 			s := &sender.Sender{EndpointProtocol: testProtocol{}, Dial: e.dial, Clock: func() time.Duration { return now }}
 			host := &samphireturn.Host{ID: "h", Addr: "h:80"}
 			for i := range 2 {
 				response, err := s.Send(context.Background(), &sender.Call{
-					Host: host, ID: "r", Method: "GET", Target: "/", Authority: "site", Once: i == 1 && test.once,
+					Host: host, ID: fmt.Sprint("r", i), Method: "GET", Target: "/", Authority: "site", Once: i == 1 && test.once,
 				})
 				c.Assert(err, qt.IsNil)
 				_, err = io.Copy(io.Discard, response.Body)
