Continue a stream only by an answer that is its continuation

Reported by an operator of a similar system: a stream had begun and broke off, the next server answered with an error, and clients found the error's text, at times its whole head, in the middle of their stream, or the stream ended as if it were complete.

It can happen here if the error comes with status 200. An answer without events is passed on as a whole, since that of a first attempt may be any text; so was one that was to continue a stream: its text was appended, and with a length or none at all it ended the stream as complete. An event without an id was passed on too, and so was a stream from its beginning, whose pieces came twice. Other statuses, resets, and answers without the server's seal were never passed on.

Change: an answer continues a stream only if it is an event stream, and its first event has an id after the last one that the caller got. Otherwise the attempt has failed, the next endpoint is asked, and if there is none the caller's connection is closed without the end of the stream. An empty event stream still ends one: the endpoint says that nothing is left.

--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"mime"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -86,6 +88,9 @@
 		a.maxWait.Store(int64(c.maxEventWait()))
 		a.streaming.Store(true)
 		err := c.checkAnswer(a)
+		if err == nil && c.begun {
+			err = checkContinuation(a)
+		}
 		if err == nil {
 			err = c.copyEvents(a)
 		}
@@ -236,8 +241,30 @@
 	return share(eventGapShare, c.route.MaxEventGap)
 }
 
+// checkContinuation returns an error if an answer that is to continue a stream is none: its
+// caller would get the text of an error in the middle of the stream, or its end too early.
+func checkContinuation(a *attempt) error {
+	contentType := a.Header.Get("Content-Type")
+	if mediaType, _, err := mime.ParseMediaType(contentType); err != nil || mediaType != "text/event-stream" {
+		return errors.Errorf("answer of type %q to a stream that has begun", contentType)
+	}
+	return nil
+}
+
+// continues reports whether an event may follow the last one that was forwarded. Ids that are
+// no numbers need only differ.
+func continues(last, id string) bool {
+	before, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return id != "" && id != last
+	}
+	next, err := strconv.ParseUint(id, 10, 64)
+	return err == nil && next > before
+}
+
 // copyEvents forwards complete events as they come until the stream ends.
 func (c *proxyCall) copyEvents(a *attempt) error {
+	resumed := c.begun
 	var pending []byte
 	buffer := make([]byte, readSize)
 	lastEvent := c.Clock()
@@ -253,12 +280,15 @@
 			}
 			size += next
 			a.events++
+			if resumed && a.events == 1 && !continues(c.lastEventID, eventID) {
+				return errors.Errorf("stream goes on with event %q after %q", eventID, c.lastEventID)
+			}
 			if eventID != "" {
 				c.lastEventID = eventID
 			}
 		}
 		ended := errors.Is(err, io.EOF)
-		if ended && a.endsInsideEvent(len(pending)-size) {
+		if ended && a.endsInsideEvent(len(pending)-size, resumed) {
 			ended, err = false, io.ErrUnexpectedEOF
 		}
 		if a.events >= isolator.MinEvents || ended && a.events > 0 {
@@ -300,12 +330,13 @@
 }
 
 // endsInsideEvent reports whether a stream that has ended was broken off, given the number of
-// bytes after its last complete event.
-func (a *attempt) endsInsideEvent(rest int) bool {
-	if a.events == 0 {
+// bytes after its last complete event. An answer without events that begins a stream may be any
+// text.
+func (a *attempt) endsInsideEvent(rest int, resumed bool) bool {
+	if a.events == 0 && !resumed {
 		return !a.Framed
 	}
-	return rest > 0
+	return rest > 0 || a.events == 0 && !a.Framed
 }
 
 // pacer measures how fast the events of an attempt come.
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -52,6 +52,13 @@
 	FaultCrash = "crash"
 	// FaultCrashUnanswered does so before the answer.
 	FaultCrashUnanswered = "crash unanswered"
+	// FaultText answers 200 with a text instead of a stream, FaultNothing with nothing, and
+	// FaultErrorEvent with an event without an id. FaultRestarted begins a stream that is to
+	// be resumed with its first event again.
+	FaultText       = "text"
+	FaultNothing    = "nothing"
+	FaultErrorEvent = "error event"
+	FaultRestarted  = "restarted"
 	// FaultBusy answers 503 without declaring that the request was not run.
 	FaultBusy = "busy"
 )
@@ -276,6 +283,17 @@
 	case FaultBusy:
 		s.writeUnavailable(w)
 		return
+	case FaultText:
+		_, _ = io.WriteString(w, "HTTP/1.1 500 Internal Server Error\n\nout of memory")
+		return
+	case FaultNothing:
+		return
+	case FaultErrorEvent:
+		h.Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "event: error\ndata: out of memory\n\n")
+		return
+	case FaultRestarted:
+		run.LastEventID = ""
 	case FaultCrash, FaultCrashUnanswered:
 		s.crash(w, run)
 	case FaultEncoded:
