Condemn no good release for counts that were lost

A release that has used most of its bound and is not proven is taken back; the bound is a share of all requests, and those that daemons had counted were gone with them, while the answers of the release are kept. And the rate of failures of the others was taken for 2 % as long as nothing was known of it: a release was found faulty by 4 failures of 30 answers where 24 of 195 of the others' failed.

Change: the bound counts as used only if the counts stand for the fleet, and the requests from before they began are added at the same rate. While few answers of the others are known, a low rate is assumed to prove a release, as before, and a higher one to find it faulty. A release that is not proven is done for want of requests only if those of 4 s would not prove it. The line release_bad names the route and its score that speak most against it.

--- a/internal/forward/stager/assessment.go
+++ b/internal/forward/stager/assessment.go
@@ -19,6 +19,8 @@
 	// answeredShare is the share of the requests to a release that must be answered before
 	// it is proven: the first answers are those that were not slow.
 	answeredShare = 0.7
+	// provingRequests is the number of requests that suffices to prove a good release.
+	provingRequests = 10
 	// lateShare is the elapsed share of a roll-out from which the lesser proof suffices to
 	// daemons that see the fleet, as it has to be decided then.
 	lateShare = 0.75
@@ -54,6 +56,9 @@
 	// affordsAll is true if so few requests are known to come that all of them may go to the
 	// release until its deadline, whether or not it is good.
 	affordsAll bool
+	// scarce is true if so few requests are known to come that those of verdictTime can't prove
+	// the release.
+	scarce bool
 }
 
 // assess updates what is known of a roll-out's release. One that is not proven is rolled back
@@ -69,22 +74,24 @@
 	base := byRoute(Sum(ro.local, s.remote), ro.pool, ro.release)
 	canary := s.evidence[releaseKey{ro.pool, ro.release}].byRoute()
 	exposed := float64(canary[sendRoute].Answers)
-	total := exposed + float64(base[sendRoute].Answers)
+	total := exposed + watch.sinceOrder(float64(base[sendRoute].Answers), now-ro.started)
 	bound := s.CanaryShare*total + s.CanaryExtra
-	exhausted := exposed > inconclusiveShare*bound
+	exhausted := watch.broad() && exposed > inconclusiveShare*bound
 	needed := earlyProof
 	if exhausted || s.elapsedShare(ro) >= lateShare && watch.broad() {
 		needed = lateProof
 	}
-	a.suspect = suspect(canary, base)
+	a.suspect = suspect(canary, base, proofPrior)
 	if ro.provenAt == 0 && a.confirms(canary, !a.suspect && needed.holds(canary, base)) {
 		ro.provenAt = max(s.elapsedShare(ro), math.SmallestNonzeroFloat64)
 		s.Log.Info().Str("event", logger.EventReleaseProven).Str("pool", ro.pool).Str("release", ro.release).Int("answers", canary[""].Answers).
 			Int("paced", canary[paceSuffix].Answers).Float64("passed", ro.provenAt).Send()
 	}
-	ahead := watch.expect(total, max(ro.duration-(now-ro.started), verdictTime))
+	counted := exposed + float64(base[sendRoute].Answers)
+	ahead := watch.expect(counted, max(ro.duration-(now-ro.started), verdictTime))
 	a.affordsAll = watch.broad() && exposed+ahead <= unprovenShare*bound
-	inconclusive := exhausted && a.confirmAt == 0 || a.suspect && s.elapsedShare(ro) >= forcedEnd
+	a.scarce = watch.broad() && watch.expect(counted, verdictTime) < provingRequests
+	inconclusive := exhausted && a.confirmAt == 0 || s.elapsedShare(ro) >= forcedEnd && suspect(canary, base, faultPrior)
 	if ro.provenAt == 0 && inconclusive && !ro.faulty && !ended(ro.state) {
 		s.Log.Warn().Str("event", logger.EventReleaseUnproven).Str("pool", ro.pool).Str("release", ro.release).Float64("sent", exposed).
 			Float64("bound", bound).Float64("passed", s.elapsedShare(ro)).Send()
@@ -114,18 +121,27 @@
 	return min(unprovenShare*s.CanaryShare*float64(length)/float64(verdictTime), 1)
 }
 
-// suspect reports whether a release's answers on any route, by the keys of testKeys, are
-// likelier to come from a faulty release, given those of the others in base.
-func suspect(canary, base map[string]Count) bool {
-	for route, answers := range canary {
-		if route == sendRoute {
+// worstRoute returns the route, by the keys of testKeys, whose answers speak most against a
+// release, and their score, given those of the others in base and a prior of scores.
+func worstRoute(canary, base map[string]Count, prior int) (route string, score float64) {
+	score = math.Inf(-1)
+	for r, answers := range canary {
+		if r == sendRoute {
 			continue
 		}
-		if failure, slow := scores(answers, base[route], slowRateGap); max(failure, slow) > suspectScore {
-			return true
+		failure, slow := scores(answers, base[r], slowRateGap, prior)
+		if worse := max(failure, slow); worse > score {
+			route, score = r, worse
 		}
 	}
-	return false
+	return route, max(score, -math.MaxFloat64)
+}
+
+// suspect reports whether a release's answers on any route are likelier to come from a faulty
+// release, given those of the others in base and a prior of scores.
+func suspect(canary, base map[string]Count, prior int) bool {
+	_, score := worstRoute(canary, base, prior)
+	return score > suspectScore
 }
 
 // holds reports whether a release's answers show that it neither fails nor is slow more often
@@ -134,11 +150,11 @@
 	if float64(canary[""].Answers) < answeredShare*float64(canary[sendRoute].Answers) {
 		return false
 	}
-	if failure, _ := scores(canary[""], base[""], p.gap); failure > -p.score {
+	if failure, _ := scores(canary[""], base[""], p.gap, proofPrior); failure > -p.score {
 		return false
 	}
 	for _, measure := range []string{timeSuffix, paceSuffix} {
-		if _, slow := scores(canary[measure], base[measure], p.gap); base[measure].Answers > 0 && slow > -p.score {
+		if _, slow := scores(canary[measure], base[measure], p.gap, proofPrior); base[measure].Answers > 0 && slow > -p.score {
 			return false
 		}
 	}
--- a/internal/forward/stager/migration_test.go
+++ b/internal/forward/stager/migration_test.go
@@ -55,6 +55,8 @@
 	// roll-out; nil for nothing. late is by how much later the state may be written then.
 	disturb func() func(cl *cluster, elapsed float64)
 	late    time.Duration
+	// noise is the share of all answers that fail.
+	noise float64
 }
 
 // check plays the roll-out with a seed. A faulty release must get no more than its share of
@@ -121,6 +123,9 @@
 				o.at = cl.now + time.Duration(cmp.Or(m.factor, slowFactor))*latency
 			}
 		}
+		if m.noise > 0 && random.Float64() < m.noise {
+			o.failed = true
+		}
 		pending = slices.Insert(pending, sortedIndex(pending, o.at), o)
 		if r := cl.view.Rollouts["llm"]; r != nil {
 			if next, ok := s.NextState(r, func(string) bool { return true }); ok && !cl.outage {
@@ -143,26 +148,26 @@
 // is rolled back, no later than verdictTime after it; a good one is done before the deadline.
 func TestUnprovenMigration(t *testing.T) {
 	tests := []migration{
-		{"good", good, 200 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0},
-		{"good, answers come late", good, 600 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0},
-		{"good, long", good, time.Second, 50, time.Minute, 0, 0, 0, nil, 0},
-		{"good, few requests", good, 200 * time.Millisecond, 3, 15 * time.Second, 0, 0, 0, nil, 0},
-		{"good, some requests", good, 200 * time.Millisecond, 20, 15 * time.Second, 0, 0, 0, nil, 0},
-		{"good, many requests", good, 200 * time.Millisecond, 500, 15 * time.Second, 0, 0, 0, nil, 0},
-		{"failing", failing, 200 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0},
-		{"failing, many requests", failing, 200 * time.Millisecond, 300, 15 * time.Second, 0, 0, 0, nil, 0},
-		{"failing, answers come late", failing, 2 * time.Second, 50, 20 * time.Second, 0, 0, 0, nil, 0},
-		{"slow", slow, 200 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0},
-		{"slow, short", slow, 200 * time.Millisecond, 50, 10 * time.Second, 0, 0, 0, nil, 0},
-		{"slow, long", slow, 200 * time.Millisecond, 50, time.Minute, 0, 0, 0, nil, 0},
-		{"slow, few requests", slow, 200 * time.Millisecond, 12, 20 * time.Second, 0, 0, 0, nil, 0},
-		{"slow, many requests", slow, 200 * time.Millisecond, 300, 15 * time.Second, 0, 0, 0, nil, 0},
-		{"slow, answers come late", slow, 600 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0},
-		{"good, beside brief answers", good, 60 * time.Millisecond, 30, 20 * time.Second, 0, 0, 0.4, nil, 0},
-		{"three times as slow", slow, 60 * time.Millisecond, 30, 20 * time.Second, 3, 1, 0, nil, 0},
-		{"three times as slow, beside brief answers", slow, 60 * time.Millisecond, 30, 20 * time.Second, 3, 1, 0.4, nil, 0},
-		{"a third slow, beside brief answers", slow, 60 * time.Millisecond, 30, 30 * time.Second, 0, 0.33, 0.4, nil, 0},
-		{"a third slow", slow, 60 * time.Millisecond, 30, 30 * time.Second, 0, 0.33, 0, nil, 0},
+		{"good", good, 200 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0, 0},
+		{"good, answers come late", good, 600 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0, 0},
+		{"good, long", good, time.Second, 50, time.Minute, 0, 0, 0, nil, 0, 0},
+		{"good, few requests", good, 200 * time.Millisecond, 3, 15 * time.Second, 0, 0, 0, nil, 0, 0},
+		{"good, some requests", good, 200 * time.Millisecond, 20, 15 * time.Second, 0, 0, 0, nil, 0, 0},
+		{"good, many requests", good, 200 * time.Millisecond, 500, 15 * time.Second, 0, 0, 0, nil, 0, 0},
+		{"failing", failing, 200 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0, 0},
+		{"failing, many requests", failing, 200 * time.Millisecond, 300, 15 * time.Second, 0, 0, 0, nil, 0, 0},
+		{"failing, answers come late", failing, 2 * time.Second, 50, 20 * time.Second, 0, 0, 0, nil, 0, 0},
+		{"slow", slow, 200 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0, 0},
+		{"slow, short", slow, 200 * time.Millisecond, 50, 10 * time.Second, 0, 0, 0, nil, 0, 0},
+		{"slow, long", slow, 200 * time.Millisecond, 50, time.Minute, 0, 0, 0, nil, 0, 0},
+		{"slow, few requests", slow, 200 * time.Millisecond, 12, 20 * time.Second, 0, 0, 0, nil, 0, 0},
+		{"slow, many requests", slow, 200 * time.Millisecond, 300, 15 * time.Second, 0, 0, 0, nil, 0, 0},
+		{"slow, answers come late", slow, 600 * time.Millisecond, 50, 15 * time.Second, 0, 0, 0, nil, 0, 0},
+		{"good, beside brief answers", good, 60 * time.Millisecond, 30, 20 * time.Second, 0, 0, 0.4, nil, 0, 0},
+		{"three times as slow", slow, 60 * time.Millisecond, 30, 20 * time.Second, 3, 1, 0, nil, 0, 0},
+		{"three times as slow, beside brief answers", slow, 60 * time.Millisecond, 30, 20 * time.Second, 3, 1, 0.4, nil, 0, 0},
+		{"a third slow, beside brief answers", slow, 60 * time.Millisecond, 30, 30 * time.Second, 0, 0.33, 0.4, nil, 0, 0},
+		{"a third slow", slow, 60 * time.Millisecond, 30, 30 * time.Second, 0, 0.33, 0, nil, 0, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/forward/stager/restart_test.go
+++ b/internal/forward/stager/restart_test.go
@@ -26,6 +26,22 @@
 	}
 }
 
+// restartMost returns what restarts most daemons at an elapsed share and the others after these
+// have told what they know of the release's answers.
+func restartMost(at float64) func() func(cl *cluster, elapsed float64) {
+	return func() func(cl *cluster, elapsed float64) {
+		first, others := 0, 5
+		return func(cl *cluster, elapsed float64) {
+			for ; first < 5 && elapsed >= at; first++ {
+				cl.restart(first)
+			}
+			for ; others < len(cl.stagers) && elapsed >= at+0.03; others++ {
+				cl.restart(others)
+			}
+		}
+	}
+}
+
 // restartInTurn returns what restarts one daemon after the other between two elapsed shares.
 func restartInTurn(from, to float64) func() func(cl *cluster, elapsed float64) {
 	return func() func(cl *cluster, elapsed float64) {
@@ -107,6 +123,13 @@
 		{name: "all restart late, long", rate: 16, duration: time.Minute, disturb: restartAll(0.7)},
 		{name: "one restarts and is cut off", rate: 16, duration: 16 * time.Second, disturb: restartOne(0.76)},
 		{name: "one cut off from the beginning", rate: 16, duration: 16 * time.Second, disturb: cutOne(0)},
+		{name: "most restart, then the others, some answers fail", rate: 24, duration: 16 * time.Second, disturb: restartMost(0.6), noise: 0.12, late: lost},
+		{name: "restart in turn, some answers fail", rate: 24, duration: 16 * time.Second, disturb: restartInTurn(0.1, 0.95), noise: 0.12, late: lost},
+		{name: "all restart, some answers fail", rate: 24, duration: 16 * time.Second, disturb: restartAll(0.6), noise: 0.12, late: lost},
+		{name: "most restart, then the others", rate: 24, duration: 16 * time.Second, disturb: restartMost(0.6)},
+		{name: "most restart at the middle, then the others", rate: 24, duration: 16 * time.Second, disturb: restartMost(0.5)},
+		{name: "most restart, then the others, many requests", rate: 100, duration: 16 * time.Second, disturb: restartMost(0.6)},
+		{name: "restart in turn, many requests", rate: 100, duration: 16 * time.Second, disturb: restartInTurn(0.1, 0.95)},
 		{name: "restart in turn", rate: 16, duration: 16 * time.Second, disturb: restartInTurn(0.1, 0.95)},
 		{name: "few requests, restart in turn", rate: 1, duration: 16 * time.Second, disturb: restartInTurn(0.1, 0.95)},
 		{name: "few requests, one restarts", rate: 1, duration: 16 * time.Second, disturb: restartOne(0.76)},
--- a/internal/forward/stager/tally.go
+++ b/internal/forward/stager/tally.go
@@ -48,9 +48,10 @@
 	// endpoint that crashes fail at the same moment and reach a daemon in a few messages;
 	// they must weigh against all answers of the time around.
 	testInterval = 550 * time.Millisecond
-	// priorAnswers and priorBadAnswers are added to the counts of the good release:
-	// before any answer, a rate of bad answers of 2 % is assumed.
-	priorAnswers, priorBadAnswers = 50, 1
+	// proofPrior and faultPrior are the numbers of answers, one of them bad, that are added to
+	// the counts of the others. While few of theirs are known, as after a restart of many
+	// daemons, a low rate is assumed to prove a release and a higher one to find it faulty.
+	proofPrior, faultPrior = 50, 15
 )
 
 // Tally counts the answers of all releases but the new one on one route during a
@@ -204,7 +205,7 @@
 func (d *detector) update(base map[string]Count) bool {
 	bad := false
 	for route, added := range d.pending {
-		failure, slow := scores(added, base[route], slowRateGap)
+		failure, slow := scores(added, base[route], slowRateGap, faultPrior)
 		d.failureScore[route] = max(0, d.failureScore[route]+failure)
 		d.slowScore[route] = max(0, d.slowScore[route]+slow)
 		bad = bad || max(d.failureScore[route], d.slowScore[route]) > rollbackScore
@@ -214,19 +215,20 @@
 }
 
 // scores returns the log likelihood ratios (faulty release to good one) of the failed and of
-// the slow ones of a release's answers, given those of the others. gap is by how much the
-// rate of slow answers of the faulty release exceeds that of the good one.
-func scores(answers, old Count, gap float64) (failure, slow float64) {
-	failure = logLikelihoodRatio(answers.Answers, answers.Failed, goodRate(old.Failed, old.Answers), failureRateGap)
-	slow = logLikelihoodRatio(answers.Answers, answers.Slow, max(minGoodSlowRate, goodRate(old.Slow, old.Answers)), gap)
+// the slow ones of a release's answers, given those of the others, to which a number of answers
+// is added. gap is by how much the rate of slow answers of the faulty release exceeds that of
+// the good one.
+func scores(answers, old Count, gap float64, prior int) (failure, slow float64) {
+	failure = logLikelihoodRatio(answers.Answers, answers.Failed, goodRate(old.Failed, old.Answers+prior), failureRateGap)
+	slow = logLikelihoodRatio(answers.Answers, answers.Slow, max(minGoodSlowRate, goodRate(old.Slow, old.Answers+prior)), gap)
 	return failure, slow
 }
 
-// goodRate returns the rate of bad answers of a good release: one standard deviation
-// above the rate that was counted.
+// goodRate returns the rate of bad answers of a good release, of which one more is assumed
+// than was counted: one standard deviation above that rate.
 func goodRate(bad, answers int) float64 {
-	expected := float64(bad + priorBadAnswers)
-	return (expected + math.Sqrt(expected)) / float64(answers+priorAnswers)
+	expected := float64(bad + 1)
+	return (expected + math.Sqrt(expected)) / float64(answers)
 }
 
 // logLikelihoodRatio returns the logarithm of how much likelier the answers are at
--- a/internal/forward/stager/verdict.go
+++ b/internal/forward/stager/verdict.go
@@ -242,8 +242,10 @@
 	ro.faultyAt = s.Clock()
 	base := byRoute(Sum(ro.local, s.remote), ro.pool, ro.release)
 	canary := s.evidence[releaseKey{ro.pool, ro.release}].byRoute()
+	route, score := worstRoute(canary, base, faultPrior)
 	s.Log.Warn().Str("event", logger.EventReleaseBad).Str("pool", ro.pool).Str("release", ro.release).
-		Bool("heard", heard).Interface("base", base[""]).Interface("canary", canary[""]).
+		Bool("heard", heard).Str("route", route).Float64("score", score).Interface("route_base", base[route]).Interface("route_canary", canary[route]).
+		Interface("base", base[""]).Interface("canary", canary[""]).
 		Interface("base_time", base[timeSuffix]).Interface("canary_time", canary[timeSuffix]).Interface("base_pace", base[paceSuffix]).Interface("canary_pace", canary[paceSuffix]).Float64("passed", s.elapsedShare(ro)).Send()
 }
 
@@ -310,7 +312,7 @@
 		return false
 	}
 	a := &ro.assessment
-	return ro.provenAt > 0 || a.affordsAll && !a.suspect && s.elapsedShare(ro) >= unprovenEnd
+	return ro.provenAt > 0 || a.affordsAll && a.scarce && !a.suspect && s.elapsedShare(ro) >= unprovenEnd
 }
 
 // Basis is what a daemon knows when it writes the state of a roll-out. The JSON names are those
--- a/internal/forward/stager/watch.go
+++ b/internal/forward/stager/watch.go
@@ -54,3 +54,10 @@
 	rate := (n + unseenRequests) / float64(max(w.total, 1))
 	return rate * float64(w.fleet) * float64(in)
 }
+
+// sinceOrder returns how many requests came since the order of a roll-out, which was the
+// elapsed time ago, if the daemons have counted n of them while they watched: counts are lost
+// with the daemons that made them.
+func (w watch) sinceOrder(n float64, elapsed time.Duration) float64 {
+	return n * max(1, float64(w.daemons)*float64(elapsed)/float64(max(w.total, 1)))
+}
