Keep the proof of a release in the store

Cause: the proof was state of the daemons alone, while that of the roll-out is the store's.

Change: the first daemon in rank writes the elapsed share at which the release was proven into the status of the roll-out, once, beside the start and the release before; a daemon that starts reads it. A build without the field reads and writes the status as before. A release that turns out faulty is rolled back whatever was proven.

--- a/internal/fleet/concluder/concluder.go
+++ b/internal/fleet/concluder/concluder.go
@@ -46,9 +46,11 @@
 	wg      sync.WaitGroup
 }
 
-// pendingWrite is a state that is to be written to a roll-out of the given version.
+// pendingWrite is a state, with or without a proof, that is to be written to a roll-out of the
+// given version.
 type pendingWrite struct {
 	state     string
+	proven    bool
 	version   samphireturn.Revision
 	firstSeen time.Duration
 	notBefore time.Duration
@@ -103,8 +105,9 @@
 	}
 	now := c.Clock()
 	d := c.pending[r.Pool]
-	if d.state != next.State || d.version != r.Version {
-		d = pendingWrite{state: next.State, version: r.Version, firstSeen: now}
+	proven := next.ProvenAt > 0
+	if d.state != next.State || d.proven != proven || d.version != r.Version {
+		d = pendingWrite{state: next.State, proven: proven, version: r.Version, firstSeen: now}
 		c.pending[r.Pool] = d
 	}
 	if now < d.notBefore || now-d.firstSeen < time.Duration(c.rank(r.Pool))*rankDelay {
--- a/internal/fleet/follower/kept.go
+++ b/internal/fleet/follower/kept.go
@@ -183,7 +183,7 @@
 }
 
 // mergeRollout returns a roll-out with what is kept of it: the state that is further, the
-// earlier start and the previous release. The caller holds mu.
+// earlier start, the previous release and its proof. The caller holds mu.
 func (f *Follower) mergeRollout(r *samphireturn.Rollout) *samphireturn.Rollout {
 	k, ok := f.kept.rollouts[r.Pool]
 	if !ok {
@@ -205,6 +205,9 @@
 	if r.PreviousRelease == "" {
 		merged.PreviousRelease = k.PreviousRelease
 	}
+	if r.ProvenAt == 0 {
+		merged.ProvenAt = k.ProvenAt
+	}
 	return &merged
 }
 
--- a/internal/forward/stager/restart_test.go
+++ b/internal/forward/stager/restart_test.go
@@ -131,6 +131,8 @@
 		{name: "most restart, then the others", rate: 24, duration: 16 * time.Second, disturb: restartMost(0.6)},
 		{name: "most restart at the middle, then the others", rate: 24, duration: 16 * time.Second, disturb: restartMost(0.5)},
 		{name: "most restart, then the others, many requests", rate: 100, duration: 16 * time.Second, disturb: restartMost(0.6)},
+		{name: "all restart once it is proven", rate: 50, duration: 16 * time.Second, disturb: restartAll(0.75)},
+		{name: "all restart at the end", rate: 50, duration: 16 * time.Second, disturb: restartAll(0.9)},
 		{name: "restart in turn, many requests", rate: 100, duration: 16 * time.Second, disturb: restartInTurn(0.1, 0.95)},
 		{name: "restart in turn", rate: 16, duration: 16 * time.Second, disturb: restartInTurn(0.1, 0.95)},
 		{name: "few requests, restart in turn", rate: 1, duration: 16 * time.Second, disturb: restartInTurn(0.1, 0.95)},
--- a/internal/forward/stager/stager.go
+++ b/internal/forward/stager/stager.go
@@ -284,6 +284,10 @@
 		// decides.
 		ro.previous = r.PreviousRelease
 	}
+	if r.ProvenAt > 0 {
+		// A proof outlives the daemons that know the answers.
+		ro.provenAt = earlier(ro.provenAt, min(r.ProvenAt, s.elapsedShare(ro)))
+	}
 	return ro
 }
 
--- a/internal/forward/stager/verdict.go
+++ b/internal/forward/stager/verdict.go
@@ -308,6 +308,9 @@
 	started := s.Now().Add(ro.started - s.Clock())
 	settled, watch := s.settled(ro), s.watch(ro)
 	faulty, state := ro.faulty, ro.state
+	if next.ProvenAt == 0 {
+		next.ProvenAt = ro.provenAt
+	}
 	s.mu.Unlock()
 	if next.Started.IsZero() {
 		next.Started = started
@@ -322,6 +325,8 @@
 		next.State = samphireturn.RolloutDone
 	case state == samphireturn.RolloutOrdered:
 		next.State = samphireturn.RolloutRunning
+	case next.ProvenAt != r.ProvenAt:
+		// The proof is to be known to daemons that start later.
 	default:
 		return next, r.Unwritten
 	}
--- a/relay.go
+++ b/relay.go
@@ -153,6 +153,9 @@
 		// PreviousRelease is the release that served the pool before the order; empty
 		// if no daemon has written it.
 		PreviousRelease string `cbor:"Before"`
+		// ProvenAt is the elapsed share of the roll-out at which the release was found good;
+		// zero if no daemon has written it.
+		ProvenAt float64 `cbor:",omitempty"`
 		// Unwritten is true if the source lost State in a new era, in which it came back
 		// from an older copy.
 		Unwritten bool `cbor:",omitempty"`
@@ -194,7 +197,7 @@
 		// and returns an empty batch if there is none. It returns an error of
 		// KindExpired if the history after since is no longer kept or a newer era began.
 		Watch(ctx context.Context, topic Topic, since Revision, wait time.Duration) (Batch, error)
-		// UpdateRollout writes r's State, Started and PreviousRelease if the entry
+		// UpdateRollout writes r's State, Started, PreviousRelease and ProvenAt if the entry
 		// still has r.Version, and returns an error of KindConflict otherwise. It is of
 		// KindUnknown if a newer era began meanwhile.
 		UpdateRollout(ctx context.Context, r Rollout) error
