Count a request that fails at two endpoints once against a release

Change: the second failure of one request is not counted, for either release. A request that succeeds at the second endpoint counts for it as before.

Before: TestFailingRequestCountsOnce counts 8 failures of 6 requests.

--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -109,6 +109,8 @@
 	// release is the release of the endpoint whose events the caller received last; empty
 	// before the first.
 	release string
+	// failed is true once an endpoint answered that it failed the request.
+	failed bool
 	// failedHosts are the ids of endpoints that may have executed the request and failed.
 	failedHosts []string
 	// lastErr is the error of the last failed attempt.
@@ -362,7 +364,7 @@
 	meter.CountAttempt(c.route.Name, c.sends+1, "answered")
 	if !response.Meta.NotExecuted && response.Meta.Pause == 0 {
 		meter.ObserveFirstResponse(c.route.Name, c.Clock()-c.start)
-		wait.Answer(response.Status >= http.StatusInternalServerError)
+		c.recordAnswer(wait, response.Status)
 	}
 	ended := reservation.ObserveHead(response.Meta)
 	if ended.Trial {
@@ -431,6 +433,18 @@
 	}
 }
 
+// recordAnswer counts an answer for or against the release of its endpoint. A request that
+// fails at a second endpoint is counted once: that is likely to be due to the request.
+func (c *proxyCall) recordAnswer(wait *stager.Wait, status int) {
+	failed := status >= http.StatusInternalServerError
+	if failed && c.failed {
+		wait.Cancel()
+		return
+	}
+	c.failed = c.failed || failed
+	wait.Answer(failed)
+}
+
 // recordLostAnswer counts an answer that did not arrive, unless the caller left.
 func (c *proxyCall) recordLostAnswer(wait *stager.Wait) {
 	switch {
