--- a/internal/forward/stager/restart_test.go
+++ b/internal/forward/stager/restart_test.go
@@ -150,3 +150,22 @@
 		})
 	}
 }
+
+// TestDoneAgainstEvidence guards against a release that is written done although its latest answers
+// fail: it was proven by chance by its first ones, or turned bad after them.
+func TestDoneAgainstEvidence(t *testing.T) {
+	tests := []migration{
+		{name: "undisturbed", rate: 16, duration: 16 * time.Second, share: 0.3},
+		{name: "restart in turn", rate: 16, duration: 16 * time.Second, disturb: restartInTurn(0.1, 0.95)},
+		{name: "restart in turn, fewer failures", rate: 16, duration: 16 * time.Second, share: 0.3, disturb: restartInTurn(0.1, 0.95)},
+		{name: "many requests", rate: 100, duration: 16 * time.Second, share: 0.3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.kind, test.latency = failing, 60*time.Millisecond
+			for seed := range uint64(20) {
+				test.check(qt.New(t), seed)
+			}
+		})
+	}
+}
