Take callers' connections again after one could not be taken

Cause: the loop that accepts callers ended at the first error, whatever it was, and readiness did not look at it.

Change: an accept that failed for want of descriptors, buffers or memory, or since the connection was gone, is repeated after 5 ms, doubling to 0.5 s. The daemon is not ready until 3 s after the last failure, and never again once the listener has failed for good. The first failure of a row and the next connection that is taken are logged, all failures are counted.

--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -9,6 +9,8 @@
 	EventLeaving           = "leaving"
 	EventGraceExpired      = "cut"
 	EventListenerFailed    = "listener_failed"
+	EventAcceptFailed      = "accept_failed"
+	EventAcceptsAgain      = "accepts_again"
 	EventLinesLeftOut      = "lines_left_out"
 	EventReadiness         = "readiness"
 	EventQueued            = "queued"
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -128,6 +128,10 @@
 	closed bool
 	// budgets holds the retry budgets by pool.
 	budgets map[string]*budgeter.RetryWindow
+	// listenerFailed is true once the listener of callers has failed for good, and
+	// acceptFailedAt is when it last failed to take a connection; zero if it never did.
+	listenerFailed atomic.Bool
+	acceptFailedAt atomic.Int64
 	// lastReady is the result of the last readiness check.
 	lastReady atomic.Bool
 	link      link
@@ -204,7 +208,7 @@
 // Ready reports whether this daemon should receive new connections.
 func (f *Forwarder) Ready() bool {
 	v := f.Control.Snapshot().View
-	return !f.leaving.Load() && v != nil && v.Synced && f.freshForKeys(v) && f.servesAny(v)
+	return !f.leaving.Load() && f.accepts() && v != nil && v.Synced && f.freshForKeys(v) && f.servesAny(v)
 }
 
 // servesAny reports whether requests can be served: an endpoint can be reached, directly or
--- a/internal/forward/forwarder/listener.go
+++ b/internal/forward/forwarder/listener.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"samphireturn"
@@ -44,15 +45,30 @@
 // Addr implements net.Listener.
 func (s *callerServer) Addr() net.Addr { return s.addr }
 
+const (
+	// minAcceptDelay is the wait after an accept that failed for want of descriptors or memory,
+	// which others may give back. It doubles with each further one up to maxAcceptDelay.
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = 500 * time.Millisecond
+	// acceptFailureTime is how long a daemon is not ready after such a failure: longer than
+	// until the next accept, and than two readiness checks.
+	acceptFailureTime = 3 * time.Second
+)
+
 // accept passes each new connection to the server with the current limits.
 func (f *Forwarder) accept() {
+	var delay time.Duration
 	for {
 		conn, err := f.Listener.Accept()
 		if err != nil {
-			if !f.closing.Load() {
-				f.Log.Error().Str("event", logger.EventListenerFailed).Err(err).Send()
+			if !f.waitToAccept(&delay, err) {
+				return
 			}
-			return
+			continue
+		}
+		if delay > 0 {
+			f.Log.Info().Str("event", logger.EventAcceptsAgain).Send()
+			delay = 0
 		}
 		s := f.callerServer()
 		select {
@@ -63,6 +79,42 @@
 	}
 }
 
+// waitToAccept waits after an accept that failed, and reports whether there is to be another
+// one. The first failure of a row is logged.
+func (f *Forwarder) waitToAccept(delay *time.Duration, err error) bool {
+	if f.closing.Load() {
+		return false
+	}
+	if !temporary(err) {
+		f.listenerFailed.Store(true)
+		f.Log.Error().Str("event", logger.EventListenerFailed).Err(err).Send()
+		return false
+	}
+	f.acceptFailedAt.Store(int64(f.Clock()))
+	acceptFailures.Add(1)
+	if *delay == 0 {
+		f.Log.Warn().Str("event", logger.EventAcceptFailed).Err(err).Send()
+	}
+	*delay = min(max(2**delay, minAcceptDelay), maxAcceptDelay)
+	return timekeeper.Sleep(f.ctx, *delay)
+}
+
+// temporary reports whether an accept that failed with err may succeed later.
+func temporary(err error) bool {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
+// accepts reports whether the daemon takes new connections of callers.
+func (f *Forwarder) accepts() bool {
+	failedAt := time.Duration(f.acceptFailedAt.Load())
+	return !f.listenerFailed.Load() && (failedAt == 0 || f.Clock()-failedAt >= acceptFailureTime)
+}
+
 // callerServer returns the server with the current limits; a new one is started when
 // the limits change.
 func (f *Forwarder) callerServer() *callerServer {
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -49,6 +49,8 @@
 	requests = expvar.NewMap("forwarder_request")
 	refusals = expvar.NewMap("forwarder_refusal")
 	retries  = expvar.NewMap("forwarder_repeat")
+	// acceptFailures counts the connections of callers that could not be taken.
+	acceptFailures = expvar.NewInt("forwarder_accept_failure")
 
 	errStalled = errors.New("endpoint makes no progress")
 )
