--- a/internal/forward/stager/assessment.go
+++ b/internal/forward/stager/assessment.go
@@ -82,11 +82,7 @@
 		needed = lateProof
 	}
 	a.suspect = suspect(canary, base, proofPrior)
-	if ro.provenAt == 0 && a.confirms(canary, !a.suspect && needed.holds(canary, base)) {
-		ro.provenAt = max(s.elapsedShare(ro), math.SmallestNonzeroFloat64)
-		s.Log.Info().Str("event", logger.EventReleaseProven).Str("pool", ro.pool).Str("release", ro.release).Int("answers", canary[""].Answers).
-			Int("paced", canary[paceSuffix].Answers).Float64("passed", ro.provenAt).Send()
-	}
+	s.prove(ro, canary, !a.suspect && needed.holds(canary, base))
 	counted := exposed + float64(base[sendRoute].Answers)
 	ahead := watch.expect(counted, max(ro.duration-(now-ro.started), verdictTime))
 	a.affordsAll = watch.broad() && exposed+ahead <= unprovenShare*bound
@@ -99,6 +95,17 @@
 	}
 }
 
+// prove records that a release is proven, if it is not yet and its answers confirm that it is
+// good. The caller holds mu.
+func (s *Stager) prove(ro *rollout, canary map[string]Count, good bool) {
+	if ro.provenAt != 0 || !ro.assessment.confirms(canary, good) {
+		return
+	}
+	ro.provenAt = max(s.elapsedShare(ro), math.SmallestNonzeroFloat64)
+	s.Log.Info().Str("event", logger.EventReleaseProven).Str("pool", ro.pool).Str("release", ro.release).Int("answers", canary[""].Answers).
+		Int("paced", canary[paceSuffix].Answers).Float64("passed", ro.provenAt).Send()
+}
+
 // confirms reports whether the release is proven, given whether its answers show that it is
 // good: they must do so until all requests that were sent before are answered, since the
 // first answers are those that were not slow.
