--- a/internal/forward/stager/tally.go
+++ b/internal/forward/stager/tally.go
@@ -29,8 +29,6 @@
 	sendRoute  = " sent"
 	// minLatencySamples is the number of answers from which an average is used.
 	minLatencySamples = 10
-	// maxLatencySamples bounds the weight of a daemon's average beside those of others.
-	maxLatencySamples = 20
 	// latencyDecay is the weight of each new answer in the average time.
 	latencyDecay = 0.05
 	// failureRateGap is by how much the failure rate of a faulty release exceeds that
@@ -86,10 +84,6 @@
 	// for which each has counted the requests of the roll-out.
 	Daemons int           `cbor:"11,keyasint,omitempty"`
 	Watched time.Duration `cbor:"12,keyasint,omitempty"`
-	// Mean is the average time of the route's answers, or that between two events of its
-	// streams, and Samples is how many it is of.
-	Mean    time.Duration `cbor:"13,keyasint,omitempty"`
-	Samples int           `cbor:"14,keyasint,omitempty"`
 }
 
 // sameKey reports whether two tallies count the same answers.
@@ -114,9 +108,6 @@
 		sum[at].FoundFaulty = sum[at].FoundFaulty || b[i].FoundFaulty
 		sum[at].Daemons += b[i].Daemons
 		sum[at].Watched += b[i].Watched
-		l := latency{sum[at].Mean, sum[at].Samples}
-		l.add(b[i].Mean, b[i].Samples)
-		sum[at].Mean, sum[at].Samples = l.mean, l.samples
 	}
 	return sum
 }
@@ -146,15 +137,6 @@
 	l.mean += time.Duration(share * float64(elapsed-l.mean))
 }
 
-// add adds the average of a number of answers.
-func (l *latency) add(mean time.Duration, samples int) {
-	if samples <= 0 {
-		return
-	}
-	l.samples += samples
-	l.mean += time.Duration(float64(mean-l.mean) * float64(samples) / float64(l.samples))
-}
-
 // slowFrom returns the time from which an answer is slow: factor times the average. It is not
 // ok if too few are known, or if that is less than floor.
 func (l *latency) slowFrom(floor time.Duration, factor float64) (from time.Duration, ok bool) {
@@ -173,21 +155,6 @@
 	return l
 }
 
-// typical returns the average of a route, or of the pace of its streams. That of a daemon that
-// knows too few answers itself includes what the others know. The caller holds mu.
-func (s *Stager) typical(route string) latency {
-	l := *s.latency(route)
-	if l.samples >= minLatencySamples {
-		return l
-	}
-	for i := range s.remote {
-		if s.remote[i].Route == route {
-			l.add(s.remote[i].Mean, s.remote[i].Samples)
-		}
-	}
-	return l
-}
-
 // allRoutes returns the key under which a test counts all routes together with a route.
 // Failures, times and the pace of streams are tested apart.
 func allRoutes(route string) string {
--- a/internal/forward/stager/verdict.go
+++ b/internal/forward/stager/verdict.go
@@ -1,7 +1,6 @@
 package stager
 
 import (
-	"slices"
 	"time"
 
 	"samphireturn"
@@ -69,8 +68,7 @@
 func (s *Stager) countOverdue() {
 	now := s.Clock()
 	for w := range s.waits {
-		typical := s.typical(w.route)
-		from, ok := typical.slowFrom(minSlowTime, slowFactor)
+		from, ok := s.latency(w.route).slowFrom(minSlowTime, slowFactor)
 		if !w.overdue && ok && now-w.sentAt >= from {
 			w.overdue = true
 			s.countLate(w.host, w.route)
@@ -95,10 +93,10 @@
 // recordAnswer is RecordAnswer for an answer that may have been counted already. The caller
 // holds mu.
 func (s *Stager) recordAnswer(h *samphireturn.Host, route string, failed bool, elapsed time.Duration, counted bool) {
-	typical := s.typical(route)
-	from, ok := typical.slowFrom(minSlowTime, slowFactor)
+	l := s.latency(route)
+	from, ok := l.slowFrom(minSlowTime, slowFactor)
 	if !failed && !s.isCanary(h) {
-		s.latency(route).observe(elapsed, minSlowTime)
+		l.observe(elapsed, minSlowTime)
 	}
 	if counted {
 		return
@@ -116,8 +114,7 @@
 	defer s.mu.Unlock()
 	route += paceSuffix
 	n := time.Duration(events)
-	typical := s.typical(route)
-	from, ok := typical.slowFrom(minSlowPace/n, paceFactor)
+	from, ok := s.latency(route).slowFrom(minSlowPace/n, paceFactor)
 	if !s.isCanary(h) {
 		s.latency(route).observe(elapsed/n, minSlowPace/n)
 	}
@@ -132,8 +129,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := time.Duration(events)
-	typical := s.typical(route + paceSuffix)
-	from, ok := typical.slowFrom(minSlowPace/n, paceFactor)
+	from, ok := s.latency(route+paceSuffix).slowFrom(minSlowPace/n, paceFactor)
 	return ok && elapsed/n >= from
 }
 
@@ -183,7 +179,7 @@
 	var all []Tally
 	for pool, ro := range s.rollouts {
 		if !ended(ro.state) {
-			all = append(all, s.withLatencies(ro.local)...)
+			all = append(all, ro.local...)
 			all = append(all, Tally{
 				Pool: pool, Release: ro.release, Canary: true, MaxShare: ro.maxShare, ProvenAt: ro.provenAt, FoundFaulty: ro.faulty,
 				Daemons: 1, Watched: ro.watched,
@@ -193,26 +189,6 @@
 	return all
 }
 
-// withLatencies returns tallies with the averages of their routes, and of the pace of their
-// streams, which may have no tally yet. The caller holds mu.
-func (s *Stager) withLatencies(tallies []Tally) []Tally {
-	all := slices.Clone(tallies)
-	for i := range tallies {
-		t := &all[i]
-		if l := s.latencies[t.Route]; l != nil {
-			t.Mean, t.Samples = l.mean, min(l.samples, maxLatencySamples)
-		}
-		pace := Tally{Pool: t.Pool, Release: t.Release, Route: t.Route + paceSuffix}
-		l := s.latencies[pace.Route]
-		if l == nil || slices.ContainsFunc(tallies, func(o Tally) bool { return o.sameKey(&pace) }) {
-			continue
-		}
-		pace.Mean, pace.Samples = l.mean, min(l.samples, maxLatencySamples)
-		all = append(all, pace)
-	}
-	return all
-}
-
 // SetRemoteTallies replaces the tallies of all other daemons and reevaluates the
 // roll-outs by these and by the evidence added since the last call.
 func (s *Stager) SetRemoteTallies(tallies []Tally) {
