Let no share of slow answers speak for and against a release at once

Where all are bad the score was no number, and nothing could be found faulty any more.

Change: where a faulty release can't be told from a good one, answers say nothing. TestMostAnswersSlow fails before: a good release is found faulty.

--- a/internal/forward/stager/restart_test.go
+++ b/internal/forward/stager/restart_test.go
@@ -167,3 +167,44 @@
 		})
 	}
 }
+
+// TestSlowAfterRestart is TestDoneWithoutEvidence with a slow release: daemons that have just
+// started do not know which answers are slow.
+func TestSlowAfterRestart(t *testing.T) {
+	tests := []migration{
+		{name: "all restart late", rate: 16, duration: 12 * time.Second, disturb: restartAll(0.76)},
+		{name: "all restart, many requests", rate: 60, duration: 16 * time.Second, disturb: restartAll(0.6)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.kind, test.latency = slow, 60*time.Millisecond
+			for seed := range uint64(6) {
+				test.check(qt.New(t), seed)
+			}
+		})
+	}
+}
+
+// TestMostAnswersSlow guards against a good release that is found faulty since its answers are
+// slow less often than nearly all those of the others.
+func TestMostAnswersSlow(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(20)
+	cl.startRollout()
+	for j, s := range cl.stagers {
+		s.Hosts(cl.view, "llm", "", "x")
+		for i := range 25 {
+			elapsed := 5 * time.Second
+			if i < 10 || i == 24 && j%3 == 0 {
+				elapsed = 30 * time.Millisecond
+			}
+			s.RecordAnswer(cl.old, "r", false, elapsed)
+		}
+	}
+	cl.settle()
+	for i := range 30 {
+		cl.stagers[0].RecordAnswer(cl.canary, "r", false, time.Duration(i%2)*5*time.Second)
+	}
+	cl.settle()
+	c.Check(cl.foundFaulty(), qt.Equals, 0)
+}
--- a/internal/forward/stager/tally.go
+++ b/internal/forward/stager/tally.go
@@ -232,9 +232,13 @@
 }
 
 // logLikelihoodRatio returns the logarithm of how much likelier the answers are at
-// the rate of a faulty release, goodRate+rateGap, than at goodRate.
+// the rate of a faulty release, goodRate+rateGap, than at goodRate. It is zero if nearly all
+// answers of a good release are bad, as a faulty one can't be told from it.
 func logLikelihoodRatio(answers, bad int, goodRate, rateGap float64) float64 {
 	badRate := min(goodRate+rateGap, maxBadRate)
+	if badRate <= goodRate {
+		return 0
+	}
 	return float64(bad)*math.Log(badRate/goodRate) + float64(answers-bad)*math.Log((1-badRate)/(1-goodRate))
 }
 
