Say once what the change said several times

No change of behaviour: the counts of a roll-out are read by one function, the concluder asks the stager's HasRelease, and the tables of the stager's and the sender's tests play their rows by one function each.

--- a/internal/fleet/concluder/concluder.go
+++ b/internal/fleet/concluder/concluder.go
@@ -99,7 +99,9 @@
 		return
 	}
 	next, ok := c.Stager.NextState(r, func(release string) bool { return c.drained(v, r.Pool, release) })
-	if !ok || next.State == samphireturn.RolloutDone && r.State != next.State && !serves(v, r) {
+	// The endpoints of the other releases end once it is done.
+	unserved := next.State == samphireturn.RolloutDone && r.State != next.State && !stager.HasRelease(v, r.Pool, r.Release)
+	if !ok || unserved {
 		delete(c.pending, r.Pool)
 		return
 	}
@@ -134,12 +136,6 @@
 	return max(0, slices.Index(ranker.Rank("rollout/"+pool, members), c.Self.ID))
 }
 
-// serves reports whether an endpoint has the release of a roll-out. The others end once it is
-// done.
-func serves(v *samphireturn.View, r *samphireturn.Rollout) bool {
-	return slices.ContainsFunc(v.Hosts[r.Pool], func(h *samphireturn.Host) bool { return h.Release == r.Release && !v.Leaving(h) })
-}
-
 // drained reports whether no daemon has work in flight at an endpoint of another
 // release.
 func (c *Concluder) drained(v *samphireturn.View, pool, release string) bool {
--- a/internal/forward/sender/sender_test.go
+++ b/internal/forward/sender/sender_test.go
@@ -112,7 +112,7 @@
 				s := &sender.Sender{EndpointProtocol: testProtocol{}, Dial: e.dial}
 				var got []string
 				for _, id := range test.ids {
-					got = append(got, sendOnce(s, id))
+					got = append(got, sendOnce(s, id, ""))
 					synctest.Wait()
 				}
 				c.Check(got, qt.DeepEquals, test.want)
@@ -124,9 +124,11 @@
 
 // sendOnce sends a request and returns the body of its answer, the kind of the error, or
 // "refused" if the endpoint says that it did not run it.
-func sendOnce(s *sender.Sender, id string) string {
-	response, err := s.Send(context.Background(), &sender.Call{
-		Host: &samphireturn.Host{ID: "h", Addr: "h:80"}, ID: id, Method: "POST", Target: "/", Authority: "site", Header: http.Header{},
+func sendOnce(s *sender.Sender, id, body string) string {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	response, err := s.Send(ctx, &sender.Call{
+		Host: &samphireturn.Host{ID: "h", Addr: "h:80"}, ID: id, Method: "POST", Target: "/p?q=1", Authority: "site", Header: http.Header{}, Body: []byte(body),
 	})
 	if err != nil {
 		return sender.AsError(err).Kind.String()
@@ -178,26 +180,9 @@
 				c := qt.New(t)
 				e := &endpoint{scripts: test.scripts}
 				s := &sender.Sender{EndpointProtocol: testProtocol{}, Dial: e.dial}
-				host := &samphireturn.Host{ID: "h", Addr: "h:80"}
-				send := func(id, body string) string {
-					ctx, cancel := context.WithCancel(context.Background())
-					defer cancel()
-					response, err := s.Send(ctx, &sender.Call{
-						Host: host, ID: id, Method: "POST", Target: "/p?q=1", Authority: "site", Header: http.Header{}, Body: []byte(body),
-					})
-					if err != nil {
-						return sender.AsError(err).Kind.String()
-					}
-					defer response.Body.Close()
-					data, err := io.ReadAll(response.Body)
-					if err != nil {
-						return err.Error()
-					}
-					return string(data)
-				}
-				c.Check(send("r1", test.body), qt.Equals, test.first)
+				c.Check(sendOnce(s, "r1", test.body), qt.Equals, test.first)
 				synctest.Wait()
-				c.Check(send("r2", ""), qt.Equals, test.second)
+				c.Check(sendOnce(s, "r2", ""), qt.Equals, test.second)
 				c.Check(e.dials, qt.Equals, test.dials)
 				for _, b := range e.bodies {
 					c.Check(b == "" || b == test.body, qt.IsTrue, qt.Commentf("%d bytes of a body", len(b)))
--- a/internal/forward/stager/assessment.go
+++ b/internal/forward/stager/assessment.go
@@ -71,8 +71,7 @@
 	}
 	a.at, a.changes = now, s.changes
 	watch := s.watch(ro)
-	base := byRoute(Sum(ro.local, s.remote), ro.pool, ro.release)
-	canary := s.evidence[releaseKey{ro.pool, ro.release}].byRoute()
+	base, canary := s.counts(ro)
 	exposed := float64(canary[sendRoute].Answers)
 	total := exposed + watch.sinceOrder(float64(base[sendRoute].Answers), now-ro.started)
 	bound := s.CanaryShare*total + s.CanaryExtra
--- a/internal/forward/stager/restart_test.go
+++ b/internal/forward/stager/restart_test.go
@@ -91,30 +91,35 @@
 	}
 }
 
-// TestDoneWithoutEvidence guards against a release that is written done by daemons that know no
-// answer of it, since they have just started or are cut off from those that do.
-func TestDoneWithoutEvidence(t *testing.T) {
-	tests := []migration{
-		{name: "all restart late in an outage", kind: failing, rate: 16, duration: 12 * time.Second, disturb: outageUntil(0.1, 0.8)},
-		{name: "all restart late", kind: failing, rate: 16, duration: 12 * time.Second, disturb: restartAll(0.76)},
-		{name: "all restart at the end", kind: failing, rate: 16, duration: 12 * time.Second, disturb: restartAll(0.94)},
-		{name: "all restart twice", kind: failing, rate: 16, duration: 12 * time.Second, disturb: restartAll(0.7, 0.85)},
-		{name: "all restart, long", kind: failing, rate: 16, duration: 90 * time.Second, disturb: restartAll(0.15, 0.45, 0.8)},
-		{name: "one restarts and is cut off", kind: failing, rate: 16, duration: 12 * time.Second, disturb: restartOne(0.76)},
-		{name: "one cut off from the beginning", kind: failing, rate: 16, duration: 16 * time.Second, disturb: cutOne(0)},
-		{name: "one cut off late", kind: failing, rate: 16, duration: 16 * time.Second, disturb: cutOne(0.6)},
-		{name: "few requests, all restart late", kind: failing, rate: 4, duration: 16 * time.Second, disturb: restartAll(0.78), late: lost},
-	}
+// playAll plays roll-outs of a kind of release with a number of seeds.
+func playAll(t *testing.T, tests []migration, kind string, seeds uint64) {
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			test.latency = 60 * time.Millisecond
-			for seed := range uint64(6) {
+			test.kind, test.latency = kind, 60*time.Millisecond
+			for seed := range seeds {
 				test.check(qt.New(t), seed)
 			}
 		})
 	}
 }
 
+// TestDoneWithoutEvidence guards against a release that is written done by daemons that know no
+// answer of it, since they have just started or are cut off from those that do.
+func TestDoneWithoutEvidence(t *testing.T) {
+	tests := []migration{
+		{name: "all restart late in an outage", rate: 16, duration: 12 * time.Second, disturb: outageUntil(0.1, 0.8)},
+		{name: "all restart late", rate: 16, duration: 12 * time.Second, disturb: restartAll(0.76)},
+		{name: "all restart at the end", rate: 16, duration: 12 * time.Second, disturb: restartAll(0.94)},
+		{name: "all restart twice", rate: 16, duration: 12 * time.Second, disturb: restartAll(0.7, 0.85)},
+		{name: "all restart, long", rate: 16, duration: 90 * time.Second, disturb: restartAll(0.15, 0.45, 0.8)},
+		{name: "one restarts and is cut off", rate: 16, duration: 12 * time.Second, disturb: restartOne(0.76)},
+		{name: "one cut off from the beginning", rate: 16, duration: 16 * time.Second, disturb: cutOne(0)},
+		{name: "one cut off late", rate: 16, duration: 16 * time.Second, disturb: cutOne(0.6)},
+		{name: "few requests, all restart late", rate: 4, duration: 16 * time.Second, disturb: restartAll(0.78), late: lost},
+	}
+	playAll(t, tests, failing, 6)
+}
+
 // TestDoneBesideRestarts guards against a good release that is not done in time since daemons
 // restart or are cut off during its roll-out.
 func TestDoneBesideRestarts(t *testing.T) {
@@ -139,14 +144,7 @@
 		{name: "few requests, all restart late", rate: 1, duration: 16 * time.Second, disturb: restartAll(0.8), late: lost},
 		{name: "all restart late", rate: 16, duration: 16 * time.Second, disturb: restartAll(0.8), late: lost},
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			test.kind, test.latency = good, 60*time.Millisecond
-			for seed := range uint64(6) {
-				test.check(qt.New(t), seed)
-			}
-		})
-	}
+	playAll(t, tests, good, 6)
 }
 
 // TestDoneAgainstEvidence guards against a release that is written done although its latest answers
@@ -158,14 +156,7 @@
 		{name: "restart in turn, fewer failures", rate: 16, duration: 16 * time.Second, share: 0.3, disturb: restartInTurn(0.1, 0.95)},
 		{name: "many requests", rate: 100, duration: 16 * time.Second, share: 0.3},
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			test.kind, test.latency = failing, 60*time.Millisecond
-			for seed := range uint64(20) {
-				test.check(qt.New(t), seed)
-			}
-		})
-	}
+	playAll(t, tests, failing, 20)
 }
 
 // TestSlowAfterRestart is TestDoneWithoutEvidence with a slow release: daemons that have just
@@ -175,14 +166,7 @@
 		{name: "all restart late", rate: 16, duration: 12 * time.Second, disturb: restartAll(0.76)},
 		{name: "all restart, many requests", rate: 60, duration: 16 * time.Second, disturb: restartAll(0.6)},
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			test.kind, test.latency = slow, 60*time.Millisecond
-			for seed := range uint64(6) {
-				test.check(qt.New(t), seed)
-			}
-		})
-	}
+	playAll(t, tests, slow, 6)
 }
 
 // TestMostAnswersSlow guards against a good release that is found faulty since its answers are
--- a/internal/forward/stager/stager.go
+++ b/internal/forward/stager/stager.go
@@ -192,7 +192,7 @@
 		return "", ""
 	}
 	ro := s.rollout(r)
-	available := hasRelease(v, pool, r.Release)
+	available := HasRelease(v, pool, r.Release)
 	migrated := available
 	switch {
 	case ro.state == samphireturn.RolloutDone:
@@ -205,7 +205,7 @@
 	if migrated {
 		return r.Release, ""
 	}
-	if ro.previous != "" && hasRelease(v, pool, ro.previous) {
+	if ro.previous != "" && HasRelease(v, pool, ro.previous) {
 		return ro.previous, ""
 	}
 	return "", r.Release
@@ -354,7 +354,7 @@
 	return min(scheduled, held+(1-held)*max(elapsed-start, 0)/length)
 }
 
-// hasRelease reports whether any endpoint of a pool that is not leaving has the release.
-func hasRelease(v *samphireturn.View, pool, release string) bool {
+// HasRelease reports whether any endpoint of a pool that is not leaving has the release.
+func HasRelease(v *samphireturn.View, pool, release string) bool {
 	return slices.ContainsFunc(v.Hosts[pool], func(h *samphireturn.Host) bool { return h.Release == release && !v.Leaving(h) })
 }
--- a/internal/forward/stager/tally.go
+++ b/internal/forward/stager/tally.go
@@ -242,6 +242,12 @@
 	return float64(bad)*math.Log(badRate/goodRate) + float64(answers-bad)*math.Log((1-badRate)/(1-goodRate))
 }
 
+// counts returns what all daemons are known to have counted of the other releases and of the
+// new one, by route. The caller holds mu.
+func (s *Stager) counts(ro *rollout) (base, canary map[string]Count) {
+	return byRoute(Sum(ro.local, s.remote), ro.pool, ro.release), s.evidence[releaseKey{ro.pool, ro.release}].byRoute()
+}
+
 // byRoute sums the tallies of a roll-out by route, and those of all routes by allRoutes.
 func byRoute(tallies []Tally, pool, release string) map[string]Count {
 	base := make(map[string]Count)
--- a/internal/forward/stager/verdict.go
+++ b/internal/forward/stager/verdict.go
@@ -240,8 +240,7 @@
 func (s *Stager) markFaulty(ro *rollout, heard bool) {
 	ro.faulty = true
 	ro.faultyAt = s.Clock()
-	base := byRoute(Sum(ro.local, s.remote), ro.pool, ro.release)
-	canary := s.evidence[releaseKey{ro.pool, ro.release}].byRoute()
+	base, canary := s.counts(ro)
 	route, score := worstRoute(canary, base, faultPrior)
 	s.Log.Warn().Str("event", logger.EventReleaseBad).Str("pool", ro.pool).Str("release", ro.release).
 		Bool("heard", heard).Str("route", route).Float64("score", score).Interface("route_base", base[route]).Interface("route_canary", canary[route]).
@@ -342,8 +341,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ro := s.rollout(r)
-	base := byRoute(Sum(ro.local, s.remote), ro.pool, ro.release)
-	canary := s.evidence[releaseKey{ro.pool, ro.release}].byRoute()
+	base, canary := s.counts(ro)
 	w := s.watch(ro)
 	return Basis{
 		Passed: s.elapsedShare(ro), Share: s.sessionShare(ro), Proven: ro.provenAt,
