Check retries, pauses, deadlines and losses with real processes

The rule on retries names six conditions and the soak checked two of them; of losses it checked those of a SIGTERM. The judge now checks the retries of every window, pauses, the deadlines that requests are passed on with, requests of kept connections that get no answer at any time, and what a SIGHUP or a configuration cuts. The report of a run names the greatest part of the retry bound that was used.

Servers see each daemon under an address of its own, since pauses hold for one daemon.

--- a/cmd/standin/server.go
+++ b/cmd/standin/server.go
@@ -33,11 +33,13 @@
 }
 
 // serverFaults are the faults of answers until the next line of standard input, each a
-// JSON object with the name of a fault and the part of the answers that have it.
+// JSON object with the name of a fault, the part of the answers that have it, and the value of
+// the header Retry-After of refusals.
 type serverFaults struct {
 	mu     sync.Mutex
 	fault  string
 	share  float64
+	pause  string
 	random *rand.Rand
 }
 
@@ -63,7 +65,8 @@
 			}
 			return faults.draw()
 		},
-		OnCrash: func(worker.Run) { os.Exit(exitCrashed) },
+		RetryAfter: faults.retryAfter,
+		OnCrash:    func(worker.Run) { os.Exit(exitCrashed) },
 		OnRun: func(r worker.Run) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -88,16 +91,24 @@
 		var next struct {
 			Fault string  `json:"fault"`
 			Share float64 `json:"share"`
+			Pause string  `json:"pause"`
 		}
 		if json.Unmarshal(lines.Bytes(), &next) != nil {
 			continue
 		}
 		f.mu.Lock()
-		f.fault, f.share = next.Fault, next.Share
+		f.fault, f.share, f.pause = next.Fault, next.Share, next.Pause
 		f.mu.Unlock()
 	}
 }
 
+// retryAfter returns the value of the header Retry-After of a refusal.
+func (f *serverFaults) retryAfter() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pause
+}
+
 // draw returns the fault of one answer.
 func (f *serverFaults) draw() string {
 	f.mu.Lock()
--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -28,6 +28,8 @@
 	Daemons   int           `arg:"--daemons" default:"4" help:"number of daemons"`
 	Endpoints int           `arg:"--endpoints" default:"4" help:"number of endpoints of each of two pools"`
 	Callers   int           `arg:"--callers" default:"24" help:"number of callers"`
+	Ratio     float64       `arg:"--retry-ratio" help:"retries that the daemons are allowed per request, with --retry-extra; 0 for those of the users' deployments"`
+	Extra     float64       `arg:"--retry-extra" help:"retries that they are allowed besides in each window"`
 	Kinds     []string      `arg:"--kind,separate" help:"only faults of this kind; may be repeated"`
 	Dir       string        `arg:"--dir" help:"directory for logs; by default a temporary one"`
 	Plan      bool          `arg:"--plan" help:"print the schedule and exit"`
@@ -104,7 +106,7 @@
 	}
 	r := runner.Runner{
 		Seed: seed, Daemons: s.Daemons, Endpoints: s.Endpoints, Callers: s.Callers, Duration: s.Duration, Kinds: s.Kinds,
-		DaemonProgram: s.Daemon, EarlierProgram: s.Earlier, Settings: s.Settings, StandinProgram: self, Dir: dir, Log: log,
+		DaemonProgram: s.Daemon, EarlierProgram: s.Earlier, RetryShare: s.Ratio, RetryExtra: s.Extra, Settings: s.Settings, StandinProgram: self, Dir: dir, Log: log,
 	}
 	report, err := r.Run(ctx)
 	if err != nil {
--- a/internal/soak/judge/checks.go
+++ b/internal/soak/judge/checks.go
@@ -24,12 +24,6 @@
 	// goneTime is the time after a caller left in which its request may still reach an
 	// endpoint.
 	goneTime = 500 * time.Millisecond
-	// graceTail is the last part of the grace time, in which an endpoint still at work may
-	// be cut off if its request was sent within lateTime of the shutdown.
-	graceTail = 1 / 6.0
-	lateTime  = 3 * time.Second
-	// killTime is the time after the grace time in which a daemon ends.
-	killTime = time.Second
 	// lateAnswerTime is the time after its timeout in which a request must be answered;
 	// it is broken by minLate requests that are more than lateShare of those that reached
 	// their timeout.
@@ -69,7 +63,7 @@
 		runsByID[r.ID] = append(runsByID[r.ID], r)
 		j.checkRun(&v, r)
 	}
-	gone, tooMany, denied := 0, 0, 0
+	gone, tooMany, denied, dropped := 0, 0, 0, 0
 	for _, id := range j.order {
 		r := j.requests[id]
 		runs := runsByID[id]
@@ -85,6 +79,7 @@
 		checkAnswer(&v, r)
 		j.checkRoute(&v, r)
 		j.checkLost(&v, r, runs)
+		dropped += j.countDropped(r, runs)
 	}
 	if gone > maxGone {
 		v.add("gone", "%d requests reached an endpoint over %v after their callers had left", gone, goneTime)
@@ -95,6 +90,13 @@
 	if limit := maxDenied + deniedShare*float64(len(j.order)); float64(denied) > limit {
 		v.add("denied", "%d requests were denied that every configuration allows", denied)
 	}
+	if dropped > maxDropped {
+		v.add("lost", "%d requests of kept connections were passed on to sound endpoints and their connections closed without an answer", dropped)
+	}
+	j.checkChanges(&v, runsByID)
+	j.checkRetries(&v)
+	j.checkPauses(&v)
+	j.checkDeadlines(&v, runsByID)
 	j.checkCanaries(&v)
 	j.checkCrashes(&v)
 	j.checkLateAnswers(&v)
@@ -325,32 +327,6 @@
 	}
 }
 
-// checkLost checks that a shutdown cuts no request that was written whole.
-func (j *Judge) checkLost(v *violations, q *Request, runs []*Run) {
-	if q.Left || q.Complete || q.WrittenAt.IsZero() || q.EndedAt.Sub(q.SentAt) >= q.Timeout {
-		return
-	}
-	term := j.shutdownOf(q)
-	from := q.SentAt.Add(-j.Bounds.StableWindow)
-	unplanned := func(d *Disruption) bool { return d.Planned }
-	if term.IsZero() || j.disrupted(q.Daemon, from, q.EndedAt, unplanned) || q.Stream && j.disrupted(Core, from, q.EndedAt, nil) {
-		return
-	}
-	for _, r := range runs {
-		if r.Fault != "" || j.disrupted(r.Slot, from, q.EndedAt, nil) {
-			return
-		}
-	}
-	tail := term.Add(j.Bounds.Grace - time.Duration(graceTail*float64(j.Bounds.Grace)))
-	if len(runs) > 0 && q.EndedAt.After(tail) && q.SentAt.Sub(term) <= lateTime {
-		return
-	}
-	if len(runs) > 0 || q.EndedAt.Sub(q.WrittenAt) > j.Bounds.LossSlack {
-		v.add("lost", "%s of %s, sent %v after SIGTERM, ended %v later without an answer; runs: %d",
-			q.ID, q.Daemon, q.SentAt.Sub(term), q.EndedAt.Sub(q.SentAt), len(runs))
-	}
-}
-
 // checkLateAnswers checks that requests which reach their timeout are answered soon
 // after.
 func (j *Judge) checkLateAnswers(v *violations) {
@@ -416,18 +392,6 @@
 	}
 }
 
-// shutdownOf returns the time of the SIGTERM that a request met, or zero. A request that
-// was sent when the process had ended met none.
-func (j *Judge) shutdownOf(q *Request) (term time.Time) {
-	for _, d := range j.disruptions {
-		met := d.Planned && d.Machine == q.Daemon && d.From.Before(q.EndedAt) && q.EndedAt.Before(d.From.Add(j.Bounds.Grace+killTime))
-		if met && (d.To.IsZero() || q.SentAt.Before(d.To)) {
-			term = d.From
-		}
-	}
-	return term
-}
-
 // checkCanaries checks the part of the requests that bad releases got.
 func (j *Judge) checkCanaries(v *violations) {
 	for _, c := range j.canaries {
--- a/internal/soak/judge/judge.go
+++ b/internal/soak/judge/judge.go
@@ -36,6 +36,10 @@
 		LossSlack time.Duration
 		// CanaryShare and CanaryExtra bound the requests to a bad release.
 		CanaryShare, CanaryExtra float64
+		// RetryShare and RetryExtra bound the arrivals at a pool beyond the first of each
+		// request in each RetryWindow: a share of the requests, plus a number.
+		RetryShare, RetryExtra float64
+		RetryWindow            time.Duration
 	}
 
 	// Request is one request as its caller saw it.
@@ -70,6 +74,8 @@
 		// EndedAt is when the answer or the connection ended, or the caller left; it is
 		// zero before.
 		EndedAt time.Time
+		// Kept is true if the connection carried requests before.
+		Kept bool
 		// Left is true if the caller closed the connection before the end.
 		Left                   bool
 		Status                 int
@@ -84,6 +90,8 @@
 		worker.Run
 		// Endpoint is the id of the endpoint and Slot the name of its machine.
 		Endpoint, Slot, Pool, Centre, Release string
+		// Daemon is the daemon that sent the request to the endpoint, "" if unknown.
+		Daemon string
 	}
 
 	// Disruption is a disruption of a machine: a daemon, an endpoint, Core or Everything.
@@ -106,6 +114,12 @@
 		span          span
 	}
 
+	// reload is a SIGHUP of a daemon.
+	reload struct {
+		daemon string
+		at     time.Time
+	}
+
 	// Judge collects records and checks them. Set Bounds before the first call.
 	Judge struct {
 		Bounds Bounds
@@ -119,6 +133,7 @@
 		closed      map[string][]span
 		accepted    map[int]time.Time
 		canaries    []*canary
+		reloads     []reload
 	}
 )
 
@@ -202,6 +217,13 @@
 	j.accepted[version] = time.Now()
 }
 
+// Reload records a SIGHUP of a daemon that is about to be sent.
+func (j *Judge) Reload(daemon string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.reloads = append(j.reloads, reload{daemon, time.Now()})
+}
+
 // OrderBad records the order to roll out a bad release and returns the function that
 // records the end of the roll-out.
 func (j *Judge) OrderBad(pool, release string) (end func()) {
--- a/internal/soak/judge/judge_test.go
+++ b/internal/soak/judge/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -21,7 +22,7 @@
 	return &Judge{Bounds: Bounds{
 		StableWindow: 3 * time.Second, Drain: 2 * time.Second, Revoke: 5 * time.Second, Apply: 2 * time.Second,
 		Evacuate: 5 * time.Second, MaxStretch: 5 * time.Second, Grace: 8 * time.Second, Back: 250 * time.Millisecond, LossSlack: 200 * time.Millisecond,
-		CanaryShare: 0.15, CanaryExtra: 3,
+		CanaryShare: 0.15, CanaryExtra: 3, RetryShare: 0.5, RetryExtra: 20, RetryWindow: 10 * time.Second,
 	}, left: map[string]time.Time{}, closed: map[string][]span{}, accepted: map[int]time.Time{}}
 }
 
@@ -38,8 +39,8 @@
 func runOf(q Request, received time.Duration) Run {
 	return Run{Run: worker.Run{
 		ID: q.ID, Method: q.Method, Target: q.Target, Body: q.Body, Team: q.Team, Model: q.Model, ReceivedAt: at(received),
-		Header: http.Header{"Expect-Instance": {"i1"}},
-	}, Endpoint: "i1", Slot: "e1", Pool: "app", Centre: "north", Release: "v1"}
+		Header: http.Header{"Expect-Instance": {"i1"}, "Deadline-Ms": {"3000"}},
+	}, Endpoint: "i1", Slot: "e1", Pool: "app", Centre: "north", Release: "v1", Daemon: q.Daemon}
 }
 
 // disrupt records a disruption of a span.
@@ -227,6 +228,22 @@
 			q.Timeout = time.Second / 10
 			shutDown(j)
 		}, ""},
+		{"cut after a SIGHUP", func(j *Judge, q *Request, _ *Run) {
+			*q = cutRequest(q.ID)
+			j.reloads = []reload{{"d1", at(11*s + 100*time.Millisecond)}}
+		}, "lost"},
+		{"cut after a SIGHUP of another daemon", func(j *Judge, q *Request, _ *Run) {
+			*q = cutRequest(q.ID)
+			j.reloads = []reload{{"d2", at(11*s + 100*time.Millisecond)}}
+		}, ""},
+		{"cut beside a change of the configuration", func(j *Judge, q *Request, _ *Run) {
+			*q = cutRequest(q.ID)
+			j.accepted[5] = at(10 * s)
+		}, "lost"},
+		{"cut long after a change of the configuration", func(j *Judge, q *Request, _ *Run) {
+			*q = cutRequest(q.ID)
+			j.accepted[5] = at(7 * s)
+		}, ""},
 		{"bad release", func(j *Judge, q *Request, r *Run) {
 			q.MaxAttempts, q.Once = 100, false
 			j.canaries = []*canary{{"app", "v1", span{from: at(0)}}}
@@ -318,6 +335,11 @@
 		{"timeout", func(q *Request, _ *Run) { q.EndedAt = q.SentAt.Add(q.Timeout + time.Second) }, minLate - 1, "timeout"},
 		{"denied", func(q *Request, r *Run) { q.Status, q.Seal, q.Answer, r.NotExecuted = 401, "", "", true }, maxDenied, "denied"},
 		{"attempts", func(q *Request, _ *Run) { q.MaxAttempts = 0 }, maxBudget, "budget"},
+		{"dropped", func(q *Request, _ *Run) {
+			q.Kept, q.Complete, q.Status, q.Answer, q.Seal = true, false, 0, "", ""
+		}, maxDropped, "lost"},
+		{"no deadline", func(_ *Request, r *Run) { r.Header.Del("Deadline-Ms") }, maxStale, "deadline"},
+		{"deadline beyond the caller's", func(_ *Request, r *Run) { r.Header.Set("Deadline-Ms", "3600") }, maxStale, "deadline"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -325,7 +347,7 @@
 			j := newJudge()
 			for i := range test.most + 1 {
 				c.Check(j.Violations(), qt.HasLen, 0)
-				q := request("q"+string(rune('a'+i)), 20*time.Second)
+				q := request("q"+strconv.Itoa(i), 20*time.Second)
 				r := runOf(q, 20*time.Second)
 				test.change(&q, &r)
 				j.AddRequest(q)
--- a/internal/soak/planner/planner.go
+++ b/internal/soak/planner/planner.go
@@ -34,6 +34,12 @@
 	EndpointStop   = "endpoint_stop"
 	// EndpointFault makes an endpoint give a part of the answers with a fault.
 	EndpointFault = "endpoint_fault"
+	// EndpointRest makes an endpoint turn a part of the requests away and ask for pauses.
+	EndpointRest = "endpoint_rest"
+	// EndpointsStop pauses all endpoints of a pool, EndpointsShed makes them turn all requests
+	// away.
+	EndpointsStop = "endpoints_stop"
+	EndpointsShed = "endpoints_shed"
 	// StoreDown and the others make the store answer 503, reset connections, be slow,
 	// lose replies to writes, refuse one daemon, forget its history, hold the
 	// connections that are open, keep an entry that can't be read, and come back from an
@@ -67,9 +73,11 @@
 	// RolloutGood and RolloutBad order roll-outs.
 	RolloutGood = "rollout_good"
 	RolloutBad  = "rollout_bad"
-	// Burst doubles the callers' requests, Leave makes them leave early.
+	// Burst doubles the callers' requests, Leave makes them leave early. Surge adds many callers
+	// for the length of the step, and once more some seconds later.
 	Burst = "burst"
 	Leave = "leave"
+	Surge = "surge"
 	// RequestsCrash makes some of the callers' requests crash the endpoints that run them.
 	RequestsCrash = "requests_crash"
 )
@@ -84,11 +92,12 @@
 	fewKinds, moreKinds = 3, 8
 	allEvery            = 4
 	// seedStream is the second part of the seed of the generator, crashStream that of the one
-	// of steps of RequestsCrash, and replaceStream that of the one of replacements. These are
-	// drawn apart, so that the other steps of a seed stay the same. One schedule in crashEvery
-	// has a step of RequestsCrash.
+	// of steps of RequestsCrash, extraStream that of the one of extraChoices, and replaceStream
+	// that of the one of replacements. These are drawn apart, so that the other steps of a seed
+	// stay the same. One schedule in crashEvery has a step of RequestsCrash.
 	seedStream    = 0x5eed
 	crashStream   = 0xdead
+	extraStream   = 0x4444
 	replaceStream = 0xb01d
 	crashEvery    = 3
 	// linkFaults is the number of faults of links in the first linkFaultSpan of a
@@ -121,6 +130,12 @@
 		Replace bool
 	}
 
+	// extraChoice is a choice of which one schedule in every has a number of steps.
+	extraChoice struct {
+		choice
+		every, steps int
+	}
+
 	// choice is a kind of step with its weight and the bounds of its length.
 	choice struct {
 		kind              string
@@ -132,6 +147,14 @@
 // crashChoice is the choice of RequestsCrash.
 var crashChoice = choice{RequestsCrash, 1, 8 * time.Second, 12 * time.Second}
 
+// extraChoices are drawn apart from the others.
+var extraChoices = []extraChoice{
+	{choice{EndpointRest, 1, time.Second, 6 * time.Second}, 3, 4},
+	{choice{EndpointsStop, 1, 2 * time.Second, 7 * time.Second}, 4, 2},
+	{choice{EndpointsShed, 1, time.Second, 5 * time.Second}, 4, 2},
+	{choice{Surge, 1, 500 * time.Millisecond, 2500 * time.Millisecond}, 4, 2},
+}
+
 // replaceChoices are the replacements of a schedule, in their order, with the bounds of the
 // pause between the end of a daemon and its start.
 var replaceChoices = []choice{
@@ -139,7 +162,8 @@
 	{DaemonsDowngrade, 1, 100 * time.Millisecond, 800 * time.Millisecond},
 }
 
-// choices are the kinds that are drawn, beside crashChoice and replaceChoices.
+// choices are the kinds that are drawn, beside crashChoice, extraChoices and
+// replaceChoices.
 var choices = []choice{
 	{DaemonTerm, 5, 100 * time.Millisecond, 2 * time.Second},
 	{DaemonKill, 4, 100 * time.Millisecond, 2 * time.Second},
@@ -188,7 +212,7 @@
 	for _, c := range allowed {
 		total += c.weight
 	}
-	steps := append(crashSteps(seed, size), replaceSteps(seed, size)...)
+	steps := slices.Concat(crashSteps(seed, size), extraSteps(seed, size), replaceSteps(seed, size))
 	if total == 0 {
 		sortSteps(steps)
 		return steps
@@ -232,6 +256,32 @@
 	}}
 }
 
+// extraSteps returns the steps of extraChoices of a schedule.
+func extraSteps(seed uint64, size Size) []Step {
+	random := rand.New(rand.NewPCG(seed, extraStream))
+	var steps []Step
+	for _, c := range extraChoices {
+		wanted := random.IntN(c.every) == 0
+		if len(size.Kinds) > 0 {
+			wanted = slices.Contains(size.Kinds, c.kind)
+		}
+		targets := size.Daemons
+		if isEndpoint(c.kind) {
+			targets = size.Endpoints
+		}
+		for range c.steps {
+			s := Step{
+				At: draw(random, 0, size.Duration), Kind: c.kind, Target: random.IntN(targets),
+				Length: draw(random, c.shortest, c.longest), Draw: random.IntN(100),
+			}
+			if wanted {
+				steps = append(steps, s)
+			}
+		}
+	}
+	return steps
+}
+
 // replaceSteps returns the replacements of a schedule, an upgrade in its first quarter and a
 // downgrade in its third, each with faults of links meanwhile. All kinds of these that Kinds
 // allows are drawn, whatever few kinds the other steps have.
@@ -285,7 +335,7 @@
 
 // isEndpoint reports whether the target of a kind is an endpoint.
 func isEndpoint(kind string) bool {
-	return slices.Contains([]string{EndpointCrash, EndpointSwap, EndpointDrain, EndpointVanish, EndpointStop, EndpointFault, EndpointCut}, kind)
+	return slices.Contains([]string{EndpointCrash, EndpointSwap, EndpointDrain, EndpointVanish, EndpointStop, EndpointFault, EndpointRest, EndpointsStop, EndpointsShed, EndpointCut}, kind)
 }
 
 // isLink reports whether a kind is a fault of a daemon's links.
--- a/internal/soak/planner/planner_test.go
+++ b/internal/soak/planner/planner_test.go
@@ -38,7 +38,7 @@
 			}
 		}
 	}
-	c.Check(len(drawn), qt.Equals, len(choices)+1)
+	c.Check(len(drawn), qt.Equals, len(choices)+1+len(extraChoices))
 	c.Check(overlaps > 100, qt.IsTrue)
 	for _, kind := range []string{DaemonKill, RequestsCrash} {
 		size.Kinds = []string{kind}
--- a/internal/soak/runner/caller.go
+++ b/internal/soak/runner/caller.go
@@ -185,6 +185,7 @@
 // send sends a request and records its answer.
 func (c *caller) send(q judge.Request) {
 	q.SentAt = time.Now()
+	q.Kept = c.uses > 0
 	c.runner.judge.AddRequest(q)
 	c.uses++
 	left := make(chan time.Time, 1)
--- a/internal/soak/runner/daemon.go
+++ b/internal/soak/runner/daemon.go
@@ -22,7 +22,7 @@
 	storeName, callersName = "store", "callers"
 
 	// The parts of the block of addresses: the store, the daemons' own addresses and
-	// those that others use, the same of endpoints, and the sources of the store's calls.
+	// those that others use, the same of endpoints, and the sources of daemons' calls to the store and to endpoints.
 	storeNet, daemonNet, daemonPublicNet, endpointPublicNet, endpointNet, sourceNet = 0, 1, 2, 3, 4, 5
 
 	storePort, listenPort, readinessPort, peerPort, endpointPort = 7000, 8227, 8220, 7340, 8000
@@ -269,16 +269,16 @@
 contractParams.graceS=%v
 contractParams.configApplyMs=%d
 contractParams.revokeMs=%d
-contractParams.retryBudgetRatio=0.9
-contractParams.budgetWindowS=10
-contractParams.retryBudgetExtra=56
+contractParams.retryBudgetRatio=%v
+contractParams.budgetWindowS=%v
+contractParams.retryBudgetExtra=%v
 contractParams.canaryShare=%v
 contractParams.canarySlack=%v
 contractParams.sessionS=5
 provider.address=%s
 `, d.name, ip, centres[d.index%2], ip, listenPort, ip, readinessPort, peerPort, peerPort+15, bytes.TrimSuffix(seeds.Bytes(), []byte(",")), first,
 		memoryLimit>>20, bounds.Drain.Milliseconds(), bounds.Grace.Seconds(), bounds.Apply.Milliseconds(), bounds.Revoke.Milliseconds(),
-		bounds.CanaryShare, bounds.CanaryExtra, r.addr(storeNet, 1, storePort))
+		r.judge.Bounds.RetryShare, bounds.RetryWindow.Seconds(), r.judge.Bounds.RetryExtra, bounds.CanaryShare, bounds.CanaryExtra, r.addr(storeNet, 1, storePort))
 	for _, line := range r.Settings {
 		text += line + "\n"
 	}
@@ -299,9 +299,9 @@
 	return ""
 }
 
-// source returns the address from which a daemon's calls reach the store.
+// source returns the address from which a daemon's calls reach the store and the endpoints.
 func (r *Runner) source(from, to string) net.Addr {
-	if to != storeName {
+	if to != storeName && r.isDaemon(to) {
 		return nil
 	}
 	for _, d := range r.daemons {
@@ -312,6 +312,20 @@
 	return nil
 }
 
+// daemonAt returns the name of the daemon whose calls come from an address, or "".
+func (r *Runner) daemonAt(addr string) string {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return ""
+	}
+	for _, d := range r.daemons {
+		if host == fmt.Sprintf("127.%d.%d.%d", r.block, sourceNet, d.index+1) {
+			return d.name
+		}
+	}
+	return ""
+}
+
 // translate replaces the own addresses of daemons in what they write to the store by
 // those that are relayed.
 func (r *Runner) translate(h http.Handler) http.Handler {
--- a/internal/soak/runner/runner.go
+++ b/internal/soak/runner/runner.go
@@ -53,12 +53,12 @@
 var bounds = judge.Bounds{
 	StableWindow: 3 * time.Second, Drain: 2 * time.Second, Revoke: 5 * time.Second, Apply: 2 * time.Second,
 	Evacuate: 5 * time.Second, MaxStretch: 5 * time.Second, Grace: 8 * time.Second, Back: 250 * time.Millisecond, LossSlack: 200 * time.Millisecond,
-	CanaryShare: 0.15, CanaryExtra: 30,
+	CanaryShare: 0.15, CanaryExtra: 30, RetryShare: 0.9, RetryExtra: 56, RetryWindow: 10 * time.Second,
 }
 
 type (
-	// Runner is one run. Set the exported fields before Run; all but Kinds, EarlierProgram and
-	// Settings are required.
+	// Runner is one run. Set the exported fields before Run; all but Kinds, EarlierProgram,
+	// RetryShare, RetryExtra and Settings are required.
 	Runner struct {
 		Seed uint64
 		// Daemons is the number of daemons; Endpoints is that of each of two pools.
@@ -74,6 +74,9 @@
 		// EarlierProgram is the path of a daemon program of another build; empty for none. The
 		// daemons start with it and are replaced by DaemonProgram and back.
 		EarlierProgram string
+		// RetryShare and RetryExtra replace the daemons' bound on retries if RetryShare is above
+		// 0.
+		RetryShare, RetryExtra float64
 		// Settings holds lines that are added to the daemons' settings files.
 		Settings []string
 		// Dir is an existing directory for settings and logs.
@@ -93,8 +96,10 @@
 		logMu    sync.Mutex
 		version  atomic.Int64
 		releases atomic.Int64
-		burst    atomic.Int64
-		leaving  atomic.Int64
+		// callers is the number of callers so far.
+		callers atomic.Int64
+		burst   atomic.Int64
+		leaving atomic.Int64
 		// crashing holds the step in which some requests crash endpoints; nil for none.
 		crashing  atomic.Pointer[planner.Step]
 		storeBusy atomic.Bool
@@ -117,6 +122,8 @@
 		Requests, Runs, InTouch, Served int
 		// Recovery is the time from the end of the faults until each daemon served again.
 		Recovery time.Duration
+		// RetryPeak is the greatest part of the bound on retries that was used in a window.
+		RetryPeak float64
 		// Violations names the broken promises.
 		Violations []string
 	}
@@ -130,6 +137,9 @@
 	defer cancel()
 	report.Seed = r.Seed
 	r.judge.Bounds = bounds
+	if r.RetryShare > 0 {
+		r.judge.Bounds.RetryShare, r.judge.Bounds.RetryExtra = r.RetryShare, r.RetryExtra
+	}
 	if err := r.open(ctx); err != nil {
 		return report, err
 	}
@@ -138,9 +148,8 @@
 	r.wait.Go(func() { r.watchWaits(ctx) })
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
-	for i := range r.Callers {
-		c := &caller{runner: r, index: i, random: rand.New(rand.NewPCG(r.Seed, uint64(i)+1))}
-		r.wait.Go(func() { c.run(callersCtx) })
+	for range r.Callers {
+		r.addCaller(callersCtx)
 	}
 	violations := r.carryOut(ctx)
 	if len(violations) == 0 {
@@ -149,6 +158,7 @@
 	stopCallers()
 	r.sleep(ctx, settleTime)
 	report.Requests, report.Runs, report.InTouch = r.judge.Counts()
+	report.RetryPeak = r.judge.RetryPeak()
 	report.Served, _ = r.judge.Served("", r.started, time.Now())
 	for _, d := range r.daemons {
 		if err := d.checkMessages(); err != nil {
@@ -161,6 +171,23 @@
 	return report, ctx.Err()
 }
 
+// addCaller adds a caller that sends requests until ctx ends.
+func (r *Runner) addCaller(ctx context.Context) {
+	i := int(r.callers.Add(1)) - 1
+	c := &caller{runner: r, index: i, random: rand.New(rand.NewPCG(r.Seed, uint64(i)+1))}
+	r.wait.Go(func() { c.run(ctx) })
+}
+
+// surge adds callers for a time.
+func (r *Runner) surge(ctx context.Context, length time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	for range surgeFactor * r.Callers {
+		r.addCaller(ctx)
+	}
+	<-ctx.Done()
+}
+
 // carryOut carries out the schedule and returns the first violations.
 func (r *Runner) carryOut(ctx context.Context) []string {
 	steps := planner.Plan(r.Seed, r.size())
@@ -391,8 +418,8 @@
 
 // String returns the report as text, with a line for each violation.
 func (r Report) String() string {
-	text := fmt.Sprintf("seed %d: %d requests (%d in touch), %d runs, %d served, recovered in %v, %d violations",
-		r.Seed, r.Requests, r.InTouch, r.Runs, r.Served, r.Recovery.Round(time.Millisecond), len(r.Violations))
+	text := fmt.Sprintf("seed %d: %d requests (%d in touch), %d runs, %d served, retries up to %.0f %% of their bound, recovered in %v, %d violations",
+		r.Seed, r.Requests, r.InTouch, r.Runs, r.Served, percent*r.RetryPeak, r.Recovery.Round(time.Millisecond), len(r.Violations))
 	for _, v := range r.Violations {
 		text += "\n  " + v
 	}
--- a/internal/soak/runner/slot.go
+++ b/internal/soak/runner/slot.go
@@ -101,6 +101,7 @@
 			// The last line of a killed process may be cut.
 			return
 		}
+		run.Daemon = r.daemonAt(run.From)
 		r.judge.AddRun(run)
 	}, r.StandinProgram, args...)
 	if err != nil {
@@ -222,10 +223,13 @@
 
 // inject makes the endpoint give a part of its answers with a fault, until the next
 // call.
-func (s *slot) inject(fault string, share float64) {
+func (s *slot) inject(fault string, share float64) { s.injectPause(fault, share, "") }
+
+// injectPause is inject of a fault whose refusals ask for a pause, in seconds.
+func (s *slot) injectPause(fault string, share float64, pause string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	line, err := json.Marshal(map[string]any{"fault": fault, "share": share})
+	line, err := json.Marshal(map[string]any{"fault": fault, "share": share, "pause": pause})
 	if err == nil && s.process != nil {
 		_, _ = s.process.stdin.Write(append(line, '\n'))
 	}
--- a/internal/soak/runner/steps.go
+++ b/internal/soak/runner/steps.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -15,6 +16,7 @@
 	"samphireturn/internal/soak/planner"
 	"samphireturn/internal/standin/formatter"
 	"samphireturn/internal/standin/registrar"
+	"samphireturn/internal/standin/worker"
 )
 
 const (
@@ -33,6 +35,13 @@
 	// after which the operator and the endpoints write again what it lacks.
 	copyAgeStep   = 50 * time.Millisecond
 	writeLostStep = 10 * time.Millisecond
+	// restSpan is the number of lengths of pauses that an endpoint may ask for, half a second
+	// apart from one second on.
+	restSpan = 5
+	// surgeFactor times the number of callers join these in a surge. surgeGapStep, times the
+	// draw, is the time until the next one.
+	surgeFactor  = 4
+	surgeGapStep = 80 * time.Millisecond
 	// replaceReadyTime bounds the wait for a replaced daemon to be ready, which other faults
 	// may prevent.
 	replaceReadyTime = 3 * time.Second
@@ -44,7 +53,7 @@
 	switch name, _, _ := strings.Cut(s.Kind, "_"); name {
 	case "daemon", "daemons":
 		r.doDaemon(ctx, s)
-	case "endpoint":
+	case "endpoint", "endpoints":
 		r.doEndpoint(ctx, s)
 	case "store":
 		r.doStore(ctx, s)
@@ -73,6 +82,7 @@
 		if err := d.writeSettings(false); err != nil {
 			r.violate("settings of %s: %v", d.name, err)
 		}
+		r.judge.Reload(d.name)
 		d.current().signal(syscall.SIGHUP)
 	case planner.DaemonsKill:
 		done := make(chan struct{})
@@ -125,6 +135,18 @@
 		r.hold(ctx, &disruptor.Fault{Match: e.involves, HoldUp: true, HoldDown: true}, s.Length)
 		return
 	}
+	switch s.Kind {
+	case planner.EndpointsStop:
+		r.withPool(pools[s.Target%len(pools)], func(e *slot) { e.pause(ctx, s.Length) })
+		return
+	case planner.EndpointsShed:
+		r.withPool(pools[s.Target%len(pools)], func(e *slot) {
+			e.inject(worker.FaultShed, 1)
+			r.sleep(ctx, s.Length)
+			e.inject("", 0)
+		})
+		return
+	}
 	if !e.take() {
 		return
 	}
@@ -147,6 +169,12 @@
 		e.restart("", "")
 	case planner.EndpointStop:
 		e.pause(ctx, s.Length)
+	case planner.EndpointRest:
+		seconds := strconv.FormatFloat(1+float64(s.Draw%restSpan)/2, 'f', 1, 64)
+		r.logf("%s: asks for pauses of %s s", e.name, seconds)
+		e.injectPause(worker.FaultShed, float64(percent-s.Draw/2)/percent, seconds)
+		r.sleep(ctx, s.Length)
+		e.inject("", 0)
 	case planner.EndpointFault:
 		faults := e.faults()
 		fault := faults[s.Draw%len(faults)]
@@ -157,6 +185,21 @@
 	}
 }
 
+// withPool carries out a step at the same time at each endpoint of a pool that no other step
+// uses.
+func (r *Runner) withPool(pool string, step func(*slot)) {
+	var wait sync.WaitGroup
+	for _, e := range r.allSlots() {
+		if p, _ := e.state(); p == pool && e.take() {
+			wait.Go(func() {
+				defer e.free()
+				step(e)
+			})
+		}
+	}
+	wait.Wait()
+}
+
 // count returns the number of slots of a pool.
 func (r *Runner) count(pool string) int {
 	n := 0
@@ -301,6 +344,10 @@
 		r.burst.Add(1)
 		r.sleep(ctx, s.Length)
 		r.burst.Add(-1)
+	case planner.Surge:
+		r.surge(ctx, s.Length)
+		r.sleep(ctx, time.Duration(s.Draw)*surgeGapStep)
+		r.surge(ctx, s.Length)
 	case planner.RequestsCrash:
 		r.crashing.Store(&s)
 		r.sleep(ctx, s.Length)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -86,6 +86,8 @@
 	From string
 	// Fault is the fault of the answer.
 	Fault string
+	// Pause is the value of the header Retry-After of a refusal, "" for none.
+	Pause string
 	// slowdown is the factor of EventGap after the first event; zero means 1.
 	slowdown int
 }
@@ -214,9 +216,12 @@
 	}
 	if full || fault == FaultShed {
 		run.NotExecuted = true
+		if s.RetryAfter != nil {
+			run.Pause = s.RetryAfter()
+		}
 		s.record(run)
 		w.Header().Set(formatter.NotExecuted, "1")
-		s.writeUnavailable(w)
+		writeUnavailable(w, run.Pause)
 		if !full {
 			s.release()
 		} else if s.OnFull != nil {
@@ -228,6 +233,9 @@
 	if s.Slowdown != nil {
 		run.slowdown = s.Slowdown(n)
 	}
+	if fault == FaultBusy && s.RetryAfter != nil {
+		run.Pause = s.RetryAfter()
+	}
 	s.record(run)
 	s.writeAnswer(w, r, run, fault)
 }
@@ -281,7 +289,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	case FaultBusy:
-		s.writeUnavailable(w)
+		writeUnavailable(w, run.Pause)
 		return
 	case FaultText:
 		_, _ = io.WriteString(w, "HTTP/1.1 500 Internal Server Error\n\nout of memory")
@@ -338,12 +346,11 @@
 	panic(http.ErrAbortHandler)
 }
 
-// writeUnavailable writes the head of an answer with status 503.
-func (s *Worker) writeUnavailable(w http.ResponseWriter) {
-	if s.RetryAfter != nil {
-		if value := s.RetryAfter(); value != "" {
-			w.Header().Set("Retry-After", value)
-		}
+// writeUnavailable writes the head of an answer with status 503 and the value of its header
+// Retry-After, "" for none.
+func writeUnavailable(w http.ResponseWriter, retryAfter string) {
+	if retryAfter != "" {
+		w.Header().Set("Retry-After", retryAfter)
 	}
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
