Bound the retries of every window, not those of the last one alone

Callers' requests were repeated beyond the bound (BUDGET) when two bursts came some seconds apart: a daemon allowed retries by the requests of its last ten seconds, and so by both bursts together, while a window that holds the retries after the second burst holds, like the one before it or half a window before it, one burst at most. TestWindowBursts failed with 86 retries where 52 are allowed, in two of its five rows.

A retry is now allowed only if the bound holds in each window that it belongs to, with the requests that an observer credits to that window. Retries are counted by whole parts of a window and requests only if they lie within it, so the coarse parts make the bound stricter, never weaker.

--- a/internal/traffic/budgeter/window.go
+++ b/internal/traffic/budgeter/window.go
@@ -5,14 +5,20 @@
 	"time"
 )
 
-// windowParts is the number of parts into which a window is divided for counting: a
-// retry counts for up to one part longer than the window, a request for up to one part
-// less.
-const windowParts = 20
+const (
+	// windowParts is the number of parts into which a window is divided for counting. It is
+	// even, as half a window counts too.
+	windowParts = 20
+	// keptParts is the number of parts that are kept: those of the windows that the current
+	// moment belongs to, and of the windows before them.
+	keptParts = 2*windowParts + 1
+)
 
-// RetryWindow bounds the retries in a time window to a share of the requests in it plus a
-// constant. Unlike a Budgeter it allows bursts of retries, as they occur when an endpoint
-// dies. Set the exported fields before the first call. It is safe for concurrent use.
+// RetryWindow bounds the retries in every time window to a share of the requests plus a
+// constant. The requests are those of the window, of the one before it or of the one that
+// begins half a window earlier, whichever has most. Unlike a Budgeter it allows bursts of
+// retries, as they occur when an endpoint dies. Set the exported fields before the first call.
+// It is safe for concurrent use.
 type RetryWindow struct {
 	// Share is the number of retries per request, Extra the number allowed beside them.
 	Share float64
@@ -22,7 +28,7 @@
 	Clock  func() time.Duration
 
 	mu         sync.Mutex
-	parts      [windowParts + 1]partCount
+	parts      [keptParts]partCount
 	newestPart int64
 }
 
@@ -59,29 +65,40 @@
 	return w.available(reserved)
 }
 
-// available reports whether the bound allows a retry. The caller holds mu and has called
-// advance.
+// available reports whether the bound allows a retry in each window that the current moment
+// belongs to. The caller holds mu and has called advance.
 func (w *RetryWindow) available(reserved float64) bool {
-	var total partCount
-	oldest := (w.newestPart + 1) % int64(len(w.parts))
-	for i, c := range w.parts {
-		// The oldest part may have begun before the window.
-		if int64(i) != oldest {
-			total.requests += c.requests
+	// recent holds the counts of the newest parts: of none, of one, and so on.
+	var recent [keptParts + 1]partCount
+	for i := range keptParts {
+		part := w.parts[((w.newestPart-int64(i))%keptParts+keptParts)%keptParts]
+		recent[i+1] = partCount{recent[i].requests + part.requests, recent[i].retries + part.retries}
+	}
+	requestsBetween := func(newest, oldest int) int {
+		return recent[min(oldest, keptParts)].requests - recent[max(newest, 0)].requests
+	}
+	extra := w.Extra()
+	// A window begins in the part that is began parts old. Of the requests only those in parts
+	// that lie within a window as a whole are sure to be in it.
+	for began := range windowParts + 1 {
+		requests := max(
+			requestsBetween(0, began),
+			requestsBetween(began+1, began+windowParts),
+			requestsBetween(began-windowParts/2+1, began+windowParts/2),
+		)
+		if limit := w.Share*float64(requests) + extra; float64(recent[began+1].retries+1) > limit*(1-reserved) {
+			return false
 		}
-		total.retries += c.retries
 	}
-	limit := w.Share*float64(total.requests) + w.Extra()
-	return float64(total.retries+1) <= limit*(1-reserved)
+	return true
 }
 
-// advance clears the parts that are older than the window and returns the current one.
-// The caller holds mu.
+// advance clears the parts that are too old and returns the current one. The caller holds mu.
 func (w *RetryWindow) advance() *partCount {
 	part := int64(w.Clock() / max(w.Length/windowParts, 1))
-	for expired := max(w.newestPart+1, part-windowParts); expired <= part; expired++ {
-		w.parts[expired%int64(len(w.parts))] = partCount{}
+	for expired := max(w.newestPart+1, part-keptParts+1); expired <= part; expired++ {
+		w.parts[expired%keptParts] = partCount{}
 	}
 	w.newestPart = max(w.newestPart, part)
-	return &w.parts[w.newestPart%int64(len(w.parts))]
+	return &w.parts[w.newestPart%keptParts]
 }
--- a/internal/traffic/budgeter/window_test.go
+++ b/internal/traffic/budgeter/window_test.go
@@ -98,3 +98,70 @@
 		c.Check(float64(countWithin(retries, to-10*time.Second, to)) <= limit, qt.IsTrue, qt.Commentf("at %v: %d retries, %d requests", to, countWithin(retries, to-10*time.Second, to), requestsBefore))
 	}
 }
+
+// TestWindowBursts guards against retries that two bursts of requests allow together, though no
+// window that an observer checks holds both.
+func TestWindowBursts(t *testing.T) {
+	const (
+		share, extra, margin = 0.5, 2.0, 0.85
+		length               = 10 * time.Second
+		step                 = 100 * time.Millisecond
+	)
+	tests := []struct {
+		name string
+		// bursts begin at these moments and last a second, with 100 requests each; all retries
+		// that are allowed from the moment retryFrom on are taken.
+		bursts    []time.Duration
+		retryFrom time.Duration
+	}{
+		{"one burst", []time.Duration{0}, 0},
+		{"together in a window", []time.Duration{0, 2 * time.Second}, 2 * time.Second},
+		{"half a window apart", []time.Duration{0, 6 * time.Second}, 6 * time.Second},
+		{"nearly a window apart", []time.Duration{0, 8 * time.Second}, 8 * time.Second},
+		{"three", []time.Duration{0, 4 * time.Second, 8 * time.Second}, 8 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Hour
+			w := &budgeter.RetryWindow{
+				Share: margin * share, Extra: func() float64 { return margin * extra }, Length: length, Clock: func() time.Duration { return now },
+			}
+			var requests, retries []time.Duration
+			for at := time.Duration(0); at < 30*time.Second; at += step {
+				now = time.Hour + at
+				for _, burst := range test.bursts {
+					for range 10 {
+						if at >= burst && at < burst+time.Second {
+							w.CountRequest()
+							requests = append(requests, at)
+						}
+					}
+				}
+				for at >= test.retryFrom && w.TryWithdraw(0) {
+					retries = append(retries, at)
+				}
+			}
+			c.Check(len(retries) > 0, qt.IsTrue)
+			for from := -length; from < 30*time.Second; from += step {
+				most := 0
+				for _, back := range []time.Duration{0, length / 2, length} {
+					most = max(most, countBetween(requests, from-back, from-back+length))
+				}
+				got := countBetween(retries, from, from+length)
+				c.Check(float64(got) <= share*float64(most)+extra, qt.IsTrue, qt.Commentf("from %v: %d retries, %d requests", from, got, most))
+			}
+		})
+	}
+}
+
+// countBetween returns the number of times in a span, without its end.
+func countBetween(times []time.Duration, from, to time.Duration) int {
+	n := 0
+	for _, t := range times {
+		if t >= from && t < to {
+			n++
+		}
+	}
+	return n
+}
