Tell requests that no process took from those that a shutdown lost

The trace: the daemon had closed its listener 0.9 s before and logged no such request, the caller's request before it was at another daemon, and so the soak's relay, which takes connections before it dials on, was refused and reset the connection late. Callers of the real address are refused at once. Requests on connections that could not be dialled on count as unheard. Two callers of twelve now keep connections idle, also before their first use, and the report on callers that left names the requests.

--- a/internal/soak/disruptor/disruptor.go
+++ b/internal/soak/disruptor/disruptor.go
@@ -47,8 +47,10 @@
 		listeners []*listener
 		conns     map[*conn]struct{}
 		faults    map[*Fault]struct{}
-		closed    bool
-		wait      sync.WaitGroup
+		// refused holds the remote addresses of connections that could not be dialled on.
+		refused map[string]bool
+		closed  bool
+		wait    sync.WaitGroup
 	}
 
 	// listener relays the connections to one address; its net.Listener is nil while the
@@ -132,6 +134,16 @@
 	delete(d.faults, f)
 }
 
+// Refused reports whether the connection from a local address was accepted but could not be
+// dialled on, so that it reached no process. The address may be used again after that.
+func (d *Disruptor) Refused(local net.Addr) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	refused := d.refused[local.String()]
+	delete(d.refused, local.String())
+	return refused
+}
+
 // Reset resets the open connections that match.
 func (d *Disruptor) Reset(match Match) {
 	for _, c := range d.open(match) {
@@ -211,6 +223,12 @@
 		}
 	}
 	if far == nil {
+		d.mu.Lock()
+		if d.refused == nil {
+			d.refused = make(map[string]bool)
+		}
+		d.refused[near.RemoteAddr().String()] = true
+		d.mu.Unlock()
 		abort(near)
 		return
 	}
--- a/internal/soak/disruptor/disruptor_test.go
+++ b/internal/soak/disruptor/disruptor_test.go
@@ -157,3 +157,33 @@
 	}
 	return ""
 }
+
+// TestRefused checks that a connection which could not be dialled on is known as such, once, and
+// others are not.
+func TestRefused(t *testing.T) {
+	c := qt.New(t)
+	var d Disruptor
+	defer d.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	target := ln.Addr().String()
+	c.Assert(d.Listen("callers", "daemon", "127.0.0.1:0", target), qt.IsNil)
+	relay := d.listeners[0].Listener.Addr().String()
+	for _, down := range []bool{false, true} {
+		if down {
+			_ = ln.Close()
+		}
+		conn, err := net.Dial("tcp", relay)
+		c.Assert(err, qt.IsNil)
+		if !down {
+			far, err := ln.Accept()
+			c.Assert(err, qt.IsNil)
+			_ = far.Close()
+		}
+		_, err = conn.Read(make([]byte, 1))
+		c.Check(err, qt.IsNotNil)
+		c.Check(d.Refused(conn.LocalAddr()), qt.Equals, down)
+		c.Check(d.Refused(conn.LocalAddr()), qt.IsFalse)
+		_ = conn.Close()
+	}
+}
--- a/internal/soak/judge/checks.go
+++ b/internal/soak/judge/checks.go
@@ -63,12 +63,15 @@
 		runsByID[r.ID] = append(runsByID[r.ID], r)
 		j.checkRun(&v, r)
 	}
-	gone, tooMany, denied, dropped := 0, 0, 0, 0
+	tooMany, denied, dropped := 0, 0, 0
+	var gone []string
 	for _, id := range j.order {
 		r := j.requests[id]
 		runs := runsByID[id]
 		j.checkRuns(&v, r, runs)
-		gone += j.countGone(r, runs)
+		if late := j.arrivedGone(r, runs); late > 0 {
+			gone = append(gone, fmt.Sprintf("%s of %s %v", r.ID, r.Daemon, late))
+		}
 		tooMany += j.countTooMany(r, runs)
 		if r.EndedAt.IsZero() {
 			continue
@@ -81,8 +84,8 @@
 		j.checkLost(&v, r, runs)
 		dropped += j.countDropped(r, runs)
 	}
-	if gone > maxGone {
-		v.add("gone", "%d requests reached an endpoint over %v after their callers had left", gone, goneTime)
+	if len(gone) > maxGone {
+		v.add("gone", "%d requests reached an endpoint over %v after their callers had left: %s", len(gone), goneTime, strings.Join(gone[:maxGone+1], ", "))
 	}
 	if tooMany > maxBudget {
 		v.add("budget", "%d requests ran on more endpoints than their routes allow", tooMany)
@@ -230,11 +233,12 @@
 	}
 }
 
-// countGone returns 1 if the request reached an endpoint long after its caller left.
-func (j *Judge) countGone(q *Request, runs []*Run) int {
+// arrivedGone returns how long after its caller had left the request reached an endpoint, 0 if
+// that is allowed.
+func (j *Judge) arrivedGone(q *Request, runs []*Run) time.Duration {
 	for _, r := range runs {
-		if q.Left && r.ReceivedAt.Sub(q.EndedAt) > goneTime && !j.heldUp(r) && j.inTouch(q.Daemon, q.SentAt, r.ReceivedAt) {
-			return 1
+		if late := r.ReceivedAt.Sub(q.EndedAt); q.Left && late > goneTime && !j.heldUp(r) && j.inTouch(q.Daemon, q.SentAt, r.ReceivedAt) {
+			return late
 		}
 	}
 	return 0
--- a/internal/soak/judge/judge.go
+++ b/internal/soak/judge/judge.go
@@ -76,6 +76,8 @@
 		EndedAt time.Time
 		// Kept is true if the connection carried requests before.
 		Kept bool
+		// Unheard is true if the connection reached no process.
+		Unheard bool
 		// Left is true if the caller closed the connection before the end.
 		Left                   bool
 		Status                 int
--- a/internal/soak/judge/judge_test.go
+++ b/internal/soak/judge/judge_test.go
@@ -206,6 +206,14 @@
 			j.disruptions[0].To = at(11*s - time.Millisecond)
 			r.NotExecuted = true
 		}, ""},
+		// Soak seed 6003: the relay took 0.4 s to reset the connection, which the daemon's address
+		// had refused.
+		{"on a connection that no process took", func(j *Judge, q *Request, r *Run) {
+			*q = cutRequest(q.ID)
+			q.Unheard = true
+			shutDown(j)
+			r.NotExecuted = true
+		}, ""},
 		// Soak seed 2026: the connection was reset before the request was written.
 		{"not written in a shutdown", func(j *Judge, q *Request, r *Run) {
 			*q = cutRequest(q.ID)
--- a/internal/soak/judge/losses.go
+++ b/internal/soak/judge/losses.go
@@ -20,10 +20,10 @@
 	usedShare    = 0.7
 )
 
-// ended reports whether the connection of a request that was written whole ended before the
-// request's time, without a complete answer.
+// ended reports whether the connection of a request that was written whole to a process ended
+// before the request's time, without a complete answer.
 func ended(q *Request) bool {
-	return !q.Left && !q.Complete && !q.WrittenAt.IsZero() && !q.EndedAt.IsZero() && q.EndedAt.Sub(q.SentAt) < q.Timeout
+	return !q.Left && !q.Unheard && !q.Complete && !q.WrittenAt.IsZero() && !q.EndedAt.IsZero() && q.EndedAt.Sub(q.SentAt) < q.Timeout
 }
 
 // checkLost checks that a shutdown or a SIGHUP cuts no request.
--- a/internal/soak/runner/caller.go
+++ b/internal/soak/runner/caller.go
@@ -32,6 +32,10 @@
 	minThink = 20 * time.Millisecond
 	// thinkSpan is added to minThink in part.
 	thinkSpan = 100 * time.Millisecond
+	// One caller in idleEvery keeps its connections idle, also before their first use, for up to
+	// idleSpan, as long as a shutdown takes.
+	idleEvery = 6
+	idleSpan  = 7 * time.Second
 	// leaveSpan bounds the time after which a caller leaves.
 	leaveSpan = 200 * time.Millisecond
 	percent   = 100
@@ -65,17 +69,34 @@
 func (c *caller) run(ctx context.Context) {
 	defer c.drop()
 	for ctx.Err() == nil {
-		if c.connect(ctx) {
-			c.send(c.request())
+		opened := c.conn
+		if !c.connect(ctx) {
+			c.runner.sleep(ctx, minThink)
+			continue
 		}
-		think := minThink + time.Duration(c.random.Int64N(int64(thinkSpan)))
-		if c.runner.burst.Load() > 0 {
-			think /= 4
+		if c.idles() && c.conn != opened {
+			c.runner.sleep(ctx, time.Duration(c.random.Int64N(int64(idleSpan))))
 		}
-		c.runner.sleep(ctx, think)
+		c.send(c.request())
+		c.runner.sleep(ctx, c.think())
 	}
 }
 
+// idles reports whether the caller keeps connections idle.
+func (c *caller) idles() bool { return c.index%idleEvery == idleEvery-1 }
+
+// think returns the time until the next request.
+func (c *caller) think() time.Duration {
+	if c.idles() {
+		return time.Duration(c.random.Int64N(int64(idleSpan)))
+	}
+	think := minThink + time.Duration(c.random.Int64N(int64(thinkSpan)))
+	if c.runner.burst.Load() > 0 {
+		think /= 4
+	}
+	return think
+}
+
 // connect makes sure of a connection to a daemon.
 func (c *caller) connect(ctx context.Context) bool {
 	if c.conn != nil && c.uses < maxUses && c.usable() {
@@ -199,6 +220,7 @@
 	}
 	keep := c.exchange(&q)
 	q.EndedAt = time.Now()
+	q.Unheard = !keep && c.runner.links.Refused(c.conn.LocalAddr())
 	select {
 	case at := <-left:
 		if !q.Complete {
