Answer the requests that come as a shutdown closes connections

Callers lost requests in a planned stop (LOST): once the server of callers was shut down, a connection whose request was read got no answer at all, and one that may not be repeated was in doubt although no server had it.

The server now closes idle connections and goes on answering: what comes later is refused as not run, with Retry-After, at once, so that nothing is taken that the end of the grace time would cut. Answers that begin during a shutdown say that their connection closes, also to requests that came before it, so that fewer connections are closed with a request on the way.

--- a/internal/forward/forwarder/admit.go
+++ b/internal/forward/forwarder/admit.go
@@ -31,6 +31,9 @@
 			return refusal
 		}
 	}
+	if c.forPeer == nil && c.closing.Load() {
+		return refusal(samphireturn.ReasonClosing, busyRetryAfter, nil)
+	}
 	if c.view = c.firstView(); c.view == nil || !c.view.Synced {
 		return refusal(samphireturn.ReasonNotReady, notReadyRetryAfter, nil)
 	}
--- a/internal/forward/forwarder/listener.go
+++ b/internal/forward/forwarder/listener.go
@@ -6,7 +6,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,6 +26,27 @@
 	done   chan struct{}
 	once   sync.Once
 	addr   net.Addr
+	// open is the number of open connections.
+	open atomic.Int64
+}
+
+// countOpen is the ConnState hook of the server.
+func (s *callerServer) countOpen(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+	}
+}
+
+// drain closes the idle connections and waits until the others are closed too or ctx ends.
+// http.Server.Shutdown alone would close a connection without an answer whose request it reads
+// from then on.
+func (s *callerServer) drain(ctx context.Context) {
+	s.server.SetKeepAlivesEnabled(false)
+	for s.open.Load() > 0 && timekeeper.Sleep(ctx, drainInterval) {
+	}
 }
 
 // Accept implements net.Listener.
@@ -142,6 +165,7 @@
 		done:  make(chan struct{}),
 		addr:  f.Listener.Addr(),
 	}
+	s.server.ConnState = s.countOpen
 	f.callerServers = append(f.callerServers, s)
 	f.wait.Go(func() { f.serveListener(s.server, s) })
 	return s
@@ -153,6 +177,9 @@
 	// peerDrainTime of the shutdown.
 	peerQuietTime = 500 * time.Millisecond
 	peerDrainTime = 2 * time.Second
+	// drainInterval is the time between two looks at the open connections of a server that is
+	// to be shut down.
+	drainInterval = 20 * time.Millisecond
 )
 
 // waitForPeers waits until no peer needs this daemon, or peerDrainTime before ctx ends.
@@ -170,24 +197,28 @@
 }
 
 // shutdownServers closes the listener and shuts the servers of callers and peers down: idle
-// connections close at once, others after their request, all when ctx ends.
+// connections close at once, others after their request, all when ctx ends. Requests that
+// come from now on are refused, so that none is cut off when ctx ends.
 func (f *Forwarder) shutdownServers(ctx context.Context) error {
 	f.closing.Store(true)
 	_ = f.Listener.Close()
 	f.mu.Lock()
+	callerServers := slices.Clone(f.callerServers)
+	f.mu.Unlock()
 	servers := []*http.Server{f.peerServer}
-	for _, s := range f.callerServers {
+	for _, s := range callerServers {
 		servers = append(servers, s.server)
 	}
-	f.mu.Unlock()
 	var (
 		wait sync.WaitGroup
 		errs = make([]error, len(servers))
 	)
 	for i, s := range servers {
 		wait.Go(func() {
-			if s == f.peerServer {
+			if i == 0 {
 				f.waitForPeers(ctx)
+			} else {
+				callerServers[i-1].drain(ctx)
 			}
 			errs[i] = s.Shutdown(ctx)
 			if errs[i] != nil {
--- a/internal/forward/forwarder/peerserver.go
+++ b/internal/forward/forwarder/peerserver.go
@@ -147,6 +147,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	c.announceClose()
 	c.CallerProtocol.WriteError(c.w, c.request, refused)
 }
 
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -528,5 +528,6 @@
 	if a.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
+	c.announceClose()
 	c.w.WriteHeader(a.Status)
 }
--- a/internal/forward/forwarder/refuse.go
+++ b/internal/forward/forwarder/refuse.go
@@ -94,6 +94,7 @@
 		line = line.Int("endpoints", len(c.pickRequest.Hosts)).Int("unreachable", c.Balancer.CountUnreachable(c.pickRequest.Hosts)).Bool("link_lost", c.LinkLost())
 	}
 	line.Err(refusal.Err).Send()
+	c.announceClose()
 	c.CallerProtocol.WriteError(c.w, c.request, refusal)
 }
 
--- a/internal/forward/forwarder/serve.go
+++ b/internal/forward/forwarder/serve.go
@@ -21,12 +21,17 @@
 // newCall counts a request and returns its state.
 func (f *Forwarder) newCall(w http.ResponseWriter, r *http.Request) *proxyCall {
 	f.activeRequests.Add(1)
-	if f.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	return &proxyCall{Forwarder: f, w: w, r: r, start: f.Clock(), executed: samphireturn.ExecutedNo, outcome: meter.OutcomeCallerLeft}
 }
 
+// announceClose adds to the head of an answer that its connection closes, while the daemon
+// leaves.
+func (c *proxyCall) announceClose() {
+	if c.leaving.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
 // run admits the request and forwards it.
 func (c *proxyCall) run(forward func() *samphireturn.Refusal) *samphireturn.Refusal {
 	if refusal := c.admit(); refusal != nil {
