Take the connections that wait as a listener is closed

The kernel resets the connections that wait to be accepted when a listener is closed, with the requests that were sent on them. A daemon that waits for a processor leaves them waiting. In a shutdown, connections are now taken for another 0.1 s after the listener would have been closed, until none waits.

TestFaultLateAccept fails without this: the connection is closed without an answer.

--- a/internal/forward/forwarder/listener.go
+++ b/internal/forward/forwarder/listener.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -76,6 +77,9 @@
 	// acceptFailureTime is how long a daemon is not ready after such a failure: longer than
 	// until the next accept, and than two readiness checks.
 	acceptFailureTime = 3 * time.Second
+	// acceptDrainTime is how long connections that came before the listener is closed are still
+	// taken: the kernel resets those that wait at its close.
+	acceptDrainTime = 100 * time.Millisecond
 )
 
 // accept passes each new connection to the server with the current limits.
@@ -105,7 +109,7 @@
 // waitToAccept waits after an accept that failed, and reports whether there is to be another
 // one. The first failure of a row is logged.
 func (f *Forwarder) waitToAccept(delay *time.Duration, err error) bool {
-	if f.closing.Load() {
+	if f.closing.Load() || errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
 	}
 	if !temporary(err) {
@@ -196,12 +200,22 @@
 	}
 }
 
+// closeListener takes the connections that wait to be accepted and closes the listener. Requests
+// that come later are refused.
+func (f *Forwarder) closeListener() {
+	l, ok := f.Listener.(interface{ SetDeadline(t time.Time) error })
+	if ok && l.SetDeadline(time.Now().Add(acceptDrainTime)) == nil {
+		time.Sleep(acceptDrainTime)
+	}
+	f.closing.Store(true)
+	_ = f.Listener.Close()
+}
+
 // shutdownServers closes the listener and shuts the servers of callers and peers down: idle
 // connections close at once, others after their request, all when ctx ends. Requests that
 // come from now on are refused, so that none is cut off when ctx ends.
 func (f *Forwarder) shutdownServers(ctx context.Context) error {
-	f.closing.Store(true)
-	_ = f.Listener.Close()
+	f.closeListener()
 	f.mu.Lock()
 	callerServers := slices.Clone(f.callerServers)
 	f.mu.Unlock()
