Answer the peers' requests that come as a shutdown closes connections

Peers are told now that it was not run and ask another daemon. TestFaultLatePeerRequest failed with an EOF.

The server of the product's own platform refuses such requests already.

--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -112,9 +112,12 @@
 	stopWaiting *time.Timer
 	// callerServers holds a server for each set of limits so far, the current one at
 	// the end.
-	callerServers   []*callerServer
-	peerServer      *http.Server
+	callerServers []*callerServer
+	peerServer    *drainer
+	// closing is true once requests of callers are refused, and peersClosing once those of
+	// peers are.
 	closing         atomic.Bool
+	peersClosing    atomic.Bool
 	onceIDs         recentIDs
 	readinessServer *http.Server
 	metricsServer   *http.Server
@@ -146,11 +149,11 @@
 	if f.Queue != nil {
 		f.Balancer.OnRelease = f.observeRelease
 	}
-	f.peerServer = &http.Server{Handler: http.HandlerFunc(f.servePeer), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	f.peerServer = newDrainer(&http.Server{Handler: http.HandlerFunc(f.servePeer), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout})
 	f.readinessServer = &http.Server{Handler: http.HandlerFunc(f.handleReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
 	f.wait.Go(f.accept)
 	f.wait.Go(func() { f.serveListener(f.readinessServer, f.ReadinessListener) })
-	f.wait.Go(func() { f.serveListener(f.peerServer, f.PeerListener) })
+	f.wait.Go(func() { f.serveListener(f.peerServer.server, f.PeerListener) })
 	f.wait.Go(func() { f.sweep(f.ctx) })
 	if f.MetricsListener != nil {
 		f.metricsServer = &http.Server{Handler: meter.Handler(), ReadHeaderTimeout: defaultHeaderTimeout}
--- a/internal/forward/forwarder/listener.go
+++ b/internal/forward/forwarder/listener.go
@@ -7,9 +7,7 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,33 +19,12 @@
 // callerServer serves callers' connections under one set of limits. Connections that
 // were accepted under earlier limits keep them.
 type callerServer struct {
+	*drainer
 	limits samphireturn.Limits
-	server *http.Server
 	queue  chan net.Conn
 	done   chan struct{}
 	once   sync.Once
 	addr   net.Addr
-	// open is the number of open connections.
-	open atomic.Int64
-}
-
-// countOpen is the ConnState hook of the server.
-func (s *callerServer) countOpen(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		s.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		s.open.Add(-1)
-	}
-}
-
-// drain closes the idle connections and waits until the others are closed too or ctx ends.
-// http.Server.Shutdown alone would close a connection without an answer whose request it reads
-// from then on.
-func (s *callerServer) drain(ctx context.Context) {
-	s.server.SetKeepAlivesEnabled(false)
-	for s.open.Load() > 0 && timekeeper.Sleep(ctx, drainInterval) {
-	}
 }
 
 // Accept implements net.Listener.
@@ -159,17 +136,16 @@
 	}
 	s := &callerServer{
 		limits: limits,
-		server: &http.Server{
+		drainer: newDrainer(&http.Server{
 			Handler:           http.HandlerFunc(f.serve),
 			ReadHeaderTimeout: limits.HeaderTimeout,
 			IdleTimeout:       limits.IdleTimeout,
 			MaxHeaderBytes:    limits.HeaderBytes,
-		},
+		}),
 		queue: make(chan net.Conn),
 		done:  make(chan struct{}),
 		addr:  f.Listener.Addr(),
 	}
-	s.server.ConnState = s.countOpen
 	f.callerServers = append(f.callerServers, s)
 	f.wait.Go(func() { f.serveListener(s.server, s) })
 	return s
@@ -181,9 +157,6 @@
 	// peerDrainTime of the shutdown.
 	peerQuietTime = 500 * time.Millisecond
 	peerDrainTime = 2 * time.Second
-	// drainInterval is the time between two looks at the open connections of a server that is
-	// to be shut down.
-	drainInterval = 20 * time.Millisecond
 )
 
 // waitForPeers waits until no peer needs this daemon, or peerDrainTime before ctx ends.
@@ -217,27 +190,25 @@
 func (f *Forwarder) shutdownServers(ctx context.Context) error {
 	f.closeListener()
 	f.mu.Lock()
-	callerServers := slices.Clone(f.callerServers)
-	f.mu.Unlock()
-	servers := []*http.Server{f.peerServer}
-	for _, s := range callerServers {
-		servers = append(servers, s.server)
+	drainers := []*drainer{f.peerServer}
+	for _, s := range f.callerServers {
+		drainers = append(drainers, s.drainer)
 	}
+	f.mu.Unlock()
 	var (
 		wait sync.WaitGroup
-		errs = make([]error, len(servers))
+		errs = make([]error, len(drainers))
 	)
-	for i, s := range servers {
+	for i, d := range drainers {
 		wait.Go(func() {
-			if i == 0 {
+			if d == f.peerServer {
 				f.waitForPeers(ctx)
-			} else {
-				callerServers[i-1].drain(ctx)
+				f.peersClosing.Store(true)
 			}
-			errs[i] = s.Shutdown(ctx)
+			errs[i] = d.shutDown(ctx)
 			if errs[i] != nil {
 				f.Log.Warn().Str("event", logger.EventGraceExpired).Int64("active", f.activeRequests.Load()).Err(errs[i]).Send()
-				errs[i] = s.Close()
+				errs[i] = d.server.Close()
 			}
 		})
 	}
--- a/internal/forward/forwarder/peerserver.go
+++ b/internal/forward/forwarder/peerserver.go
@@ -27,6 +27,8 @@
 	r.Header.Del(headerPeerAttempt)
 	var refused *samphireturn.Refusal
 	switch {
+	case f.peersClosing.Load():
+		refused = refusal(samphireturn.ReasonClosing, busyRetryAfter, nil)
 	case err != nil:
 		refused = refusal(samphireturn.ReasonBadRequest, 0, err)
 	case inFlight > maxPeerRequests:
