Count a caller as gone from when the daemon could know it

The trace: each daemon passed the request on and, 0.07 to 0.18 s later, saw that its caller had left and cancelled it at once; the request and its end had waited in the soak's own relay.

--- a/internal/soak/disruptor/disruptor.go
+++ b/internal/soak/disruptor/disruptor.go
@@ -49,8 +49,10 @@
 		faults    map[*Fault]struct{}
 		// refused holds the remote addresses of connections that could not be dialled on.
 		refused map[string]bool
-		closed  bool
-		wait    sync.WaitGroup
+		// left holds when the ends of connections from their remote addresses were passed on.
+		left   map[string]time.Time
+		closed bool
+		wait   sync.WaitGroup
 	}
 
 	// listener relays the connections to one address; its net.Listener is nil while the
@@ -144,6 +146,26 @@
 	return refused
 }
 
+// Left returns when the end of the connection from a local address was passed on, and whether
+// it was. The address may be used again after that.
+func (d *Disruptor) Left(local net.Addr) (at time.Time, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, ok = d.left[local.String()]
+	delete(d.left, local.String())
+	return at, ok
+}
+
+// recordLeft records that the end of a connection is passed on.
+func (d *Disruptor) recordLeft(remote net.Addr) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.left == nil {
+		d.left = make(map[string]time.Time)
+	}
+	d.left[remote.String()] = time.Now()
+}
+
 // Reset resets the open connections that match.
 func (d *Disruptor) Reset(match Match) {
 	for _, c := range d.open(match) {
@@ -273,9 +295,15 @@
 		case err == nil:
 		case errors.Is(err, io.EOF):
 			_ = dst.CloseWrite()
+			if up {
+				c.disruptor.recordLeft(src.RemoteAddr())
+			}
 			return
 		default:
 			c.reset()
+			if up {
+				c.disruptor.recordLeft(src.RemoteAddr())
+			}
 			return
 		}
 	}
--- a/internal/soak/disruptor/disruptor_test.go
+++ b/internal/soak/disruptor/disruptor_test.go
@@ -184,6 +184,37 @@
 		c.Check(err, qt.IsNotNil)
 		c.Check(d.Refused(conn.LocalAddr()), qt.Equals, down)
 		c.Check(d.Refused(conn.LocalAddr()), qt.IsFalse)
+		_, left := d.Left(conn.LocalAddr())
+		c.Check(left, qt.IsFalse)
 		_ = conn.Close()
 	}
 }
+
+// TestLeft checks that the end of a connection is recorded once it was passed on.
+func TestLeft(t *testing.T) {
+	c := qt.New(t)
+	var d Disruptor
+	defer d.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	c.Assert(d.Listen("callers", "daemon", "127.0.0.1:0", ln.Addr().String()), qt.IsNil)
+	conn, err := net.Dial("tcp", d.listeners[0].Listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	far, err := ln.Accept()
+	c.Assert(err, qt.IsNil)
+	defer far.Close()
+	hold := &Fault{Match: func(string, string) bool { return true }, HoldUp: true}
+	d.Begin(hold)
+	_ = conn.Close()
+	time.Sleep(50 * time.Millisecond)
+	_, ok := d.Left(conn.LocalAddr())
+	c.Check(ok, qt.IsFalse)
+	ended := time.Now()
+	d.End(hold)
+	_, err = far.Read(make([]byte, 1))
+	c.Check(err, qt.IsNotNil)
+	time.Sleep(50 * time.Millisecond)
+	at, ok := d.Left(conn.LocalAddr())
+	c.Check(ok && at.After(ended), qt.IsTrue)
+}
--- a/internal/soak/runner/caller.go
+++ b/internal/soak/runner/caller.go
@@ -45,6 +45,8 @@
 	// leaveShare and burstLeaveShare are the parts of the requests, in percent, whose
 	// callers leave.
 	leaveShare, burstLeaveShare = 3, 50
+	// leftTime bounds the wait until the end of a connection is passed on.
+	leftTime = 3 * time.Second
 	// crashShare is the part of the requests, in percent, that crash endpoints in a step in
 	// which some do.
 	crashShare = 8
@@ -224,7 +226,7 @@
 	select {
 	case at := <-left:
 		if !q.Complete {
-			q.Left, q.EndedAt = true, at
+			q.Left, q.EndedAt = true, c.leftAt(at)
 		}
 		keep = false
 	default:
@@ -241,6 +243,17 @@
 	}
 }
 
+// leftAt returns when the end of the connection that the caller closed at a moment was passed on
+// to the daemon: the relay may wait for a processor. It waits for leftTime at most.
+func (c *caller) leftAt(closed time.Time) time.Time {
+	for deadline := time.Now().Add(leftTime); time.Now().Before(deadline); time.Sleep(peekTime) {
+		if at, ok := c.runner.links.Left(c.conn.LocalAddr()); ok {
+			return at
+		}
+	}
+	return closed
+}
+
 func (c *caller) leaveShare() int {
 	if c.runner.leaving.Load() > 0 {
 		return burstLeaveShare
