Send no request again when its time is up

A request was sent to a second server after its deadline, and without one, if the VM had been suspended or its timer was late: the context of the request had not ended yet, but nothing was left of its time (BUDGET: more time than is left). The answer of the first server is passed on now, if it is there, also a late one, and otherwise the request ends.

--- a/internal/forward/forwarder/answer.go
+++ b/internal/forward/forwarder/answer.go
@@ -116,9 +116,9 @@
 // mayRetry reports whether a request that may have been executed may be retried.
 func (c *proxyCall) mayRetry() bool {
 	if c.forPeer != nil {
-		return c.forPeer.MayRetry && c.ctx.Err() == nil
+		return c.forPeer.MayRetry && !c.expired()
 	}
-	return c.route.Repeatable() && c.executions < c.route.MaxAttempts && c.ctx.Err() == nil
+	return c.route.Repeatable() && c.executions < c.route.MaxAttempts && !c.expired()
 }
 
 // mayRetryAfterThis reports whether the request may be retried after a further attempt.
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -130,6 +130,10 @@
 // remaining returns the time left until the deadline.
 func (c *proxyCall) remaining() time.Duration { return c.timeout - (c.Clock() - c.start) }
 
+// expired reports whether the caller left or the time of the request is up. The context's timer
+// may be late, and does not count the time for which the VM was suspended.
+func (c *proxyCall) expired() bool { return c.ctx.Err() != nil || c.remaining() < time.Millisecond }
+
 // send tries endpoints one after the other until one executes the request and its
 // answer begins, or no further attempt is allowed.
 func (c *proxyCall) send(limits waitLimits) (*attempt, *samphireturn.Refusal) {
@@ -174,7 +178,7 @@
 // checkAttempt returns a refusal if the request may not be sent to a further endpoint, and
 // withdraws a retry from the budget if that is due.
 func (c *proxyCall) checkAttempt() *samphireturn.Refusal {
-	if c.ctx.Err() != nil {
+	if c.expired() {
 		return c.deadlineRefusal()
 	}
 	if left := c.Isolator.Isolated(c.keys); left > 0 {
