Report how much of its bound on retries a daemon uses

Nothing told an operator how near a daemon or the fleet is to the bound: forwarder_repeat counts retries and those that were not made, for ever. The gauge samphireturn_window_retries has those made in the last window and those that its requests allow, by pool.

--- a/internal/core/meter/meter.go
+++ b/internal/core/meter/meter.go
@@ -99,6 +99,7 @@
 	brittle      = newCounterVec("samphireturn_brittle_total", "Endpoints that said that they end if they turn away too many requests, by outcome.", "outcome")
 	limits       = newCounterVec("samphireturn_limits_total", "Limits of the rate of requests that endpoints named, by outcome.", "outcome")
 	loadsIgnored = newCounterVec("samphireturn_loads_ignored_total", "Reports of endpoints' load and pace that were malformed.")
+	retries      = newGaugeVec("samphireturn_window_retries", "Retries of the last window of the bound on them: made, and allowed by its requests.", "pool", "value")
 	paces        = newGaugeVec("samphireturn_endpoint_paces", "Endpoints that report their pace, by the pace in use.", "pace")
 	crashes      = newCounterVec("samphireturn_crashes_total", "Requests that endpoints may have been running when they crashed, by who sent them.", "source")
 	isolations   = newCounterVec("samphireturn_isolations_total", "Isolations of requests and prompt parts by outcome.", "outcome")
@@ -209,6 +210,12 @@
 // CountLoadIgnored counts a malformed report of an endpoint's load.
 func CountLoadIgnored() { loadsIgnored.WithLabelValues().Inc() }
 
+// SetRetries sets the numbers of retries to a pool that were made and allowed in the last window.
+func SetRetries(pool string, made int, allowed float64) {
+	retries.WithLabelValues(pool, "made").Set(float64(made))
+	retries.WithLabelValues(pool, "allowed").Set(allowed)
+}
+
 // SetPaces sets the numbers of endpoints that report their pace and are fast, usual or slow by it.
 func SetPaces(fast, usual, slow int) {
 	paces.WithLabelValues("fast").Set(float64(fast))
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -306,6 +307,7 @@
 			f.Recorder.Retain(v.Hosts)
 			f.probeUnreachable(ctx, v)
 			f.sweepPeers(ctx)
+			f.reportRetries()
 			if f.LinkLost() {
 				f.startLinkCheck()
 			}
@@ -460,6 +462,17 @@
 	return b
 }
 
+// reportRetries sets the metrics of the retry budgets.
+func (f *Forwarder) reportRetries() {
+	f.mu.Lock()
+	budgets := maps.Clone(f.budgets)
+	f.mu.Unlock()
+	for pool, b := range budgets {
+		made, allowed := b.Counts()
+		meter.SetRetries(pool, made, allowed)
+	}
+}
+
 // retryExtra returns this daemon's part of RetryExtra. It accrues from the start of the process,
 // as an earlier process may have used it. In a fleet smaller than assumed a part is there at
 // once. While the size of the fleet is unknown there is none.
--- a/internal/traffic/budgeter/window.go
+++ b/internal/traffic/budgeter/window.go
@@ -65,15 +65,28 @@
 	return w.available(reserved)
 }
 
-// available reports whether the bound allows a retry in each window that the current moment
-// belongs to. The caller holds mu and has called advance.
-func (w *RetryWindow) available(reserved float64) bool {
-	// recent holds the counts of the newest parts: of none, of one, and so on.
-	var recent [keptParts + 1]partCount
+// Counts returns the retries in the last window, and how many its requests allow.
+func (w *RetryWindow) Counts() (made int, allowed float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	recent := w.recent()
+	return recent[windowParts].retries, w.Share*float64(recent[windowParts].requests) + w.Extra()
+}
+
+// recent returns the counts of the newest parts: of none, of one, and so on. The caller holds mu.
+func (w *RetryWindow) recent() (sums [keptParts + 1]partCount) {
 	for i := range keptParts {
 		part := w.parts[((w.newestPart-int64(i))%keptParts+keptParts)%keptParts]
-		recent[i+1] = partCount{recent[i].requests + part.requests, recent[i].retries + part.retries}
+		sums[i+1] = partCount{sums[i].requests + part.requests, sums[i].retries + part.retries}
 	}
+	return sums
+}
+
+// available reports whether the bound allows a retry in each window that the current moment
+// belongs to. The caller holds mu and has called advance.
+func (w *RetryWindow) available(reserved float64) bool {
+	recent := w.recent()
 	requestsBetween := func(newest, oldest int) int {
 		return recent[min(oldest, keptParts)].requests - recent[max(newest, 0)].requests
 	}
--- a/internal/traffic/budgeter/window_test.go
+++ b/internal/traffic/budgeter/window_test.go
@@ -165,3 +165,25 @@
 	}
 	return n
 }
+
+// TestWindowCounts checks what is reported of a window.
+func TestWindowCounts(t *testing.T) {
+	c := qt.New(t)
+	now := time.Hour
+	w := &budgeter.RetryWindow{
+		Share: 0.5, Extra: func() float64 { return 2 }, Length: 10 * time.Second, Clock: func() time.Duration { return now },
+	}
+	for range 10 {
+		w.CountRequest()
+	}
+	c.Check(w.TryWithdraw(0), qt.IsTrue)
+	for _, want := range []struct {
+		made    int
+		allowed float64
+	}{{1, 7}, {0, 2}} {
+		made, allowed := w.Counts()
+		c.Check(made, qt.Equals, want.made)
+		c.Check(allowed, qt.Equals, want.allowed)
+		now += 10 * time.Second
+	}
+}
