Send nothing to an earlier process at the address of a later one

The trace: the endpoint had been replaced at the same address under another id, the store was cut off, and the entry of the earlier process came back into use. Requests for that one reached the later one, which answered each with 421 half a second later over a slow link; 5 were under way by then. A pause, and a limit as well, is known by the id of the process that asked for it.

Of the endpoints listed at one address only the latest is used now, by the starts of the processes or else by the last changes of the entries: nothing that is sent there can reach another.

--- a/internal/fleet/follower/publish.go
+++ b/internal/fleet/follower/publish.go
@@ -79,8 +79,9 @@
 	pools := make(map[string][]*samphireturn.Host)
 	leaving := 0
 	expired := t.expiredPools()
+	latest := t.latestByAddr()
 	for name, e := range t.entries {
-		if e.Host == nil {
+		if e.Host == nil || latest[e.Host.Addr] != name {
 			continue
 		}
 		if _, missing := t.missingSince[name]; missing && !expired[e.Host.Pool] {
@@ -103,6 +104,34 @@
 	return func(v *samphireturn.View) { v.Hosts = pools }
 }
 
+// latestByAddr returns the name of the latest endpoint at each address. Entries of earlier ones
+// stay for seconds after a crash, but whatever is sent there reaches the latest.
+func (t *topic) latestByAddr() map[string]string {
+	latest := make(map[string]string)
+	for name, e := range t.entries {
+		if e.Host == nil {
+			continue
+		}
+		other, ok := latest[e.Host.Addr]
+		if !ok || laterHost(&e, name, t.entries[other], other) {
+			latest[e.Host.Addr] = name
+		}
+	}
+	return latest
+}
+
+// laterHost reports whether the entry a of an endpoint is of a later process than b, by the
+// starts of the processes or, if one is not known, by the last changes of the entries.
+func laterHost(a *samphireturn.Entry, nameA string, b samphireturn.Entry, nameB string) bool {
+	switch {
+	case a.Host.Started != 0 && b.Host.Started != 0 && a.Host.Started != b.Host.Started:
+		return a.Host.Started > b.Host.Started
+	case a.Version != b.Version:
+		return a.Version.Newer(b.Version)
+	}
+	return nameA > nameB
+}
+
 // expiredPools returns the pools whose endpoints that are missing after an outage stay in
 // use: all if other daemons had the outage too, as entries expire in it. Otherwise the
 // pools of which most endpoints are missing: in others the missing ones are likely to have
