--- a/internal/soak/judge/losses.go
+++ b/internal/soak/judge/losses.go
@@ -1,6 +1,9 @@
 package judge
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 const (
 	// graceTail is the last part of the grace time, in which an endpoint still at work may
@@ -82,7 +85,11 @@
 // checkChanges checks that a daemon cuts requests beside a change of the configuration no
 // more often than otherwise.
 func (j *Judge) checkChanges(v *violations, runsByID map[string][]*Run) {
-	type counts struct{ sent, cut [2]int }
+	type counts struct {
+		sent, cut [2]int
+		// example is the last request that was cut beside a change.
+		example string
+	}
 	byDaemon := make(map[string]*counts)
 	for _, id := range j.order {
 		q := j.requests[id]
@@ -102,11 +109,14 @@
 		if ended(q) && used < usedShare && j.sound(runs, q.SentAt.Add(-j.Bounds.StableWindow), q.EndedAt) &&
 			(len(runs) > 0 || q.EndedAt.Sub(q.WrittenAt) > j.Bounds.LossSlack) {
 			n.cut[beside]++
+			if beside == 1 {
+				n.example = fmt.Sprintf("%s after %v, runs: %d", id, q.EndedAt.Sub(q.SentAt), len(runs))
+			}
 		}
 	}
 	for daemon, n := range byDaemon {
 		if n.cut[1]*max(n.sent[0], 1) > changeFactor*n.cut[0]*n.sent[1] {
-			v.add("lost", "%s cut %d of %d requests beside changes of the configuration and %d of %d others", daemon, n.cut[1], n.sent[1], n.cut[0], n.sent[0])
+			v.add("lost", "%s cut %d of %d requests beside changes of the configuration, the last %s, and %d of %d others", daemon, n.cut[1], n.sent[1], n.example, n.cut[0], n.sent[0])
 		}
 	}
 }
--- a/internal/soak/runner/caller.go
+++ b/internal/soak/runner/caller.go
@@ -78,6 +78,10 @@
 		}
 		if c.idles() && c.conn != opened {
 			c.runner.sleep(ctx, time.Duration(c.random.Int64N(int64(idleSpan))))
+			if !c.usable() {
+				// A daemon closes connections on which no request comes.
+				continue
+			}
 		}
 		c.send(c.request())
 		c.runner.sleep(ctx, c.think())
