Let only a later start of the same pool replace an endpoint at its address

The change before took the last changed entry at an address where a start was not known, of whatever pool. Only entries of the same pool whose process started later count now. The servers of the soak say when they started.

--- a/internal/fleet/follower/publish.go
+++ b/internal/fleet/follower/publish.go
@@ -41,6 +41,9 @@
 	next.View = &view
 }
 
+// place is where the endpoints of a pool run one after the other.
+type place struct{ pool, addr string }
+
 // publish posts the topic's part of the view.
 func (f *Follower) publish(t *topic) {
 	if t.name == samphireturn.TopicTable && !f.opened() {
@@ -79,9 +82,12 @@
 	pools := make(map[string][]*samphireturn.Host)
 	leaving := 0
 	expired := t.expiredPools()
-	latest := t.latestByAddr()
+	latest := t.latestStarts()
 	for name, e := range t.entries {
-		if e.Host == nil || latest[e.Host.Addr] != name {
+		if e.Host == nil {
+			continue
+		}
+		if e.Host.Started != 0 && e.Host.Started < latest[place{e.Host.Pool, e.Host.Addr}] {
 			continue
 		}
 		if _, missing := t.missingSince[name]; missing && !expired[e.Host.Pool] {
@@ -104,34 +110,20 @@
 	return func(v *samphireturn.View) { v.Hosts = pools }
 }
 
-// latestByAddr returns the name of the latest endpoint at each address. Entries of earlier ones
-// stay for seconds after a crash, but whatever is sent there reaches the latest.
-func (t *topic) latestByAddr() map[string]string {
-	latest := make(map[string]string)
-	for name, e := range t.entries {
-		if e.Host == nil {
-			continue
-		}
-		other, ok := latest[e.Host.Addr]
-		if !ok || laterHost(&e, name, t.entries[other], other) {
-			latest[e.Host.Addr] = name
+// latestStarts returns when the latest endpoint of each place started. Entries of earlier ones stay
+// for seconds after a crash, but whatever is sent there reaches the latest. Those of other pools
+// don't count: any writer may name the address of an endpoint for a pool that does not exist.
+func (t *topic) latestStarts() map[place]int64 {
+	latest := make(map[place]int64)
+	for _, e := range t.entries {
+		if h := e.Host; h != nil {
+			at := place{h.Pool, h.Addr}
+			latest[at] = max(latest[at], h.Started)
 		}
 	}
 	return latest
 }
 
-// laterHost reports whether the entry a of an endpoint is of a later process than b, by the
-// starts of the processes or, if one is not known, by the last changes of the entries.
-func laterHost(a *samphireturn.Entry, nameA string, b samphireturn.Entry, nameB string) bool {
-	switch {
-	case a.Host.Started != 0 && b.Host.Started != 0 && a.Host.Started != b.Host.Started:
-		return a.Host.Started > b.Host.Started
-	case a.Version != b.Version:
-		return a.Version.Newer(b.Version)
-	}
-	return nameA > nameB
-}
-
 // expiredPools returns the pools whose endpoints that are missing after an outage stay in
 // use: all if other daemons had the outage too, as entries expire in it. Otherwise the
 // pools of which most endpoints are missing: in others the missing ones are likely to have
--- a/internal/soak/runner/slot.go
+++ b/internal/soak/runner/slot.go
@@ -45,8 +45,10 @@
 	pool, centre, release string
 	id                    string
 	starts                int
-	process               *process
-	busy, finished        bool
+	// startedAt is when the process started, in Unix milliseconds.
+	startedAt      int64
+	process        *process
+	busy, finished bool
 }
 
 func (r *Runner) newSlot(index int) *slot {
@@ -88,6 +90,7 @@
 		return nil
 	}
 	s.starts++
+	s.startedAt = time.Now().UnixMilli()
 	s.id = fmt.Sprintf("i-%s-%d", s.name, s.starts)
 	addr := r.addr(endpointNet, s.index+1, endpointPort)
 	args := []string{"server", "--listen", addr, "--id", s.id, "--seed", strconv.FormatUint(r.Seed, 10)}
@@ -127,7 +130,7 @@
 func (s *slot) putEntry(leaving bool) error {
 	return s.runner.store.Put(formatter.Servers, s.id, formatter.Server{
 		Pool: s.pool, Addr: s.runner.addr(endpointPublicNet, s.index+1, endpointPort), Centre: s.centre,
-		Release: s.release, Slots: 8, Leaving: leaving, Writes: s.starts,
+		Release: s.release, Slots: 8, Leaving: leaving, Writes: s.starts, Started: s.startedAt,
 	})
 }
 
--- a/internal/standin/formatter/formatter.go
+++ b/internal/standin/formatter/formatter.go
@@ -49,6 +49,8 @@
 	Leaving                     bool
 	// Writes is the number of times that the server has written.
 	Writes int
+	// Started is when its process started, in Unix milliseconds.
+	Started int64
 }
 
 // MarshalJSON implements json.Marshaler.
@@ -59,7 +61,7 @@
 	}
 	return json.Marshal(map[string]any{
 		"backend": s.Pool, "address": s.Addr, "zone": s.Centre, "version": s.Release, "slots": s.Slots, "state": state,
-		"coldLeftMs": 0, "seq": s.Writes,
+		"coldLeftMs": 0, "seq": s.Writes, "born": s.Started,
 	})
 }
 
