--- a/internal/soak/disruptor/disruptor.go
+++ b/internal/soak/disruptor/disruptor.go
@@ -229,6 +229,9 @@
 	}
 	refuse := false
 	d.mu.Lock()
+	// An earlier connection may have had the address.
+	delete(d.refused, near.RemoteAddr().String())
+	delete(d.left, near.RemoteAddr().String())
 	for f := range d.faults {
 		refuse = refuse || f.Refuse && f.Match(from, to)
 	}
--- a/internal/soak/disruptor/disruptor_test.go
+++ b/internal/soak/disruptor/disruptor_test.go
@@ -218,3 +218,31 @@
 	at, ok := d.Left(conn.LocalAddr())
 	c.Check(ok && at.After(ended), qt.IsTrue)
 }
+
+// TestAddressAgain guards against what is known of an earlier connection being taken for a later one
+// from the same address.
+func TestAddressAgain(t *testing.T) {
+	c := qt.New(t)
+	d := Disruptor{refused: make(map[string]bool), left: make(map[string]time.Time)}
+	defer d.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	c.Assert(d.Listen("callers", "daemon", "127.0.0.1:0", ln.Addr().String()), qt.IsNil)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	local := free.Addr()
+	c.Assert(free.Close(), qt.IsNil)
+	d.mu.Lock()
+	d.refused[local.String()], d.left[local.String()] = true, time.Now()
+	d.mu.Unlock()
+	dialer := net.Dialer{LocalAddr: local}
+	conn, err := dialer.Dial("tcp", d.listeners[0].Listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	far, err := ln.Accept()
+	c.Assert(err, qt.IsNil)
+	defer far.Close()
+	_, left := d.Left(local)
+	c.Check(left || d.Refused(local), qt.IsFalse)
+}
