--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -50,6 +50,8 @@
 	EventMisdirected       = "misdirected"
 	EventSuspicionOver     = "suspicion_over"
 	EventEndpointCrashed   = "endpoint_crashed"
+	EventCrashUnconfirmed  = "crash_unconfirmed"
+	EventSpared            = "spared"
 	EventIsolated          = "isolated"
 	EventIsolationOver     = "isolation_over"
 	EventTable             = "table"
@@ -139,7 +141,9 @@
 	{EventProbeFailed, "endpoint, peer, error", "a peer did not answer whether an endpoint accepts connections"},
 	{EventMisdirected, "id, endpoint, pool, centre, length, confirmed", "another instance answered in place of the endpoint, which is gone, or the endpoint rejected the request so; for how long the endpoints of its pool and data centre that do not answer are suspect, so that others are preferred, and whether this answer confirmed an earlier one of another endpoint"},
 	{EventSuspicionOver, "endpoint, pool, centre", "two suspect endpoints of a pool and data centre answered, so the others are no longer suspect; the last one of them"},
-	{EventEndpointCrashed, "endpoint, keys", "an endpoint crashed, as peers confirm, while it may have been running a request; the keys that may be the cause: a hash of the request, and the parts of its prompt if the answer had begun"},
+	{EventEndpointCrashed, "endpoint, begun, lost, keys", "an endpoint crashed, as peers confirm, while it may have been running a request; whether the head of the answer had come, and whether the endpoint broke it off; the keys that may be the cause: a hash of the request, and the parts of its prompt if the answer had begun"},
+	{EventCrashUnconfirmed, "endpoint, refused, near, far", "an endpoint did not complete an answer or refused a connection, but is not known to have crashed: whether it refused a connection of this daemon, and what peers of its data centre and others saw (alive, ended, unknown; unanswered, also if there are none; none if it refused no connection)"},
+	{EventSpared, "key, crashes, counted, succeeded", "endpoints crashed often enough with a part of prompts in flight, but it is not isolated: the crashes, those that no success takes back, and the time since the last success, negative if there is none"},
 	{EventIsolated, "key, left", "endpoints crash by a request or a part of prompts, as the crashes seen here and by other daemons show: requests with the key are refused; for how long"},
 	{EventIsolationOver, "key", "requests with a key that was isolated are sent again"},
 	{EventTable, "version, routes, era, source_version", "a routing table came into force"},
--- a/internal/forward/forwarder/crash.go
+++ b/internal/forward/forwarder/crash.go
@@ -29,8 +29,9 @@
 // What daemons know of an endpoint that refused a connection. What is greater outweighs the
 // rest.
 const (
-	// processUnanswered means that a peer did not answer.
-	processUnanswered processState = iota - 1
+	// processNotAsked means that no peer was asked, processUnanswered that none answered.
+	processNotAsked processState = iota - 2
+	processUnanswered
 	// processUnknown means that the daemon can't tell.
 	processUnknown
 	// processEnded means that it refuses connections while other endpoints accept them.
@@ -55,6 +56,13 @@
 	}
 )
 
+// String returns the state as it is logged.
+func (s processState) String() string {
+	return map[processState]string{
+		processNotAsked: "none", processUnanswered: "unanswered", processUnknown: "unknown", processEnded: "ended", processAlive: "alive",
+	}[s]
+}
+
 // Register registers the handler of peers' questions. It must be called once the exported
 // fields are set, before the peers run.
 func (f *Forwarder) Register() {
@@ -111,25 +119,34 @@
 				f.Balancer.RecordFailure(h, true)
 			}
 		}
-		f.Isolator.FinishCheck(h, refused && f.processEnded(h))
+		near, far := processNotAsked, processNotAsked
+		crashed := refused
+		if refused {
+			near, far, crashed = f.processEnded(h)
+		}
+		if !crashed {
+			f.Log.Info().Str("event", logger.EventCrashUnconfirmed).Str("endpoint", h.ID).Bool("refused", refused).Stringer("near", near).Stringer("far", far).Send()
+		}
+		f.Isolator.FinishCheck(h, crashed)
 	})
 }
 
-// processEnded reports whether the process of an endpoint has ended, as peers see it or, if
-// there are none, this daemon itself. Peers may not be linked yet after a start.
-func (f *Forwarder) processEnded(h *samphireturn.Host) bool {
+// processEnded reports whether the process of an endpoint has ended, as peers of its data centre
+// and others see it or, if there are none, this daemon itself. Peers may not be linked yet after
+// a start.
+func (f *Forwarder) processEnded(h *samphireturn.Host) (seenNear, seenFar processState, crashed bool) {
 	ctx, cancel := context.WithTimeout(f.ctx, probeCallTimeout)
 	defer cancel()
 	for {
 		near, far := f.drawWitnesses(h.Centre)
-		seenNear, seenFar := f.askWitnesses(ctx, near, far, h)
+		seenNear, seenFar = f.askWitnesses(ctx, near, far, h)
 		switch {
 		case len(near)+len(far) == 0:
-			return f.reachesOther(ctx, h)
+			return processNotAsked, processNotAsked, f.reachesOther(ctx, h)
 		case seenNear != processUnanswered || seenFar != processUnanswered:
-			return ended(seenNear, seenFar, h.Centre == f.Self.Centre || len(near) == 0)
+			return seenNear, seenFar, ended(seenNear, seenFar, h.Centre == f.Self.Centre || len(near) == 0)
 		case !timekeeper.Sleep(ctx, witnessRetryTime):
-			return h.Centre == f.Self.Centre && f.reachesOther(f.ctx, h)
+			return seenNear, seenFar, h.Centre == f.Self.Centre && f.reachesOther(f.ctx, h)
 		}
 	}
 }
--- a/internal/forward/isolator/cause.go
+++ b/internal/forward/isolator/cause.go
@@ -146,6 +146,40 @@
 	return slices.Collect(maps.Values(byKey))
 }
 
+// logSpared logs the parts of candidates of a crash that are not isolated although MinCrashes or
+// more endpoints crashed with them in flight. The caller holds mu.
+func (o *Isolator) logSpared(candidates []candidate, now time.Duration) {
+	all, counted := make(map[Key]int), make(map[Key]int)
+	for _, in := range o.incidents() {
+		seen, mayCause := make(map[Key]bool), make(map[Key]bool)
+		for _, c := range in.all {
+			for _, k := range c.Keys {
+				seen[k], mayCause[k] = true, mayCause[k] || o.mayCause(c, k)
+			}
+		}
+		for k := range seen {
+			all[k]++
+			if mayCause[k] {
+				counted[k]++
+			}
+		}
+	}
+	logged := make(map[Key]bool)
+	for _, c := range candidates {
+		for _, k := range c.keys {
+			if k.isRequest() || all[k] < MinCrashes || o.isolated[k] > 0 || logged[k] {
+				continue
+			}
+			logged[k] = true
+			succeeded := time.Duration(-1)
+			if s, ok := o.successes[k]; ok {
+				succeeded = now - s.at
+			}
+			o.log.Info().Str("event", logger.EventSpared).Str("key", string(k)).Int("crashes", all[k]).Int("counted", counted[k]).Dur("succeeded", succeeded).Send()
+		}
+	}
+}
+
 // suspect adds to the suspicions that a key had a position in a crash of an incident.
 func (o *Isolator) suspect(byKey map[Key]*suspicion, k Key, incident, position int) {
 	s := byKey[k]
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -138,9 +138,9 @@
 	// candidate is a request whose answer ended without success. It was lost, unless this
 	// daemon gave it up.
 	candidate struct {
-		keys    []Key
-		endedAt time.Duration
-		lost    bool
+		keys        []Key
+		endedAt     time.Duration
+		begun, lost bool
 	}
 
 	// Answer is the answer of an endpoint to a request.
@@ -148,7 +148,8 @@
 		isolator *Isolator
 		endpoint string
 		keys     []Key
-		done     bool
+		// begun is true once the head of the answer has come.
+		begun, done bool
 	}
 )
 
@@ -218,7 +219,7 @@
 
 // Begin records that the endpoint began the answer to a prompt with parts. Parts crash
 // endpoints only then.
-func (a *Answer) Begin(parts []Key) { a.keys = append(a.keys, parts...) }
+func (a *Answer) Begin(parts []Key) { a.keys, a.begun = append(a.keys, parts...), true }
 
 // Cancel records that the endpoint did not run the request.
 func (a *Answer) Cancel() { a.done = true }
@@ -257,7 +258,7 @@
 	o := a.isolator
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.candidates[a.endpoint] = append(o.candidates[a.endpoint], candidate{a.keys, o.clock(), lost})
+	o.candidates[a.endpoint] = append(o.candidates[a.endpoint], candidate{a.keys, o.clock(), a.begun, lost})
 }
 
 // StartCheck reports whether the caller should find out if an endpoint has crashed: an answer
@@ -293,9 +294,10 @@
 		}
 		o.addCrash(Crash{ID: rand.Uint64(), Endpoint: h.ID, Keys: c.keys}, c.endedAt)
 		meter.CountCrash(false)
-		o.log.Warn().Str("event", logger.EventEndpointCrashed).Str("endpoint", h.ID).Any("keys", c.keys).Send()
+		o.log.Warn().Str("event", logger.EventEndpointCrashed).Str("endpoint", h.ID).Bool("begun", c.begun).Bool("lost", c.lost).Any("keys", c.keys).Send()
 	}
 	o.update(now)
+	o.logSpared(candidates, now)
 }
 
 // Since returns the observations that are newer than a change, and the number of the last
