Show that requests that crash endpoints before the head or after events are sent on

The soak's endpoints crashed 20 ms after they had flushed the head, and the tests' too, before any event: the only moment at which the parts of a prompt are recorded and no success is. They now also crash before the head and after four events, by the draw of the step (seeds keep their schedules). The judge checks what callers of sound requests lose meanwhile (LOST).

--- a/cmd/standin/server.go
+++ b/cmd/standin/server.go
@@ -60,8 +60,8 @@
 	w := &worker.Worker{
 		ID: s.ID, MaxInFlight: s.Slots, Events: s.Events, EventGap: s.Gap, WorkTime: s.Work, NameEvents: true,
 		Fault: func(_ int, r *http.Request) string {
-			if r.Header.Get(worker.CauseHeader) != "" {
-				return worker.FaultCrash
+			if fault := worker.CrashFault(r); fault != "" {
+				return fault
 			}
 			return faults.draw()
 		},
--- a/internal/soak/judge/checks.go
+++ b/internal/soak/judge/checks.go
@@ -21,6 +21,10 @@
 	// request after which maxCrashing more requests with it may reach endpoints.
 	partCrashes, requestCrashes, maxCrashing = 5, 3, 3
 	deniedShare                              = 1 / 500.0
+	// minNeighbours is the number of sound requests beside such ones, and in calm, from which on
+	// those must run at neighbourShare of the rate of these.
+	minNeighbours  = 20
+	neighbourShare = 0.5
 	// goneTime is the time after a caller left in which its request may still reach an
 	// endpoint.
 	goneTime = 500 * time.Millisecond
@@ -102,6 +106,7 @@
 	j.checkDeadlines(&v, runsByID)
 	j.checkCanaries(&v)
 	j.checkCrashes(&v)
+	j.checkNeighbours(&v, runsByID)
 	j.checkLateAnswers(&v)
 	j.checkBack(&v, runsByID)
 	return v.texts
@@ -164,6 +169,84 @@
 	return j.disrupted(r.Slot, r.ReceivedAt.Add(-j.Bounds.StableWindow), r.ReceivedAt, nil)
 }
 
+// checkNeighbours checks that requests that share all but the part that crashes endpoints with
+// requests that have it run as often as before, once these are known.
+func (j *Judge) checkNeighbours(v *violations, runsByID map[string][]*Run) {
+	type counts struct{ sent, ran int }
+	for cause, s := range j.crashSpans() {
+		var calm, beside counts
+		for _, id := range j.order {
+			q := j.requests[id]
+			if !q.sharesRoute(s.route) || q.EndedAt.IsZero() || !j.inTouch(q.Daemon, q.SentAt, q.EndedAt) {
+				continue
+			}
+			n := &beside
+			if !j.anyDisrupted(q.SentAt.Add(-j.Bounds.StableWindow), q.EndedAt) {
+				n = &calm
+			} else if q.SentAt.Before(s.from) || q.SentAt.After(s.to) {
+				continue
+			}
+			n.sent++
+			if runs := runsByID[id]; len(runs) > 0 && !runs[0].NotExecuted {
+				n.ran++
+			}
+		}
+		if min(calm.sent, beside.sent) >= minNeighbours && float64(beside.ran*calm.sent) < neighbourShare*float64(calm.ran*beside.sent) {
+			v.add("lost", "%d of %d sound requests ran at the first attempt beside requests with %s, and %d of %d in calm", beside.ran, beside.sent, cause, calm.ran, calm.sent)
+		}
+	}
+}
+
+// crashSpan is the time in which requests with a part that crashes endpoints come although that
+// is known.
+type crashSpan struct {
+	span
+	// route is the request that crashed an endpoint first.
+	route *Request
+}
+
+// crashSpans returns the spans of the parts that crash endpoints.
+func (j *Judge) crashSpans() map[string]crashSpan {
+	spans := make(map[string]crashSpan)
+	crashed := make(map[string]map[string]bool)
+	for i := range j.runs {
+		r := &j.runs[i]
+		q := j.requests[r.ID]
+		if q == nil || !q.CauseIsPart || r.NotExecuted || len(crashed[q.Cause]) == partCrashes {
+			continue
+		}
+		if crashed[q.Cause] == nil {
+			crashed[q.Cause] = make(map[string]bool)
+		}
+		crashed[q.Cause][r.Endpoint] = true
+		s := spans[q.Cause]
+		if s.route == nil {
+			s.route = q
+		}
+		s.from = r.ReceivedAt.Add(2 * j.Bounds.StableWindow)
+		spans[q.Cause] = s
+	}
+	for _, q := range j.requests {
+		if s, ok := spans[q.Cause]; ok && q.SentAt.After(s.to) {
+			s.to = q.SentAt
+			spans[q.Cause] = s
+		}
+	}
+	return spans
+}
+
+// sharesRoute reports whether a request that crashes no endpoint shares the route, the key and
+// the model with another one.
+func (r *Request) sharesRoute(other *Request) bool {
+	return other != nil && r.Cause == "" && r.Key == other.Key && r.Model == other.Model && r.Stream == other.Stream && firstSegment(r.Target) == firstSegment(other.Target)
+}
+
+// firstSegment returns the first segment of the path of a target.
+func firstSegment(target string) string {
+	first, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "/")
+	return first
+}
+
 // checkCrashes checks that requests that crash endpoints are not sent for ever.
 func (j *Judge) checkCrashes(v *violations) {
 	byCause := make(map[string][]*Run)
--- a/internal/soak/judge/judge.go
+++ b/internal/soak/judge/judge.go
@@ -2,6 +2,7 @@
 package judge
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -61,6 +62,8 @@
 		// true if that is a part of its prompt; Cause is empty if it crashes none.
 		Cause       string
 		CauseIsPart bool
+		// CrashFault is the fault by which the endpoints crash.
+		CrashFault string
 		// Forbidden is true for a request that no configuration allows.
 		Forbidden bool
 		// MaxAttempts bounds the endpoints that may run the request.
@@ -285,6 +288,11 @@
 	return false
 }
 
+// anyDisrupted reports whether any machine is disrupted at some moment of a span.
+func (j *Judge) anyDisrupted(from, to time.Time) bool {
+	return slices.ContainsFunc(j.disruptions, func(d *Disruption) bool { return d.From.Before(to) && (d.To.IsZero() || d.To.After(from)) })
+}
+
 // inTouch reports whether a daemon and the store were without disruption from
 // StableWindow before a span until its end.
 func (j *Judge) inTouch(daemon string, from, to time.Time) bool {
--- a/internal/soak/judge/judge_test.go
+++ b/internal/soak/judge/judge_test.go
@@ -48,6 +48,35 @@
 	j.disruptions = append(j.disruptions, &Disruption{Machine: machine, From: at(from), To: at(to)})
 }
 
+// neighbours records five crashes by a part of prompts until second 60, the last request with it in
+// second 70, 20 sound requests in calm, which run, and some beside the crashes, of which some run.
+func neighbours(j *Judge, beside, ran int) {
+	add := func(id string, sent time.Duration, cause string, runs bool) {
+		q := request(id, sent)
+		q.Target, q.Cause, q.CauseIsPart = "/draft/"+id, cause, cause != ""
+		q.Status, q.Seal, q.Answer = http.StatusBadGateway, "", ""
+		j.AddRequest(q)
+		if runs {
+			r := runOf(q, sent)
+			r.Endpoint += id
+			r.Header.Set("Expect-Instance", r.Endpoint)
+			j.AddRun(r)
+		}
+	}
+	const s = time.Second
+	for i := range 20 {
+		add("calm"+strconv.Itoa(i), 30*s, "", true)
+	}
+	for i := range 5 {
+		add("bad"+strconv.Itoa(i), 60*s-time.Duration(4-i)*s/10, "x", true)
+	}
+	add("last", 70*s, "x", false)
+	j.disrupt("e1", 59*s, 71*s)
+	for i := range beside {
+		add("beside"+strconv.Itoa(i), 67*s, "", i < ran)
+	}
+}
+
 // crash makes q crash its endpoint, by a part of its prompt or by itself, and records such requests
 // that crash more endpoints until second 21, and late ones from second 26 on.
 func crash(j *Judge, q *Request, isPart bool, crashes, late int) {
@@ -121,6 +150,9 @@
 			crash(j, q, true, 5, 4)
 			j.disrupt("d1", 24*s, 25*s)
 		}, ""},
+		{"sound requests beside crashes run", func(j *Judge, _ *Request, _ *Run) { neighbours(j, 20, 10) }, ""},
+		{"sound requests beside crashes don't run", func(j *Judge, _ *Request, _ *Run) { neighbours(j, 20, 9) }, "lost"},
+		{"few sound requests beside crashes", func(j *Judge, _ *Request, _ *Run) { neighbours(j, 19, 0) }, ""},
 		{"at an endpoint that left", func(j *Judge, _ *Request, _ *Run) { j.left["i1"] = at(18 * s) }, "drain"},
 		{"at an endpoint that left just now", func(j *Judge, _ *Request, _ *Run) { j.left["i1"] = at(18*s + 20*time.Millisecond) }, ""},
 		{"at an endpoint that left, daemon disrupted", func(j *Judge, _ *Request, _ *Run) {
--- a/internal/soak/runner/caller.go
+++ b/internal/soak/runner/caller.go
@@ -52,6 +52,13 @@
 	crashShare = 8
 )
 
+// requestCrashFaults and partCrashFaults are the faults of requests that crash endpoints by
+// themselves and by a part of their prompt.
+var (
+	requestCrashFaults = []string{worker.FaultCrash, worker.FaultCrashUnanswered}
+	partCrashFaults    = []string{worker.FaultCrash, worker.FaultCrashUnanswered, worker.FaultCrashEvents}
+)
+
 // caller sends one request after the other, over connections that it keeps.
 type caller struct {
 	runner *Runner
@@ -184,14 +191,17 @@
 }
 
 // crash makes q crash the endpoints that run it: by a part of its prompt, or by its target,
-// which all such requests of the step have.
+// which all such requests of the step have. The draw of the step tells at which moment of the
+// answer.
 func (c *caller) crash(q *judge.Request, s *planner.Step) {
 	q.Cause = fmt.Sprintf("crash%d", s.Draw)
+	moment := s.Draw / 2
 	if s.Draw%2 == 0 {
+		q.CrashFault = requestCrashFaults[moment%len(requestCrashFaults)]
 		q.Method, q.Target, q.Body = http.MethodGet, "/book/find/"+q.Cause, ""
 		return
 	}
-	q.CauseIsPart = true
+	q.CauseIsPart, q.CrashFault = true, partCrashFaults[moment%len(partCrashFaults)]
 	c.draft(q)
 	q.PromptPrefix = q.Cause + ":70," + q.PromptPrefix
 }
@@ -311,6 +321,7 @@
 	line(formatter.TokenCount, q.TokenCount)
 	line(formatter.PromptPrefix, q.PromptPrefix)
 	line(worker.CauseHeader, q.Cause)
+	line(worker.CrashHeader, q.CrashFault)
 	if q.LastEvent > 0 {
 		line(formatter.LastEventID, strconv.Itoa(q.LastEvent))
 	}
--- a/internal/soak/runner/runner_test.go
+++ b/internal/soak/runner/runner_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -38,6 +39,29 @@
 	}
 }
 
+// TestCrashes guards against prompt parts that crash one endpoint after the other, before the head
+// of the answer or after some events, so that in the end no sound request finds an endpoint.
+func TestCrashes(t *testing.T) {
+	c := qt.New(t)
+	bin := buildPrograms(c)
+	// The draws of these seeds make endpoints crash before the head and after events.
+	for _, seed := range []uint64{50, 54} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			c := qt.New(t)
+			var log bytes.Buffer
+			r := &Runner{
+				Seed: seed, Daemons: 8, Endpoints: 8, Callers: 40, Duration: 15 * time.Second, Dir: t.TempDir(), Log: &log,
+				Kinds:         []string{planner.RequestsCrash},
+				DaemonProgram: filepath.Join(bin, "samphireturnd"), StandinProgram: filepath.Join(bin, "standin"),
+			}
+			report, err := r.Run(t.Context())
+			c.Assert(err, qt.IsNil)
+			c.Check(report.Violations, qt.HasLen, 0, qt.Commentf("%v\n%s", report, log.String()))
+			t.Log(report)
+		})
+	}
+}
+
 // TestReplacement guards against a replacement that leaves a daemon out, or that a restart by
 // another step takes back. The two programs are the same one at two paths.
 func TestReplacement(t *testing.T) {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -50,8 +51,10 @@
 	FaultEndlessBody = "endless body"
 	// FaultCrash ends the server, by OnCrash, between the head and the body of the answer.
 	FaultCrash = "crash"
-	// FaultCrashUnanswered does so before the answer.
+	// FaultCrashUnanswered does so before the answer, and FaultCrashEvents after crashEvents
+	// events of a stream.
 	FaultCrashUnanswered = "crash unanswered"
+	FaultCrashEvents     = "crash events"
 	// FaultText answers 200 with a text instead of a stream, FaultNothing with nothing, and
 	// FaultErrorEvent with an event without an id. FaultRestarted begins a stream that is to
 	// be resumed with its first event again.
@@ -63,13 +66,21 @@
 	FaultBusy = "busy"
 )
 
-// crashDelay is the time between the head of an answer, or the request, and the crash of its
-// server.
-const crashDelay = 20 * time.Millisecond
+const (
+	// crashDelay is the time between the last bytes of an answer, or the request, and the
+	// crash of its server.
+	crashDelay = 20 * time.Millisecond
+	// crashEvents is the number of events before FaultCrashEvents.
+	crashEvents = 4
+)
 
-// CauseHeader is the header of requests that crash the servers that run them; its value tells
-// such requests apart.
-const CauseHeader = "X-Cause"
+const (
+	// CauseHeader is the header of requests that crash the servers that run them; its value
+	// tells such requests apart.
+	CauseHeader = "X-Cause"
+	// CrashHeader is the header of the fault by which they do; FaultCrash if it is missing.
+	CrashHeader = "X-Crash"
+)
 
 // endlessPart is the number of bytes that an endless answer sends at a time.
 const endlessPart = 8 << 10
@@ -302,8 +313,8 @@
 		return
 	case FaultRestarted:
 		run.LastEventID = ""
-	case FaultCrash, FaultCrashUnanswered:
-		s.crash(w, run)
+	case FaultCrash, FaultCrashUnanswered, FaultCrashEvents:
+		s.crash(w, r, run)
 	case FaultEncoded:
 		h.Set("Content-Encoding", "gzip")
 	case FaultEndlessHead, FaultEndlessBody:
@@ -335,11 +346,22 @@
 	}
 }
 
-// crash writes the head of an answer, or nothing, and ends the server.
-func (s *Worker) crash(w http.ResponseWriter, run Run) {
-	if run.Fault == FaultCrash {
+// CrashFault returns the fault of a request that crashes the server, "" for any other.
+func CrashFault(r *http.Request) string {
+	if r.Header.Get(CauseHeader) == "" {
+		return ""
+	}
+	return cmp.Or(r.Header.Get(CrashHeader), FaultCrash)
+}
+
+// crash writes a part of an answer, or nothing, and ends the server.
+func (s *Worker) crash(w http.ResponseWriter, r *http.Request, run Run) {
+	switch run.Fault {
+	case FaultCrash:
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
+	case FaultCrashEvents:
+		s.writeStream(w, r, run, run.Fault)
 	}
 	time.Sleep(crashDelay)
 	s.OnCrash(run)
@@ -360,7 +382,11 @@
 func (s *Worker) writeStream(w http.ResponseWriter, r *http.Request, run Run, fault string) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(run.LastEventID)
-	for i := first + 1; i <= s.Events; i++ {
+	last := s.Events
+	if fault == FaultCrashEvents {
+		last = min(last, first+crashEvents)
+	}
+	for i := first + 1; i <= last; i++ {
 		gap := s.EventGap * time.Duration(max(s.GapFactor[run.Model], 1))
 		if i > first+1 {
 			gap *= time.Duration(max(run.slowdown, 1))
