Count a crash against the parts of requests whose head has not come

Callers saw requests with a part that crashes endpoints passed on for as long as they came, and sound ones refused for want of an endpoint (BUDGET, LOST).

Cause: the keys of a prompt's parts were recorded once the head of the answer had arrived. An endpoint that ends as a process takes with it what it has not sent, so its crash had the key of the request alone, which no two requests share. The users' record shows it: most crashes without parts, only keys of requests isolated.

The keys are recorded when the request is sent.

--- a/internal/fleet/sharer/isolation_test.go
+++ b/internal/fleet/sharer/isolation_test.go
@@ -38,8 +38,8 @@
 					continue
 				}
 				h := &samphireturn.Host{ID: fmt.Sprint("h", seen)}
-				a := fl.daemons[vm.ID].isolator.Expect(h, isolator.RequestKey(fmt.Sprint(seen), "", nil))
-				a.Begin(keys)
+				a := fl.daemons[vm.ID].isolator.Expect(h, append([]isolator.Key{isolator.RequestKey(fmt.Sprint(seen), "", nil)}, keys...))
+				a.Begin()
 				a.Lose()
 				if fl.daemons[vm.ID].isolator.StartCheck(h) {
 					fl.daemons[vm.ID].isolator.FinishCheck(h, true)
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -340,7 +340,7 @@
 	host := reservation.Host
 	a := &attempt{
 		call: c, ctx: ctx, host: host, endpoint: host.ID, release: host.Release, balancer: c.Balancer, reservation: reservation, cancel: cancel,
-		resumes: c.begun || c.forPeer != nil && c.forPeer.Resumes, answer: c.Isolator.Expect(host, c.keys[0]),
+		resumes: c.begun || c.forPeer != nil && c.forPeer.Resumes, answer: c.Isolator.Expect(host, c.keys),
 	}
 	a.startWatchdog(limits)
 	attemptInfo := samphireturn.Attempt{Request: &c.request, Remaining: c.remaining(), Host: host, Team: c.team, LastEventID: c.lastEventID, Priority: -1}
@@ -394,7 +394,7 @@
 		}
 		return nil, errNotExecuted
 	}
-	a.answer.Begin(c.keys[1:])
+	a.answer.Begin()
 	return a, nil
 }
 
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -81,8 +81,7 @@
 		// ID tells apart observations.
 		ID       uint64 `cbor:"1,keyasint"`
 		Endpoint string `cbor:"2,keyasint"`
-		// Keys are that of the request and, if the answer had begun, those of the prompt's
-		// parts, in order.
+		// Keys are that of the request and those of the prompt's parts, in order.
 		Keys []Key `cbor:"3,keyasint"`
 		// Age is the time since the crash in microseconds.
 		Age int64 `cbor:"4,keyasint"`
@@ -208,18 +207,18 @@
 	return left
 }
 
-// Expect records that a request is sent to an endpoint. The caller must call Succeed, Lose,
-// Abandon or Cancel, of which the first call has an effect.
-func (o *Isolator) Expect(h *samphireturn.Host, request Key) *Answer {
-	return &Answer{isolator: o, endpoint: h.ID, keys: []Key{request}}
+// Expect records that a request is sent to an endpoint, which may crash by its keys from now on:
+// what it wrote before a crash need not arrive. The caller must call Succeed, Lose, Abandon or
+// Cancel, of which the first call has an effect.
+func (o *Isolator) Expect(h *samphireturn.Host, keys []Key) *Answer {
+	return &Answer{isolator: o, endpoint: h.ID, keys: keys}
 }
 
 // NoAnswer returns an Answer of which nothing is recorded.
 func NoAnswer() *Answer { return &Answer{done: true} }
 
-// Begin records that the endpoint began the answer to a prompt with parts. Parts crash
-// endpoints only then.
-func (a *Answer) Begin(parts []Key) { a.keys, a.begun = append(a.keys, parts...), true }
+// Begin records that the head of the answer has come.
+func (a *Answer) Begin() { a.begun = true }
 
 // Cancel records that the endpoint did not run the request.
 func (a *Answer) Cancel() { a.done = true }
--- a/internal/forward/isolator/isolator_test.go
+++ b/internal/forward/isolator/isolator_test.go
@@ -41,8 +41,8 @@
 // expect has an endpoint begin the answer to a prompt, in a request that does not come again.
 func (d *daemon) expect(h *samphireturn.Host, prompt string) *isolator.Answer {
 	d.requests++
-	a := d.Expect(h, isolator.RequestKey(fmt.Sprint(d.requests), "", nil))
-	a.Begin(keysOf(prompt))
+	a := d.Expect(h, append([]isolator.Key{isolator.RequestKey(fmt.Sprint(d.requests), "", nil)}, keysOf(prompt)...))
+	a.Begin()
 	return a
 }
 
@@ -174,8 +174,8 @@
 			for _, st := range test.steps {
 				d.now += st.after
 				h := &samphireturn.Host{ID: cmp.Or(st.endpoint, "e")}
-				a := d.Expect(h, isolator.RequestKey(st.request, "team", nil))
-				a.Begin(keysOf(st.prompt))
+				a := d.Expect(h, append([]isolator.Key{isolator.RequestKey(st.request, "team", nil)}, keysOf(st.prompt)...))
+				a.Begin()
 				if st.endpoint == "" {
 					a.Succeed()
 					continue
@@ -321,8 +321,9 @@
 	key := isolator.RequestKey("/a", "team", nil)
 	for i := range 5 {
 		h := &samphireturn.Host{ID: fmt.Sprint("e", i)}
-		a := d.Expect(h, isolator.RequestKey(fmt.Sprint(i), "other", nil))
-		a.Begin(isolator.PartKeys([]samphireturn.PromptPart{{ID: string(key)}, {ID: "own"}}))
+		parts := isolator.PartKeys([]samphireturn.PromptPart{{ID: string(key)}, {ID: "own"}})
+		a := d.Expect(h, append([]isolator.Key{isolator.RequestKey(fmt.Sprint(i), "other", nil)}, parts...))
+		a.Begin()
 		a.Lose()
 		d.recordCrash(h)
 	}
