Isolate no part by crashes whose other requests peers have not told yet

Cause: a part without a known success was isolated at the third crash, by what one daemon had in flight then. The class: a verdict by one daemon's view.

Before, after: TestPartialView, "peers may know more": b isolated; none.

--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -134,6 +134,7 @@
 	rolloutStager.Fleet = func() int { return len(k.Snapshot().Members) }
 	departures := recorder.New(k, b.Clock, serviceLog(b.Log, "recorder"))
 	crashIsolator := isolator.New(b.Clock, serviceLog(b.Log, "isolator"))
+	crashIsolator.HasPeers = func() bool { return len(k.Snapshot().Members) > 1 }
 	requestForwarder, err := b.newForwarder(k)
 	if err != nil {
 		return nil, err
--- a/internal/forward/isolator/cause.go
+++ b/internal/forward/isolator/cause.go
@@ -77,7 +77,7 @@
 		}
 		worst := slices.MaxFunc(suspicions, (*suspicion).compare)
 		n := len(worst.incidents)
-		if now-incidents[worst.incidents[MinCrashes-1]].at >= worst.settleTime() {
+		if now-incidents[worst.incidents[MinCrashes-1]].at >= o.settleTime(worst) {
 			causes[worst.key] = incidents[worst.incidents[n-MinCrashes]].at + CrashTTL
 		}
 		for _, i := range worst.incidents {
@@ -86,12 +86,17 @@
 	}
 }
 
-// settleTime returns how long after MinCrashes the key is isolated.
-func (s *suspicion) settleTime() time.Duration {
-	if len(s.incidents) >= sureCrashes || !s.succeeded && !s.key.isRequest() {
+// settleTime returns how long after MinCrashes the key of a suspicion is isolated.
+func (o *Isolator) settleTime(s *suspicion) time.Duration {
+	switch {
+	case len(s.incidents) >= sureCrashes:
+		return 0
+	case s.succeeded || s.key.isRequest():
+		return settleTime
+	case o.HasPeers == nil || !o.HasPeers():
 		return 0
 	}
-	return settleTime
+	return exchangeTime
 }
 
 // compare returns a positive number if s is likelier to be a cause than another one, and a
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -35,9 +35,11 @@
 	CrashTTL = 10 * time.Minute
 	// settleTime is how long after MinCrashes a request, or a part that succeeded before, is
 	// isolated, unless sureCrashes have come. Each request in flight at a crash may be the cause;
-	// peers tell meanwhile which others were, and which keys succeed.
-	settleTime  = time.Second
-	sureCrashes = 5
+	// peers tell meanwhile which others were, and which keys succeed. exchangeTime is the same
+	// for a part that is not known to have succeeded, if there are peers.
+	settleTime   = time.Second
+	exchangeTime = 500 * time.Millisecond
+	sureCrashes  = 5
 	// SuccessMargin is how long after a success no crash counts against a key: many
 	// endpoints may crash together by another cause.
 	SuccessMargin = 2 * time.Second
@@ -102,6 +104,10 @@
 
 	// Isolator is safe for concurrent use.
 	Isolator struct {
+		// HasPeers reports whether other daemons may have observations that have not arrived
+		// yet; nil means that there are none. It must be set before the first request.
+		HasPeers func() bool
+
 		clock func() time.Duration
 		log   zerolog.Logger
 
--- a/internal/forward/isolator/isolator_test.go
+++ b/internal/forward/isolator/isolator_test.go
@@ -439,3 +439,48 @@
 	}
 	c.Check(peer.isolated("x"), qt.Equals, "")
 }
+
+// TestPartialView guards against the isolation of a sound part by a daemon that has not heard yet
+// what else was in flight at the crashes that it saw.
+func TestPartialView(t *testing.T) {
+	const s = time.Second
+	tests := []struct {
+		name     string
+		hasPeers bool
+		crashes  int
+		// wait is the time after the last crash, and told is true if a peer tells meanwhile that
+		// the endpoints were running requests with the part x.
+		wait time.Duration
+		told bool
+		want string
+	}{
+		{"no peers", false, 3, 0, false, "b"},
+		{"peers may know more", true, 3, 0, false, ""},
+		{"a peer knows more", true, 3, 600 * time.Millisecond, true, "x"},
+		{"peers know no more", true, 3, 600 * time.Millisecond, false, "b"},
+		{"five crashes", true, 5, 0, false, "b"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d, peer := newDaemon(), newDaemon()
+			d.HasPeers = func() bool { return test.hasPeers }
+			for i := range test.crashes + 1 {
+				endpoint := fmt.Sprint("e", i)
+				if i < test.crashes {
+					d.now += s / 10
+					d.crash(endpoint, "b")
+				}
+				peer.now = d.now
+				peer.crash(endpoint, "x")
+			}
+			d.now += test.wait
+			if test.told {
+				told, _ := peer.Since(0)
+				d.Add(told)
+			}
+			d.Sweep()
+			c.Check(d.isolated("b x"), qt.Equals, test.want)
+		})
+	}
+}
