--- a/internal/forward/isolator/cause.go
+++ b/internal/forward/isolator/cause.go
@@ -77,7 +77,7 @@
 		}
 		worst := slices.MaxFunc(suspicions, (*suspicion).compare)
 		n := len(worst.incidents)
-		if now-incidents[worst.incidents[MinCrashes-1]].at >= o.settleTime(worst) {
+		if now >= o.settledAt(worst, incidents) {
 			causes[worst.key] = incidents[worst.incidents[n-MinCrashes]].at + CrashTTL
 		}
 		for _, i := range worst.incidents {
@@ -86,17 +86,20 @@
 	}
 }
 
-// settleTime returns how long after MinCrashes the key of a suspicion is isolated.
-func (o *Isolator) settleTime(s *suspicion) time.Duration {
-	switch {
-	case len(s.incidents) >= sureCrashes:
-		return 0
-	case s.succeeded || s.key.isRequest():
-		return settleTime
-	case o.HasPeers == nil || !o.HasPeers():
-		return 0
-	}
-	return exchangeTime
+// settledAt returns the time at which the key of a suspicion is isolated.
+func (o *Isolator) settledAt(s *suspicion, incidents []incident) time.Duration {
+	exchange := time.Duration(0)
+	if o.HasPeers != nil && o.HasPeers() {
+		exchange = exchangeTime
+	}
+	at := incidents[s.incidents[MinCrashes-1]].at
+	if !s.succeeded && !s.key.isRequest() {
+		return at + exchange
+	}
+	if len(s.incidents) < sureCrashes {
+		return at + settleTime
+	}
+	return min(at+settleTime, incidents[s.incidents[sureCrashes-1]].at+exchange)
 }
 
 // compare returns a positive number if s is likelier to be a cause than another one, and a
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -35,8 +35,8 @@
 	CrashTTL = 10 * time.Minute
 	// settleTime is how long after MinCrashes a request, or a part that succeeded before, is
 	// isolated, unless sureCrashes have come. Each request in flight at a crash may be the cause;
-	// peers tell meanwhile which others were, and which keys succeed. exchangeTime is the same
-	// for a part that is not known to have succeeded, if there are peers.
+	// peers tell meanwhile which others were, and which keys succeed. exchangeTime is how long
+	// their observations take: with peers, no key is isolated sooner.
 	settleTime   = time.Second
 	exchangeTime = 500 * time.Millisecond
 	sureCrashes  = 5
--- a/internal/forward/isolator/isolator_test.go
+++ b/internal/forward/isolator/isolator_test.go
@@ -458,7 +458,9 @@
 		{"peers may know more", true, 3, 0, false, ""},
 		{"a peer knows more", true, 3, 600 * time.Millisecond, true, "x"},
 		{"peers know no more", true, 3, 600 * time.Millisecond, false, "b"},
-		{"five crashes", true, 5, 0, false, "b"},
+		{"five crashes, peers may know more", true, 5, 0, false, ""},
+		{"five crashes, peers know no more", true, 5, 300 * time.Millisecond, false, "b"},
+		{"five crashes, no peers", false, 5, 0, false, "b"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
