Count an answer as a success once it has survived what crashes endpoints

Callers saw the same as with crashes before the head, if the endpoint wrote some events first (BUDGET, LOST).

Cause: three events made a success of all parts of a prompt, here and at all peers, and a success takes back the crashes before it and two seconds after. An answer that ended its endpoint took its own crash back, and was no longer in flight when it came. The class: a verdict on work that is not over.

An answer succeeds at its end. A stream that goes on succeeds for a key once it has lasted longer than endpoints took to crash with it (one second and twice that time), five seconds where no crash is known; crashes tell peers how long they took.

--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -13,7 +13,6 @@
 	"samphireturn/internal/core/logger"
 	"samphireturn/internal/core/meter"
 	"samphireturn/internal/core/timekeeper"
-	"samphireturn/internal/forward/isolator"
 )
 
 const (
@@ -291,8 +290,11 @@
 		if ended && a.endsInsideEvent(len(pending)-size, resumed) {
 			ended, err = false, io.ErrUnexpectedEOF
 		}
-		if a.events >= isolator.MinEvents || ended && a.events > 0 {
+		switch {
+		case ended && a.events > 0:
 			a.answer.Succeed()
+		case size > 0:
+			a.answer.Progress()
 		}
 		if ended {
 			// An answer without events is passed on too.
--- a/internal/forward/isolator/cause.go
+++ b/internal/forward/isolator/cause.go
@@ -32,13 +32,9 @@
 // update drops expired crashes and finds out which keys are isolated. The caller holds mu.
 func (o *Isolator) update(now time.Duration) {
 	maps.DeleteFunc(o.crashes, func(_ uint64, c *crash) bool { return now-c.at >= CrashTTL })
-	clear(o.suspects)
-	for _, c := range o.crashes {
-		for _, k := range c.Keys {
-			o.suspects[k] = true
-		}
-	}
-	isolated := o.causes(now)
+	incidents := o.incidents()
+	o.setSuspects(incidents)
+	isolated := o.causes(incidents, now)
 	for k := range o.isolated {
 		if _, ok := isolated[k]; !ok {
 			meter.CountIsolation(meter.IsolationEnded)
@@ -54,6 +50,26 @@
 	o.isolated = isolated
 }
 
+// setSuspects records the keys of all crashes. The request that crashed an endpoint is likelier to
+// be the one that it answered last. The caller holds mu.
+func (o *Isolator) setSuspects(incidents []incident) {
+	clear(o.suspects)
+	for _, in := range incidents {
+		shortest := make(map[Key]time.Duration)
+		for _, c := range in.all {
+			ran := time.Duration(c.Ran) * time.Microsecond
+			for _, k := range c.Keys {
+				if least, ok := shortest[k]; !ok || ran < least {
+					shortest[k] = ran
+				}
+			}
+		}
+		for k, ran := range shortest {
+			o.suspects[k] = max(o.suspects[k], survivedTime+survivedFactor*ran)
+		}
+	}
+}
+
 // mayCause reports whether a crash may be due to a key: no success is known since, or shortly
 // before. The caller holds mu.
 func (o *Isolator) mayCause(c *crash, k Key) bool {
@@ -66,9 +82,8 @@
 // succeeded goes first: with one that crashes endpoints, no answer succeeds. Of keys that explain
 // as many, a part goes before the request, since other requests have it too, and the part that comes
 // later in the prompts is more specific.
-func (o *Isolator) causes(now time.Duration) map[Key]time.Duration {
+func (o *Isolator) causes(incidents []incident, now time.Duration) map[Key]time.Duration {
 	causes := make(map[Key]time.Duration)
-	incidents := o.incidents()
 	explained := make([]bool, len(incidents))
 	for {
 		suspicions := o.suspicions(incidents, explained)
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -43,8 +43,16 @@
 	// SuccessMargin is how long after a success no crash counts against a key: many
 	// endpoints may crash together by another cause.
 	SuccessMargin = 2 * time.Second
-	// MinEvents is the number of events of a stream that make a success of it.
-	MinEvents = 3
+	// provenTime is how long after its head a stream that goes on counts as a success, as streams
+	// may last for minutes. For a key that crashes are known of it is survivedTime and
+	// survivedFactor times the longest time after the head at which an endpoint crashed with it.
+	// progressStep is the least time between two checks of a stream.
+	provenTime     = 5 * time.Second
+	survivedTime   = time.Second
+	survivedFactor = 2
+	progressStep   = 250 * time.Millisecond
+	// maxRan bounds the time after the head that a peer may tell.
+	maxRan = time.Hour
 	// maxCrashes bounds the crashes kept.
 	maxCrashes = 512
 	// maxSuccesses bounds the keys of which the last success is kept, successTTL is how long
@@ -87,6 +95,9 @@
 		Keys []Key `cbor:"3,keyasint"`
 		// Age is the time since the crash in microseconds.
 		Age int64 `cbor:"4,keyasint"`
+		// Ran is the time from the head of the answer to the crash in microseconds, 0 if the
+		// head had not come.
+		Ran int64 `cbor:"5,keyasint,omitempty"`
 	}
 
 	// Success is the last known success of an answer to a request with a key.
@@ -117,8 +128,9 @@
 		candidates map[string][]candidate
 		checking   map[string]time.Duration
 		crashes    map[uint64]*crash
-		// suspects holds the keys of all crashes.
-		suspects  map[Key]bool
+		// suspects holds the keys of all crashes, with the time after which an answer that goes
+		// on has survived what may crash endpoints.
+		suspects  map[Key]time.Duration
 		successes map[Key]success
 		// isolated holds when the isolation of a key ends.
 		isolated map[Key]time.Duration
@@ -146,6 +158,8 @@
 		keys        []Key
 		endedAt     time.Duration
 		begun, lost bool
+		// ran is the time from the head to the end; zero without a head.
+		ran time.Duration
 	}
 
 	// Answer is the answer of an endpoint to a request.
@@ -153,8 +167,10 @@
 		isolator *Isolator
 		endpoint string
 		keys     []Key
-		// begun is true once the head of the answer has come.
-		begun, done bool
+		// begun is true once the head of the answer has come, at begunAt. checkedAt is when
+		// the progress of the answer was last checked.
+		begun, done        bool
+		begunAt, checkedAt time.Duration
 	}
 )
 
@@ -163,7 +179,7 @@
 func New(clock func() time.Duration, log zerolog.Logger) *Isolator {
 	return &Isolator{
 		clock: clock, log: log, candidates: make(map[string][]candidate), checking: make(map[string]time.Duration),
-		crashes: make(map[uint64]*crash), suspects: make(map[Key]bool), successes: make(map[Key]success), isolated: make(map[Key]time.Duration),
+		crashes: make(map[uint64]*crash), suspects: make(map[Key]time.Duration), successes: make(map[Key]success), isolated: make(map[Key]time.Duration),
 	}
 }
 
@@ -224,12 +240,46 @@
 func NoAnswer() *Answer { return &Answer{done: true} }
 
 // Begin records that the head of the answer has come.
-func (a *Answer) Begin() { a.begun = true }
+func (a *Answer) Begin() {
+	if !a.done {
+		now := a.isolator.clock()
+		a.begun, a.begunAt, a.checkedAt = true, now, now
+	}
+}
+
+// Progress records that more of the answer arrived. The endpoint may still crash by it: an answer
+// that goes on is a success of the keys with which endpoints crash sooner, and no other.
+func (a *Answer) Progress() {
+	if a.done {
+		return
+	}
+	o := a.isolator
+	now := o.clock()
+	if now-a.checkedAt < progressStep {
+		return
+	}
+	a.checkedAt = now
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	changed := false
+	for _, k := range a.keys {
+		survived, ok := o.suspects[k]
+		if !ok {
+			survived = provenTime
+		}
+		if now-a.begunAt >= survived {
+			changed = o.addSuccess(k, now) || changed
+		}
+	}
+	if changed {
+		o.update(now)
+	}
+}
 
 // Cancel records that the endpoint did not run the request.
 func (a *Answer) Cancel() { a.done = true }
 
-// Succeed records that the answer, or enough of it, arrived.
+// Succeed records that the answer arrived.
 func (a *Answer) Succeed() {
 	if a.done {
 		return
@@ -263,7 +313,11 @@
 	o := a.isolator
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.candidates[a.endpoint] = append(o.candidates[a.endpoint], candidate{a.keys, o.clock(), a.begun, lost})
+	c := candidate{keys: a.keys, endedAt: o.clock(), begun: a.begun, lost: lost}
+	if a.begun {
+		c.ran = c.endedAt - a.begunAt
+	}
+	o.candidates[a.endpoint] = append(o.candidates[a.endpoint], c)
 }
 
 // StartCheck reports whether the caller should find out if an endpoint has crashed: an answer
@@ -297,7 +351,7 @@
 		if began-c.endedAt >= candidateTime {
 			continue
 		}
-		o.addCrash(Crash{ID: rand.Uint64(), Endpoint: h.ID, Keys: c.keys}, c.endedAt)
+		o.addCrash(Crash{ID: rand.Uint64(), Endpoint: h.ID, Keys: c.keys, Ran: c.ran.Microseconds()}, c.endedAt)
 		meter.CountCrash(false)
 		o.log.Warn().Str("event", logger.EventEndpointCrashed).Str("endpoint", h.ID).Bool("begun", c.begun).Bool("lost", c.lost).Any("keys", c.keys).Send()
 	}
@@ -354,7 +408,7 @@
 
 // valid reports whether a crash that a peer told is within the bounds.
 func valid(c Crash) bool {
-	if c.Age < 0 || c.Age >= CrashTTL.Microseconds() || len(c.Keys) > maxParts+1 {
+	if c.Age < 0 || c.Age >= CrashTTL.Microseconds() || c.Ran < 0 || c.Ran > maxRan.Microseconds() || len(c.Keys) > maxParts+1 {
 		return false
 	}
 	return !slices.ContainsFunc(c.Keys, func(k Key) bool { return len(k) > maxKeyLength })
@@ -379,7 +433,8 @@
 		if k.isRequest() {
 			ttl = requestSuccessTTL
 		}
-		return !o.suspects[k] && now-s.at >= ttl
+		_, suspect := o.suspects[k]
+		return !suspect && now-s.at >= ttl
 	})
 	if len(o.crashes) > 0 {
 		o.update(now)
@@ -391,7 +446,9 @@
 	o.changes++
 	o.crashes[c.ID] = &crash{Crash: c, at: at, change: o.changes}
 	for _, k := range c.Keys {
-		o.suspects[k] = true
+		if _, ok := o.suspects[k]; !ok {
+			o.suspects[k] = provenTime
+		}
 		// Peers may not know of the success.
 		if s, ok := o.successes[k]; ok && (s.change == 0 || s.at-s.toldAt >= successStep) {
 			o.tell(k, s)
@@ -434,7 +491,7 @@
 	}
 	s.at = max(s.at, at)
 	o.successes[k] = s
-	if !o.suspects[k] || s.change > 0 && s.at-s.toldAt < successStep {
+	if _, suspect := o.suspects[k]; !suspect || s.change > 0 && s.at-s.toldAt < successStep {
 		return false
 	}
 	o.tell(k, s)
--- a/internal/forward/isolator/isolator_test.go
+++ b/internal/forward/isolator/isolator_test.go
@@ -486,3 +486,41 @@
 		})
 	}
 }
+
+// TestProgress guards against an answer that counts as a success before the endpoint survived what
+// crashes others, and against long streams that never do.
+func TestProgress(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name string
+		// ran is the time from the head to each of two crashes, and lives that of a stream that goes
+		// on then. A third crash follows.
+		ran, lives time.Duration
+		want       string
+	}{
+		{"as long as before a crash", 100 * ms, 200 * ms, "x"},
+		{"longer", 100 * ms, 1300 * ms, ""},
+		{"crash late in the answer", 1000 * ms, 1300 * ms, "x"},
+		{"longer than before a late crash", 1000 * ms, 3300 * ms, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := newDaemon()
+			crashAfter := func(endpoint string) {
+				h := &samphireturn.Host{ID: endpoint}
+				a := d.expect(h, "x")
+				d.now += test.ran
+				a.Lose()
+				d.recordCrash(h)
+			}
+			crashAfter("e1")
+			crashAfter("e2")
+			a := d.expect(&samphireturn.Host{ID: "e4"}, "x")
+			d.now += test.lives
+			a.Progress()
+			crashAfter("e3")
+			c.Check(d.isolated("x"), qt.Equals, test.want)
+		})
+	}
+}
