--- a/internal/soak/runner/process.go
+++ b/internal/soak/runner/process.go
@@ -13,7 +13,8 @@
 	"time"
 )
 
-const maxLineBytes = 1 << 20
+// maxLineBytes bounds a line of a process, which may hold the longest body.
+const maxLineBytes = 8 << 20
 
 // process is a process that the runner started.
 type process struct {
