Clear a key by answers that outlast the crash, and not by crashes together

Cause: only complete answers cleared a key before its first crash, and rare parts have none within two seconds. What matters is whether another answer outlasted the one that the crash ended. Each success tells peers how long the answer had gone on (a field that earlier builds don't read; theirs mean complete). Of three endpoints or more that crash within 0.1 s, a key must have been at more than half. Requests sent to a process that was gone are no suspects. Observations take three report intervals, so keys wait 0.9 s for them, no longer 0.5 s.

--- a/internal/forward/isolator/cause.go
+++ b/internal/forward/isolator/cause.go
@@ -20,7 +20,7 @@
 	// suspicion is what speaks against a key.
 	suspicion struct {
 		key Key
-		// succeeded is true if an answer with the key is known to have succeeded.
+		// succeeded is true if an answer with the key is known to have been complete.
 		succeeded bool
 		// incidents are the indexes of those that the key may have caused, by time.
 		incidents []int
@@ -32,9 +32,13 @@
 // update drops expired crashes and finds out which keys are isolated. The caller holds mu.
 func (o *Isolator) update(now time.Duration) {
 	maps.DeleteFunc(o.crashes, func(_ uint64, c *crash) bool { return now-c.at >= CrashTTL })
-	incidents := o.incidents()
-	o.setSuspects(incidents)
-	isolated := o.causes(incidents, now)
+	clear(o.suspects)
+	for _, c := range o.crashes {
+		for _, k := range c.Keys {
+			o.suspects[k] = true
+		}
+	}
+	isolated := o.causes(now)
 	for k := range o.isolated {
 		if _, ok := isolated[k]; !ok {
 			meter.CountIsolation(meter.IsolationEnded)
@@ -50,31 +54,12 @@
 	o.isolated = isolated
 }
 
-// setSuspects records the keys of all crashes. The request that crashed an endpoint is likelier to
-// be the one that it answered last. The caller holds mu.
-func (o *Isolator) setSuspects(incidents []incident) {
-	clear(o.suspects)
-	for _, in := range incidents {
-		shortest := make(map[Key]time.Duration)
-		for _, c := range in.all {
-			ran := time.Duration(c.Ran) * time.Microsecond
-			for _, k := range c.Keys {
-				if least, ok := shortest[k]; !ok || ran < least {
-					shortest[k] = ran
-				}
-			}
-		}
-		for k, ran := range shortest {
-			o.suspects[k] = max(o.suspects[k], survivedTime+survivedFactor*ran)
-		}
-	}
-}
-
-// mayCause reports whether a crash may be due to a key: no success is known since, or shortly
-// before. The caller holds mu.
+// mayCause reports whether a crash may be due to a key: since the crash, or shortly before, no answer
+// with the key is known that went on for longer than the one that the crash ended. The caller
+// holds mu.
 func (o *Isolator) mayCause(c *crash, k Key) bool {
-	s, ok := o.successes[k]
-	return !ok || c.at >= s.at+SuccessMargin
+	s := o.success(k, c.clears())
+	return !s.known || c.at >= s.at+SuccessMargin
 }
 
 // causes returns the keys that are isolated, with the end of the isolation. The key that
@@ -82,8 +67,9 @@
 // succeeded goes first: with one that crashes endpoints, no answer succeeds. Of keys that explain
 // as many, a part goes before the request, since other requests have it too, and the part that comes
 // later in the prompts is more specific.
-func (o *Isolator) causes(incidents []incident, now time.Duration) map[Key]time.Duration {
+func (o *Isolator) causes(now time.Duration) map[Key]time.Duration {
 	causes := make(map[Key]time.Duration)
+	incidents := o.incidents()
 	explained := make([]bool, len(incidents))
 	for {
 		suspicions := o.suspicions(incidents, explained)
@@ -157,18 +143,67 @@
 		if explained[i] {
 			continue
 		}
-		for _, c := range in.all {
-			for position, k := range c.Keys {
-				if o.mayCause(c, k) {
-					o.suspect(byKey, k, i, position)
-				}
+		for k, c := range in.likeliest() {
+			if o.mayCause(c, k) {
+				o.suspect(byKey, k, i, slices.Index(c.Keys, k))
 			}
 		}
 	}
+	group, size := together(incidents)
+	for k, s := range byKey {
+		if o.isolated[k] == 0 {
+			s.dropMinorities(group, size)
+		}
+	}
 	maps.DeleteFunc(byKey, func(_ Key, s *suspicion) bool { return len(s.incidents) < MinCrashes })
 	return slices.Collect(maps.Values(byKey))
 }
 
+// likeliest returns for each key the observation of the answer with it that is likeliest to have
+// crashed the endpoint: the last but one that began, or the only one. An endpoint that crashes by
+// a request does so when it begins to answer, and one more may have come meanwhile.
+func (in *incident) likeliest() map[Key]*crash {
+	last, likeliest := make(map[Key]*crash), make(map[Key]*crash)
+	for _, c := range in.all {
+		for _, k := range c.Keys {
+			switch {
+			case last[k] == nil:
+				last[k], likeliest[k] = c, c
+			case c.Ran < last[k].Ran:
+				last[k], likeliest[k] = c, last[k]
+			case likeliest[k] == last[k] || c.Ran < likeliest[k].Ran:
+				likeliest[k] = c
+			}
+		}
+	}
+	return likeliest
+}
+
+// together groups the incidents by their time, and returns the group of each and the number of
+// incidents in each group.
+func together(incidents []incident) (group []int, size map[int]int) {
+	group, size = make([]int, len(incidents)), make(map[int]int)
+	first := 0
+	for i, in := range incidents {
+		if in.at-incidents[first].at >= togetherSpan {
+			first = i
+		}
+		group[i] = first
+		size[first]++
+	}
+	return group, size
+}
+
+// dropMinorities drops the incidents of a group of minTogether or more of which the key may have
+// caused no more than half: endpoints that crash together do so by another cause.
+func (s *suspicion) dropMinorities(group []int, size map[int]int) {
+	own := make(map[int]int)
+	for _, i := range s.incidents {
+		own[group[i]]++
+	}
+	s.incidents = slices.DeleteFunc(s.incidents, func(i int) bool { n := size[group[i]]; return n >= minTogether && 2*own[group[i]] <= n })
+}
+
 // logSpared logs the parts of candidates of a crash that are not isolated although MinCrashes or
 // more endpoints crashed with them in flight. The caller holds mu.
 func (o *Isolator) logSpared(candidates []candidate, now time.Duration) {
@@ -195,7 +230,7 @@
 			}
 			logged[k] = true
 			succeeded := time.Duration(-1)
-			if s, ok := o.successes[k]; ok {
+			if s := o.success(k, complete); s.known {
 				succeeded = now - s.at
 			}
 			o.log.Info().Str("event", logger.EventSpared).Str("key", string(k)).Int("crashes", all[k]).Int("counted", counted[k]).Dur("succeeded", succeeded).Send()
@@ -208,7 +243,7 @@
 	s := byKey[k]
 	if s == nil {
 		s = &suspicion{key: k}
-		_, s.succeeded = o.successes[k]
+		s.succeeded = o.success(k, complete).known
 		byKey[k] = s
 	}
 	if n := len(s.incidents); n == 0 || s.incidents[n-1] != incident {
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -13,6 +13,7 @@
 	"encoding/hex"
 	"io"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -38,17 +39,14 @@
 	// peers tell meanwhile which others were, and which keys succeed. exchangeTime is how long
 	// their observations take: with peers, no key is isolated sooner.
 	settleTime   = time.Second
-	exchangeTime = 500 * time.Millisecond
+	exchangeTime = 900 * time.Millisecond
 	sureCrashes  = 5
-	// SuccessMargin is how long after a success no crash counts against a key: many
-	// endpoints may crash together by another cause.
+	// SuccessMargin is how long after a success, or while an answer had gone on for long enough, no
+	// crash counts against a key: many endpoints may crash together by another cause.
 	SuccessMargin = 2 * time.Second
-	// provenTime is how long after its head a stream that goes on counts as a success, as streams
-	// may last for minutes. For a key that crashes are known of it is survivedTime and
-	// survivedFactor times the longest time after the head at which an endpoint crashed with it.
-	// progressStep is the least time between two checks of a stream.
-	provenTime     = 5 * time.Second
-	survivedTime   = time.Second
+	// survivedFactor times the time from the head of an answer to the crash of its endpoint is what
+	// another answer must have gone on for to clear its keys of the crash. progressStep is the
+	// least time between two records of an answer that goes on.
 	survivedFactor = 2
 	progressStep   = 250 * time.Millisecond
 	// maxRan bounds the time after the head that a peer may tell.
@@ -67,8 +65,11 @@
 	// candidateTime is how long after the end of an answer a crash of its endpoint may be due
 	// to it.
 	candidateTime = 500 * time.Millisecond
-	// crashSpan is the time in which observations of one endpoint are of one crash.
-	crashSpan = 1500 * time.Millisecond
+	// crashSpan is the time in which observations of one endpoint are of one crash, and
+	// togetherSpan that in which minTogether endpoints or more crash together.
+	crashSpan    = 1500 * time.Millisecond
+	togetherSpan = 100 * time.Millisecond
+	minTogether  = 3
 	// maxParts bounds the parts of one prompt, maxPartLength the length in bytes of a part's id
 	// that is used as it is, and maxKeyLength that of a key.
 	maxParts      = 16
@@ -81,6 +82,12 @@
 	hashSize      = 12
 )
 
+// levelTimes are the times of the levels of answers that go on. An answer that was complete has the
+// level complete.
+var levelTimes = [...]time.Duration{250 * time.Millisecond, time.Second, 4 * time.Second}
+
+const complete = level(len(levelTimes))
+
 type (
 	// Key identifies a part of a prompt or a request.
 	Key string
@@ -105,6 +112,9 @@
 		Key Key `cbor:"1,keyasint"`
 		// Age is the time since the success in microseconds.
 		Age int64 `cbor:"2,keyasint"`
+		// Survived is how long the answer had gone on after its head by then, in
+		// microseconds; 0 means that it was complete.
+		Survived int64 `cbor:"3,keyasint,omitempty"`
 	}
 
 	// Observations are what daemons tell each other.
@@ -128,10 +138,9 @@
 		candidates map[string][]candidate
 		checking   map[string]time.Duration
 		crashes    map[uint64]*crash
-		// suspects holds the keys of all crashes, with the time after which an answer that goes
-		// on has survived what may crash endpoints.
-		suspects  map[Key]time.Duration
-		successes map[Key]success
+		// suspects holds the keys of all crashes.
+		suspects  map[Key]bool
+		successes map[Key]*successes
 		// isolated holds when the isolation of a key ends.
 		isolated map[Key]time.Duration
 		// changes is the number of changes to the observations so far.
@@ -145,9 +154,17 @@
 		change uint64
 	}
 
-	// success is when an answer last succeeded; toldAt and change are those of the last one
-	// that peers are told.
+	// level tells how long an answer went on: for levelTimes of it, or to its end.
+	level int
+
+	// successes are the last successes of a key by level. An answer that reached a level reached
+	// those below too.
+	successes [complete + 1]success
+
+	// success is when an answer last succeeded, if known is true; toldAt and change are those of
+	// the last one that peers are told.
 	success struct {
+		known      bool
 		at, toldAt time.Duration
 		change     uint64
 	}
@@ -158,8 +175,9 @@
 		keys        []Key
 		endedAt     time.Duration
 		begun, lost bool
-		// ran is the time from the head to the end; zero without a head.
-		ran time.Duration
+		// sentAt is when the request was sent, and ran the time from the head to the end; zero
+		// without a head.
+		sentAt, ran time.Duration
 	}
 
 	// Answer is the answer of an endpoint to a request.
@@ -169,8 +187,8 @@
 		keys     []Key
 		// begun is true once the head of the answer has come, at begunAt. checkedAt is when
 		// the progress of the answer was last checked.
-		begun, done        bool
-		begunAt, checkedAt time.Duration
+		begun, done                bool
+		sentAt, begunAt, checkedAt time.Duration
 	}
 )
 
@@ -179,7 +197,7 @@
 func New(clock func() time.Duration, log zerolog.Logger) *Isolator {
 	return &Isolator{
 		clock: clock, log: log, candidates: make(map[string][]candidate), checking: make(map[string]time.Duration),
-		crashes: make(map[uint64]*crash), suspects: make(map[Key]time.Duration), successes: make(map[Key]success), isolated: make(map[Key]time.Duration),
+		crashes: make(map[uint64]*crash), suspects: make(map[Key]bool), successes: make(map[Key]*successes), isolated: make(map[Key]time.Duration),
 	}
 }
 
@@ -233,7 +251,7 @@
 // what it wrote before a crash need not arrive. The caller must call Succeed, Lose, Abandon or
 // Cancel, of which the first call has an effect.
 func (o *Isolator) Expect(h *samphireturn.Host, keys []Key) *Answer {
-	return &Answer{isolator: o, endpoint: h.ID, keys: keys}
+	return &Answer{isolator: o, endpoint: h.ID, keys: keys, sentAt: o.clock()}
 }
 
 // NoAnswer returns an Answer of which nothing is recorded.
@@ -248,7 +266,7 @@
 }
 
 // Progress records that more of the answer arrived. The endpoint may still crash by it: an answer
-// that goes on is a success of the keys with which endpoints crash sooner, and no other.
+// that goes on clears its keys of crashes that came sooner after the head, and of no others.
 func (a *Answer) Progress() {
 	if a.done {
 		return
@@ -261,19 +279,7 @@
 	a.checkedAt = now
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	changed := false
-	for _, k := range a.keys {
-		survived, ok := o.suspects[k]
-		if !ok {
-			survived = provenTime
-		}
-		if now-a.begunAt >= survived {
-			changed = o.addSuccess(k, now) || changed
-		}
-	}
-	if changed {
-		o.update(now)
-	}
+	o.succeed(a.keys, reached(now-a.begunAt), now)
 }
 
 // Cancel records that the endpoint did not run the request.
@@ -288,10 +294,14 @@
 	o := a.isolator
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := o.clock()
+	o.succeed(a.keys, complete, o.clock())
+}
+
+// succeed records that an answer with keys reached a level. The caller holds mu.
+func (o *Isolator) succeed(keys []Key, l level, now time.Duration) {
 	changed := false
-	for _, k := range a.keys {
-		changed = o.addSuccess(k, now) || changed
+	for _, k := range keys {
+		changed = o.addSuccess(k, l, now) || changed
 	}
 	if changed {
 		o.update(now)
@@ -313,7 +323,7 @@
 	o := a.isolator
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	c := candidate{keys: a.keys, endedAt: o.clock(), begun: a.begun, lost: lost}
+	c := candidate{keys: a.keys, sentAt: a.sentAt, endedAt: o.clock(), begun: a.begun, lost: lost}
 	if a.begun {
 		c.ran = c.endedAt - a.begunAt
 	}
@@ -347,8 +357,11 @@
 	candidates := o.candidates[h.ID]
 	delete(o.candidates, h.ID)
 	now := o.clock()
+	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return began-c.endedAt >= candidateTime })
+	ended := firstLoss(candidates)
 	for _, c := range candidates {
-		if began-c.endedAt >= candidateTime {
+		if c.sentAt > ended {
+			// It found the process gone.
 			continue
 		}
 		o.addCrash(Crash{ID: rand.Uint64(), Endpoint: h.ID, Keys: c.keys, Ran: c.ran.Microseconds()}, c.endedAt)
@@ -359,6 +372,17 @@
 	o.logSpared(candidates, now)
 }
 
+// firstLoss returns when the first of some answers was lost, or the latest time if none was.
+func firstLoss(candidates []candidate) time.Duration {
+	first := time.Duration(math.MaxInt64)
+	for _, c := range candidates {
+		if c.lost {
+			first = min(first, c.endedAt)
+		}
+	}
+	return first
+}
+
 // Since returns the observations that are newer than a change, and the number of the last
 // change.
 func (o *Isolator) Since(change uint64) (Observations, uint64) {
@@ -376,9 +400,7 @@
 		}
 	}
 	for k := range o.suspects {
-		if s := o.successes[k]; s.change > change {
-			told.Successes = append(told.Successes, Success{Key: k, Age: (now - s.toldAt).Microseconds()})
-		}
+		told.Successes = append(told.Successes, o.successes[k].since(k, change, now)...)
 	}
 	return told, o.changes
 }
@@ -398,9 +420,15 @@
 		}
 	}
 	for _, s := range told.Successes {
-		at := now - time.Duration(s.Age)*time.Microsecond
-		if s.Age >= 0 && len(s.Key) <= maxKeyLength && at-o.successes[s.Key].at >= successStep {
-			o.addSuccess(s.Key, at)
+		if s.Age < 0 || s.Survived < 0 || len(s.Key) > maxKeyLength {
+			continue
+		}
+		at, l := now-time.Duration(s.Age)*time.Microsecond, complete
+		if s.Survived > 0 {
+			l = reached(time.Duration(s.Survived) * time.Microsecond)
+		}
+		if known := o.success(s.Key, l); l >= 0 && (!known.known || at-known.at >= successStep) {
+			o.addSuccess(s.Key, l, at)
 		}
 	}
 	o.update(now)
@@ -428,13 +456,12 @@
 			delete(o.candidates, id)
 		}
 	}
-	maps.DeleteFunc(o.successes, func(k Key, s success) bool {
+	maps.DeleteFunc(o.successes, func(k Key, s *successes) bool {
 		ttl := successTTL
 		if k.isRequest() {
 			ttl = requestSuccessTTL
 		}
-		_, suspect := o.suspects[k]
-		return !suspect && now-s.at >= ttl
+		return !o.suspects[k] && now-s[0].at >= ttl
 	})
 	if len(o.crashes) > 0 {
 		o.update(now)
@@ -446,12 +473,12 @@
 	o.changes++
 	o.crashes[c.ID] = &crash{Crash: c, at: at, change: o.changes}
 	for _, k := range c.Keys {
-		if _, ok := o.suspects[k]; !ok {
-			o.suspects[k] = provenTime
-		}
-		// Peers may not know of the success.
-		if s, ok := o.successes[k]; ok && (s.change == 0 || s.at-s.toldAt >= successStep) {
-			o.tell(k, s)
+		o.suspects[k] = true
+		// Peers may not know of the successes.
+		if s := o.successes[k]; s != nil {
+			for l := range s {
+				o.tell(s, level(l))
+			}
 		}
 	}
 	if len(o.crashes) > maxCrashes {
@@ -479,28 +506,87 @@
 	return 0
 }
 
-// addSuccess records a success, and reports whether it matters to what is isolated. The
-// caller holds mu.
-func (o *Isolator) addSuccess(k Key, at time.Duration) (changed bool) {
-	s, ok := o.successes[k]
-	if !ok && len(o.successes) >= maxSuccesses {
-		for other := range o.successes {
-			delete(o.successes, other)
-			break
+// addSuccess records that an answer reached a level, and reports whether it matters to what is
+// isolated. The caller holds mu.
+func (o *Isolator) addSuccess(k Key, l level, at time.Duration) (changed bool) {
+	if l < 0 {
+		return false
+	}
+	s := o.successes[k]
+	if s == nil {
+		if len(o.successes) >= maxSuccesses {
+			for other := range o.successes {
+				delete(o.successes, other)
+				break
+			}
 		}
+		s = new(successes)
+		o.successes[k] = s
 	}
-	s.at = max(s.at, at)
-	o.successes[k] = s
-	if _, suspect := o.suspects[k]; !suspect || s.change > 0 && s.at-s.toldAt < successStep {
+	for i := range l + 1 {
+		s[i].at = max(s[i].at, at)
+		s[i].known = true
+	}
+	return o.suspects[k] && o.tell(s, l)
+}
+
+// tell marks the success of a level as one to tell peers, unless one that is hardly older is.
+// The caller holds mu.
+func (o *Isolator) tell(s *successes, l level) bool {
+	if !s[l].known || s[l].change > 0 && s[l].at-s[l].toldAt < successStep {
 		return false
 	}
-	o.tell(k, s)
+	o.changes++
+	s[l].toldAt, s[l].change = s[l].at, o.changes
 	return true
 }
 
-// tell marks a success as one to tell peers. The caller holds mu.
-func (o *Isolator) tell(k Key, s success) {
-	o.changes++
-	s.toldAt, s.change = s.at, o.changes
-	o.successes[k] = s
+// success returns the last success of a key at a level. The caller holds mu.
+func (o *Isolator) success(k Key, l level) success {
+	if s := o.successes[k]; s != nil && l >= 0 {
+		return s[l]
+	}
+	return success{}
+}
+
+// since returns the successes of a key that peers are told and that are newer than a change, but
+// for those that one of a higher level implies.
+func (s *successes) since(k Key, change uint64, now time.Duration) (told []Success) {
+	if s == nil {
+		return nil
+	}
+	newest := time.Duration(-1)
+	for l := complete; l >= 0; l-- {
+		if s[l].change <= change || newest >= 0 && s[l].toldAt <= newest {
+			continue
+		}
+		newest = s[l].toldAt
+		t := Success{Key: k, Age: (now - s[l].toldAt).Microseconds()}
+		if l < complete {
+			t.Survived = levelTimes[l].Microseconds()
+		}
+		told = append(told, t)
+	}
+	return told
+}
+
+// reached returns the level of an answer that goes on after a time since its head; negative for
+// none.
+func reached(ran time.Duration) level {
+	l := level(-1)
+	for int(l+1) < len(levelTimes) && ran >= levelTimes[l+1] {
+		l++
+	}
+	return l
+}
+
+// clears returns the level that clears a key of a crash.
+func (c *crash) clears() level {
+	need := survivedFactor * time.Duration(c.Ran) * time.Microsecond
+	for l, t := range levelTimes {
+		if t >= need {
+			return level(l)
+		}
+	}
+	return complete
 }
