Keep crashes that no daemon can tell from a cut until one can

Callers saw: sound requests refused as request_isolated, and requests with a part that crashes endpoints sent on, when endpoints crash together.

Cause: while no daemon reaches any endpoint, witnesses answer "unknown", and the daemon threw the observations away as if the endpoint lived. Bystanders whose daemons finished their checks later were then the only explanation of the crashes.

Change: such observations are kept for ten seconds and told as undecided. They count once any daemon confirms a crash of that endpoint at that time; the check goes on for six seconds, and a later process listed at the address decides it too.

--- a/internal/forward/forwarder/crash.go
+++ b/internal/forward/forwarder/crash.go
@@ -21,6 +21,11 @@
 	probeCallTimeout = sender.DialTimeout*2 + 200*time.Millisecond
 	// witnessRetryTime is the time until peers are asked again if none answered.
 	witnessRetryTime = 100 * time.Millisecond
+	// undecidedTime is how long a check goes on while nobody can tell a crash from a cut, as no daemon
+	// reaches any endpoint, and maxUndecidedWait bounds the time until peers are asked again; it
+	// doubles from witnessRetryTime.
+	undecidedTime    = 6 * time.Second
+	maxUndecidedWait = time.Second
 	// maxWitnesses is the number of peers of the endpoint's data centre, and of the others,
 	// that are asked about one endpoint.
 	maxWitnesses = 2
@@ -122,7 +127,7 @@
 		near, far := processNotAsked, processNotAsked
 		crashed := refused
 		if refused {
-			near, far, crashed = f.processEnded(h)
+			near, far, crashed = f.decideCrash(h)
 		}
 		if !crashed {
 			f.Log.Info().Str("event", logger.EventCrashUnconfirmed).Str("endpoint", h.ID).Bool("refused", refused).Stringer("near", near).Stringer("far", far).Send()
@@ -131,6 +136,33 @@
 	})
 }
 
+// decideCrash is processEnded, repeated while nobody can tell: all endpoints may have crashed
+// together, and the first that is back shows that it was no cut.
+func (f *Forwarder) decideCrash(h *samphireturn.Host) (seenNear, seenFar processState, crashed bool) {
+	wait := witnessRetryTime
+	for end := f.Clock() + undecidedTime; ; wait = min(2*wait, maxUndecidedWait) {
+		near, far, crashed := f.processEnded(h)
+		if !crashed && f.replaced(h) {
+			return near, far, true
+		}
+		if crashed || near == processAlive || far == processAlive || f.Clock() >= end {
+			return near, far, crashed
+		}
+		f.Isolator.Undecided(h)
+		if !timekeeper.Sleep(f.ctx, wait) {
+			return near, far, false
+		}
+	}
+}
+
+// replaced reports whether a later process is listed at the address of an endpoint.
+func (f *Forwarder) replaced(h *samphireturn.Host) bool {
+	v := f.currentView()
+	return v != nil && slices.ContainsFunc(v.Hosts[h.Pool], func(other *samphireturn.Host) bool {
+		return other.Addr == h.Addr && other.Started > h.Started
+	})
+}
+
 // processEnded reports whether the process of an endpoint has ended, as peers of its data centre
 // and others see it or, if there are none, this daemon itself. Peers may not be linked yet after
 // a start.
--- a/internal/forward/isolator/cause.go
+++ b/internal/forward/isolator/cause.go
@@ -31,7 +31,10 @@
 
 // update drops expired crashes and finds out which keys are isolated. The caller holds mu.
 func (o *Isolator) update(now time.Duration) {
-	maps.DeleteFunc(o.crashes, func(_ uint64, c *crash) bool { return now-c.at >= CrashTTL })
+	o.decide()
+	maps.DeleteFunc(o.crashes, func(_ uint64, c *crash) bool {
+		return now-c.at >= CrashTTL || c.undecided && now-c.at >= undecidedTTL
+	})
 	clear(o.suspects)
 	for _, c := range o.crashes {
 		for _, k := range c.Keys {
@@ -54,6 +57,22 @@
 	o.isolated = isolated
 }
 
+// decide confirms the undecided crashes of endpoints of which a crash at that time is known. The
+// caller holds mu.
+func (o *Isolator) decide() {
+	known := make(map[string][]time.Duration)
+	for _, c := range o.crashes {
+		if !c.undecided {
+			known[c.Endpoint] = append(known[c.Endpoint], c.at)
+		}
+	}
+	for _, c := range o.crashes {
+		if c.undecided && slices.ContainsFunc(known[c.Endpoint], func(at time.Duration) bool { return (c.at - at).Abs() < crashSpan }) {
+			o.confirm(c)
+		}
+	}
+}
+
 // mayCause reports whether a crash may be due to a key: since the crash, or shortly before, no answer
 // with the key is known that went on for longer than the one that the crash ended. The caller
 // holds mu.
@@ -90,7 +109,7 @@
 // settledAt returns the time at which the key of a suspicion is isolated.
 func (o *Isolator) settledAt(s *suspicion, incidents []incident) time.Duration {
 	exchange := time.Duration(0)
-	if o.HasPeers != nil && o.HasPeers() {
+	if o.hasPeers() {
 		exchange = exchangeTime
 	}
 	at := incidents[s.incidents[MinCrashes-1]].at
@@ -119,9 +138,10 @@
 	)
 }
 
-// incidents returns the crashes, each with all observations of it, by time.
+// incidents returns the crashes that are not undecided, each with all observations of it, by time.
 func (o *Isolator) incidents() []incident {
 	all := slices.SortedFunc(maps.Values(o.crashes), func(a, b *crash) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.ID, b.ID)) })
+	all = slices.DeleteFunc(all, func(c *crash) bool { return c.undecided })
 	var incidents []incident
 	latest := make(map[string]int)
 	for _, c := range all {
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -49,6 +49,8 @@
 	// least time between two records of an answer that goes on.
 	survivedFactor = 2
 	progressStep   = 250 * time.Millisecond
+	// undecidedTTL is how long a crash is kept that no daemon can tell from a cut of the network.
+	undecidedTTL = 10 * time.Second
 	// maxRan bounds the time after the head that a peer may tell.
 	maxRan = time.Hour
 	// maxCrashes bounds the crashes kept.
@@ -121,6 +123,9 @@
 	Observations struct {
 		Crashes   []Crash   `cbor:"1,keyasint,omitempty"`
 		Successes []Success `cbor:"2,keyasint,omitempty"`
+		// Undecided are crashes that the observer can't tell from a cut of the network. They
+		// count once any daemon confirms one of the same endpoint and time.
+		Undecided []Crash `cbor:"3,keyasint,omitempty"`
 	}
 
 	// Isolator is safe for concurrent use.
@@ -133,10 +138,10 @@
 		log   zerolog.Logger
 
 		mu sync.Mutex
-		// candidates holds the requests that their endpoints may have run and did not answer, by
-		// endpoint id, and checking when a check of the endpoint for them began.
+		// candidates holds the requests that their endpoints may have run and did not answer, and
+		// checking the checks of endpoints for them, by endpoint id.
 		candidates map[string][]candidate
-		checking   map[string]time.Duration
+		checking   map[string]*check
 		crashes    map[uint64]*crash
 		// suspects holds the keys of all crashes.
 		suspects  map[Key]bool
@@ -147,11 +152,22 @@
 		changes uint64
 	}
 
-	// crash is a Crash with the time of the crash and the number of the change that added it.
+	// crash is a Crash with the time of the crash and the number of the change that added or
+	// confirmed it.
 	crash struct {
 		Crash
-		at     time.Duration
-		change uint64
+		at        time.Duration
+		change    uint64
+		undecided bool
+	}
+
+	// check is the search for the end of an endpoint's process.
+	check struct {
+		began time.Duration
+		// lostAt is when the first answer was lost that the check has recorded, and undecided are
+		// its crashes that are not confirmed yet.
+		lostAt    time.Duration
+		undecided []uint64
 	}
 
 	// level tells how long an answer went on: for levelTimes of it, or to its end.
@@ -196,7 +212,7 @@
 // suspended.
 func New(clock func() time.Duration, log zerolog.Logger) *Isolator {
 	return &Isolator{
-		clock: clock, log: log, candidates: make(map[string][]candidate), checking: make(map[string]time.Duration),
+		clock: clock, log: log, candidates: make(map[string][]candidate), checking: make(map[string]*check),
 		crashes: make(map[uint64]*crash), suspects: make(map[Key]bool), successes: make(map[Key]*successes), isolated: make(map[Key]time.Duration),
 	}
 }
@@ -339,37 +355,74 @@
 	if _, ok := o.checking[h.ID]; ok || !slices.ContainsFunc(o.candidates[h.ID], func(c candidate) bool { return now-c.endedAt < candidateTime }) {
 		return false
 	}
-	o.checking[h.ID] = now
+	o.checking[h.ID] = &check{began: now, lostAt: math.MaxInt64}
 	return true
 }
 
+// Undecided records that an endpoint under check may have crashed, which can't be told yet from a
+// cut of the network. The check goes on.
+func (o *Isolator) Undecided(h *samphireturn.Host) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.record(h, true)
+	o.update(o.clock())
+}
+
 // FinishCheck ends the check of an endpoint and records whether its process had ended when the
 // check began. If it had not, the answers that were lost had another cause.
 func (o *Isolator) FinishCheck(h *samphireturn.Host, crashed bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	began := o.checking[h.ID]
-	delete(o.checking, h.ID)
+	defer delete(o.checking, h.ID)
 	if !crashed {
 		o.candidates[h.ID] = slices.DeleteFunc(o.candidates[h.ID], func(c candidate) bool { return c.lost })
 		return
 	}
-	candidates := o.candidates[h.ID]
-	delete(o.candidates, h.ID)
+	for _, id := range o.checking[h.ID].undecided {
+		if c := o.crashes[id]; c != nil {
+			o.confirm(c)
+		}
+	}
+	candidates := o.record(h, false)
 	now := o.clock()
-	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return began-c.endedAt >= candidateTime })
-	ended := firstLoss(candidates)
+	o.update(now)
+	o.logSpared(candidates, now)
+}
+
+// record adds the crashes of the candidates of an endpoint under check and returns them. The
+// caller holds mu.
+func (o *Isolator) record(h *samphireturn.Host, undecided bool) []candidate {
+	ch := o.checking[h.ID]
+	candidates := slices.DeleteFunc(o.candidates[h.ID], func(c candidate) bool { return ch.began-c.endedAt >= candidateTime })
+	delete(o.candidates, h.ID)
+	ch.lostAt = min(ch.lostAt, firstLoss(candidates))
 	for _, c := range candidates {
-		if c.sentAt > ended {
+		if c.sentAt > ch.lostAt {
 			// It found the process gone.
 			continue
 		}
-		o.addCrash(Crash{ID: rand.Uint64(), Endpoint: h.ID, Keys: c.keys, Ran: c.ran.Microseconds()}, c.endedAt)
-		meter.CountCrash(false)
-		o.log.Warn().Str("event", logger.EventEndpointCrashed).Str("endpoint", h.ID).Bool("begun", c.begun).Bool("lost", c.lost).Any("keys", c.keys).Send()
+		id := rand.Uint64()
+		o.addCrash(&crash{
+			Crash: Crash{ID: id, Endpoint: h.ID, Keys: c.keys, Ran: c.ran.Microseconds()}, at: c.endedAt, undecided: undecided,
+		})
+		if undecided {
+			ch.undecided = append(ch.undecided, id)
+		} else {
+			meter.CountCrash(false)
+		}
+		o.log.Warn().Str("event", logger.EventEndpointCrashed).Str("endpoint", h.ID).Bool("undecided", undecided).Bool("begun", c.begun).Bool("lost", c.lost).
+			Any("keys", c.keys).Send()
 	}
-	o.update(now)
-	o.logSpared(candidates, now)
+	return candidates
+}
+
+// confirm marks a crash as one that is known not to be a cut. The caller holds mu.
+func (o *Isolator) confirm(c *crash) {
+	if !c.undecided {
+		return
+	}
+	o.changes++
+	c.undecided, c.change = false, o.changes
 }
 
 // firstLoss returns when the first of some answers was lost, or the latest time if none was.
@@ -396,7 +449,11 @@
 	for _, c := range o.crashes {
 		if c.change > change {
 			c.Age = (now - c.at).Microseconds()
-			told.Crashes = append(told.Crashes, c.Crash)
+			if c.undecided {
+				told.Undecided = append(told.Undecided, c.Crash)
+			} else {
+				told.Crashes = append(told.Crashes, c.Crash)
+			}
 		}
 	}
 	for k := range o.suspects {
@@ -407,17 +464,17 @@
 
 // Add adds the observations that a peer told.
 func (o *Isolator) Add(told Observations) {
-	if len(told.Crashes) == 0 && len(told.Successes) == 0 {
+	if len(told.Crashes) == 0 && len(told.Successes) == 0 && len(told.Undecided) == 0 {
 		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clock()
 	for _, c := range told.Crashes {
-		if _, ok := o.crashes[c.ID]; !ok && valid(c) {
-			o.addCrash(c, now-time.Duration(c.Age)*time.Microsecond)
-			meter.CountCrash(true)
-		}
+		o.addTold(c, now, false)
+	}
+	for _, c := range told.Undecided {
+		o.addTold(c, now, true)
 	}
 	for _, s := range told.Successes {
 		if s.Age < 0 || s.Survived < 0 || len(s.Key) > maxKeyLength {
@@ -434,6 +491,27 @@
 	o.update(now)
 }
 
+// addTold adds a crash that a peer told, or confirms it. The caller holds mu.
+func (o *Isolator) addTold(c Crash, now time.Duration, undecided bool) {
+	if known := o.crashes[c.ID]; known != nil {
+		if !undecided {
+			o.confirm(known)
+		}
+		return
+	}
+	age := time.Duration(c.Age) * time.Microsecond
+	if !valid(c) || undecided && age >= undecidedTTL {
+		return
+	}
+	o.addCrash(&crash{Crash: c, at: now - age, undecided: undecided})
+	if !undecided {
+		meter.CountCrash(true)
+	}
+}
+
+// hasPeers reports whether other daemons may have observations that have not arrived yet.
+func (o *Isolator) hasPeers() bool { return o.HasPeers != nil && o.HasPeers() }
+
 // valid reports whether a crash that a peer told is within the bounds.
 func valid(c Crash) bool {
 	if c.Age < 0 || c.Age >= CrashTTL.Microseconds() || c.Ran < 0 || c.Ran > maxRan.Microseconds() || len(c.Keys) > maxParts+1 {
@@ -469,9 +547,10 @@
 }
 
 // addCrash adds a crash. The caller holds mu.
-func (o *Isolator) addCrash(c Crash, at time.Duration) {
+func (o *Isolator) addCrash(c *crash) {
 	o.changes++
-	o.crashes[c.ID] = &crash{Crash: c, at: at, change: o.changes}
+	c.change = o.changes
+	o.crashes[c.ID] = c
 	for _, k := range c.Keys {
 		o.suspects[k] = true
 		// Peers may not know of the successes.
@@ -486,8 +565,9 @@
 	}
 }
 
-// dropCrash drops the crash that matters least: one that all its keys succeeded after, rather
-// than one without an isolated key, and of the same kind the oldest. The caller holds mu.
+// dropCrash drops the crash that matters least: one that is undecided or that all its keys
+// succeeded after, rather than one without an isolated key, and of the same kind the oldest. The
+// caller holds mu.
 func (o *Isolator) dropCrash() {
 	least := slices.MinFunc(slices.Collect(maps.Values(o.crashes)), func(a, b *crash) int {
 		return cmp.Or(cmp.Compare(o.importance(a), o.importance(b)), cmp.Compare(a.at, b.at))
@@ -498,6 +578,8 @@
 // importance returns how much a crash matters to what is isolated. The caller holds mu.
 func (o *Isolator) importance(c *crash) int {
 	switch {
+	case c.undecided:
+		return 0
 	case slices.ContainsFunc(c.Keys, func(k Key) bool { return o.isolated[k] > 0 }):
 		return 2
 	case slices.ContainsFunc(c.Keys, func(k Key) bool { return o.mayCause(c, k) }):
--- a/internal/forward/isolator/isolator_test.go
+++ b/internal/forward/isolator/isolator_test.go
@@ -491,6 +491,71 @@
 	}
 }
 
+// TestUndecided guards against crashes that are forgotten because no daemon can tell them from a cut of
+// the network at first: what was in flight counts once any daemon confirms the crash, and
+// nothing is isolated before.
+func TestUndecided(t *testing.T) {
+	const (
+		confirmedHere = iota
+		confirmedByPeer
+		confirmedLate
+		notConfirmed
+	)
+	tests := []struct {
+		name      string
+		confirmed int
+		want      string
+	}{
+		{"confirmed here", confirmedHere, "x"},
+		{"confirmed by a peer that saw another request", confirmedByPeer, "x"},
+		{"confirmed after it was dropped", confirmedLate, ""},
+		{"not confirmed", notConfirmed, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d, peer := newDaemon(), newDaemon()
+			for _, one := range []*daemon{d, peer} {
+				one.HasPeers = func() bool { return true }
+			}
+			var endpoints []*samphireturn.Host
+			for i := range isolator.MinCrashes {
+				h := &samphireturn.Host{ID: fmt.Sprint("e", i)}
+				endpoints = append(endpoints, h)
+				d.expect(h, "a x").Lose()
+				peer.expect(h, "a b").Lose()
+				for _, one := range []*daemon{d, peer} {
+					c.Assert(one.StartCheck(h), qt.IsTrue)
+					one.Undecided(h)
+					one.now += time.Second
+				}
+			}
+			tell(d, peer, 0, time.Millisecond)
+			c.Check(d.isolated("a b x")+peer.isolated("a b x"), qt.Equals, "")
+			if test.confirmed == confirmedLate {
+				d.now, peer.now = d.now+10*time.Second, peer.now+10*time.Second
+				d.Sweep()
+				peer.Sweep()
+			}
+			for _, h := range endpoints {
+				switch test.confirmed {
+				case confirmedHere:
+					d.FinishCheck(h, true)
+				case confirmedByPeer, confirmedLate:
+					peer.FinishCheck(h, true)
+				}
+			}
+			tell(peer, d, 0, time.Millisecond)
+			tell(d, peer, 0, time.Millisecond)
+			for _, one := range []*daemon{d, peer} {
+				one.now += 2 * time.Second
+				one.Sweep()
+				c.Check(one.isolated("a b x"), qt.Equals, test.want)
+			}
+		})
+	}
+}
+
 // TestProgress guards against an answer that counts as a success before the endpoint survived what
 // crashes others, and against long streams that never do.
 func TestProgress(t *testing.T) {
