Wait for the observations of all peers after a start too

Callers saw: a daemon that had just started refused sound requests for a moment. It isolated a key by what the first peer told of crashes long past, before the others had told what else was in flight; and a daemon that ran all along isolated a sound part for 40 ms, as observations took a little longer than three intervals.

Change: what a peer tells later than observations take counts from then on, unless that peer isolates the key itself: it had the observations of the others. The time that observations take is a second, three intervals and the way.

--- a/internal/forward/isolator/cause.go
+++ b/internal/forward/isolator/cause.go
@@ -15,6 +15,8 @@
 	incident struct {
 		at  time.Duration
 		all []*crash
+		// counted is the first time from which one of the observations counts.
+		counted time.Duration
 	}
 
 	// suspicion is what speaks against a key.
@@ -41,6 +43,7 @@
 			o.suspects[k] = true
 		}
 	}
+	maps.DeleteFunc(o.settled, func(k Key, _ bool) bool { return !o.suspects[k] })
 	isolated := o.causes(now)
 	for k := range o.isolated {
 		if _, ok := isolated[k]; !ok {
@@ -112,14 +115,27 @@
 	if o.hasPeers() {
 		exchange = exchangeTime
 	}
-	at := incidents[s.incidents[MinCrashes-1]].at
+	at := o.countedAt(s, MinCrashes, incidents)
 	if !s.succeeded && !s.key.isRequest() {
 		return at + exchange
 	}
 	if len(s.incidents) < sureCrashes {
 		return at + settleTime
 	}
-	return min(at+settleTime, incidents[s.incidents[sureCrashes-1]].at+exchange)
+	return min(at+settleTime, o.countedAt(s, sureCrashes, incidents)+exchange)
+}
+
+// countedAt returns the time from which the first n incidents of a suspicion count. A peer that
+// isolates the key had the observations of the others.
+func (o *Isolator) countedAt(s *suspicion, n int, incidents []incident) time.Duration {
+	if o.settled[s.key] {
+		return incidents[s.incidents[n-1]].at
+	}
+	var at time.Duration
+	for _, i := range s.incidents[:n] {
+		at = max(at, incidents[i].counted)
+	}
+	return at
 }
 
 // compare returns a positive number if s is likelier to be a cause than another one, and a
@@ -147,10 +163,11 @@
 	for _, c := range all {
 		if i, ok := latest[c.Endpoint]; ok && c.at-incidents[i].at < crashSpan {
 			incidents[i].all = append(incidents[i].all, c)
+			incidents[i].counted = min(incidents[i].counted, c.counted)
 			continue
 		}
 		latest[c.Endpoint] = len(incidents)
-		incidents = append(incidents, incident{c.at, []*crash{c}})
+		incidents = append(incidents, incident{c.at, []*crash{c}, c.counted})
 	}
 	return incidents
 }
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -37,9 +37,10 @@
 	// settleTime is how long after MinCrashes a request, or a part that succeeded before, is
 	// isolated, unless sureCrashes have come. Each request in flight at a crash may be the cause;
 	// peers tell meanwhile which others were, and which keys succeed. exchangeTime is how long
-	// their observations take: with peers, no key is isolated sooner.
+	// their observations take, three reports one after the other and their way: with peers, no
+	// key is isolated sooner.
 	settleTime   = time.Second
-	exchangeTime = 900 * time.Millisecond
+	exchangeTime = time.Second
 	sureCrashes  = 5
 	// SuccessMargin is how long after a success, or while an answer had gone on for long enough, no
 	// crash counts against a key: many endpoints may crash together by another cause.
@@ -126,6 +127,8 @@
 		// Undecided are crashes that the observer can't tell from a cut of the network. They
 		// count once any daemon confirms one of the same endpoint and time.
 		Undecided []Crash `cbor:"3,keyasint,omitempty"`
+		// Isolated are the keys that the daemon isolates.
+		Isolated []Key `cbor:"4,keyasint,omitempty"`
 	}
 
 	// Isolator is safe for concurrent use.
@@ -146,8 +149,10 @@
 		// suspects holds the keys of all crashes.
 		suspects  map[Key]bool
 		successes map[Key]*successes
-		// isolated holds when the isolation of a key ends.
+		// isolated holds when the isolation of a key ends, and settled the keys of crashes that a
+		// peer isolates.
 		isolated map[Key]time.Duration
+		settled  map[Key]bool
 		// changes is the number of changes to the observations so far.
 		changes uint64
 	}
@@ -156,8 +161,11 @@
 	// confirmed it.
 	crash struct {
 		Crash
-		at        time.Duration
-		change    uint64
+		at     time.Duration
+		change uint64
+		// counted is the time from which it counts: that of the crash, or that at which a peer told of
+		// it if that was so late that other observations may still be on their way, as after a start.
+		counted   time.Duration
 		undecided bool
 	}
 
@@ -214,6 +222,7 @@
 	return &Isolator{
 		clock: clock, log: log, candidates: make(map[string][]candidate), checking: make(map[string]*check),
 		crashes: make(map[uint64]*crash), suspects: make(map[Key]bool), successes: make(map[Key]*successes), isolated: make(map[Key]time.Duration),
+		settled: make(map[Key]bool),
 	}
 }
 
@@ -403,7 +412,7 @@
 		}
 		id := rand.Uint64()
 		o.addCrash(&crash{
-			Crash: Crash{ID: id, Endpoint: h.ID, Keys: c.keys, Ran: c.ran.Microseconds()}, at: c.endedAt, undecided: undecided,
+			Crash: Crash{ID: id, Endpoint: h.ID, Keys: c.keys, Ran: c.ran.Microseconds()}, at: c.endedAt, counted: c.endedAt, undecided: undecided,
 		})
 		if undecided {
 			ch.undecided = append(ch.undecided, id)
@@ -456,6 +465,9 @@
 			}
 		}
 	}
+	for k := range o.isolated {
+		told.Isolated = append(told.Isolated, k)
+	}
 	for k := range o.suspects {
 		told.Successes = append(told.Successes, o.successes[k].since(k, change, now)...)
 	}
@@ -476,6 +488,11 @@
 	for _, c := range told.Undecided {
 		o.addTold(c, now, true)
 	}
+	for _, k := range told.Isolated {
+		if o.suspects[k] {
+			o.settled[k] = true
+		}
+	}
 	for _, s := range told.Successes {
 		if s.Age < 0 || s.Survived < 0 || len(s.Key) > maxKeyLength {
 			continue
@@ -503,7 +520,11 @@
 	if !valid(c) || undecided && age >= undecidedTTL {
 		return
 	}
-	o.addCrash(&crash{Crash: c, at: now - age, undecided: undecided})
+	added := &crash{Crash: c, at: now - age, counted: now - age, undecided: undecided}
+	if age > exchangeTime && o.hasPeers() {
+		added.counted = now
+	}
+	o.addCrash(added)
 	if !undecided {
 		meter.CountCrash(true)
 	}
