--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -51,6 +51,7 @@
 	EventSuspicionOver     = "suspicion_over"
 	EventEndpointCrashed   = "endpoint_crashed"
 	EventCrashUnconfirmed  = "crash_unconfirmed"
+	EventCrashUndecided    = "crash_undecided"
 	EventSpared            = "spared"
 	EventIsolated          = "isolated"
 	EventIsolationOver     = "isolation_over"
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -167,6 +167,8 @@
 		// it if that was so late that other observations may still be on their way, as after a start.
 		counted   time.Duration
 		undecided bool
+		// own is the request that was lost, if this daemon observed the crash.
+		own *candidate
 	}
 
 	// check is the search for the end of an endpoint's process.
@@ -411,20 +413,28 @@
 			continue
 		}
 		id := rand.Uint64()
-		o.addCrash(&crash{
-			Crash: Crash{ID: id, Endpoint: h.ID, Keys: c.keys, Ran: c.ran.Microseconds()}, at: c.endedAt, counted: c.endedAt, undecided: undecided,
-		})
+		added := &crash{
+			Crash: Crash{ID: id, Endpoint: h.ID, Keys: c.keys, Ran: c.ran.Microseconds()}, at: c.endedAt, counted: c.endedAt, undecided: undecided, own: &c,
+		}
+		o.addCrash(added)
 		if undecided {
 			ch.undecided = append(ch.undecided, id)
-		} else {
-			meter.CountCrash(false)
 		}
-		o.log.Warn().Str("event", logger.EventEndpointCrashed).Str("endpoint", h.ID).Bool("undecided", undecided).Bool("begun", c.begun).Bool("lost", c.lost).
-			Any("keys", c.keys).Send()
+		o.logCrash(added)
 	}
 	return candidates
 }
 
+// logCrash logs and counts an observation of this daemon.
+func (o *Isolator) logCrash(c *crash) {
+	event := logger.EventCrashUndecided
+	if !c.undecided {
+		event = logger.EventEndpointCrashed
+		meter.CountCrash(false)
+	}
+	o.log.Warn().Str("event", event).Str("endpoint", c.Endpoint).Bool("begun", c.own.begun).Bool("lost", c.own.lost).Any("keys", c.Keys).Send()
+}
+
 // confirm marks a crash as one that is known not to be a cut. The caller holds mu.
 func (o *Isolator) confirm(c *crash) {
 	if !c.undecided {
@@ -432,6 +442,9 @@
 	}
 	o.changes++
 	c.undecided, c.change = false, o.changes
+	if c.own != nil {
+		o.logCrash(c)
+	}
 }
 
 // firstLoss returns when the first of some answers was lost, or the latest time if none was.
