Bound the memory of requests' bodies

Callers saw: clients with many large, unfinished or endless bodies took a daemon beyond its memory; it was ended with all that it had in flight.

Cause: bodies were read whole wherever they came (forwarder, receiver, attempts for peers), without a bound on all of them, by a buffer that leaves its former copies to the collector; a body over the limit was read up to the limit first. A request that was refused before its body had come was answered only once the body had.

Change: one collector for all of a daemon's bodies. A body holds room for the bytes that have come; room is a quarter of the memory. Beyond it the body that has made no progress for longest, a second or more, is dropped (408), or the request is refused (503, not run). Nothing waits for room. A length over the limit is refused as announced. A refusal is sent while the caller still sends; the rest is read for up to 5 s, and a connection whose body does not end is closed. A peer without room stays in use.

TestFaultUnreadBody, TestFaultRefusalWhileSending, TestFaultStalledBodies (platform and assembler) fail before: a caller with an unknown key and half a body had no answer within a minute.

--- a/cmd/samphireturnd/main.go
+++ b/cmd/samphireturnd/main.go
@@ -25,6 +25,10 @@
 	exitSettings = 2
 )
 
+// memoryLimitShare is the part of the daemon's memory that is set as the soft limit of the Go
+// runtime; the rest is for stacks and unread bytes.
+const memoryLimitShare = 0.6
+
 // options are the command-line arguments.
 type options struct {
 	Settings string `arg:"positional" help:"settings file of this daemon, in TOML"`
@@ -97,6 +101,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	publishProcess()
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Limits.MemoryBytes)))
 	k, err := (&assembler.Assembler{Settings: settings, Log: log}).Kernel()
 	if err != nil {
 		return err
--- a/internal/config/loader/loader.go
+++ b/internal/config/loader/loader.go
@@ -33,6 +33,7 @@
 	defaultLogLevel        = "info"
 	defaultMaxHeaderBytes  = 64 << 10
 	defaultMaxBodyBytes    = 4 << 20
+	defaultMemoryBytes     = 512 << 20
 	defaultIdleTimeoutMs   = 120_000
 	defaultReadTimeoutMs   = 10_000
 	defaultDrainTimeoutMs  = 600_000
@@ -86,6 +87,9 @@
 
 	// Limits bounds the size of requests and the time that they may take.
 	Limits struct {
+		// MemoryBytes is the memory in bytes that the daemon may use: it bounds the bodies and the
+		// connections that it holds.
+		MemoryBytes int64 `toml:"memory"`
 		// MaxHeaderBytes and MaxBodyBytes bound a request's header and body.
 		MaxHeaderBytes int64 `toml:"header"`
 		MaxBodyBytes   int64 `toml:"body"`
@@ -128,7 +132,7 @@
 func Read(file string, data []byte) (*Settings, error) {
 	s := &Settings{
 		LogLevel: defaultLogLevel,
-		Limits:   Limits{MaxHeaderBytes: defaultMaxHeaderBytes, MaxBodyBytes: defaultMaxBodyBytes, IdleTimeoutMs: defaultIdleTimeoutMs, ReadTimeoutMs: defaultReadTimeoutMs, DrainTimeoutMs: defaultDrainTimeoutMs, ShutdownDelayMs: defaultShutdownDelayMs},
+		Limits:   Limits{MemoryBytes: defaultMemoryBytes, MaxHeaderBytes: defaultMaxHeaderBytes, MaxBodyBytes: defaultMaxBodyBytes, IdleTimeoutMs: defaultIdleTimeoutMs, ReadTimeoutMs: defaultReadTimeoutMs, DrainTimeoutMs: defaultDrainTimeoutMs, ShutdownDelayMs: defaultShutdownDelayMs},
 	}
 	c := checker{file: file}
 	var err error
@@ -179,6 +183,7 @@
 	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil || s.LogLevel == "" {
 		c.add("level", fmt.Sprintf("%q is no log level; use debug, info, warn or error", s.LogLevel))
 	}
+	c.positive("limits.memory", s.Limits.MemoryBytes)
 	c.positive("limits.header", s.Limits.MaxHeaderBytes)
 	c.positive("limits.body", s.Limits.MaxBodyBytes)
 	c.positive("limits.idle", s.Limits.IdleTimeoutMs)
--- a/internal/core/assembler/services.go
+++ b/internal/core/assembler/services.go
@@ -22,6 +22,7 @@
 	"samphireturn/internal/traffic/admitter"
 	"samphireturn/internal/traffic/budgeter"
 	"samphireturn/internal/traffic/cascader"
+	"samphireturn/internal/traffic/collector"
 	"samphireturn/internal/traffic/dispatcher"
 	"samphireturn/internal/traffic/picker"
 	"samphireturn/internal/traffic/queuer"
@@ -171,8 +172,11 @@
 	if err != nil {
 		return nil, err
 	}
+	clock := func() time.Duration { return time.Duration(p.limiter.Clock()) }
+	bodies := &collector.Collector{Capacity: collector.CapacityOf(limits.MemoryBytes), Clock: clock}
 	return &receiver.Receiver{
 		Listener:       ln,
+		Bodies:         bodies,
 		MaxBodyBytes:   limits.MaxBodyBytes,
 		MaxHeaderBytes: int(limits.MaxHeaderBytes),
 		IdleTimeout:    time.Duration(limits.IdleTimeoutMs) * time.Millisecond,
--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -25,6 +25,7 @@
 	"samphireturn/internal/forward/isolator"
 	"samphireturn/internal/forward/sender"
 	"samphireturn/internal/forward/stager"
+	"samphireturn/internal/traffic/collector"
 	"samphireturn/internal/traffic/queuer"
 )
 
@@ -99,6 +100,8 @@
 	// RankedQueue is true if requests wait at the daemon, ordered by rank, while no endpoint
 	// has capacity.
 	RankedQueue bool
+	// BodyCapacity bounds the bytes of requests' bodies that the daemon holds; 0 means no bound.
+	BodyCapacity int64
 	// FleetKey is the key that all daemons share. Seeds are the peer addresses of
 	// some of them.
 	FleetKey string
@@ -212,6 +215,7 @@
 		maxAgeForKeys = b.RevocationTime - revocationMargin
 	}
 	return &forwarder.Forwarder{
+		Bodies:            &collector.Collector{Capacity: b.BodyCapacity, Clock: b.Clock},
 		Listener:          callerListener,
 		ReadinessListener: readinessListener,
 		MetricsListener:   metricsListener,
--- a/internal/forward/forwarder/admit.go
+++ b/internal/forward/forwarder/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -13,6 +12,7 @@
 	"samphireturn/internal/core/timekeeper"
 	"samphireturn/internal/forward/balancer"
 	"samphireturn/internal/forward/isolator"
+	"samphireturn/internal/traffic/collector"
 )
 
 const (
@@ -141,23 +141,17 @@
 
 // readBody reads the complete body, so that the request can be retried.
 func (c *proxyCall) readBody() *samphireturn.Refusal {
-	maxBytes := int64(cmp.Or(c.view.Table.Limits.BodyBytes, defaultBodyBytes))
 	control := http.NewResponseController(c.w)
 	if err := control.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
 		return refusal(samphireturn.ReasonBadRequest, 0, err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, maxBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return refusal(samphireturn.ReasonTooLarge, 0, err)
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return refusal(samphireturn.ForwardRequestSlow, 0, err)
-	}
+	limit := int64(cmp.Or(c.view.Table.Limits.BodyBytes, defaultBodyBytes))
+	var err error
+	c.collected, err = c.Bodies.Read(c.r.Body, c.r.ContentLength, limit, func() { _ = control.SetReadDeadline(longAgo) })
 	if err != nil {
-		return refusal(samphireturn.ReasonBadRequest, 0, err)
+		return bodyRefusal(err)
 	}
-	c.body = body
+	c.body = c.collected.Data
 	// The server's own timeouts apply to the rest of the connection's life.
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		return refusal(samphireturn.ReasonBadRequest, 0, err)
@@ -165,6 +159,20 @@
 	return nil
 }
 
+// bodyRefusal returns the refusal of a request whose body could not be read.
+func bodyRefusal(err error) *samphireturn.Refusal {
+	var failed *collector.Error
+	switch {
+	case errors.As(err, &failed) && failed.Kind == collector.KindTooLong:
+		return refusal(samphireturn.ReasonTooLarge, 0, err)
+	case failed != nil && failed.Kind == collector.KindNoRoom:
+		return refusal(samphireturn.ForwardNoRoom, busyRetryAfter, err)
+	case failed != nil && failed.Kind == collector.KindDropped, errors.Is(err, os.ErrDeadlineExceeded):
+		return refusal(samphireturn.ForwardRequestSlow, 0, err)
+	}
+	return refusal(samphireturn.ReasonBadRequest, 0, err)
+}
+
 // initPickRequest sets the parts of pickRequest that do not change between
 // attempts.
 func (c *proxyCall) initPickRequest() {
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"samphireturn/internal/forward/sender"
 	"samphireturn/internal/forward/stager"
 	"samphireturn/internal/traffic/budgeter"
+	"samphireturn/internal/traffic/collector"
 	"samphireturn/internal/traffic/queuer"
 )
 
@@ -72,6 +73,8 @@
 	Recorder                                     *recorder.Recorder
 	Isolator                                     *isolator.Isolator
 	Peers                                        samphireturn.Peers
+	// Bodies holds the bodies of requests.
+	Bodies *collector.Collector
 	// Queue holds the requests that wait for capacity; nil if none may wait.
 	Queue *queuer.Queuer
 	// Self is this daemon. PeerListener accepts connections of other daemons, and DialPeer
--- a/internal/forward/forwarder/peer.go
+++ b/internal/forward/forwarder/peer.go
@@ -260,6 +260,10 @@
 	case samphireturn.ForwardPaused, samphireturn.ForwardLimited, samphireturn.ForwardIsolated:
 		c.peers.record(true, c.Clock())
 		return c.refusal(r.Refused, time.Duration(r.RetryAfter)*time.Millisecond, r)
+	case samphireturn.ForwardNoRoom:
+		// The peer has room for smaller requests.
+		c.peers.record(true, c.Clock())
+		return nil
 	case samphireturn.ReasonNoEndpoint:
 		if !r.Unreachable {
 			c.peers.record(true, c.Clock())
--- a/internal/forward/forwarder/peerserver.go
+++ b/internal/forward/forwarder/peerserver.go
@@ -22,6 +22,7 @@
 	f.peerAskedAt.Store(int64(f.Clock()))
 	inFlight := f.peerRequests.Add(1)
 	defer f.peerRequests.Add(-1)
+	defer func() { c.collected.Release() }()
 	c.forPeer = new(peerAttempt)
 	err := decodeHeader(r.Header.Get(headerPeerAttempt), c.forPeer)
 	r.Header.Del(headerPeerAttempt)
@@ -136,7 +137,7 @@
 
 // refusePeer answers a peer that there is no answer of an endpoint.
 func (c *proxyCall) refusePeer(refused *samphireturn.Refusal) {
-	if c.r.Context().Err() != nil {
+	if c.left(refused) {
 		panic(http.ErrAbortHandler)
 	}
 	c.Log.Info().Str("event", logger.EventForPeerRefused).Str("id", c.request.ID).Str("route", c.routeName()).Str("reason", refused.Reason).
@@ -149,8 +150,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	c.announceClose()
-	c.CallerProtocol.WriteError(c.w, c.request, refused)
+	c.writeRefusal(refused)
 }
 
 // setPeerOutcome adds an outcome to the header of the answer.
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -19,6 +19,7 @@
 	"samphireturn/internal/forward/sender"
 	"samphireturn/internal/forward/stager"
 	"samphireturn/internal/traffic/budgeter"
+	"samphireturn/internal/traffic/collector"
 )
 
 const (
@@ -73,7 +74,9 @@
 	team         string
 	priority     int
 	body         []byte
-	pickRequest  balancer.Request
+	// collected holds the room of the body; nil if none was read.
+	collected   *collector.Body
+	pickRequest balancer.Request
 	// keys are those that the request may be isolated for: the first is its own, since it may
 	// come again under another id, and the others are those of its prompt's parts.
 	keys []isolator.Key
--- a/internal/forward/forwarder/refuse.go
+++ b/internal/forward/forwarder/refuse.go
@@ -8,6 +8,7 @@
 	"samphireturn"
 	"samphireturn/internal/core/logger"
 	"samphireturn/internal/core/meter"
+	"samphireturn/internal/traffic/collector"
 )
 
 const (
@@ -22,8 +23,15 @@
 	// returnSpreadShare is the share of the time left of a pause over which callers come
 	// back after it, if that is more than busyRetryAfter.
 	returnSpreadShare = 0.25
+	// discardPause is how long a caller that is refused may pause in its body until its connection is
+	// closed, slowDiscardPause if it was too slow before.
+	discardPause     = time.Second
+	slowDiscardPause = 200 * time.Millisecond
 )
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 // deadlineRefusal returns the refusal of a request whose deadline has passed or
 // whose caller left.
 func (c *proxyCall) deadlineRefusal() *samphireturn.Refusal {
@@ -72,10 +80,7 @@
 	default:
 		refusal.RetryAfter = c.jitter(refusal.RetryAfter)
 	}
-	// A body that comes too late cancels the request's context too, but its caller
-	// still waits for the answer.
-	if c.r.Context().Err() != nil && refusal.Reason != samphireturn.ForwardRequestSlow {
-		// The caller left.
+	if c.left(refusal) {
 		c.Log.Info().Str("event", logger.EventCallerLeft).Str("id", c.request.ID).Str("route", c.routeName()).Int("sends", c.sends).
 			Dur("took", c.Clock()-c.start).Send()
 		panic(http.ErrAbortHandler)
@@ -94,8 +99,31 @@
 		line = line.Int("endpoints", len(c.pickRequest.Hosts)).Int("unreachable", c.Balancer.CountUnreachable(c.pickRequest.Hosts)).Bool("link_lost", c.LinkLost())
 	}
 	line.Err(refusal.Err).Send()
+	c.writeRefusal(refusal)
+}
+
+// left reports whether the caller left before a refusal. A body that comes too late cancels the
+// request's context too, but its caller still waits for the answer.
+func (c *proxyCall) left(refusal *samphireturn.Refusal) bool {
+	return c.r.Context().Err() != nil && refusal.Reason != samphireturn.ForwardRequestSlow
+}
+
+// writeRefusal answers with a refusal, also a caller that is still sending its body.
+func (c *proxyCall) writeRefusal(refusal *samphireturn.Refusal) {
 	c.announceClose()
-	c.CallerProtocol.WriteError(c.w, c.request, refusal)
+	if c.collected != nil || c.r.ContentLength == 0 {
+		c.CallerProtocol.WriteError(c.w, c.request, refusal)
+		return
+	}
+	pause := discardPause
+	switch refusal.Reason {
+	case samphireturn.ReasonTooLarge, samphireturn.ForwardNoRoom, samphireturn.ForwardRequestSlow:
+		c.w.Header().Set("Connection", "close")
+		if refusal.Reason == samphireturn.ForwardRequestSlow {
+			pause = slowDiscardPause
+		}
+	}
+	collector.Refuse(c.w, c.r, pause, func() { c.CallerProtocol.WriteError(c.w, c.request, refusal) })
 }
 
 // jitter returns a time that differs at random from d.
--- a/internal/forward/forwarder/serve.go
+++ b/internal/forward/forwarder/serve.go
@@ -13,6 +13,7 @@
 	c := f.newCall(w, r)
 	defer f.activeRequests.Add(-1)
 	defer func() { meter.ObserveRequest(c.routeName(), c.outcome, f.Clock()-c.start) }()
+	defer func() { c.collected.Release() }()
 	if refusal := c.run(c.forward); refusal != nil {
 		c.refuse(refusal)
 	}
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -427,12 +427,14 @@
 
 // logCrash logs and counts an observation of this daemon.
 func (o *Isolator) logCrash(c *crash) {
-	event := logger.EventCrashUndecided
-	if !c.undecided {
-		event = logger.EventEndpointCrashed
+	line := o.log.Warn()
+	if c.undecided {
+		line = line.Str("event", logger.EventCrashUndecided)
+	} else {
+		line = line.Str("event", logger.EventEndpointCrashed)
 		meter.CountCrash(false)
 	}
-	o.log.Warn().Str("event", event).Str("endpoint", c.Endpoint).Bool("begun", c.own.begun).Bool("lost", c.own.lost).Any("keys", c.Keys).Send()
+	line.Str("endpoint", c.Endpoint).Bool("begun", c.own.begun).Bool("lost", c.own.lost).Any("keys", c.Keys).Send()
 }
 
 // confirm marks a crash as one that is known not to be a cut. The caller holds mu.
--- a/internal/standin/starter/starter.go
+++ b/internal/standin/starter/starter.go
@@ -48,6 +48,9 @@
 	// ShutdownDelay is the daemons' setting limits.notice: the time for which a
 	// shutdown still takes new requests.
 	ShutdownDelay time.Duration
+	// MemoryBytes and MaxBodyBytes are the daemons' settings limits.memory and limits.body; zero means no
+	// bound of the first and the default of the second.
+	MemoryBytes, MaxBodyBytes int64
 	// FleetKey is the daemons' setting fleet, by default the constant FleetKey;
 	// AcceptedFleetKeys is their setting fleets.
 	FleetKey          string
@@ -132,7 +135,7 @@
 		FleetKey:          cmp.Or(s.FleetKey, FleetKey),
 		AcceptedFleetKeys: s.AcceptedFleetKeys,
 		Seeds:             s.Seeds,
-		Limits:            loader.Limits{DrainTimeoutMs: drainTimeout.Milliseconds(), ShutdownDelayMs: s.ShutdownDelay.Milliseconds()},
+		Limits:            loader.Limits{DrainTimeoutMs: drainTimeout.Milliseconds(), ShutdownDelayMs: s.ShutdownDelay.Milliseconds(), MemoryBytes: s.MemoryBytes, MaxBodyBytes: s.MaxBodyBytes},
 	}
 	log := zerolog.Nop()
 	if s.Log != nil {
--- a/internal/traffic/receiver/exchange.go
+++ b/internal/traffic/receiver/exchange.go
@@ -7,7 +7,6 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -20,6 +19,7 @@
 
 	"samphireturn"
 	"samphireturn/internal/ledger/minter"
+	"samphireturn/internal/traffic/collector"
 	"samphireturn/internal/traffic/decoder"
 )
 
@@ -40,6 +40,8 @@
 	// affinity is the session that determines the preferred data centre when the
 	// request is forwarded; nil for services.
 	affinity *samphireturn.Session
+	// body holds the room of the request's body; nil if it was not read.
+	body *collector.Body
 	// bodyStarted is true once bytes of the answer's body were sent to the caller.
 	bodyStarted bool
 	// start is the time at which the request arrived.
@@ -115,6 +117,7 @@
 	return func(w http.ResponseWriter, req *http.Request) {
 		requests.Add(kind, 1)
 		x := &exchange{ResponseWriter: w, request: req, start: time.Now(), snapshot: r.Control.Snapshot(), id: requestPrefix + uuid.NewString()}
+		defer func() { x.body.Release() }()
 		err := r.prepare(x)
 		x.log = r.Log.With().Str("request", x.id).Logger()
 		if err != nil {
@@ -176,15 +179,19 @@
 // readBody reads the request's body up to MaxBodyBytes.
 func (r *Receiver) readBody(x *exchange) ([]byte, error) {
 	limit := cmp.Or(r.MaxBodyBytes, defaultMaxBodyBytes)
-	body, err := io.ReadAll(http.MaxBytesReader(x.ResponseWriter, x.request.Body, limit))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	control := http.NewResponseController(x.ResponseWriter)
+	var err error
+	x.body, err = r.Bodies.Read(x.request.Body, x.request.ContentLength, limit, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	var failed *collector.Error
+	switch {
+	case err == nil:
+		return x.body.Data, nil
+	case errors.As(err, &failed) && failed.Kind == collector.KindTooLong:
 		return nil, notExecuted(samphireturn.ReasonTooLarge, errors.Errorf("body over %d bytes", limit))
+	case failed != nil && (failed.Kind == collector.KindNoRoom || failed.Kind == collector.KindDropped):
+		return nil, &samphireturn.Refusal{Reason: samphireturn.ReasonBusy, Executed: samphireturn.ExecutedNo, RetryAfter: time.Second, Err: err}
 	}
-	if err != nil {
-		return nil, notExecuted(samphireturn.ReasonBadRequest, errors.Wrap(err, "read body"))
-	}
-	return body, nil
+	return nil, notExecuted(samphireturn.ReasonBadRequest, err)
 }
 
 // writeRefusal answers with an error. Once bytes of the answer's body were sent
@@ -208,13 +215,25 @@
 	if f.Reason == samphireturn.ReasonUnauthorized {
 		h.Set("WWW-Authenticate", "Bearer")
 	}
-	x.WriteHeader(cmp.Or(statusByReason[f.Reason], http.StatusInternalServerError))
-	_ = json.NewEncoder(x).Encode(errorBody{Error: errorDetail{
+	body, err := json.Marshal(errorBody{Error: errorDetail{
 		Message:  f.Error(),
 		Type:     "samphireturn_error",
 		Code:     f.Reason,
 		Executed: f.Executed,
 	}})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)+1))
+	write := func() {
+		x.WriteHeader(cmp.Or(statusByReason[f.Reason], http.StatusInternalServerError))
+		_, _ = x.Write(append(body, '\n'))
+	}
+	if x.body != nil || x.request.ContentLength == 0 {
+		write()
+		return
+	}
+	collector.Refuse(x.ResponseWriter, x.request, discardPause, write)
 }
 
 // errorBody is the JSON body of an error answer.
--- a/internal/traffic/receiver/receiver.go
+++ b/internal/traffic/receiver/receiver.go
@@ -23,6 +23,7 @@
 	"samphireturn/internal/ledger/runner"
 	"samphireturn/internal/traffic/admitter"
 	"samphireturn/internal/traffic/cascader"
+	"samphireturn/internal/traffic/collector"
 	"samphireturn/internal/traffic/picker"
 	"samphireturn/internal/traffic/router"
 )
@@ -38,6 +39,9 @@
 	defaultReadTimeout    = 10 * time.Second
 	defaultDrainTimeout   = 30 * time.Second
 
+	// discardPause is how long a caller that is refused may pause in its body until its connection
+	// is closed.
+	discardPause        = time.Second
 	refusalWindow       = 250 * time.Millisecond // time in which late requests on open connections are refused
 	backgroundRaters    = 4
 	backgroundQueueSize = 256
@@ -88,6 +92,9 @@
 	// listener, so that load balancers notice the change.
 	ShutdownDelay time.Duration
 
+	// Bodies holds the bodies of requests.
+	Bodies *collector.Collector
+
 	Log      zerolog.Logger
 	Self     samphireturn.VM
 	Control  samphireturn.Control
