Bound the open connections of callers

Callers saw: with some hundred clients that connect and stall, a daemon used more descriptors than it may have; it would have had none left for endpoints, peers and its store.

Cause: every connection was taken and kept as long as its client liked: until the route's time limit with an unfinished body, without an end after a refusal.

Change: a gatekeeper counts them. The bound is half of the sockets, since each request needs one to an endpoint too, and three eighths of the memory by 32 KiB. Beyond it the connection that is idle for longest closes, or the request whose body makes no progress ends; if there is neither the new connection is closed, and the daemon is not ready for a while. An idle connection is ended by its read deadline, not closed, so that a request that was just read is still answered.

--- a/internal/core/assembler/services.go
+++ b/internal/core/assembler/services.go
@@ -24,6 +24,7 @@
 	"samphireturn/internal/traffic/cascader"
 	"samphireturn/internal/traffic/collector"
 	"samphireturn/internal/traffic/dispatcher"
+	"samphireturn/internal/traffic/gatekeeper"
 	"samphireturn/internal/traffic/picker"
 	"samphireturn/internal/traffic/queuer"
 	"samphireturn/internal/traffic/receiver"
@@ -177,6 +178,7 @@
 	return &receiver.Receiver{
 		Listener:       ln,
 		Bodies:         bodies,
+		Gate:           &gatekeeper.Gatekeeper{Capacity: gatekeeper.CapacityOf(limits.MemoryBytes, 0), DropStalled: bodies.DropStalled, Clock: clock},
 		MaxBodyBytes:   limits.MaxBodyBytes,
 		MaxHeaderBytes: int(limits.MaxHeaderBytes),
 		IdleTimeout:    time.Duration(limits.IdleTimeoutMs) * time.Millisecond,
--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -26,6 +26,7 @@
 	"samphireturn/internal/forward/sender"
 	"samphireturn/internal/forward/stager"
 	"samphireturn/internal/traffic/collector"
+	"samphireturn/internal/traffic/gatekeeper"
 	"samphireturn/internal/traffic/queuer"
 )
 
@@ -100,8 +101,10 @@
 	// RankedQueue is true if requests wait at the daemon, ordered by rank, while no endpoint
 	// has capacity.
 	RankedQueue bool
-	// BodyCapacity bounds the bytes of requests' bodies that the daemon holds; 0 means no bound.
+	// BodyCapacity bounds the bytes of requests' bodies that the daemon holds, and MaxConns the
+	// open connections of callers; 0 means no bound.
 	BodyCapacity int64
+	MaxConns     int
 	// FleetKey is the key that all daemons share. Seeds are the peer addresses of
 	// some of them.
 	FleetKey string
@@ -214,8 +217,10 @@
 	if b.StrictRevocation {
 		maxAgeForKeys = b.RevocationTime - revocationMargin
 	}
+	bodies := &collector.Collector{Capacity: b.BodyCapacity, Clock: b.Clock}
 	return &forwarder.Forwarder{
-		Bodies:            &collector.Collector{Capacity: b.BodyCapacity, Clock: b.Clock},
+		Bodies:            bodies,
+		Gate:              &gatekeeper.Gatekeeper{Capacity: b.MaxConns, DropStalled: bodies.DropStalled, Clock: b.Clock},
 		Listener:          callerListener,
 		ReadinessListener: readinessListener,
 		MetricsListener:   metricsListener,
--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -102,7 +102,7 @@
 	{EventLeaving, "active", "the shutdown began and readiness checks fail from now on; requests in flight"},
 	{EventGraceExpired, "active, error", "the shutdown grace time ended with requests in flight"},
 	{EventListenerFailed, "error", "a listener failed; if it is that of callers, the daemon is not ready any more"},
-	{EventAcceptFailed, "error", "no connection of a caller could be taken, for want of descriptors or memory; further failures in a row are counted (`forwarder_accept_failure`). The daemon is not ready until 3 s after the last one"},
+	{EventAcceptFailed, "error", "no connection of a caller could be taken, for want of descriptors or memory, or as too many are open and none of them is idle or stalled; further failures in a row are counted (`forwarder_accept_failure`). The daemon is not ready until 3 s after the last one"},
 	{EventAcceptsAgain, "", "connections of callers are taken again"},
 	{EventLinesLeftOut, "lines", "log lines were dropped: the rate limit was reached, the queue was full or a write failed"},
 	{EventReadiness, "ready, leaving, fresh, age", "the result of the readiness check changed; time since the source last confirmed the routing table"},
--- a/internal/forward/forwarder/drainer.go
+++ b/internal/forward/forwarder/drainer.go
@@ -18,19 +18,24 @@
 // closes a connection without an answer whose request it reads from then on.
 type drainer struct {
 	server *http.Server
+	// observe is told of the states of connections; it may be nil.
+	observe func(c net.Conn, state http.ConnState)
 	// open is the number of open connections.
 	open atomic.Int64
 }
 
 // newDrainer returns the drainer of a server that has not been started.
-func newDrainer(s *http.Server) *drainer {
-	d := &drainer{server: s}
+func newDrainer(s *http.Server, observe func(c net.Conn, state http.ConnState)) *drainer {
+	d := &drainer{server: s, observe: observe}
 	s.ConnState = d.countOpen
 	return d
 }
 
 // countOpen is the ConnState hook of the server.
-func (d *drainer) countOpen(_ net.Conn, state http.ConnState) {
+func (d *drainer) countOpen(c net.Conn, state http.ConnState) {
+	if d.observe != nil {
+		d.observe(c, state)
+	}
 	switch state {
 	case http.StateNew:
 		d.open.Add(1)
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"samphireturn/internal/forward/stager"
 	"samphireturn/internal/traffic/budgeter"
 	"samphireturn/internal/traffic/collector"
+	"samphireturn/internal/traffic/gatekeeper"
 	"samphireturn/internal/traffic/queuer"
 )
 
@@ -73,8 +74,9 @@
 	Recorder                                     *recorder.Recorder
 	Isolator                                     *isolator.Isolator
 	Peers                                        samphireturn.Peers
-	// Bodies holds the bodies of requests.
+	// Bodies holds the bodies of requests, and Gate bounds the connections of callers.
 	Bodies *collector.Collector
+	Gate   *gatekeeper.Gatekeeper
 	// Queue holds the requests that wait for capacity; nil if none may wait.
 	Queue *queuer.Queuer
 	// Self is this daemon. PeerListener accepts connections of other daemons, and DialPeer
@@ -156,7 +158,7 @@
 	if f.Queue != nil {
 		f.Balancer.OnRelease = f.observeRelease
 	}
-	f.peerServer = newDrainer(&http.Server{Handler: http.HandlerFunc(f.servePeer), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout})
+	f.peerServer = newDrainer(&http.Server{Handler: http.HandlerFunc(f.servePeer), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}, nil)
 	f.readinessServer = &http.Server{Handler: http.HandlerFunc(f.handleReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
 	f.wait.Go(f.accept)
 	f.wait.Go(func() { f.serveListener(f.readinessServer, f.ReadinessListener) })
--- a/internal/forward/forwarder/listener.go
+++ b/internal/forward/forwarder/listener.go
@@ -59,6 +59,9 @@
 	acceptDrainTime = 100 * time.Millisecond
 )
 
+// errTooManyConns is the error of a connection for which there is no room.
+var errTooManyConns = errors.New("too many connections")
+
 // accept passes each new connection to the server with the current limits.
 func (f *Forwarder) accept() {
 	var delay time.Duration
@@ -70,6 +73,10 @@
 			}
 			continue
 		}
+		if !f.Gate.Admit(conn) {
+			f.acceptFailed(&delay, errTooManyConns)
+			continue
+		}
 		if delay > 0 {
 			f.Log.Info().Str("event", logger.EventAcceptsAgain).Send()
 			delay = 0
@@ -79,12 +86,13 @@
 		case s.queue <- conn:
 		case <-s.done:
 			_ = conn.Close()
+			f.Gate.Observe(conn, http.StateClosed)
 		}
 	}
 }
 
 // waitToAccept waits after an accept that failed, and reports whether there is to be another
-// one. The first failure of a row is logged.
+// one.
 func (f *Forwarder) waitToAccept(delay *time.Duration, err error) bool {
 	if f.closing.Load() || errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
@@ -94,13 +102,19 @@
 		f.Log.Error().Str("event", logger.EventListenerFailed).Err(err).Send()
 		return false
 	}
+	f.acceptFailed(delay, err)
+	return timekeeper.Sleep(f.ctx, *delay)
+}
+
+// acceptFailed records a connection that could not be taken, and doubles the wait until the next
+// accept. The first one of a row is logged.
+func (f *Forwarder) acceptFailed(delay *time.Duration, err error) {
 	f.acceptFailedAt.Store(int64(f.Clock()))
 	acceptFailures.Add(1)
 	if *delay == 0 {
 		f.Log.Warn().Str("event", logger.EventAcceptFailed).Err(err).Send()
 	}
 	*delay = min(max(2**delay, minAcceptDelay), maxAcceptDelay)
-	return timekeeper.Sleep(f.ctx, *delay)
 }
 
 // temporary reports whether an accept that failed with err may succeed later.
@@ -141,7 +155,7 @@
 			ReadHeaderTimeout: limits.HeaderTimeout,
 			IdleTimeout:       limits.IdleTimeout,
 			MaxHeaderBytes:    limits.HeaderBytes,
-		}),
+		}, f.Gate.Observe),
 		queue: make(chan net.Conn),
 		done:  make(chan struct{}),
 		addr:  f.Listener.Addr(),
--- a/internal/traffic/receiver/receiver.go
+++ b/internal/traffic/receiver/receiver.go
@@ -24,6 +24,7 @@
 	"samphireturn/internal/traffic/admitter"
 	"samphireturn/internal/traffic/cascader"
 	"samphireturn/internal/traffic/collector"
+	"samphireturn/internal/traffic/gatekeeper"
 	"samphireturn/internal/traffic/picker"
 	"samphireturn/internal/traffic/router"
 )
@@ -92,8 +93,9 @@
 	// listener, so that load balancers notice the change.
 	ShutdownDelay time.Duration
 
-	// Bodies holds the bodies of requests.
+	// Bodies holds the bodies of requests, and Gate bounds the open connections.
 	Bodies *collector.Collector
+	Gate   *gatekeeper.Gatekeeper
 
 	Log      zerolog.Logger
 	Self     samphireturn.VM
@@ -127,12 +129,13 @@
 		ReadHeaderTimeout: cmp.Or(r.ReadTimeout, defaultReadTimeout),
 		ReadTimeout:       cmp.Or(r.ReadTimeout, defaultReadTimeout),
 		IdleTimeout:       cmp.Or(r.IdleTimeout, defaultIdleTimeout),
+		ConnState:         r.Gate.Observe,
 	}
 	r.ratingPool = pond.NewPool(backgroundRaters, pond.WithQueueSize(backgroundQueueSize), pond.WithNonBlocking(true))
 	r.serveDone = make(chan struct{})
 	go func() {
 		defer close(r.serveDone)
-		_ = r.server.Serve(r.Listener)
+		_ = r.server.Serve(r.Gate.Listen(r.Listener))
 	}()
 	return nil
 }
