Let connections that have sent nothing make room too

Callers saw: new connections closed while others that had sent nothing since they were opened kept their places for the time that a header may take.

Cause: only idle connections and stalled bodies made room; a silent one was counted as if it had a request.

Change: a connection that has sent nothing for a second makes room after the idle ones. TestAdmit, "nothing sent", fails before. TestCrowd and TestCalmBodies pass as before.

--- a/internal/traffic/gatekeeper/gatekeeper.go
+++ b/internal/traffic/gatekeeper/gatekeeper.go
@@ -1,7 +1,8 @@
 // Package gatekeeper bounds the open connections of callers.
 //
-// If as many are open as may be, the one that has been idle for longest makes room for a new one, or a
-// request whose body makes no progress does. If there is neither, the new connection is closed.
+// If as many are open as may be, the one that has been idle for longest makes room for a new one, or
+// one that has sent nothing yet, or a request whose body makes no progress. If there is none of these, the
+// new connection is closed.
 package gatekeeper
 
 import (
@@ -17,6 +18,8 @@
 	// minIdle is how long a connection must have been idle to make room: one that was just
 	// answered often has its next request on the way.
 	minIdle = 100 * time.Millisecond
+	// minSilent is how long a connection must have sent nothing since it was opened to make room.
+	minSilent = time.Second
 	// maxLeavingShare bounds the connections that are to make room and have not closed yet, as a share
 	// of Capacity.
 	maxLeavingShare = 0.25
@@ -49,17 +52,24 @@
 		mu sync.Mutex
 		// open is the number of open connections, and leaving that of those that are to make room.
 		open, leaving int
-		// idle holds the idle connections as idleConn, the one idle for longest first, and places its
-		// elements by connection.
-		idle   list.List
-		places map[net.Conn]*list.Element
+		// idle holds the connections that wait for their next request, and silent those that have sent
+		// nothing yet, both as waitingConn and the one that waits for longest first.
+		idle, silent list.List
+		// places holds the place of each of them.
+		places map[net.Conn]place
 	}
 
-	// idleConn is a connection that is idle since a time.
-	idleConn struct {
+	// waitingConn is a connection that waits for a request since a time.
+	waitingConn struct {
 		net.Conn
 		since time.Duration
 	}
+
+	// place is an element of a list.
+	place struct {
+		list    *list.List
+		element *list.Element
+	}
 )
 
 // CapacityOf returns the Capacity for a process that may use some bytes of memory and have some
@@ -101,16 +111,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if e := g.places[c]; e != nil {
-		g.idle.Remove(e)
-		delete(g.places, c)
-	}
+	g.remove(c)
 	switch state {
+	case http.StateNew:
+		g.add(&g.silent, c)
 	case http.StateIdle:
-		if g.places == nil {
-			g.places = make(map[net.Conn]*list.Element)
-		}
-		g.places[c] = g.idle.PushBack(idleConn{c, g.Clock()})
+		g.add(&g.idle, c)
 	case http.StateClosed, http.StateHijacked:
 		g.open--
 		g.leaving = max(g.leaving-1, 0)
@@ -118,15 +124,36 @@
 	}
 }
 
+// add adds a connection that waits for a request to a list. The caller holds mu.
+func (g *Gatekeeper) add(to *list.List, c net.Conn) {
+	if g.places == nil {
+		g.places = make(map[net.Conn]place)
+	}
+	g.places[c] = place{to, to.PushBack(waitingConn{c, g.Clock()})}
+}
+
+// remove removes a connection from the list that it is in, if any. The caller holds mu.
+func (g *Gatekeeper) remove(c net.Conn) {
+	if p, ok := g.places[c]; ok {
+		p.list.Remove(p.element)
+		delete(g.places, c)
+	}
+}
+
 // makeRoom has a connection close and reports whether there is one. The caller holds mu.
 func (g *Gatekeeper) makeRoom() bool {
-	first := g.idle.Front()
-	if first == nil || g.Clock()-first.Value.(idleConn).since < minIdle {
-		return g.DropStalled != nil && g.DropStalled()
+	return g.expire(&g.idle, minIdle) || g.expire(&g.silent, minSilent) || g.DropStalled != nil && g.DropStalled()
+}
+
+// expire has the first connection of a list close if it has waited for a time, and reports whether it
+// has. The caller holds mu.
+func (g *Gatekeeper) expire(from *list.List, after time.Duration) bool {
+	first := from.Front()
+	if first == nil || g.Clock()-first.Value.(waitingConn).since < after {
+		return false
 	}
-	c := first.Value.(idleConn).Conn
-	g.idle.Remove(first)
-	delete(g.places, c)
+	c := first.Value.(waitingConn).Conn
+	g.remove(c)
 	// The server closes the connection unless it has just read a request: a close would leave
 	// that one without an answer.
 	return c.SetReadDeadline(time.Unix(1, 0)) == nil
--- a/internal/traffic/gatekeeper/gatekeeper_test.go
+++ b/internal/traffic/gatekeeper/gatekeeper_test.go
@@ -36,21 +36,23 @@
 	tests := []struct {
 		name     string
 		capacity int
-		// states are those of the connections that are open, which is idle for waited, and stalled the
-		// number of requests without progress.
-		idle, active int
-		waited       time.Duration
-		stalled      int
-		admitted     bool
-		// expired is the index of the idle connection that makes room, -1 for none.
+		// active, idle and silent are the numbers of connections with a request, after one, and
+		// before the first, all for a time, and stalled that of requests without progress.
+		active, idle, silent int
+		waited               time.Duration
+		stalled              int
+		admitted             bool
+		// expired is the index of the connection that makes room, -1 for none.
 		expired int
 	}{
-		{"room left", capacity, 3, 4, time.Minute, 1, true, -1},
-		{"idle ones", capacity, 3, 5, time.Minute, 1, true, 0},
-		{"idle for a moment", capacity, 3, 5, time.Millisecond, 0, false, -1},
-		{"request without progress", capacity, 0, 8, time.Minute, 1, true, -1},
-		{"all active", capacity, 0, 8, time.Minute, 0, false, -1},
-		{"no bound", 0, 3, 50, time.Minute, 0, true, -1},
+		{"room left", capacity, 4, 2, 1, time.Minute, 1, true, -1},
+		{"idle ones", capacity, 4, 2, 2, time.Minute, 1, true, 4},
+		{"idle for a moment", capacity, 5, 3, 0, time.Millisecond, 0, false, -1},
+		{"nothing sent", capacity, 6, 0, 2, time.Minute, 1, true, 6},
+		{"nothing sent for a moment", capacity, 6, 0, 2, time.Second / 2, 0, false, -1},
+		{"request without progress", capacity, 8, 0, 0, time.Minute, 1, true, -1},
+		{"all active", capacity, 8, 0, 0, time.Minute, 0, false, -1},
+		{"no bound", 0, 50, 3, 3, time.Minute, 0, true, -1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -61,14 +63,16 @@
 				return test.stalled >= 0
 			}}
 			var all []*conn
-			for i := range test.idle + test.active {
+			for i := range test.active + test.idle + test.silent {
+				now++
 				one := new(conn)
 				all = append(all, one)
 				c.Assert(g.Admit(one), qt.IsTrue)
 				g.Observe(one, http.StateNew)
-				g.Observe(one, http.StateActive)
-				if i < test.idle {
-					now++
+				if i < test.active+test.idle {
+					g.Observe(one, http.StateActive)
+				}
+				if i >= test.active && i < test.active+test.idle {
 					g.Observe(one, http.StateIdle)
 				}
 			}
