Find crashes of endpoints whose address is closed a moment later

Callers saw: requests with a part that crashes endpoints were sent on without end, and sound requests found too few endpoints: what the users reported.

Cause: a daemon that lost an answer dials the endpoint at once, and takes it for alive if it gets a connection. An address may accept for some milliseconds after its process broke its connections off. Each daemon decided that for itself, at the same moment, and threw away what it had observed.

Change: the endpoint is dialled once more 0.15 s later. What a daemon loses at an endpoint that it takes for alive is kept, untold, and counts if another daemon confirms a crash there within half a second (TestDoubted).

--- a/internal/forward/forwarder/crash.go
+++ b/internal/forward/forwarder/crash.go
@@ -21,6 +21,9 @@
 	probeCallTimeout = sender.DialTimeout*2 + 200*time.Millisecond
 	// witnessRetryTime is the time until peers are asked again if none answered.
 	witnessRetryTime = 100 * time.Millisecond
+	// reprobeTime is the time until an endpoint that lost an answer and takes a connection is dialled
+	// again: connections of a process that ends may break before its address is closed.
+	reprobeTime = 150 * time.Millisecond
 	// undecidedTime is how long a check goes on while nobody can tell a crash from a cut, as no daemon
 	// reaches any endpoint, and maxUndecidedWait bounds the time until peers are asked again; it
 	// doubles from witnessRetryTime.
@@ -119,10 +122,7 @@
 	}
 	f.background(func() {
 		if !refused {
-			err := f.Sender.Probe(f.ctx, h)
-			if refused = err != nil && sender.AsError(err).Refused(); refused {
-				f.Balancer.RecordFailure(h, true)
-			}
+			refused = f.refuses(h) || timekeeper.Sleep(f.ctx, reprobeTime) && f.refuses(h)
 		}
 		near, far := processNotAsked, processNotAsked
 		crashed := refused
@@ -136,6 +136,16 @@
 	})
 }
 
+// refuses reports whether an endpoint refuses a connection.
+func (f *Forwarder) refuses(h *samphireturn.Host) bool {
+	err := f.Sender.Probe(f.ctx, h)
+	refused := err != nil && sender.AsError(err).Refused()
+	if refused {
+		f.Balancer.RecordFailure(h, true)
+	}
+	return refused
+}
+
 // decideCrash is processEnded, repeated while nobody can tell: all endpoints may have crashed
 // together, and the first that is back shows that it was no cut.
 func (f *Forwarder) decideCrash(h *samphireturn.Host) (seenNear, seenFar processState, crashed bool) {
--- a/internal/forward/isolator/cause.go
+++ b/internal/forward/isolator/cause.go
@@ -35,10 +35,13 @@
 func (o *Isolator) update(now time.Duration) {
 	o.decide()
 	maps.DeleteFunc(o.crashes, func(_ uint64, c *crash) bool {
-		return now-c.at >= CrashTTL || c.undecided && now-c.at >= undecidedTTL
+		return now-c.at >= CrashTTL || c.certainty != confirmed && now-c.at >= undecidedTTL
 	})
 	clear(o.suspects)
 	for _, c := range o.crashes {
+		if c.certainty == doubted {
+			continue
+		}
 		for _, k := range c.Keys {
 			o.suspects[k] = true
 		}
@@ -60,17 +63,21 @@
 	o.isolated = isolated
 }
 
-// decide confirms the undecided crashes of endpoints of which a crash at that time is known. The
-// caller holds mu.
+// decide confirms the crashes of endpoints of which a crash at that time is known: doubted ones if it came
+// soon after, as a process that the daemon found alive may have ended later. The caller holds mu.
 func (o *Isolator) decide() {
 	known := make(map[string][]time.Duration)
 	for _, c := range o.crashes {
-		if !c.undecided {
+		if c.certainty == confirmed {
 			known[c.Endpoint] = append(known[c.Endpoint], c.at)
 		}
 	}
 	for _, c := range o.crashes {
-		if c.undecided && slices.ContainsFunc(known[c.Endpoint], func(at time.Duration) bool { return (c.at - at).Abs() < crashSpan }) {
+		span := crashSpan
+		if c.certainty == doubted {
+			span = candidateTime
+		}
+		if c.certainty != confirmed && slices.ContainsFunc(known[c.Endpoint], func(at time.Duration) bool { return (c.at - at).Abs() < span }) {
 			o.confirm(c)
 		}
 	}
@@ -154,10 +161,10 @@
 	)
 }
 
-// incidents returns the crashes that are not undecided, each with all observations of it, by time.
+// incidents returns the confirmed crashes, each with all observations of it, by time.
 func (o *Isolator) incidents() []incident {
 	all := slices.SortedFunc(maps.Values(o.crashes), func(a, b *crash) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.ID, b.ID)) })
-	all = slices.DeleteFunc(all, func(c *crash) bool { return c.undecided })
+	all = slices.DeleteFunc(all, func(c *crash) bool { return c.certainty != confirmed })
 	var incidents []incident
 	latest := make(map[string]int)
 	for _, c := range all {
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -50,7 +50,7 @@
 	// least time between two records of an answer that goes on.
 	survivedFactor = 2
 	progressStep   = 250 * time.Millisecond
-	// undecidedTTL is how long a crash is kept that no daemon can tell from a cut of the network.
+	// undecidedTTL is how long a crash is kept that no daemon confirms.
 	undecidedTTL = 10 * time.Second
 	// maxRan bounds the time after the head that a peer may tell.
 	maxRan = time.Hour
@@ -91,6 +91,15 @@
 
 const complete = level(len(levelTimes))
 
+const (
+	// confirmed crashes count. Undecided ones, which can't be told from a cut of the network, are
+	// told to peers, and doubted ones, after which this daemon found the process alive, are not; both
+	// are confirmed by any crash of the endpoint at that time.
+	confirmed certainty = iota
+	undecided
+	doubted
+)
+
 type (
 	// Key identifies a part of a prompt or a request.
 	Key string
@@ -166,11 +175,14 @@
 		// counted is the time from which it counts: that of the crash, or that at which a peer told of
 		// it if that was so late that other observations may still be on their way, as after a start.
 		counted   time.Duration
-		undecided bool
+		certainty certainty
 		// own is the request that was lost, if this daemon observed the crash.
 		own *candidate
 	}
 
+	// certainty tells whether a crash is known to be one.
+	certainty int
+
 	// check is the search for the end of an endpoint's process.
 	check struct {
 		began time.Duration
@@ -375,18 +387,25 @@
 func (o *Isolator) Undecided(h *samphireturn.Host) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.record(h, true)
+	o.record(h, undecided)
 	o.update(o.clock())
 }
 
 // FinishCheck ends the check of an endpoint and records whether its process had ended when the
-// check began. If it had not, the answers that were lost had another cause.
+// check began. If it had not, as far as this daemon can tell, the answers that were lost had another
+// cause; they are kept as undecided and are not told, since another daemon may know better.
 func (o *Isolator) FinishCheck(h *samphireturn.Host, crashed bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	defer delete(o.checking, h.ID)
 	if !crashed {
-		o.candidates[h.ID] = slices.DeleteFunc(o.candidates[h.ID], func(c candidate) bool { return c.lost })
+		given := slices.DeleteFunc(slices.Clone(o.candidates[h.ID]), func(c candidate) bool { return c.lost })
+		o.candidates[h.ID] = slices.DeleteFunc(o.candidates[h.ID], func(c candidate) bool { return !c.lost })
+		o.record(h, doubted)
+		if len(given) > 0 {
+			o.candidates[h.ID] = given
+		}
+		o.update(o.clock())
 		return
 	}
 	for _, id := range o.checking[h.ID].undecided {
@@ -394,7 +413,7 @@
 			o.confirm(c)
 		}
 	}
-	candidates := o.record(h, false)
+	candidates := o.record(h, confirmed)
 	now := o.clock()
 	o.update(now)
 	o.logSpared(candidates, now)
@@ -402,7 +421,7 @@
 
 // record adds the crashes of the candidates of an endpoint under check and returns them. The
 // caller holds mu.
-func (o *Isolator) record(h *samphireturn.Host, undecided bool) []candidate {
+func (o *Isolator) record(h *samphireturn.Host, how certainty) []candidate {
 	ch := o.checking[h.ID]
 	candidates := slices.DeleteFunc(o.candidates[h.ID], func(c candidate) bool { return ch.began-c.endedAt >= candidateTime })
 	delete(o.candidates, h.ID)
@@ -414,10 +433,10 @@
 		}
 		id := rand.Uint64()
 		added := &crash{
-			Crash: Crash{ID: id, Endpoint: h.ID, Keys: c.keys, Ran: c.ran.Microseconds()}, at: c.endedAt, counted: c.endedAt, undecided: undecided, own: &c,
+			Crash: Crash{ID: id, Endpoint: h.ID, Keys: c.keys, Ran: c.ran.Microseconds()}, at: c.endedAt, counted: c.endedAt, certainty: how, own: &c,
 		}
 		o.addCrash(added)
-		if undecided {
+		if how == undecided {
 			ch.undecided = append(ch.undecided, id)
 		}
 		o.logCrash(added)
@@ -428,9 +447,13 @@
 // logCrash logs and counts an observation of this daemon.
 func (o *Isolator) logCrash(c *crash) {
 	line := o.log.Warn()
-	if c.undecided {
+	switch c.certainty {
+	case doubted:
+		// The check has logged that it is not confirmed.
+		return
+	case undecided:
 		line = line.Str("event", logger.EventCrashUndecided)
-	} else {
+	default:
 		line = line.Str("event", logger.EventEndpointCrashed)
 		meter.CountCrash(false)
 	}
@@ -439,11 +462,12 @@
 
 // confirm marks a crash as one that is known not to be a cut. The caller holds mu.
 func (o *Isolator) confirm(c *crash) {
-	if !c.undecided {
+	if c.certainty == confirmed {
 		return
 	}
 	o.changes++
-	c.undecided, c.change = false, o.changes
+	c.certainty, c.change = confirmed, o.changes
+	o.tellSuccesses(c.Keys)
 	if c.own != nil {
 		o.logCrash(c)
 	}
@@ -473,7 +497,7 @@
 	for _, c := range o.crashes {
 		if c.change > change {
 			c.Age = (now - c.at).Microseconds()
-			if c.undecided {
+			if c.certainty == undecided {
 				told.Undecided = append(told.Undecided, c.Crash)
 			} else {
 				told.Crashes = append(told.Crashes, c.Crash)
@@ -498,10 +522,10 @@
 	defer o.mu.Unlock()
 	now := o.clock()
 	for _, c := range told.Crashes {
-		o.addTold(c, now, false)
+		o.addTold(c, now, confirmed)
 	}
 	for _, c := range told.Undecided {
-		o.addTold(c, now, true)
+		o.addTold(c, now, undecided)
 	}
 	for _, k := range told.Isolated {
 		if o.suspects[k] {
@@ -524,23 +548,23 @@
 }
 
 // addTold adds a crash that a peer told, or confirms it. The caller holds mu.
-func (o *Isolator) addTold(c Crash, now time.Duration, undecided bool) {
+func (o *Isolator) addTold(c Crash, now time.Duration, how certainty) {
 	if known := o.crashes[c.ID]; known != nil {
-		if !undecided {
+		if how == confirmed {
 			o.confirm(known)
 		}
 		return
 	}
 	age := time.Duration(c.Age) * time.Microsecond
-	if !valid(c) || undecided && age >= undecidedTTL {
+	if !valid(c) || how == undecided && age >= undecidedTTL {
 		return
 	}
-	added := &crash{Crash: c, at: now - age, counted: now - age, undecided: undecided}
+	added := &crash{Crash: c, at: now - age, counted: now - age, certainty: how}
 	if age > exchangeTime && o.hasPeers() {
 		added.counted = now
 	}
 	o.addCrash(added)
-	if !undecided {
+	if how == confirmed {
 		meter.CountCrash(true)
 	}
 }
@@ -584,24 +608,31 @@
 
 // addCrash adds a crash. The caller holds mu.
 func (o *Isolator) addCrash(c *crash) {
-	o.changes++
-	c.change = o.changes
 	o.crashes[c.ID] = c
-	for _, k := range c.Keys {
+	if c.certainty != doubted {
+		o.changes++
+		c.change = o.changes
+		o.tellSuccesses(c.Keys)
+	}
+	if len(o.crashes) > maxCrashes {
+		o.dropCrash()
+	}
+}
+
+// tellSuccesses marks the keys as those of crashes, and their successes as ones to tell peers,
+// which may not know of them. The caller holds mu.
+func (o *Isolator) tellSuccesses(keys []Key) {
+	for _, k := range keys {
 		o.suspects[k] = true
-		// Peers may not know of the successes.
 		if s := o.successes[k]; s != nil {
 			for l := range s {
 				o.tell(s, level(l))
 			}
 		}
 	}
-	if len(o.crashes) > maxCrashes {
-		o.dropCrash()
-	}
 }
 
-// dropCrash drops the crash that matters least: one that is undecided or that all its keys
+// dropCrash drops the crash that matters least: one that is not confirmed or that all its keys
 // succeeded after, rather than one without an isolated key, and of the same kind the oldest. The
 // caller holds mu.
 func (o *Isolator) dropCrash() {
@@ -614,7 +645,7 @@
 // importance returns how much a crash matters to what is isolated. The caller holds mu.
 func (o *Isolator) importance(c *crash) int {
 	switch {
-	case c.undecided:
+	case c.certainty != confirmed:
 		return 0
 	case slices.ContainsFunc(c.Keys, func(k Key) bool { return o.isolated[k] > 0 }):
 		return 2
--- a/internal/forward/isolator/isolator_test.go
+++ b/internal/forward/isolator/isolator_test.go
@@ -556,6 +556,47 @@
 	}
 }
 
+// TestDoubted guards against crashes that are forgotten because a daemon found the endpoint alive: its
+// address may accept connections for a moment after the crash. Another daemon that finds it gone knows better.
+func TestDoubted(t *testing.T) {
+	tests := []struct {
+		name string
+		// later is the time from the answer that a daemon lost to the one that its peer lost.
+		later time.Duration
+		want  string
+	}{
+		{"at once", 0, "x"},
+		{"a moment later", 200 * time.Millisecond, "x"},
+		{"another crash", time.Second, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			d, peer := newDaemon(), newDaemon()
+			for i := range isolator.MinCrashes {
+				h := &samphireturn.Host{ID: fmt.Sprint("e", i)}
+				d.expect(h, "x").Lose()
+				_, before := d.Since(0)
+				c.Assert(d.StartCheck(h), qt.IsTrue)
+				d.FinishCheck(h, false)
+				_, after := d.Since(0)
+				c.Check(after, qt.Equals, before)
+				peer.now += test.later
+				d.now += test.later
+				peer.crash(h.ID, fmt.Sprint("b", i))
+				tell(peer, d, 0, time.Millisecond)
+				tell(d, peer, 0, time.Millisecond)
+				d.now += 5 * time.Second
+				peer.now += 5 * time.Second
+			}
+			for _, one := range []*daemon{d, peer} {
+				one.Sweep()
+				c.Check(one.isolated("x b0 b1 b2"), qt.Equals, test.want)
+			}
+		})
+	}
+}
+
 // TestLateObservations guards against keys that a daemon isolates by the observations of the first
 // peer that it hears after a start: those of the others are still on their way. What a peer
 // isolates that had them all is isolated at once.
