--- a/internal/soak/runner/crowd_test.go
+++ b/internal/soak/runner/crowd_test.go
@@ -40,6 +40,15 @@
 	write   func(w io.Writer)
 }
 
+// send sends the request with an id.
+func (cc crowdClient) send(w io.Writer, id string) {
+	_, err := fmt.Fprintf(w, "POST /book/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nAuthorization: Bearer %s\r\n%s: 60000\r\n%s\r\n\r\n",
+		id, serviceHost, formatter.ID, id, constantKey, formatter.Deadline, cc.framing)
+	if err == nil {
+		cc.write(w)
+	}
+}
+
 // announced sends a body with a length, all but the last missing bytes.
 func announced(length, missing int) crowdClient {
 	return crowdClient{"Content-Length: " + strconv.Itoa(length), func(w io.Writer) {
@@ -113,13 +122,7 @@
 func (r *Runner) exchangeRaw(conn net.Conn, id string, client crowdClient) int {
 	var sent sync.WaitGroup
 	defer sent.Wait()
-	sent.Go(func() {
-		_, err := fmt.Fprintf(conn, "POST /book/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nAuthorization: Bearer %s\r\n%s: 60000\r\n%s\r\n\r\n",
-			id, serviceHost, formatter.ID, id, constantKey, formatter.Deadline, client.framing)
-		if err == nil {
-			client.write(conn)
-		}
-	})
+	sent.Go(func() { client.send(conn, id) })
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0
@@ -155,11 +158,7 @@
 		conns = append(conns, conn)
 		sending.Go(func() {
 			_ = conn.SetWriteDeadline(time.Now().Add(crowdSettle))
-			_, err := fmt.Fprintf(conn, "POST /book/crowd%d HTTP/1.1\r\nHost: %s\r\n%s: crowd%d\r\nAuthorization: Bearer %s\r\n%s: 60000\r\n%s\r\n\r\n",
-				i, serviceHost, formatter.ID, i, constantKey, formatter.Deadline, client.framing)
-			if err == nil {
-				client.write(conn)
-			}
+			client.send(conn, "crowd"+strconv.Itoa(i))
 		})
 	}
 	sending.Wait()
