--- a/internal/forward/isolator/cause.go
+++ b/internal/forward/isolator/cause.go
@@ -253,15 +253,9 @@
 func (o *Isolator) logSpared(candidates []candidate, now time.Duration) {
 	all, counted := make(map[Key]int), make(map[Key]int)
 	for _, in := range o.incidents() {
-		seen, mayCause := make(map[Key]bool), make(map[Key]bool)
-		for _, c := range in.all {
-			for _, k := range c.Keys {
-				seen[k], mayCause[k] = true, mayCause[k] || o.mayCause(c, k)
-			}
-		}
-		for k := range seen {
+		for k, c := range in.likeliest() {
 			all[k]++
-			if mayCause[k] {
+			if o.mayCause(c, k) {
 				counted[k]++
 			}
 		}
--- a/internal/forward/isolator/isolator.go
+++ b/internal/forward/isolator/isolator.go
@@ -13,8 +13,6 @@
 	"encoding/hex"
 	"io"
 	"maps"
-	"math"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -24,8 +22,6 @@
 	"github.com/rs/zerolog"
 
 	"samphireturn"
-	"samphireturn/internal/core/logger"
-	"samphireturn/internal/core/meter"
 )
 
 const (
@@ -369,217 +365,6 @@
 	o.candidates[a.endpoint] = append(o.candidates[a.endpoint], c)
 }
 
-// StartCheck reports whether the caller should find out if an endpoint has crashed: an answer
-// of it ended without success lately. The caller must call FinishCheck then.
-func (o *Isolator) StartCheck(h *samphireturn.Host) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := o.clock()
-	if _, ok := o.checking[h.ID]; ok || !slices.ContainsFunc(o.candidates[h.ID], func(c candidate) bool { return now-c.endedAt < candidateTime }) {
-		return false
-	}
-	o.checking[h.ID] = &check{began: now, lostAt: math.MaxInt64}
-	return true
-}
-
-// Undecided records that an endpoint under check may have crashed, which can't be told yet from a
-// cut of the network. The check goes on.
-func (o *Isolator) Undecided(h *samphireturn.Host) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.record(h, undecided)
-	o.update(o.clock())
-}
-
-// FinishCheck ends the check of an endpoint and records whether its process had ended when the
-// check began. If it had not, as far as this daemon can tell, the answers that were lost had another
-// cause; they are kept as undecided and are not told, since another daemon may know better.
-func (o *Isolator) FinishCheck(h *samphireturn.Host, crashed bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	defer delete(o.checking, h.ID)
-	if !crashed {
-		given := slices.DeleteFunc(slices.Clone(o.candidates[h.ID]), func(c candidate) bool { return c.lost })
-		o.candidates[h.ID] = slices.DeleteFunc(o.candidates[h.ID], func(c candidate) bool { return !c.lost })
-		o.record(h, doubted)
-		if len(given) > 0 {
-			o.candidates[h.ID] = given
-		}
-		o.update(o.clock())
-		return
-	}
-	for _, id := range o.checking[h.ID].undecided {
-		if c := o.crashes[id]; c != nil {
-			o.confirm(c)
-		}
-	}
-	candidates := o.record(h, confirmed)
-	now := o.clock()
-	o.update(now)
-	o.logSpared(candidates, now)
-}
-
-// record adds the crashes of the candidates of an endpoint under check and returns them. The
-// caller holds mu.
-func (o *Isolator) record(h *samphireturn.Host, how certainty) []candidate {
-	ch := o.checking[h.ID]
-	candidates := slices.DeleteFunc(o.candidates[h.ID], func(c candidate) bool { return ch.began-c.endedAt >= candidateTime })
-	delete(o.candidates, h.ID)
-	ch.lostAt = min(ch.lostAt, firstLoss(candidates))
-	for _, c := range candidates {
-		if c.sentAt > ch.lostAt {
-			// It found the process gone.
-			continue
-		}
-		id := rand.Uint64()
-		added := &crash{
-			Crash: Crash{ID: id, Endpoint: h.ID, Keys: c.keys, Ran: c.ran.Microseconds()}, at: c.endedAt, counted: c.endedAt, certainty: how, own: &c,
-		}
-		o.addCrash(added)
-		if how == undecided {
-			ch.undecided = append(ch.undecided, id)
-		}
-		o.logCrash(added)
-	}
-	return candidates
-}
-
-// logCrash logs and counts an observation of this daemon.
-func (o *Isolator) logCrash(c *crash) {
-	line := o.log.Warn()
-	switch c.certainty {
-	case doubted:
-		// The check has logged that it is not confirmed.
-		return
-	case undecided:
-		line = line.Str("event", logger.EventCrashUndecided)
-	default:
-		line = line.Str("event", logger.EventEndpointCrashed)
-		meter.CountCrash(false)
-	}
-	line.Str("endpoint", c.Endpoint).Bool("begun", c.own.begun).Bool("lost", c.own.lost).Any("keys", c.Keys).Send()
-}
-
-// confirm marks a crash as one that is known not to be a cut. The caller holds mu.
-func (o *Isolator) confirm(c *crash) {
-	if c.certainty == confirmed {
-		return
-	}
-	o.changes++
-	c.certainty, c.change = confirmed, o.changes
-	o.tellSuccesses(c.Keys)
-	if c.own != nil {
-		o.logCrash(c)
-	}
-}
-
-// firstLoss returns when the first of some answers was lost, or the latest time if none was.
-func firstLoss(candidates []candidate) time.Duration {
-	first := time.Duration(math.MaxInt64)
-	for _, c := range candidates {
-		if c.lost {
-			first = min(first, c.endedAt)
-		}
-	}
-	return first
-}
-
-// Since returns the observations that are newer than a change, and the number of the last
-// change.
-func (o *Isolator) Since(change uint64) (Observations, uint64) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	var told Observations
-	if change == o.changes {
-		return told, change
-	}
-	now := o.clock()
-	for _, c := range o.crashes {
-		if c.change > change {
-			c.Age = (now - c.at).Microseconds()
-			if c.certainty == undecided {
-				told.Undecided = append(told.Undecided, c.Crash)
-			} else {
-				told.Crashes = append(told.Crashes, c.Crash)
-			}
-		}
-	}
-	for k := range o.isolated {
-		told.Isolated = append(told.Isolated, k)
-	}
-	for k := range o.suspects {
-		told.Successes = append(told.Successes, o.successes[k].since(k, change, now)...)
-	}
-	return told, o.changes
-}
-
-// Add adds the observations that a peer told.
-func (o *Isolator) Add(told Observations) {
-	if len(told.Crashes) == 0 && len(told.Successes) == 0 && len(told.Undecided) == 0 {
-		return
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := o.clock()
-	for _, c := range told.Crashes {
-		o.addTold(c, now, confirmed)
-	}
-	for _, c := range told.Undecided {
-		o.addTold(c, now, undecided)
-	}
-	for _, k := range told.Isolated {
-		if o.suspects[k] {
-			o.settled[k] = true
-		}
-	}
-	for _, s := range told.Successes {
-		if s.Age < 0 || s.Survived < 0 || len(s.Key) > maxKeyLength {
-			continue
-		}
-		at, l := now-time.Duration(s.Age)*time.Microsecond, complete
-		if s.Survived > 0 {
-			l = reached(time.Duration(s.Survived) * time.Microsecond)
-		}
-		if known := o.success(s.Key, l); l >= 0 && (!known.known || at-known.at >= successStep) {
-			o.addSuccess(s.Key, l, at)
-		}
-	}
-	o.update(now)
-}
-
-// addTold adds a crash that a peer told, or confirms it. The caller holds mu.
-func (o *Isolator) addTold(c Crash, now time.Duration, how certainty) {
-	if known := o.crashes[c.ID]; known != nil {
-		if how == confirmed {
-			o.confirm(known)
-		}
-		return
-	}
-	age := time.Duration(c.Age) * time.Microsecond
-	if !valid(c) || how == undecided && age >= undecidedTTL {
-		return
-	}
-	added := &crash{Crash: c, at: now - age, counted: now - age, certainty: how}
-	if age > exchangeTime && o.hasPeers() {
-		added.counted = now
-	}
-	o.addCrash(added)
-	if how == confirmed {
-		meter.CountCrash(true)
-	}
-}
-
-// hasPeers reports whether other daemons may have observations that have not arrived yet.
-func (o *Isolator) hasPeers() bool { return o.HasPeers != nil && o.HasPeers() }
-
-// valid reports whether a crash that a peer told is within the bounds.
-func valid(c Crash) bool {
-	if c.Age < 0 || c.Age >= CrashTTL.Microseconds() || c.Ran < 0 || c.Ran > maxRan.Microseconds() || len(c.Keys) > maxParts+1 {
-		return false
-	}
-	return !slices.ContainsFunc(c.Keys, func(k Key) bool { return len(k) > maxKeyLength })
-}
-
 // Sweep forgets what has expired.
 func (o *Isolator) Sweep() {
 	o.mu.Lock()
@@ -698,27 +483,6 @@
 	return success{}
 }
 
-// since returns the successes of a key that peers are told and that are newer than a change, but
-// for those that one of a higher level implies.
-func (s *successes) since(k Key, change uint64, now time.Duration) (told []Success) {
-	if s == nil {
-		return nil
-	}
-	newest := time.Duration(-1)
-	for l := complete; l >= 0; l-- {
-		if s[l].change <= change || newest >= 0 && s[l].toldAt <= newest {
-			continue
-		}
-		newest = s[l].toldAt
-		t := Success{Key: k, Age: (now - s[l].toldAt).Microseconds()}
-		if l < complete {
-			t.Survived = levelTimes[l].Microseconds()
-		}
-		told = append(told, t)
-	}
-	return told
-}
-
 // reached returns the level of an answer that goes on after a time since its head; negative for
 // none.
 func reached(ran time.Duration) level {
