--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -30,6 +30,7 @@
 	Callers   int           `arg:"--callers" default:"24" help:"number of callers"`
 	Ratio     float64       `arg:"--retry-ratio" help:"retries that the daemons are allowed per request, with --retry-extra; 0 for those of the users' deployments"`
 	Extra     float64       `arg:"--retry-extra" help:"retries that they are allowed besides in each window"`
+	Closing   time.Duration `arg:"--close-delay" help:"time for which the address of an endpoint that has ended accepts connections"`
 	Kinds     []string      `arg:"--kind,separate" help:"only faults of this kind; may be repeated"`
 	Dir       string        `arg:"--dir" help:"directory for logs; by default a temporary one"`
 	Plan      bool          `arg:"--plan" help:"print the schedule and exit"`
@@ -106,7 +107,7 @@
 	}
 	r := runner.Runner{
 		Seed: seed, Daemons: s.Daemons, Endpoints: s.Endpoints, Callers: s.Callers, Duration: s.Duration, Kinds: s.Kinds,
-		DaemonProgram: s.Daemon, EarlierProgram: s.Earlier, RetryShare: s.Ratio, RetryExtra: s.Extra, Settings: s.Settings, StandinProgram: self, Dir: dir, Log: log,
+		DaemonProgram: s.Daemon, EarlierProgram: s.Earlier, RetryShare: s.Ratio, RetryExtra: s.Extra, CloseDelay: s.Closing, Settings: s.Settings, StandinProgram: self, Dir: dir, Log: log,
 	}
 	report, err := r.Run(ctx)
 	if err != nil {
--- a/internal/soak/runner/runner.go
+++ b/internal/soak/runner/runner.go
@@ -58,7 +58,7 @@
 
 type (
 	// Runner is one run. Set the exported fields before Run; all but Kinds, EarlierProgram,
-	// RetryShare, RetryExtra and Settings are required.
+	// RetryShare, RetryExtra, CloseDelay and Settings are required.
 	Runner struct {
 		Seed uint64
 		// Daemons is the number of daemons; Endpoints is that of each of two pools.
@@ -77,6 +77,8 @@
 		// RetryShare and RetryExtra replace the daemons' bound on retries if RetryShare is above
 		// 0.
 		RetryShare, RetryExtra float64
+		// CloseDelay is how long the address of an endpoint whose process has ended accepts connections.
+		CloseDelay time.Duration
 		// Settings holds lines that are added to the daemons' settings files.
 		Settings []string
 		// Dir is an existing directory for settings and logs.
--- a/internal/soak/runner/runner_test.go
+++ b/internal/soak/runner/runner_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
@@ -40,17 +40,22 @@
 }
 
 // TestCrashes guards against prompt parts that crash one endpoint after the other, before the head
-// of the answer or after some events, so that in the end no sound request finds an endpoint.
+// of the answer or after some events, also if its address is closed only a moment later, so that in the end
+// no sound request finds an endpoint.
 func TestCrashes(t *testing.T) {
 	c := qt.New(t)
 	bin := buildPrograms(c)
 	// The draws of these seeds make endpoints crash before the head and after events.
-	for _, seed := range []uint64{50, 54} {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+	tests := []struct {
+		seed       uint64
+		closeDelay time.Duration
+	}{{50, 0}, {54, 0}, {50, 50 * time.Millisecond}}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.seed, " ", test.closeDelay), func(t *testing.T) {
 			c := qt.New(t)
 			var log bytes.Buffer
 			r := &Runner{
-				Seed: seed, Daemons: 8, Endpoints: 8, Callers: 40, Duration: 15 * time.Second, Dir: t.TempDir(), Log: &log,
+				Seed: test.seed, CloseDelay: test.closeDelay, Daemons: 8, Endpoints: 8, Callers: 40, Duration: 15 * time.Second, Dir: t.TempDir(), Log: &log,
 				Kinds:         []string{planner.RequestsCrash},
 				DaemonProgram: filepath.Join(bin, "samphireturnd"), StandinProgram: filepath.Join(bin, "standin"),
 			}
--- a/internal/soak/runner/slot.go
+++ b/internal/soak/runner/slot.go
@@ -149,6 +149,7 @@
 // request crashed it, another is started after crashPause.
 func (s *slot) watch(p *process, id string) {
 	<-p.done
+	time.Sleep(s.runner.CloseDelay)
 	s.mu.Lock()
 	if s.process == p {
 		if err := s.runner.links.SetDown(s.name, true); err != nil {
