Refuse answers whose status line is none

Callers saw, of a server that sent them: status 600 and 999 as an answer with the seal; a 200 in HTTP/9.9, 2.0 or 0.9; and where a head with status 000, 050 or 101 came before a whole 200, that 200.

Cause: http.ReadResponse takes any three figures as a status and any figures as a version, and the sender skipped all below 200 as interim answers, so that the bytes of a body could be read as the final answer.

Change: the bytes of a head pass a scanner while they are read (internal/core/scanner). The first one that a status line can't hold ends the attempt as broken, before the rest is read. Only 1xx is interim, and 101 is never asked for.

--- /dev/null
+++ b/internal/core/scanner/scanner_test.go
@@ -0,0 +1,73 @@
+package scanner_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"samphireturn/internal/core/scanner"
+)
+
+const final = "HTTP/1.1 200 OK\r\nA: b\r\n\r\n"
+
+// TestScan checks which heads are allowed, however the bytes come.
+func TestScan(t *testing.T) {
+	tests := []struct {
+		name, head string
+		malformed  bool
+	}{
+		{"whole", final, false},
+		{"line feeds alone", "HTTP/1.1 200 OK\nA: b\n\n", false},
+		{"no reason", "HTTP/1.1 200\r\n\r\n", false},
+		{"no reason, line feeds alone", "HTTP/1.1 200\n\n", false},
+		{"earlier version", "HTTP/1.0 404 Not Found\r\n\r\n", false},
+		{"tab and bytes above ASCII", "HTTP/1.1 200 \xc3\xa4\r\nA:\tb \xff\r\n\r\n", false},
+		{"body of any bytes", final + "\x00\r\r\n\n", false},
+		{"interim answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + final, false},
+		{"interim answer, then a body", "HTTP/1.1 100 Continue\r\n\r\nbody", true},
+		{"no status", "HTTP/1.1 000 None\r\n\r\n", true},
+		{"status above the classes", "HTTP/1.1 600 None\r\n\r\n", true},
+		{"another protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n", true},
+		{"sign", "HTTP/1.1 +20 OK\r\n\r\n", true},
+		{"four digits", "HTTP/1.1 2000 OK\r\n\r\n", true},
+		{"later version", "HTTP/2.0 200 OK\r\n\r\n", true},
+		{"two digits of the version", "HTTP/1.10 200 OK\r\n\r\n", true},
+		{"two blanks", "HTTP/1.1  200 OK\r\n\r\n", true},
+		{"line feed first", "\nHTTP/1.1 200 OK\r\n\r\n", true},
+		{"carriage return in the reason", "HTTP/1.1 200 O\rK\r\n\r\n", true},
+		{"NUL in the reason", "HTTP/1.1 200 O\x00K\r\n\r\n", true},
+		{"DEL in a value", "HTTP/1.1 200 OK\r\nA: \x7f\r\n\r\n", true},
+		{"carriage return before the end", "HTTP/1.1 200 OK\r\nA: b\r\n\r\r\n", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var s scanner.Scanner
+			whole := s.Scan([]byte(test.head))
+			c.Check(whole != nil, qt.Equals, test.malformed)
+			s.Reset()
+			c.Check(scanBytes(&s, test.head), qt.Equals, test.malformed)
+			s.Reset()
+			c.Check(s.Scan([]byte(final)), qt.IsNil)
+		})
+	}
+}
+
+// scanBytes scans a head byte by byte and reports whether it is malformed.
+func scanBytes(s *scanner.Scanner, head string) bool {
+	for _, b := range []byte(head) {
+		if s.Scan([]byte{b}) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// TestScanError checks what the error says.
+func TestScanError(t *testing.T) {
+	c := qt.New(t)
+	err := new(scanner.Scanner).Scan([]byte(strings.Repeat("x", 10)))
+	c.Check(err, qt.ErrorMatches, "read head: malformed")
+	c.Check(err.(*scanner.Error).Kind, qt.Equals, scanner.KindMalformed)
+}
--- a/internal/forward/sender/sender.go
+++ b/internal/forward/sender/sender.go
@@ -24,6 +24,7 @@
 	"golang.org/x/sys/unix"
 
 	"samphireturn"
+	"samphireturn/internal/core/scanner"
 )
 
 // Kinds of errors.
@@ -138,6 +139,7 @@
 		// readsHead is true.
 		headLeft   int
 		readsHead  bool
+		scanner    scanner.Scanner
 		key        string
 		idleSince  time.Duration
 		reuseUntil time.Duration
@@ -148,7 +150,7 @@
 
 var errHeadTooLong = errors.New("head of the answer is too long")
 
-// Read implements io.Reader. It fails if the head of an answer exceeds its bound.
+// Read implements io.Reader. It fails if the head of an answer is malformed or exceeds its bound.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.readsHead {
 		return c.Conn.Read(p)
@@ -158,6 +160,9 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
 	c.headLeft -= n
+	if err := c.scanner.Scan(p[:n]); err != nil {
+		return 0, err
+	}
 	return n, err
 }
 
@@ -165,6 +170,15 @@
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.headLeft, c.readsHead = maxHeadBytes, true
 	defer func() { c.readsHead = false }()
+	c.scanner.Reset()
+	// Some of it may have come with the answer before.
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.scanner.Scan(buffered); err != nil {
+		return nil, err
+	}
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
