Refuse answers with a malformed field

Callers saw, of a server that sent them: a 200 with the seal whose line "X Bad: 1" or "X-Bad : 1" was left out; and with "Content-Length : 26" or "Transfer-Encoding : chunked" a body that was not the server's: surplus bytes, the lines of chunks, or a part of it. A line that begins with a blank changed the value of the one before it.

Cause: textproto takes names with blanks, so that http.ReadResponse keeps such a line under that name and frames the body without it; net/http leaves the line out on the way on.

Change: the scanner checks each byte of names, that a colon ends them, and that no line continues another.

--- a/internal/core/scanner/scanner.go
+++ b/internal/core/scanner/scanner.go
@@ -1,11 +1,15 @@
 // Package scanner checks the heads of HTTP/1 answers byte by byte while they are read.
 //
 // Parsers accept more than the protocol allows: statuses that don't exist, versions whose
-// framing is another, and bytes that no line may hold. What such an answer means is a guess,
+// framing is another, names with blanks, and bytes that no line may hold. What such an answer means is a guess,
 // and another reader of it may guess otherwise, so that it must not be passed on.
 package scanner
 
-import "samphireturn"
+import (
+	"strings"
+
+	"samphireturn"
+)
 
 // Kinds of errors.
 const (
@@ -19,7 +23,8 @@
 	inReason
 	// atLine is at the beginning of a line that holds a field or ends the head.
 	atLine
-	inField
+	inName
+	inValue
 	// afterReturn follows a carriage return, which only a line feed may follow.
 	afterReturn
 	ended
@@ -93,17 +98,30 @@
 		return s.nextOfStatus(b)
 	case s.state == afterReturn:
 		return b == '\n' && s.endLine()
+	case s.state == inName:
+		return s.nextOfName(b)
 	case b == '\n':
 		return s.endLine()
 	case b == '\r':
 		s.state = afterReturn
 		return true
 	case s.state == atLine:
-		s.state, s.emptyLine = inField, false
+		// A line that begins with a blank would continue the one before, in some readers.
+		s.state, s.emptyLine = inName, false
+		return isToken(b)
 	}
 	return isText(b)
 }
 
+// nextOfName takes a byte of the name of a field after the first, or the colon that ends it.
+func (s *Scanner) nextOfName(b byte) bool {
+	if b == ':' {
+		s.state = inValue
+		return true
+	}
+	return isToken(b)
+}
+
 // nextOfStatus takes a byte of the status line, up to the one after the status.
 func (s *Scanner) nextOfStatus(b byte) bool {
 	i := s.position
@@ -139,5 +157,10 @@
 // isText reports whether a byte may be part of a line.
 func isText(b byte) bool { return b == '\t' || b >= ' ' && b != 0x7f }
 
+// isToken reports whether a byte may be part of a name.
+func isToken(b byte) bool {
+	return isDigit(b) || 'a' <= b|0x20 && b|0x20 <= 'z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
 // isDigit reports whether a byte is a decimal digit.
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
