Refuse answers whose body ends in two places

Callers saw, of a server that sent them: an answer in HTTP/1.0 with Transfer-Encoding had its chunk lines passed on as the body; one with chunks and a length was passed on by its chunks, whatever the length said. In a stream that was resumed the chunk lines stood in the middle of the stream.

Cause: net/http drops Transfer-Encoding from an answer in HTTP/1.0, and Content-Length beside chunks, without an error. RFC 9112 (6.1, 6.3) has the first treated as faulty, and says that the second ought to be handled as an error.

Change: the scanner remembers the fields that say where a body ends, and refuses the two cases at the end of the head.

--- a/internal/core/scanner/scanner.go
+++ b/internal/core/scanner/scanner.go
@@ -1,7 +1,7 @@
 // Package scanner checks the heads of HTTP/1 answers byte by byte while they are read.
 //
 // Parsers accept more than the protocol allows: statuses that don't exist, versions whose
-// framing is another, names with blanks, and bytes that no line may hold. What such an answer means is a guess,
+// framing is another, names with blanks, bytes that no line may hold, and bodies that end in two places. What such an answer means is a guess,
 // and another reader of it may guess otherwise, so that it must not be passed on.
 package scanner
 
@@ -38,6 +38,13 @@
 	classAt                 = len(statusLine) - 3
 	interimClass, lastClass = '1', '5'
 	switchingProtocols      = "101"
+
+	// minorAt is where the last figure of the version is. Chunks came with version 1.1.
+	minorAt        = len("HTTP/1.")
+	withoutChunks  = '0'
+	lengthName     = "content-length"
+	codingName     = "transfer-encoding"
+	maxFramingName = len(codingName)
 )
 
 type (
@@ -59,6 +66,14 @@
 		status   [3]byte
 		// emptyLine is true while a line after the status line has no bytes.
 		emptyLine bool
+		// name holds the first bytes of the name of a field in lower case, and nameBytes is its
+		// length.
+		name      [maxFramingName]byte
+		nameBytes int
+		// minor is the last figure of the version, and hasLength and hasCoding tell which fields
+		// that say where the body ends have come.
+		minor                byte
+		hasLength, hasCoding bool
 	}
 
 	// state says where the next byte is.
@@ -107,21 +122,36 @@
 		return true
 	case s.state == atLine:
 		// A line that begins with a blank would continue the one before, in some readers.
-		s.state, s.emptyLine = inName, false
-		return isToken(b)
+		s.state, s.emptyLine, s.nameBytes = inName, false, 0
+		return b != ':' && s.nextOfName(b)
 	}
 	return isText(b)
 }
 
-// nextOfName takes a byte of the name of a field after the first, or the colon that ends it.
+// nextOfName takes a byte of the name of a field, or the colon that ends it.
 func (s *Scanner) nextOfName(b byte) bool {
 	if b == ':' {
 		s.state = inValue
+		s.recordName()
 		return true
 	}
+	if s.nameBytes < len(s.name) {
+		s.name[s.nameBytes] = lower(b)
+	}
+	s.nameBytes++
 	return isToken(b)
 }
 
+// recordName records a field that says where the body ends.
+func (s *Scanner) recordName() {
+	switch string(s.name[:min(s.nameBytes, len(s.name))]) {
+	case lengthName:
+		s.hasLength = true
+	case codingName:
+		s.hasCoding = s.hasCoding || s.nameBytes == len(codingName)
+	}
+}
+
 // nextOfStatus takes a byte of the status line, up to the one after the status.
 func (s *Scanner) nextOfStatus(b byte) bool {
 	i := s.position
@@ -131,6 +161,9 @@
 		s.state = inReason
 		return b == ' ' || (b == '\r' || b == '\n') && s.next(b)
 	case i < classAt:
+		if i == minorAt {
+			s.minor = b
+		}
 		return b == statusLine[i] || statusLine[i] == '0' && isDigit(b)
 	}
 	s.status[i-classAt] = b
@@ -141,11 +174,15 @@
 	return isDigit(b) && string(s.status[:]) != switchingProtocols
 }
 
-// endLine ends a line. An empty one ends the head, and a final answer follows an interim one.
+// endLine ends a line and reports whether the head may end there. An empty line ends it, and a final
+// answer follows an interim one.
 func (s *Scanner) endLine() bool {
 	switch {
 	case !s.emptyLine:
 		s.state, s.emptyLine = atLine, true
+	case s.hasCoding && (s.hasLength || s.minor == withoutChunks):
+		// The body has two ends, or one that its version doesn't know.
+		return false
 	case s.status[0] == interimClass:
 		s.Reset()
 	default:
@@ -159,8 +196,11 @@
 
 // isToken reports whether a byte may be part of a name.
 func isToken(b byte) bool {
-	return isDigit(b) || 'a' <= b|0x20 && b|0x20 <= 'z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+	return isDigit(b) || 'a' <= lower(b) && lower(b) <= 'z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
 
+// lower returns a letter in lower case. No other byte becomes a letter.
+func lower(b byte) byte { return b | 0x20 }
+
 // isDigit reports whether a byte is a decimal digit.
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
--- a/internal/core/scanner/scanner_test.go
+++ b/internal/core/scanner/scanner_test.go
@@ -49,6 +49,12 @@
 		{"no name", "HTTP/1.1 200 OK\r\n: b\r\n\r\n", true},
 		{"no colon", "HTTP/1.1 200 OK\r\nA\r\n\r\n", true},
 		{"field of an interim answer", "HTTP/1.1 103 Early Hints\r\nA : b\r\n\r\n" + final, true},
+		{"length", "HTTP/1.0 200 OK\r\nContent-Length: 1\r\nX-Transfer-Encoding: a\r\nTransfer-Encodings: a\r\n\r\n", false},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Lengths: 1\r\nX-Content-Length: 1\r\n\r\n", false},
+		{"chunks of an earlier version", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		{"length and chunks", "HTTP/1.1 200 OK\r\ncontent-length: 1\r\nTRANSFER-ENCODING: chunked\r\n\r\n", true},
+		{"chunks and length, interim answer", "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n" + final, true},
+		{"length of an interim answer", "HTTP/1.1 103 Early Hints\r\nContent-Length: 1\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false},
 		{"DEL in a value", "HTTP/1.1 200 OK\r\nA: \x7f\r\n\r\n", true},
 		{"carriage return before the end", "HTTP/1.1 200 OK\r\nA: b\r\n\r\r\n", true},
 	}
