Take an answer without a length as whole only if its request was delivered

Callers saw: a server answered an upload with a 200 without a length, sent a part and closed the connection while the upload was unread. The part came with the seal and a proper end, for calls and for streams.

Cause: only the end of the connection ends such an answer. The kernel gives the error of a reset to the first call on the socket: the write of the body took it, and the read after it met a plain end. After a close without a reset, the reset that follows comes behind the end, where a read doesn't look.

Change: at such an end the sender waits until the request is not being written any more, and until the endpoint has acknowledged all of it. If either fails, the answer has been broken off. An endpoint that ends its answer and reads the body later is not, and neither is an answer whose length or chunks are whole. A failure without a length (413) that is reset is broken off too: its text may be a part, and 502 promises nothing.

--- a/internal/forward/sender/exchange.go
+++ b/internal/forward/sender/exchange.go
@@ -24,8 +24,14 @@
 	// started is true once a byte may have been sent, written once the whole request
 	// was.
 	started, written atomic.Bool
+	// writing counts the goroutines that write the request.
+	writing sync.WaitGroup
 }
 
+// errUndelivered is the error of an answer whose end is that of its connection, and may be due to what
+// kept the request from being delivered.
+var errUndelivered = errors.Wrap(io.ErrUnexpectedEOF, "request not delivered to its end")
+
 // Write implements io.Writer. It records that bytes may be sent before it writes.
 func (x *exchange) Write(p []byte) (int, error) {
 	x.started.Store(true)
@@ -36,7 +42,11 @@
 func (x *exchange) roundTrip() (*samphireturn.Response, error) {
 	x.conn.carry(x.call.ID)
 	if len(x.call.Body) > maxInlineBody {
-		x.sender.wait.Go(func() { _ = x.writeRequest() })
+		x.writing.Add(1)
+		x.sender.wait.Go(func() {
+			defer x.writing.Done()
+			_ = x.writeRequest()
+		})
 	} else if err := x.writeRequest(); err != nil && !x.started.Load() {
 		return nil, x.fail(KindNotSent, err)
 	}
@@ -130,12 +140,23 @@
 // Read implements io.Reader. At the end, a clean connection is kept for reuse.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.res.Body.Read(p)
+	if errors.Is(err, io.EOF) && !framed(b.res) && !b.delivered() {
+		err = errUndelivered
+	}
 	if err != nil {
 		b.finish(errors.Is(err, io.EOF))
 	}
 	return n, err
 }
 
+// delivered waits until the endpoint has received the whole request or the connection has failed, at
+// most until the context of the call ends, and reports which. A read doesn't tell of a reset that failed
+// a write, or that came after the end of the answer: an endpoint may end its answer first and read on.
+func (b *body) delivered() bool {
+	b.writing.Wait()
+	return b.written.Load() && acknowledged(b.conn.Conn)
+}
+
 // Close ends the exchange and closes the connection unless the body was read to its
 // end.
 func (b *body) Close() error {
