Refuse malformed answers of the own interface's endpoints too

Callers saw, of the interface that runs without the users' platform: bodies that were not the endpoint's, answers with status 000 and 999, and a 200 in HTTP/9.9.

Cause: as on the platform; http.Transport reads heads by the same parser, and passes status 000 on.

Change: the connections of the dispatcher, to endpoints and to other daemons, pass heads through the scanner.

--- a/internal/traffic/dispatcher/conn.go
+++ b/internal/traffic/dispatcher/conn.go
@@ -5,10 +5,13 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"samphireturn/internal/core/scanner"
 )
 
 // keepAliveConfig detects dead TCP connections within 8 s.
@@ -24,12 +27,33 @@
 // errGrantExpired means that the grant expired before the first byte was written.
 var errGrantExpired = errors.New("grant lapsed before the send")
 
-// countedConn counts the bytes written to a connection.
+// countedConn counts the bytes written to a connection and checks the answers that are read from it.
 type countedConn struct {
 	net.Conn
 	written atomic.Int64
 	// valid, if set, is called once before the first byte of a request is written.
-	valid atomic.Pointer[func() bool]
+	valid   atomic.Pointer[func() bool]
+	mu      sync.Mutex
+	scanner scanner.Scanner
+}
+
+// begin expects the answer to a request.
+func (c *countedConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scanner.Reset()
+}
+
+// Read fails if the head of an answer is malformed.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	scanErr := c.scanner.Scan(p[:n])
+	c.mu.Unlock()
+	if scanErr != nil {
+		return 0, scanErr
+	}
+	return n, err
 }
 
 // Write counts the bytes before it writes them, so that a failed write is never
@@ -66,6 +90,7 @@
 				w.wroteEarlier.Store(true)
 			}
 			w.writtenBefore.Store(c.written.Load())
+			c.begin()
 			if w.valid != nil {
 				c.valid.Store(&w.valid)
 			}
