Take an answer without a length as whole in the own interface as on the platform

Callers saw: a part of an answer as whole, where an endpoint without a length closed its connection while the upload was unread.

Cause: as on the platform; the transport's two goroutines share the socket, and only one of them meets the reset.

Change: the dispatcher's connections end such an answer with an error unless its request was delivered. The check that the kernel's bytes are acknowledged moves to internal/core/prober, which both use.

--- a/internal/core/scanner/scanner.go
+++ b/internal/core/scanner/scanner.go
@@ -106,6 +106,10 @@
 	return nil
 }
 
+// Unframed reports whether the head of a final answer has ended and says nothing of where the body
+// ends.
+func (s *Scanner) Unframed() bool { return s.state == ended && !s.hasLength && !s.hasCoding }
+
 // next takes the next byte and reports whether it is allowed.
 func (s *Scanner) next(b byte) bool {
 	switch {
--- a/internal/core/scanner/scanner_test.go
+++ b/internal/core/scanner/scanner_test.go
@@ -89,3 +89,26 @@
 	c.Check(err, qt.ErrorMatches, "read head: malformed")
 	c.Check(err.(*scanner.Error).Kind, qt.Equals, scanner.KindMalformed)
 }
+
+// TestUnframed checks which answers end with their connection.
+func TestUnframed(t *testing.T) {
+	tests := []struct {
+		name, head string
+		want       bool
+	}{
+		{"neither", final, true},
+		{"after an interim answer", "HTTP/1.1 103 Early Hints\r\nContent-Length: 1\r\n\r\n" + final, true},
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n", false},
+		{"chunks", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", false},
+		{"within the head", "HTTP/1.1 200 OK\r\nA: b\r\n", false},
+		{"no answer yet", "HTTP/1.1 103 Early Hints\r\n\r\n", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var s scanner.Scanner
+			c.Assert(s.Scan([]byte(test.head)), qt.IsNil)
+			c.Check(s.Unframed(), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/forward/sender/exchange.go
+++ b/internal/forward/sender/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"samphireturn"
+	"samphireturn/internal/core/prober"
 )
 
 // headWriters pools the buffers for writing requests.
@@ -154,7 +155,7 @@
 // a write, or that came after the end of the answer: an endpoint may end its answer first and read on.
 func (b *body) delivered() bool {
 	b.writing.Wait()
-	return b.written.Load() && acknowledged(b.conn.Conn)
+	return b.written.Load() && prober.Acknowledged(b.conn.Conn, UnackedTimeout)
 }
 
 // Close ends the exchange and closes the connection unless the body was read to its
--- a/internal/forward/sender/sender.go
+++ b/internal/forward/sender/sender.go
@@ -49,9 +49,6 @@
 	// UnackedTimeout is how long written bytes and keep-alive probes may stay unacknowledged
 	// before a connection fails. A sound endpoint may be silent for a second or so.
 	UnackedTimeout = 2500 * time.Millisecond
-	// minAckCheck is the first time between two checks whether written bytes are acknowledged. It
-	// doubles up to maxAckCheck.
-	minAckCheck, maxAckCheck = 250 * time.Microsecond, 20 * time.Millisecond
 	// idleReuseShare is the share of the endpoint's idle timeout in which a connection
 	// is reused; the rest covers clock differences and network delay.
 	idleReuseShare = 0.6
@@ -430,36 +427,6 @@
 	return err == nil && (peekErr == unix.EAGAIN || peekErr == unix.EINTR)
 }
 
-// acknowledged waits until all bytes that were written to a connection are acknowledged, or it has
-// failed, and reports which. A process that closes its end resets bytes that come later.
-func acknowledged(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	wait := minAckCheck
-	for waited := time.Duration(0); waited <= UnackedTimeout; waited += wait {
-		var left, failure int
-		err := raw.Control(func(fd uintptr) {
-			failure, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
-			left, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-		})
-		if err != nil || failure != 0 {
-			return false
-		}
-		if left == 0 {
-			return true
-		}
-		wait = min(2*wait, maxAckCheck)
-		time.Sleep(wait)
-	}
-	return false
-}
-
 // writeHeader writes the request line and the header.
 func (c *Call) writeHeader(w *bufio.Writer) error {
 	_, _ = w.WriteString(c.Method + " " + c.Target + " HTTP/1.1\r\nHost: " + c.Authority + "\r\n")
--- a/internal/traffic/dispatcher/conn.go
+++ b/internal/traffic/dispatcher/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -11,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"samphireturn/internal/core/prober"
 	"samphireturn/internal/core/scanner"
 )
 
@@ -22,40 +24,99 @@
 	idleTimeout    = 30 * time.Second
 	maxIdlePerHost = 64
 	maxHeaderBytes = 64 << 10
+	// unackedTimeout is how long an endpoint that has ended its answer may take to acknowledge the
+	// request.
+	unackedTimeout = 2500 * time.Millisecond
+	// flushTime is ample for the transport to flush its buffer, which it does just after it has
+	// reported that the request was written.
+	flushTime = time.Millisecond
 )
 
 // errGrantExpired means that the grant expired before the first byte was written.
 var errGrantExpired = errors.New("grant lapsed before the send")
 
+// errUndelivered is the error of an answer that ends with its connection before its request was
+// delivered: it may have been broken off by what kept the request from that.
+var errUndelivered = errors.Wrap(io.ErrUnexpectedEOF, "request not delivered to its end")
+
 // countedConn counts the bytes written to a connection and checks the answers that are read from it.
 type countedConn struct {
 	net.Conn
-	written atomic.Int64
+	written     atomic.Int64
+	writeFailed atomic.Bool
 	// valid, if set, is called once before the first byte of a request is written.
-	valid   atomic.Pointer[func() bool]
+	valid atomic.Pointer[func() bool]
+	// closed is closed when the connection is.
+	closed    chan struct{}
+	closeOnce sync.Once
+
 	mu      sync.Mutex
 	scanner scanner.Scanner
+	// write is the write of the request; nil if it is not known.
+	write *requestWrite
+}
+
+// requestWrite is the write of one request.
+type requestWrite struct {
+	// done is closed once err is set, the result.
+	done chan struct{}
+	once sync.Once
+	err  error
 }
 
-// begin expects the answer to a request.
+// end records the result of the write.
+func (w *requestWrite) end(err error) {
+	w.once.Do(func() {
+		w.err = err
+		close(w.done)
+	})
+}
+
+// begin expects the answer to a request that is written now.
 func (c *countedConn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.scanner.Reset()
+	c.write = &requestWrite{done: make(chan struct{})}
+}
+
+// endWrite records that the request was written, or why it was not.
+func (c *countedConn) endWrite(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.write != nil {
+		c.write.end(err)
+	}
 }
 
-// Read fails if the head of an answer is malformed.
+// Read fails if the head of an answer is malformed, or if the end of the connection may be due to a
+// failure to deliver the request.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	scanErr := c.scanner.Scan(p[:n])
+	unframed, write := c.scanner.Unframed(), c.write
 	c.mu.Unlock()
 	if scanErr != nil {
 		return 0, scanErr
 	}
+	if unframed && write != nil && errors.Is(err, io.EOF) && !c.delivered(write) {
+		err = errUndelivered
+	}
 	return n, err
 }
 
+// delivered waits until a request was delivered or the connection has failed, and reports which.
+func (c *countedConn) delivered(w *requestWrite) bool {
+	select {
+	case <-w.done:
+		time.Sleep(flushTime)
+		return w.err == nil && !c.writeFailed.Load() && prober.Acknowledged(c.Conn, unackedTimeout)
+	case <-c.closed:
+		return false
+	}
+}
+
 // Write counts the bytes before it writes them, so that a failed write is never
 // counted as none. The first write of a request fails if its grant has expired.
 func (c *countedConn) Write(p []byte) (int, error) {
@@ -63,7 +124,17 @@
 		return 0, errGrantExpired
 	}
 	c.written.Add(int64(len(p)))
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
+	return n, err
+}
+
+// Close closes the connection.
+func (c *countedConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
 }
 
 // writeTracker records whether an attempt wrote to its connection.
@@ -96,6 +167,11 @@
 			}
 			w.conn.Store(c)
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if c := w.conn.Load(); c != nil {
+				c.endWrite(info.Err)
+			}
+		},
 	})
 }
 
@@ -130,7 +206,7 @@
 			if tcp, ok := c.(*net.TCPConn); ok {
 				_ = tcp.SetKeepAliveConfig(keepAliveConfig)
 			}
-			return &countedConn{Conn: c}, nil
+			return &countedConn{Conn: c, closed: make(chan struct{})}, nil
 		},
 		DisableCompression:     true,
 		DisableKeepAlives:      disableKeepAlives,
--- a/internal/traffic/dispatcher/malformed_test.go
+++ b/internal/traffic/dispatcher/malformed_test.go
@@ -20,9 +20,11 @@
 // rawEndpoint serves TCP connections until its listener is closed.
 type rawEndpoint struct {
 	net.Listener
-	// answer is written to each request, with ID in the place of the request's id. The connection
-	// is closed then.
+	// answer is written to each request, with ID in the place of the request's id.
 	answer string
+	// early is true if it is written before the body is read, and reads true if the body is read
+	// after that. The connection is closed then.
+	early, reads bool
 }
 
 // open listens and returns the endpoint.
@@ -49,8 +51,14 @@
 	if err != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
+	if !e.early {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 	_, _ = io.WriteString(conn, strings.ReplaceAll(e.answer, "ID", r.Header.Get(dispatcher.HeaderID)))
+	if e.reads {
+		_ = conn.CloseWrite()
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 }
 
 // sendRaw sends a call with a body of some bytes and returns the answer's body, or "" if it failed.
@@ -97,3 +105,38 @@
 		}
 	}
 }
+
+// TestReset guards against a part of an answer without a length being taken for all of it, if the
+// endpoint closes its connection while the request is still being written.
+func TestReset(t *testing.T) {
+	const requests = 25
+	head := "HTTP/1.1 200 OK\r\n" + dispatcher.HeaderID + ": ID\r\n"
+	tests := []struct {
+		name     string
+		endpoint rawEndpoint
+		want     int
+	}{
+		{"closed", rawEndpoint{answer: head + "\r\nthe first part", early: true}, 0},
+		{"length, body read later", rawEndpoint{answer: head + "Content-Length: 14\r\n\r\nthe first part", early: true, reads: true}, requests},
+		{"body read", rawEndpoint{answer: head + "\r\nthe first part"}, requests},
+	}
+	for _, test := range tests {
+		for _, size := range []int{20_000, 100_000, 1_000_000, 4_000_000} {
+			t.Run(fmt.Sprintf("%s, %d bytes", test.name, size), func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				d := dispatcher.New(nil)
+				endpoint := test.endpoint
+				e := endpoint.open(c)
+				whole := 0
+				for i := range requests {
+					if sendRaw(d, e, size, i%2 == 0) == "the first part" {
+						whole++
+					}
+				}
+				c.Check(whole, qt.Equals, test.want)
+				c.Check(d.Close(), qt.IsNil)
+			})
+		}
+	}
+}
