Refuse what follows a malformed byte of a head

Change: the scanner stays at a malformed byte until it is reset.

Evidence: TestScan scans a sound head after each malformed one; 3 rows failed before, none now.

--- a/internal/core/scanner/scanner.go
+++ b/internal/core/scanner/scanner.go
@@ -28,6 +28,8 @@
 	// afterReturn follows a carriage return, which only a line feed may follow.
 	afterReturn
 	ended
+	// malformed follows a byte that is not allowed.
+	malformed
 )
 
 const (
@@ -92,14 +94,16 @@
 // Reset makes the next byte the first one of a head.
 func (s *Scanner) Reset() { *s = Scanner{} }
 
-// Scan checks the next bytes of an answer. Those after the head of a final answer are not checked,
-// until the next Reset. Errors are of type *Error.
+// Scan checks the next bytes of an answer. Those after the head of a final answer are not checked, and
+// those after a byte that is not allowed are not allowed either, until the next Reset. Errors are of
+// type *Error.
 func (s *Scanner) Scan(data []byte) error {
 	for _, b := range data {
 		if s.state == ended {
 			return nil
 		}
-		if !s.next(b) {
+		if s.state == malformed || !s.next(b) {
+			s.state = malformed
 			return &Error{Op: "read head", Kind: KindMalformed}
 		}
 	}
--- a/internal/core/scanner/scanner_test.go
+++ b/internal/core/scanner/scanner_test.go
@@ -64,6 +64,7 @@
 			var s scanner.Scanner
 			whole := s.Scan([]byte(test.head))
 			c.Check(whole != nil, qt.Equals, test.malformed)
+			c.Check(s.Scan([]byte(final)) != nil, qt.Equals, test.malformed, qt.Commentf("after it"))
 			s.Reset()
 			c.Check(scanBytes(&s, test.head), qt.Equals, test.malformed)
 			s.Reset()
