Refuse malformed answers of the store

A daemon saw, of a store that sent them: a list in HTTP/9.9, with a blank in a name, or with chunks and a length, as the state of the store's objects.

Cause: as with answers of servers. A list that is cut short by a wrong length isn't JSON, and status 000 is no success, so these were refused before.

Change: the connections to the store pass heads through the scanner, as those of the own interface do (scanner.Conn); the bound on what a head costs moves into the scanner and holds there too.

--- a/internal/core/scanner/scanner.go
+++ b/internal/core/scanner/scanner.go
@@ -15,8 +15,13 @@
 const (
 	// KindMalformed means that the bytes are no head of an answer.
 	KindMalformed Kind = iota
+	// KindTooLong means that the head costs more than MaxCost.
+	KindTooLong
 )
 
+// MaxCost bounds the Cost of a head.
+const MaxCost = 1 << 20
+
 // States of a Scanner, named by where the next byte is.
 const (
 	inStatusLine state = iota
@@ -28,8 +33,8 @@
 	// afterReturn follows a carriage return, which only a line feed may follow.
 	afterReturn
 	ended
-	// malformed follows a byte that is not allowed.
-	malformed
+	// failed follows a byte that is not allowed.
+	failed
 )
 
 const (
@@ -89,7 +94,7 @@
 
 // String returns the kind's name in logs.
 func (k Kind) String() string {
-	names := [...]string{"malformed"}
+	names := [...]string{"malformed", "too long"}
 	return samphireturn.KindText(names[:], int(k))
 }
 
@@ -99,19 +104,21 @@
 // Reset makes the next byte the first one of a head.
 func (s *Scanner) Reset() { *s = Scanner{} }
 
-// Scan checks the next bytes of an answer. Those after the head of a final answer are not checked, and
-// those after a byte that is not allowed are not allowed either, until the next Reset. Errors are of
-// type *Error.
+// Scan checks the next bytes of an answer. Those after the head of a final answer are not checked. Once
+// it has failed, it fails again until the next Reset. Errors are of type *Error.
 func (s *Scanner) Scan(data []byte) error {
 	for _, b := range data {
 		if s.state == ended {
 			return nil
 		}
-		s.cost += byteCost
-		if s.state == malformed || !s.next(b) {
-			s.state = malformed
+		if s.state == failed || !s.next(b) {
+			s.state = failed
 			return &Error{Op: "read head", Kind: KindMalformed}
 		}
+		if s.cost += byteCost; s.cost > MaxCost {
+			s.state = failed
+			return &Error{Op: "read head", Kind: KindTooLong}
+		}
 	}
 	return nil
 }
--- a/internal/forward/sender/sender.go
+++ b/internal/forward/sender/sender.go
@@ -66,8 +66,6 @@
 	// maxStrayAnswers bounds the number of answers to other requests that are skipped
 	// before the expected one.
 	maxStrayAnswers = 2
-	// maxHeadCost bounds the memory in bytes that the head of an answer takes.
-	maxHeadCost = 1 << 20
 	// maxStrayBytes bounds the body of such an answer.
 	maxStrayBytes = 256 << 10
 )
@@ -153,12 +151,9 @@
 	}
 )
 
-var (
-	errHeadTooLong = errors.New("head of the answer is too long")
-	errNoRoom      = errors.New("no room for the head of the answer")
-)
+var errNoRoom = errors.New("no room for the head of the answer")
 
-// Read implements io.Reader. It fails if the head of an answer is malformed or exceeds its bounds.
+// Read implements io.Reader. It fails if the head of an answer is malformed, too long or without room.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if !c.readsHead {
@@ -176,11 +171,7 @@
 		return c.headErr
 	}
 	c.headErr = c.scanner.Scan(p)
-	switch cost := c.scanner.Cost(); {
-	case c.headErr != nil:
-	case cost > maxHeadCost:
-		c.headErr = errHeadTooLong
-	case !c.share.Hold(cost):
+	if c.headErr == nil && !c.share.Hold(c.scanner.Cost()) {
 		c.headErr = errNoRoom
 	}
 	return c.headErr
--- a/internal/traffic/dispatcher/conn.go
+++ b/internal/traffic/dispatcher/conn.go
@@ -41,7 +41,7 @@
 
 // countedConn counts the bytes written to a connection and checks the answers that are read from it.
 type countedConn struct {
-	net.Conn
+	scanner.Conn
 	written     atomic.Int64
 	writeFailed atomic.Bool
 	// valid, if set, is called once before the first byte of a request is written.
@@ -50,8 +50,7 @@
 	closed    chan struct{}
 	closeOnce sync.Once
 
-	mu      sync.Mutex
-	scanner scanner.Scanner
+	mu sync.Mutex
 	// write is the write of the request; nil if it is not known.
 	write *requestWrite
 }
@@ -74,9 +73,9 @@
 
 // begin expects the answer to a request that is written now.
 func (c *countedConn) begin() {
+	c.Expect()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.scanner.Reset()
 	c.write = &requestWrite{done: make(chan struct{})}
 }
 
@@ -89,18 +88,17 @@
 	}
 }
 
-// Read fails if the head of an answer is malformed, or if the end of the connection may be due to a
-// failure to deliver the request.
+// Read fails as that of scanner.Conn, and if the end of the connection may be due to a failure to
+// deliver the request.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if !errors.Is(err, io.EOF) || !c.Unframed() {
+		return n, err
+	}
 	c.mu.Lock()
-	scanErr := c.scanner.Scan(p[:n])
-	unframed, write := c.scanner.Unframed(), c.write
+	write := c.write
 	c.mu.Unlock()
-	if scanErr != nil {
-		return 0, scanErr
-	}
-	if unframed && write != nil && errors.Is(err, io.EOF) && !c.delivered(write) {
+	if write != nil && !c.delivered(write) {
 		err = errUndelivered
 	}
 	return n, err
@@ -111,7 +109,7 @@
 	select {
 	case <-w.done:
 		time.Sleep(flushTime)
-		return w.err == nil && !c.writeFailed.Load() && prober.Acknowledged(c.Conn, unackedTimeout)
+		return w.err == nil && !c.writeFailed.Load() && prober.Acknowledged(c.Conn.Conn, unackedTimeout)
 	case <-c.closed:
 		return false
 	}
@@ -206,7 +204,7 @@
 			if tcp, ok := c.(*net.TCPConn); ok {
 				_ = tcp.SetKeepAliveConfig(keepAliveConfig)
 			}
-			return &countedConn{Conn: c, closed: make(chan struct{})}, nil
+			return &countedConn{Conn: scanner.Conn{Conn: c}, closed: make(chan struct{})}, nil
 		},
 		DisableCompression:     true,
 		DisableKeepAlives:      disableKeepAlives,
