--- a/internal/soak/runner/crowd_test.go
+++ b/internal/soak/runner/crowd_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -86,13 +85,7 @@
 
 // openCrowded starts a daemon with low limits, its store and its endpoints.
 func openCrowded(c *qt.C, bin string) *Runner {
-	r := &Runner{
-		Seed: 1, Daemons: 1, Endpoints: 1, Dir: c.TempDir(), Log: new(bytes.Buffer),
-		Settings:      []string{"limits.memoryMb=" + strconv.Itoa(crowdMemory>>20), "limits.maxFds=" + strconv.Itoa(crowdDescriptors)},
-		DaemonProgram: filepath.Join(bin, "samphireturnd"), StandinProgram: filepath.Join(bin, "standin"),
-	}
-	r.judge.Bounds = bounds
-	c.Cleanup(r.close)
+	r := newLimited(c, bin, crowdDescriptors)
 	c.Assert(r.open(c.Context()), qt.IsNil)
 	r.version.Add(1)
 	data, err := json.Marshal(formatter.Table(int(r.version.Load()), serviceHost, "crowd", constantKey, keyOf(2)))
--- a/internal/soak/runner/endless_test.go
+++ b/internal/soak/runner/endless_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,15 +68,21 @@
 	}
 }
 
-// openEndless starts a daemon with low limits and an endpoint that sends without end, besides sound ones.
-func openEndless(c *qt.C, bin string, e *endlessEndpoint) *Runner {
+// newLimited returns a run of one daemon with low limits.
+func newLimited(c *qt.C, bin string, descriptors int) *Runner {
 	r := &Runner{
 		Seed: 1, Daemons: 1, Endpoints: 1, Dir: c.TempDir(), Log: new(bytes.Buffer),
-		Settings:      []string{"limits.memoryMb=" + strconv.Itoa(crowdMemory>>20), "limits.maxFds=" + strconv.Itoa(endlessDescriptors)},
+		Settings:      []string{"limits.memoryMb=" + strconv.Itoa(crowdMemory>>20), "limits.maxFds=" + strconv.Itoa(descriptors)},
 		DaemonProgram: filepath.Join(bin, "samphireturnd"), StandinProgram: filepath.Join(bin, "standin"),
 	}
 	r.judge.Bounds = bounds
 	c.Cleanup(r.close)
+	return r
+}
+
+// openEndless starts a daemon with low limits and an endpoint that sends without end, besides sound ones.
+func openEndless(c *qt.C, bin string, e *endlessEndpoint) *Runner {
+	r := newLimited(c, bin, endlessDescriptors)
 	c.Assert(r.open(c.Context()), qt.IsNil)
 	r.version.Add(1)
 	table := string(formatter.Table(int(r.version.Load()), serviceHost, "call", constantKey, keyOf(2)))
@@ -123,6 +130,18 @@
 	return res.StatusCode, err == nil
 }
 
+// endlessFields returns lines of fields that don't repeat.
+func endlessFields(n int) []byte {
+	var lines []byte
+	for i := range 4000 {
+		lines = fmt.Appendf(lines, "%x:\r\n", n*4000+i)
+	}
+	return lines
+}
+
+// endlessBlock returns the same letter again and again.
+func endlessBlock(int) []byte { return bytes.Repeat([]byte("x"), 64<<10) }
+
 // TestEndlessAnswers guards against endpoints that send bytes without end to many requests at once: the
 // daemon stays within its memory, requests to other endpoints are answered meanwhile, and no answer
 // without end becomes one with an end.
@@ -133,39 +152,30 @@
 		head         = "HTTP/1.1 200 OK\r\n" + formatter.ID + ": ID\r\n" + formatter.Seal + ": seal\r\n"
 		eventHead    = head + "Content-Type: text/event-stream\r\n\r\n"
 	)
-	block := bytes.Repeat([]byte("x"), 64<<10)
 	same := func(text string) func(int) []byte { return func(int) []byte { return []byte(text) } }
-	blocks := func(int) []byte { return block }
-	fields := func(n int) []byte {
-		var lines []byte
-		for i := range 4000 {
-			lines = fmt.Appendf(lines, "%x:\r\n", n*4000+i)
-		}
-		return lines
-	}
-	longIDs := func(n int) []byte { return fmt.Appendf(nil, "id: %d%s\ndata: x\n\n", n+1, block) }
+	longIDs := func(n int) []byte { return fmt.Appendf(nil, "id: %d%s\ndata: x\n\n", n+1, endlessBlock(n)) }
 	tests := []struct {
 		name, path, first string
 		next              func(n int) []byte
 		// begins is true if callers may get the beginning of the answer.
 		begins bool
 	}{
-		{"no answer", call, "", blocks, false},
-		{"no answer, stream", stream, "", blocks, false},
-		{"status line", call, "HTTP/1.1 200 ", blocks, false},
-		{"line of a head", call, head + "X-A: ", blocks, false},
-		{"name of a field", call, head, blocks, false},
-		{"fields", call, head, fields, false},
-		{"fields, stream", stream, head, fields, false},
+		{"no answer", call, "", endlessBlock, false},
+		{"no answer, stream", stream, "", endlessBlock, false},
+		{"status line", call, "HTTP/1.1 200 ", endlessBlock, false},
+		{"line of a head", call, head + "X-A: ", endlessBlock, false},
+		{"name of a field", call, head, endlessBlock, false},
+		{"fields", call, head, endlessFields, false},
+		{"fields, stream", stream, head, endlessFields, false},
 		{"one field again and again", call, head, same(strings.Repeat("A:\r\n", 8000)), false},
 		{"interim answers", call, "", same(strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 1000)), false},
 		{"chunk line", call, head + "Transfer-Encoding: chunked\r\n\r\n", same(strings.Repeat("0", 64<<10)), false},
-		{"trailer", call, head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", fields, true},
-		{"body", call, head + "\r\n", blocks, true},
-		{"body of a failure", call, "HTTP/1.1 500 Failed\r\n" + formatter.ID + ": ID\r\n\r\n", blocks, true},
-		{"body, no event", stream, eventHead, blocks, false},
-		{"event", stream, eventHead + "data: ", blocks, false},
-		{"id of an event", stream, eventHead + "id: ", blocks, false},
+		{"trailer", call, head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", endlessFields, true},
+		{"body", call, head + "\r\n", endlessBlock, true},
+		{"body of a failure", call, "HTTP/1.1 500 Failed\r\n" + formatter.ID + ": ID\r\n\r\n", endlessBlock, true},
+		{"body, no event", stream, eventHead, endlessBlock, false},
+		{"event", stream, eventHead + "data: ", endlessBlock, false},
+		{"id of an event", stream, eventHead + "id: ", endlessBlock, false},
 		{"events with long ids", stream, eventHead, longIDs, true},
 		{"lines of an event", stream, eventHead, same(strings.Repeat("data: x\n", 8000)), false},
 	}
@@ -200,3 +210,61 @@
 		})
 	}
 }
+
+// TestEndlessStore guards against a store that sends bytes without end: the daemon stays within its memory,
+// and serves as before once the store answers again.
+func TestEndlessStore(t *testing.T) {
+	bin := buildPrograms(qt.New(t))
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
+	objects := func(int) []byte { return bytes.Repeat([]byte(`{"metadata":{"name":"x","revision":1}},`), 1000) }
+	tests := []struct {
+		name, first string
+		next        func(n int) []byte
+	}{
+		{"no answer", "", endlessBlock},
+		{"line of a head", head + "X-A: ", endlessBlock},
+		{"fields", head, endlessFields},
+		{"body", head + "\r\n", endlessBlock},
+		{"text in a body", head + "\r\n{\"items\":[\"", endlessBlock},
+		{"items", head + "\r\n{\"items\":[", objects},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newLimited(c, bin, endlessDescriptors)
+			var armed atomic.Bool
+			var answers atomic.Int64
+			r.wrapStore = func(sound http.Handler) http.Handler {
+				return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+					if !armed.Load() {
+						sound.ServeHTTP(w, req)
+						return
+					}
+					answers.Add(1)
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						return
+					}
+					defer conn.Close()
+					_ = conn.SetDeadline(time.Now().Add(endlessTime))
+					_, err = io.WriteString(conn, test.first)
+					for n := 0; err == nil; n++ {
+						_, err = conn.Write(test.next(n))
+					}
+				})
+			}
+			c.Assert(r.open(c.Context()), qt.IsNil)
+			c.Assert(r.served("before"), qt.IsTrue)
+			p := r.daemons[0].current()
+			armed.Store(true)
+			r.links.Reset(func(_, to string) bool { return to == storeName })
+			time.Sleep(endlessTime)
+			armed.Store(false)
+			c.Check(r.served("after"), qt.IsTrue)
+			c.Check(answers.Load() > 0, qt.IsTrue)
+			c.Check(p.running(), qt.IsTrue)
+			c.Check(p.peakMemory() <= crowdMemory, qt.IsTrue, qt.Commentf("peak of memory: %d MB", p.peakMemory()>>20))
+			t.Logf("peak of memory: %d MB, %d answers", p.peakMemory()>>20, answers.Load())
+		})
+	}
+}
--- a/internal/soak/runner/runner.go
+++ b/internal/soak/runner/runner.go
@@ -111,9 +111,11 @@
 		replaceMu  sync.Mutex
 		wait       sync.WaitGroup
 		closeStore func()
-		configMu   sync.Mutex
-		ownMu      sync.Mutex
-		own        []string
+		// wrapStore replaces the handler of the store, if not nil.
+		wrapStore func(http.Handler) http.Handler
+		configMu  sync.Mutex
+		ownMu     sync.Mutex
+		own       []string
 	}
 
 	// Report is the result of a run.
@@ -351,7 +353,11 @@
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: r.translate(&r.store), ReadHeaderTimeout: time.Minute}
+	h := r.translate(&r.store)
+	if r.wrapStore != nil {
+		h = r.wrapStore(h)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	r.wait.Go(func() { _ = s.Serve(ln) })
 	r.closeStore = func() { _ = s.Close() }
 	return r.links.Listen("", storeName, r.addr(storeNet, 1, storePort), ln.Addr().String())
