Bound the head of what answers at a peer's address

A daemon would take what another process at the address of a daemon that is gone sends without end: all of it for a stream of bytes, 10 MB for a link, each for as long as the opening may last.

Change: both heads are bounded by 4 KiB.

--- a/internal/fleet/messenger/dialer.go
+++ b/internal/fleet/messenger/dialer.go
@@ -179,7 +179,7 @@
 
 // dialWebSocket opens a WebSocket to a peer, without the fleet's handshake.
 func (m *Messenger) dialWebSocket(ctx context.Context, vm samphireturn.VM) (*websocket.Conn, error) {
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: m.dialFunc(vm.Peer)}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: m.dialFunc(vm.Peer), MaxResponseHeaderBytes: maxHeadBytes}
 	c, _, err := websocket.Dial(ctx, "ws://"+vm.Peer+"/peer", &websocket.DialOptions{
 		HTTPClient: &http.Client{Transport: transport},
 	})
--- a/internal/fleet/messenger/stream.go
+++ b/internal/fleet/messenger/stream.go
@@ -18,6 +18,9 @@
 	// and streamProtocol the protocol that they name.
 	streamPath     = "/stream"
 	streamProtocol = "samphireturn-stream"
+	// maxHeadBytes bounds the head of the answer to such a request, and to one that opens a
+	// link: another process may answer at the address of a daemon that is gone.
+	maxHeadBytes = 4 << 10
 )
 
 // streamListener accepts the streams that peers open.
@@ -65,7 +68,7 @@
 	if _, err := io.WriteString(conn, request); err != nil {
 		return &Error{Op: "open stream", Kind: KindConnFailed, Err: err}
 	}
-	reader := bufio.NewReader(conn)
+	reader := bufio.NewReader(io.LimitReader(conn, maxHeadBytes))
 	res, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return &Error{Op: "open stream", Kind: KindConnFailed, Err: err}
