Bound the memory of answers to the own interface

A daemon without the users' platform would be ended for its memory by endpoints that send without end: each answer was kept up to 16 MiB, and nothing bounded all of them. A head of the object API could have 10 MB.

Change: answers share an eighth of limits.memory while they are read; one for which there is no room is too large. Heads of the object API and of VMs' reports are bounded by 64 KiB.

Evidence: TestEndlessBodies, 20 answers without end: up to 16 MiB of each were kept before, 4 MiB of all together now.

--- a/internal/core/assembler/assembler.go
+++ b/internal/core/assembler/assembler.go
@@ -44,6 +44,7 @@
 	dialTimeout         = 2 * time.Second
 	idleTimeout         = 30 * time.Second
 	maxIdleConnsPerHost = 16
+	maxHeaderBytes      = 64 << 10
 )
 
 // Assembler creates the kernel of a daemon. Set the exported fields before calling
@@ -96,7 +97,7 @@
 		platform:  accessor.New(settings.Platform),
 		peers:     messenger.New(self, settings.FleetKey, serviceLog(log, Messenger)),
 		limiter:   new(limiter.Limiter),
-		transport: &http.Transport{DialContext: a.Dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleTimeout},
+		transport: &http.Transport{DialContext: a.Dial, MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes},
 		instance:  samphireturn.InstanceName(settings.ID, uuid.NewString()),
 	}
 	p.leaveAnnouncer = &announcer.Announcer{Peers: p.peers, Control: p.kernel, Self: self}
--- a/internal/core/assembler/services.go
+++ b/internal/core/assembler/services.go
@@ -9,6 +9,7 @@
 	"samphireturn/internal/config/reporter"
 	"samphireturn/internal/config/watcher"
 	"samphireturn/internal/core/kernel"
+	"samphireturn/internal/core/rationer"
 	"samphireturn/internal/fleet/detector"
 	"samphireturn/internal/fleet/granter"
 	"samphireturn/internal/fleet/guard"
@@ -174,6 +175,8 @@
 		return nil, err
 	}
 	clock := func() time.Duration { return time.Duration(p.limiter.Clock()) }
+	endpoints := dispatcher.New(p.Dial)
+	endpoints.Answers = &rationer.Rationer{Capacity: rationer.CapacityOf(limits.MemoryBytes)}
 	bodies := &collector.Collector{Capacity: collector.CapacityOf(limits.MemoryBytes), Clock: clock}
 	return &receiver.Receiver{
 		Listener:       ln,
@@ -192,7 +195,7 @@
 			Control:    p.kernel,
 			Picker:     endpointPicker,
 			Limiter:    p.limiter,
-			Dispatcher: dispatcher.New(p.Dial),
+			Dispatcher: endpoints,
 			Retries:    new(budgeter.Budgeter),
 			Observer:   router.Observers{g, d, versionGuard},
 			Queue:      new(queuer.Queuer),
--- a/internal/store/accessor/accessor.go
+++ b/internal/store/accessor/accessor.go
@@ -30,6 +30,7 @@
 	// maxResponseBytes bounds a response body. Lists are longer than single
 	// values.
 	maxResponseBytes = 16 << 20
+	maxHeaderBytes   = 64 << 10
 
 	opCreate = "create"
 	opUpdate = "update"
@@ -176,9 +177,10 @@
 		transport := a.Transport
 		if transport == nil {
 			transport = &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-				MaxIdleConnsPerHost: maxIdleConns,
-				IdleConnTimeout:     idleTimeout,
+				DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+				MaxIdleConnsPerHost:    maxIdleConns,
+				IdleConnTimeout:        idleTimeout,
+				MaxResponseHeaderBytes: maxHeaderBytes,
 			}
 		}
 		a.client = resty.New().
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -21,6 +21,7 @@
 	"github.com/go-faster/errors"
 
 	"samphireturn"
+	"samphireturn/internal/core/rationer"
 )
 
 const (
@@ -80,6 +81,8 @@
 	// stream; New sets it to 10 s. Before the answer begins, an endpoint that a probe
 	// shows to be working on the request is waited for until the deadline.
 	SilenceTimeout time.Duration
+	// Answers bounds the memory of answers while they are read; nil means no bound.
+	Answers *rationer.Rationer
 
 	pooled, unpooled *http.Transport
 	cancels          sync.WaitGroup
@@ -156,17 +159,19 @@
 }
 
 // readAnswer reads an answer to its end. It fails if the endpoint sends nothing
-// for SilenceTimeout or if the answer is over MaxAnswerBytes.
+// for SilenceTimeout, or if the answer is over MaxAnswerBytes or has no room.
 func (d *Dispatcher) readAnswer(ctx context.Context, c Call, a *attempt) (*Answer, error) {
 	defer a.res.Body.Close()
 	timer := time.AfterFunc(d.SilenceTimeout, func() { a.cancel(errSilenceTimeout) })
 	defer timer.Stop()
-	src := &silenceReader{Reader: io.LimitReader(a.res.Body, d.MaxAnswerBytes+1), timer: timer, timeout: d.SilenceTimeout}
-	body, err := io.ReadAll(src)
+	src := &silenceReader{Reader: a.res.Body, timer: timer, timeout: d.SilenceTimeout}
+	share := rationer.Share{Rationer: d.Answers}
+	defer share.Release()
+	body, ended, err := share.ReadAll(src, int(d.MaxAnswerBytes)+1)
 	if err != nil {
 		return nil, d.newError(ctx, c, a.failureKind(), samphireturn.ExecutedUnknown, err)
 	}
-	if int64(len(body)) > d.MaxAnswerBytes {
+	if !ended {
 		return nil, d.newError(ctx, c, KindTooLarge, samphireturn.ExecutedYes, nil)
 	}
 	return &Answer{Status: a.res.StatusCode, Header: a.res.Header, Body: body}, nil
