--- a/internal/soak/runner/endless_test.go
+++ b/internal/soak/runner/endless_test.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// endlessPool is the pool of the endpoints that send without end.
-	endlessPool = "endless"
+	// rawPool is the pool of a rawEndpoint.
+	rawPool = "raw"
 	// endlessCallers is the number of requests to them at a time, and endlessDescriptors what a
 	// daemon needs for these.
 	endlessCallers     = 200
@@ -32,39 +32,41 @@
 	endlessTime = 5 * time.Second
 )
 
-// endlessEndpoint answers each request with a first part, and then with others until its connection is closed.
-type endlessEndpoint struct {
+// rawEndpoint is an endpoint that writes the bytes of its answers itself, one on each connection.
+type rawEndpoint struct {
 	net.Listener
-	// first has the id of the request in the place of ID. Next returns the n-th part after it.
-	first string
-	next  func(n int) []byte
+	// answer answers a request whose body has not been read.
+	answer func(conn net.Conn, r *http.Request)
 	// conns counts its connections.
 	conns sync.WaitGroup
 }
 
 // run serves connections until the listener is closed.
-func (e *endlessEndpoint) run() {
+func (e *rawEndpoint) run() {
 	for {
 		conn, err := e.Accept()
 		if err != nil {
 			return
 		}
-		e.conns.Go(func() { e.serve(conn) })
+		e.conns.Go(func() {
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(2 * endlessTime))
+			if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				e.answer(conn, r)
+			}
+		})
 	}
 }
 
-func (e *endlessEndpoint) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	r, err := http.ReadRequest(reader)
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, r.Body)
-	_ = conn.SetDeadline(time.Now().Add(2 * endlessTime))
-	_, err = io.WriteString(conn, strings.ReplaceAll(e.first, "ID", r.Header.Get(formatter.ID)))
-	for n := 0; err == nil; n++ {
-		_, err = conn.Write(e.next(n))
+// endless returns an answer of a first part, with the id of the request in the place of ID, and of others
+// until the connection is closed. Next returns the n-th of them.
+func endless(first string, next func(n int) []byte) func(conn net.Conn, r *http.Request) {
+	return func(conn net.Conn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, err := io.WriteString(conn, strings.ReplaceAll(first, "ID", r.Header.Get(formatter.ID)))
+		for n := 0; err == nil; n++ {
+			_, err = conn.Write(next(n))
+		}
 	}
 }
 
@@ -80,18 +82,20 @@
 	return r
 }
 
-// openEndless starts a daemon with low limits and an endpoint that sends without end, besides sound ones.
-func openEndless(c *qt.C, bin string, e *endlessEndpoint) *Runner {
+// openRaw starts a daemon with low limits and an endpoint that is asked on the route /call/ and for
+// streams, besides sound ones.
+func openRaw(c *qt.C, bin string, e *rawEndpoint) *Runner {
 	r := newLimited(c, bin, endlessDescriptors)
 	c.Assert(r.open(c.Context()), qt.IsNil)
 	r.version.Add(1)
 	table := string(formatter.Table(int(r.version.Load()), serviceHost, "call", constantKey, keyOf(2)))
-	pool := fmt.Sprintf(`"backend":%q`, endlessPool)
-	call, model, pools := strings.Index(table, `{"name":"call"`), `"backend":"llm","attempts":3,"resumable"`, `"backends":[`
+	pool := fmt.Sprintf(`"backend":%q`, rawPool)
+	call, pools := strings.Index(table, `{"name":"call"`), `"backends":[`
 	c.Assert(call > 0, qt.IsTrue)
 	table = table[:call] + strings.Replace(table[call:], `"backend":"app"`, pool, 1)
-	table = strings.Replace(table, model, pool+`,"attempts":3,"resumable"`, 1)
-	table = strings.Replace(table, pools, pools+fmt.Sprintf(`{"name":%q,"healthPath":"/healthz","maxConns":2000},`, endlessPool), 1)
+	table = strings.ReplaceAll(table, `"backend":"llm"`, pool)
+	table = strings.Replace(table, pools, pools+fmt.Sprintf(`{"name":%q,"healthPath":"/healthz","maxConns":2000},`, rawPool), 1)
+	table = strings.Replace(table, `"maxBodyBytes":1000`, fmt.Sprintf(`"maxBodyBytes":%d`, crowdBody), 1)
 	ln, err := net.Listen("tcp", r.addr(endpointPublicNet, 100, endpointPort))
 	c.Assert(err, qt.IsNil)
 	e.Listener = ln
@@ -100,24 +104,24 @@
 		_ = ln.Close()
 		e.conns.Wait()
 	})
-	c.Assert(r.store.Put(formatter.Servers, "i-endless", formatter.Server{
-		Pool: endlessPool, Addr: ln.Addr().String(), Centre: "north", Release: firstRelease, Slots: 2 * endlessCallers, Writes: 1, Started: 1,
+	c.Assert(r.store.Put(formatter.Servers, "i-raw", formatter.Server{
+		Pool: rawPool, Addr: ln.Addr().String(), Centre: "north", Release: firstRelease, Slots: 2 * endlessCallers, Writes: 1, Started: 1,
 	}), qt.IsNil)
 	c.Assert(r.store.Put(formatter.Tables, formatter.CurrentTable, json.RawMessage(table)), qt.IsNil)
 	return r
 }
 
-// call sends a request to the endless endpoint and reads its answer. It returns the status, 0 if there
+// call sends a request with a body of some bytes and reads its answer. It returns the status, 0 if there
 // is none, and whether the answer has an end.
-func (r *Runner) call(path, id string) (status int, whole bool) {
+func (r *Runner) call(path, id string, size int) (status int, whole bool) {
 	conn, err := r.dialDaemon()
 	if err != nil {
 		return 0, false
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(crowdAnswer))
-	_, err = fmt.Fprintf(conn, "POST %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nAuthorization: Bearer %s\r\n%s: %d\r\nContent-Length: 0\r\n\r\n",
-		path, id, serviceHost, formatter.ID, id, constantKey, formatter.Deadline, endlessTime.Milliseconds())
+	_, err = fmt.Fprintf(conn, "POST %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nAuthorization: Bearer %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		path, id, serviceHost, formatter.ID, id, constantKey, formatter.Deadline, endlessTime.Milliseconds(), size, make([]byte, size))
 	if err != nil {
 		return 0, false
 	}
@@ -182,7 +186,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			r := openEndless(c, bin, &endlessEndpoint{first: test.first, next: test.next})
+			r := openRaw(c, bin, &rawEndpoint{answer: endless(test.first, test.next)})
 			c.Assert(r.served("before"), qt.IsTrue)
 			p := r.daemons[0].current()
 			var (
@@ -192,7 +196,7 @@
 			statuses := make(map[int]int)
 			for i := range endlessCallers {
 				calls.Go(func() {
-					status, whole := r.call(test.path, "endless"+strconv.Itoa(i))
+					status, whole := r.call(test.path, "endless"+strconv.Itoa(i), 0)
 					mu.Lock()
 					defer mu.Unlock()
 					statuses[status]++
@@ -247,10 +251,7 @@
 					}
 					defer conn.Close()
 					_ = conn.SetDeadline(time.Now().Add(endlessTime))
-					_, err = io.WriteString(conn, test.first)
-					for n := 0; err == nil; n++ {
-						_, err = conn.Write(test.next(n))
-					}
+					endless(test.first, test.next)(conn, req)
 				})
 			}
 			c.Assert(r.open(c.Context()), qt.IsNil)
