--- a/internal/core/rationer/rationer.go
+++ b/internal/core/rationer/rationer.go
@@ -80,7 +80,7 @@
 // stays as it is.
 func (s *Share) Hold(size int64) bool {
 	beyond := max(size-freeBytes, 0)
-	if !s.Rationer.take(beyond - s.held) {
+	if beyond != s.held && !s.Rationer.take(beyond-s.held) {
 		return false
 	}
 	s.held = beyond
--- a/internal/core/scanner/scanner.go
+++ b/internal/core/scanner/scanner.go
@@ -1,8 +1,9 @@
 // Package scanner checks the heads of HTTP/1 answers byte by byte while they are read.
 //
-// Parsers accept more than the protocol allows: statuses that don't exist, versions whose
-// framing is another, names with blanks, bytes that no line may hold, and bodies that end in two places. What such an answer means is a guess,
-// and another reader of it may guess otherwise, so that it must not be passed on.
+// Parsers accept more than the protocol allows (RFC 9110, 9112): statuses that don't exist, versions
+// whose framing is another, names with blanks, bytes that no line may hold, and bodies that end in two
+// places. What such an answer means is a guess, and another reader of it may guess otherwise, so that it
+// must not be passed on.
 package scanner
 
 import (
