--- a/internal/soak/runner/endless_test.go
+++ b/internal/soak/runner/endless_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -29,7 +30,9 @@
 	endlessCallers     = 200
 	endlessDescriptors = 1600
 	// endlessTime is the time that callers leave for an answer.
-	endlessTime = 5 * time.Second
+	endlessTime = 3 * time.Second
+	// troubleTime is how long the store sends without end.
+	troubleTime = 4 * time.Second
 )
 
 // rawEndpoint is an endpoint that writes the bytes of its answers itself, one on each connection.
@@ -37,8 +40,9 @@
 	net.Listener
 	// answer answers a request whose body has not been read.
 	answer func(conn net.Conn, r *http.Request)
-	// conns counts its connections.
-	conns sync.WaitGroup
+	// conns counts its connections, and requests what came on them.
+	conns    sync.WaitGroup
+	requests atomic.Int64
 }
 
 // run serves connections until the listener is closed.
@@ -52,6 +56,7 @@
 			defer conn.Close()
 			_ = conn.SetDeadline(time.Now().Add(2 * endlessTime))
 			if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				e.requests.Add(1)
 				e.answer(conn, r)
 			}
 		})
@@ -82,35 +87,46 @@
 	return r
 }
 
-// openRaw starts a daemon with low limits and an endpoint that is asked on the route /call/ and for
-// streams, besides sound ones.
-func openRaw(c *qt.C, bin string, e *rawEndpoint) *Runner {
-	r := newLimited(c, bin, endlessDescriptors)
+// openRaw starts a daemon with low limits, sound endpoints and others. Calls to /callN/ and streams to
+// /draftN/ go to the N-th of these, from 0.
+func openRaw(c *qt.C, endpoints ...*rawEndpoint) *Runner {
+	r := newLimited(c, buildPrograms(c), endlessDescriptors)
 	c.Assert(r.open(c.Context()), qt.IsNil)
 	r.version.Add(1)
-	table := string(formatter.Table(int(r.version.Load()), serviceHost, "call", constantKey, keyOf(2)))
-	pool := fmt.Sprintf(`"backend":%q`, rawPool)
-	call, pools := strings.Index(table, `{"name":"call"`), `"backends":[`
-	c.Assert(call > 0, qt.IsTrue)
-	table = table[:call] + strings.Replace(table[call:], `"backend":"app"`, pool, 1)
-	table = strings.ReplaceAll(table, `"backend":"llm"`, pool)
-	table = strings.Replace(table, pools, pools+fmt.Sprintf(`{"name":%q,"healthPath":"/healthz","maxConns":2000},`, rawPool), 1)
+	table := string(formatter.Table(int(r.version.Load()), serviceHost, "crowd", constantKey, keyOf(2)))
 	table = strings.Replace(table, `"maxBodyBytes":1000`, fmt.Sprintf(`"maxBodyBytes":%d`, crowdBody), 1)
-	ln, err := net.Listen("tcp", r.addr(endpointPublicNet, 100, endpointPort))
-	c.Assert(err, qt.IsNil)
-	e.Listener = ln
-	go e.run()
-	c.Cleanup(func() {
-		_ = ln.Close()
-		e.conns.Wait()
-	})
-	c.Assert(r.store.Put(formatter.Servers, "i-raw", formatter.Server{
-		Pool: rawPool, Addr: ln.Addr().String(), Centre: "north", Release: firstRelease, Slots: 2 * endlessCallers, Writes: 1, Started: 1,
-	}), qt.IsNil)
+	for n, e := range endpoints {
+		pool := rawPool + strconv.Itoa(n)
+		table = strings.Replace(table, `"routes":[`, fmt.Sprintf(`"routes":[
+{"name":"call%[1]d","host":%[2]q,"pathPrefix":"/call%[1]d/","kind":"safe","timeoutMs":20000,"goalMs":300,"backend":%[3]q,"attempts":2},
+{"name":"draft%[1]d","host":%[2]q,"pathPrefix":"/draft%[1]d/","kind":"streaming","timeoutMs":20000,"goalMs":4000,"backend":%[3]q,"attempts":3,"gapAimMs":2000},`,
+			n, serviceHost, pool), 1)
+		table = strings.Replace(table, `"backends":[`, fmt.Sprintf(`"backends":[{"name":%q,"healthPath":"/healthz","maxConns":2000},`, pool), 1)
+		ln, err := net.Listen("tcp", r.addr(endpointPublicNet, 100+n, endpointPort))
+		c.Assert(err, qt.IsNil)
+		e.Listener = ln
+		go e.run()
+		c.Cleanup(func() {
+			_ = ln.Close()
+			e.conns.Wait()
+		})
+		c.Assert(r.store.Put(formatter.Servers, "i-"+pool, formatter.Server{
+			Pool: pool, Addr: ln.Addr().String(), Centre: "north", Release: firstRelease, Slots: 2 * endlessCallers, Writes: 1, Started: 1,
+		}), qt.IsNil)
+	}
 	c.Assert(r.store.Put(formatter.Tables, formatter.CurrentTable, json.RawMessage(table)), qt.IsNil)
+	last := len(endpoints) - 1
+	for i, end := 0, time.Now().Add(startTime); endpoints[last].requests.Load() == 0; i++ {
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("no request came"))
+		r.call(fmt.Sprintf("/call%d/", last), "first"+strconv.Itoa(i), 0)
+	}
 	return r
 }
 
+// resetPeak forgets the peak of a process's memory so far, where the kernel allows that. Elsewhere the peak
+// is that since its start.
+func resetPeak(p *process) { _ = os.WriteFile(p.path("clear_refs"), []byte("5"), 0) }
+
 // call sends a request with a body of some bytes and reads its answer. It returns the status, 0 if there
 // is none, and whether the answer has an end.
 func (r *Runner) call(path, id string, size int) (status int, whole bool) {
@@ -150,9 +166,8 @@
 // daemon stays within its memory, requests to other endpoints are answered meanwhile, and no answer
 // without end becomes one with an end.
 func TestEndlessAnswers(t *testing.T) {
-	bin := buildPrograms(qt.New(t))
 	const (
-		call, stream = "/call/", "/draft/"
+		call, stream = "/call%d/", "/draft%d/"
 		head         = "HTTP/1.1 200 OK\r\n" + formatter.ID + ": ID\r\n" + formatter.Seal + ": seal\r\n"
 		eventHead    = head + "Content-Type: text/event-stream\r\n\r\n"
 	)
@@ -183,12 +198,18 @@
 		{"events with long ids", stream, eventHead, longIDs, true},
 		{"lines of an event", stream, eventHead, same(strings.Repeat("data: x\n", 8000)), false},
 	}
-	for _, test := range tests {
+	endpoints := make([]*rawEndpoint, len(tests))
+	for n, test := range tests {
+		endpoints[n] = &rawEndpoint{answer: endless(test.first, test.next)}
+	}
+	r := openRaw(qt.New(t), endpoints...)
+	p := r.daemons[0].current()
+	for n, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			r := openRaw(c, bin, &rawEndpoint{answer: endless(test.first, test.next)})
-			c.Assert(r.served("before"), qt.IsTrue)
-			p := r.daemons[0].current()
+			row := strconv.Itoa(n)
+			c.Assert(r.served("before"+row), qt.IsTrue)
+			resetPeak(p)
 			var (
 				calls sync.WaitGroup
 				mu    sync.Mutex
@@ -196,7 +217,7 @@
 			statuses := make(map[int]int)
 			for i := range endlessCallers {
 				calls.Go(func() {
-					status, whole := r.call(test.path, "endless"+strconv.Itoa(i), 0)
+					status, whole := r.call(fmt.Sprintf(test.path, n), "endless"+row+"-"+strconv.Itoa(i), 0)
 					mu.Lock()
 					defer mu.Unlock()
 					statuses[status]++
@@ -204,10 +225,10 @@
 				})
 			}
 			start := time.Now()
-			c.Check(r.served("beside"), qt.IsTrue)
+			c.Check(r.served("beside"+row), qt.IsTrue)
 			beside := time.Since(start)
 			calls.Wait()
-			c.Check(r.served("after"), qt.IsTrue)
+			c.Check(r.served("after"+row), qt.IsTrue)
 			c.Check(p.running(), qt.IsTrue)
 			c.Check(p.peakMemory() <= crowdMemory, qt.IsTrue, qt.Commentf("peak of memory: %d MB", p.peakMemory()>>20))
 			t.Logf("peak of memory: %d MB, answered beside in %v, statuses %v", p.peakMemory()>>20, beside.Round(time.Millisecond), statuses)
@@ -218,7 +239,8 @@
 // TestEndlessStore guards against a store that sends bytes without end: the daemon stays within its memory,
 // and serves as before once the store answers again.
 func TestEndlessStore(t *testing.T) {
-	bin := buildPrograms(qt.New(t))
+	c := qt.New(t)
+	r := newLimited(c, buildPrograms(c), endlessDescriptors)
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
 	objects := func(int) []byte { return bytes.Repeat([]byte(`{"metadata":{"name":"x","revision":1}},`), 1000) }
 	tests := []struct {
@@ -232,36 +254,41 @@
 		{"text in a body", head + "\r\n{\"items\":[\"", endlessBlock},
 		{"items", head + "\r\n{\"items\":[", objects},
 	}
-	for _, test := range tests {
+	// answer is that of the store; nil while it is sound.
+	var answer atomic.Pointer[func(conn net.Conn, r *http.Request)]
+	var answers atomic.Int64
+	r.wrapStore = func(sound http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			faulty := answer.Load()
+			if faulty == nil {
+				sound.ServeHTTP(w, req)
+				return
+			}
+			answers.Add(1)
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(endlessTime))
+			(*faulty)(conn, req)
+		})
+	}
+	c.Assert(r.open(c.Context()), qt.IsNil)
+	p := r.daemons[0].current()
+	for n, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			r := newLimited(c, bin, endlessDescriptors)
-			var armed atomic.Bool
-			var answers atomic.Int64
-			r.wrapStore = func(sound http.Handler) http.Handler {
-				return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-					if !armed.Load() {
-						sound.ServeHTTP(w, req)
-						return
-					}
-					answers.Add(1)
-					conn, _, err := http.NewResponseController(w).Hijack()
-					if err != nil {
-						return
-					}
-					defer conn.Close()
-					_ = conn.SetDeadline(time.Now().Add(endlessTime))
-					endless(test.first, test.next)(conn, req)
-				})
-			}
-			c.Assert(r.open(c.Context()), qt.IsNil)
-			c.Assert(r.served("before"), qt.IsTrue)
-			p := r.daemons[0].current()
-			armed.Store(true)
+			row := strconv.Itoa(n)
+			c.Assert(r.served("before"+row), qt.IsTrue)
+			resetPeak(p)
+			answers.Store(0)
+			faulty := endless(test.first, test.next)
+			answer.Store(&faulty)
 			r.links.Reset(func(_, to string) bool { return to == storeName })
-			time.Sleep(endlessTime)
-			armed.Store(false)
-			c.Check(r.served("after"), qt.IsTrue)
+			time.Sleep(troubleTime)
+			answer.Store(nil)
+			c.Check(r.served("after"+row), qt.IsTrue)
 			c.Check(answers.Load() > 0, qt.IsTrue)
 			c.Check(p.running(), qt.IsTrue)
 			c.Check(p.peakMemory() <= crowdMemory, qt.IsTrue, qt.Commentf("peak of memory: %d MB", p.peakMemory()>>20))
--- a/internal/soak/runner/upload_test.go
+++ b/internal/soak/runner/upload_test.go
@@ -28,7 +28,7 @@
 		pause atomic.Int64
 		reset atomic.Bool
 	)
-	r := openRaw(c, buildPrograms(c), &rawEndpoint{answer: func(conn net.Conn, r *http.Request) {
+	r := openRaw(c, &rawEndpoint{answer: func(conn net.Conn, r *http.Request) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+formatter.ID+": "+r.Header.Get(formatter.ID)+"\r\n"+formatter.Seal+": seal\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n")
 		time.Sleep(time.Duration(pause.Load()))
 		if reset.Load() {
@@ -42,7 +42,7 @@
 		reset bool
 	}{{"at once", 0, false}, {"after 2 ms", 2 * time.Millisecond, false}, {"by a reset after 1 ms", time.Millisecond, true}}
 	for _, end := range ends {
-		for _, path := range []string{"/call/", "/chat/"} {
+		for _, path := range []string{"/call0/", "/draft0/"} {
 			for _, size := range []int{20_000, 100_000, 1_000_000} {
 				pause.Store(int64(end.pause))
 				reset.Store(end.reset)
