--- a/internal/core/scanner/scanner_test.go
+++ b/internal/core/scanner/scanner_test.go
@@ -1,6 +1,11 @@
 package scanner_test
 
 import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -137,3 +142,53 @@
 		})
 	}
 }
+
+// ended reports whether the head has ended: no other state allows a NUL. It takes a copy.
+func ended(s scanner.Scanner) bool { return s.Scan([]byte{0}) == nil }
+
+// FuzzScan checks that a parser agrees on where a head ends that the scanner allows, and that it
+// finds no other fields in it than those with names that are allowed.
+func FuzzScan(f *testing.F) {
+	for _, seed := range []string{
+		final, "HTTP/1.0 404 \r\n\r\n", "HTTP/1.1 200\nA:\n\n", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + final,
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA : b\r\n\r\n", "HTTP/1.1 000 None\r\n\r\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var s scanner.Scanner
+		end := 0
+		for ; end < len(data) && !ended(s); end++ {
+			if s.Scan(data[end:end+1]) != nil {
+				return
+			}
+		}
+		if !ended(s) {
+			return
+		}
+		source := bytes.NewReader(data[:end])
+		reader := bufio.NewReader(source)
+		for {
+			res, err := http.ReadResponse(reader, nil)
+			if errors.Is(err, io.ErrUnexpectedEOF) {
+				t.Fatalf("%q: the parser reads on", data[:end])
+			}
+			if err != nil {
+				// It may refuse more, such as two lengths.
+				return
+			}
+			for name := range res.Header {
+				if strings.ContainsAny(name, " \t\r\n\x00") {
+					t.Fatalf("%q: field %q", data[:end], name)
+				}
+			}
+			if res.StatusCode >= http.StatusOK {
+				break
+			}
+		}
+		if left := reader.Buffered() + source.Len(); left > 0 {
+			t.Fatalf("%q: the parser leaves %d bytes", data[:end], left)
+		}
+	})
+}
