--- a/internal/forward/sender/exchange.go
+++ b/internal/forward/sender/exchange.go
@@ -159,7 +159,7 @@
 // a write, or that came after the end of the answer: an endpoint may end its answer first and read on.
 func (b *body) delivered() bool {
 	b.writing.Wait()
-	return b.written.Load() && prober.Acknowledged(b.conn.Conn, UnackedTimeout)
+	return b.written.Load() && prober.Acknowledged(b.conn.Conn)
 }
 
 // Close ends the exchange and closes the connection unless the body was read to its
--- a/internal/traffic/dispatcher/conn.go
+++ b/internal/traffic/dispatcher/conn.go
@@ -24,9 +24,6 @@
 	idleTimeout    = 30 * time.Second
 	maxIdlePerHost = 64
 	maxHeaderBytes = 64 << 10
-	// unackedTimeout is how long an endpoint that has ended its answer may take to acknowledge the
-	// request.
-	unackedTimeout = 2500 * time.Millisecond
 	// flushTime is ample for the transport to flush its buffer, which it does just after it has
 	// reported that the request was written.
 	flushTime = time.Millisecond
@@ -109,7 +106,7 @@
 	select {
 	case <-w.done:
 		time.Sleep(flushTime)
-		return w.err == nil && !c.writeFailed.Load() && prober.Acknowledged(c.Conn.Conn, unackedTimeout)
+		return w.err == nil && !c.writeFailed.Load() && prober.Acknowledged(c.Conn.Conn)
 	case <-c.closed:
 		return false
 	}
