End a call at once when the head of its answer has failed

Callers would see: a request waits for its deadline although its answer is known to be malformed, if the endpoint sends the malformed part by itself and then stays silent with the connection open.

Change: after an error of a head a read fails without asking the socket, in the sender and in scanner.Conn. A head that was too long is told as that again, not as malformed.

--- a/internal/core/scanner/conn.go
+++ b/internal/core/scanner/conn.go
@@ -22,17 +22,26 @@
 	c.scanner.Reset()
 }
 
-// Read reads from the connection. It fails if the head of an answer is malformed or too long.
+// Read reads from the connection. It fails if the head of an answer is malformed or too long, and then
+// at once, as a parser may drop the error and read on.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.scan(nil); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err := c.scanner.Scan(p[:n]); err != nil {
+	if err := c.scan(p[:n]); err != nil {
 		return 0, err
 	}
 	return n, err
 }
 
+// scan checks the next bytes, of which there may be none.
+func (c *Conn) scan(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scanner.Scan(p)
+}
+
 // Unframed reports whether the head of a final answer has come and says nothing of where the body
 // ends.
 func (c *Conn) Unframed() bool {
--- a/internal/core/scanner/scanner.go
+++ b/internal/core/scanner/scanner.go
@@ -109,19 +109,25 @@
 // it has failed, it fails again until the next Reset. Errors are of type *Error.
 func (s *Scanner) Scan(data []byte) error {
 	for _, b := range data {
-		if s.state == ended {
-			return nil
+		if s.state == ended || s.state == failed {
+			break
 		}
-		if s.state == failed || !s.next(b) {
+		if !s.next(b) {
 			s.state = failed
-			return &Error{Op: "read head", Kind: KindMalformed}
+			break
 		}
 		if s.cost += byteCost; s.cost > MaxCost {
 			s.state = failed
-			return &Error{Op: "read head", Kind: KindTooLong}
 		}
 	}
-	return nil
+	switch {
+	case s.state != failed:
+		return nil
+	case s.cost > MaxCost:
+		return &Error{Op: "read head", Kind: KindTooLong}
+	default:
+		return &Error{Op: "read head", Kind: KindMalformed}
+	}
 }
 
 // Cost returns the bytes that a parser of the head, as far as it has come, takes at most.
--- a/internal/forward/sender/sender.go
+++ b/internal/forward/sender/sender.go
@@ -155,6 +155,9 @@
 
 // Read implements io.Reader. It fails if the head of an answer is malformed, too long or without room.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.readsHead && c.headErr != nil {
+		return 0, c.headErr
+	}
 	n, err := c.Conn.Read(p)
 	if !c.readsHead {
 		return n, err
@@ -165,11 +168,8 @@
 	return n, err
 }
 
-// scan checks the next bytes of the head of an answer. After an error it returns that one.
+// scan checks the next bytes of the head of an answer.
 func (c *conn) scan(p []byte) error {
-	if c.headErr != nil {
-		return c.headErr
-	}
 	c.headErr = c.scanner.Scan(p)
 	if c.headErr == nil && !c.share.Hold(c.scanner.Cost()) {
 		c.headErr = errNoRoom
--- a/internal/forward/sender/sender_test.go
+++ b/internal/forward/sender/sender_test.go
@@ -303,6 +303,43 @@
 	}
 }
 
+// TestMalformedThenSilent checks that a head that can't be read ends the call at once, also if the
+// endpoint sends it in parts and nothing after them: the parser drops an error where a line might go on.
+func TestMalformedThenSilent(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: r1\r\n"
+	tests := []struct{ name, first, next string }{
+		{"blank in a name", head, "X Bad: 1\r\n"},
+		{"folded line", head, " more\r\n"},
+		{"control byte", head, "\x01"},
+		{"too long", head, strings.Repeat("A:\r\n", 5000)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				near, far := net.Pipe()
+				go func() {
+					if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
+						return
+					}
+					_, _ = io.WriteString(far, test.first)
+					_, _ = io.WriteString(far, test.next)
+				}()
+				s := &sender.Sender{EndpointProtocol: testProtocol{}, Dial: func(context.Context, string, string) (net.Conn, error) { return near, nil }}
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				start := time.Now()
+				_, err := s.Send(ctx, &sender.Call{Host: &samphireturn.Host{ID: "h", Addr: "h:80"}, ID: "r1", Method: "GET", Target: "/", Authority: "site", Header: http.Header{}})
+				c.Assert(err, qt.IsNotNil)
+				c.Check(sender.AsError(err).Kind, qt.Equals, sender.KindConnLost)
+				c.Check(time.Since(start), qt.Equals, time.Duration(0))
+				c.Check(far.Close(), qt.IsNil)
+				c.Check(s.Close(), qt.IsNil)
+			})
+		})
+	}
+}
+
 // TestDialOptions checks what decides when a connection to a lost host fails: bytes and probes
 // that are not acknowledged for UnackedTimeout. A probe is due before that, and a second of
 // silence is no loss.
