Send a stream's request again if its answer is none and can't be passed on

Cause: forwardAnswer either answers or reports that the request is to be sent again. proxyCall.stream dropped that report, so serve took the request for answered, and net/http sends an empty 200 for a handler that writes nothing.

Change: the loop of stream goes on where forwardAnswer asks for another attempt. Each counts as one that may have run and is paid from the retry budget, so the route's attempts bound the loop; the last one is refused with 502. No other result of this kind is dropped: forward is the only other caller.

--- a/internal/forward/forwarder/stream.go
+++ b/internal/forward/forwarder/stream.go
@@ -81,7 +81,10 @@
 			// counts the attempt itself.
 			c.sends--
 			c.executions--
-			_, refusal := c.forwardAnswer(a)
+			retry, refusal := c.forwardAnswer(a)
+			if retry {
+				continue
+			}
 			return refusal
 		}
 		if !c.begun && c.escalates(a) {
