Close the connection of a request whose handler ends without an answer

Callers saw: an empty 200 without a seal, wherever a handler of the daemon ended without writing: net/http sends that for it.

Change: finisher.Handler stands around the handlers of callers' requests and of attempts for peers, and of the interface without the users' platform. It closes the connection, logs the request's id with its last error (event unanswered) and counts (finisher_unanswered). A flush, an empty write or an informational status is no answer; a refusal that reads the rest of a body ends there too.

Evidence: TestFaultUnanswered and receiver TestUnanswered fail without it (an empty 200 and no line); TestHandler.

--- a/internal/core/logger/events.go
+++ b/internal/core/logger/events.go
@@ -23,6 +23,7 @@
 	EventServed            = "served"
 	EventRefused           = "refused"
 	EventBroken            = "broken"
+	EventUnanswered        = "unanswered"
 	EventCallerLeft        = "caller_left"
 	EventSendFailed        = "send_failed"
 	EventRetry             = "repeat"
@@ -116,6 +117,7 @@
 	{EventServed, "id, session, route, endpoint, by_peer, status, sends, attempts, step, confidence, first, late, took", "a request was answered, by way of a peer if by_peer is true; time to the start of the answer, and whether that exceeded the route's objective"},
 	{EventRefused, "id, route, reason, run, sends, took, table, age, retry, endpoints, unreachable, link_lost, error", "a request was refused or failed; if no endpoint is left, the endpoints that it may go to, those of them that cannot be dialled, and whether none at all can"},
 	{EventBroken, "id, route, last, sends, took, error", "an answer was aborted after a part of it had been passed on; the last event passed on"},
+	{EventUnanswered, "id, handler, error", "the handler of a request ended without an answer, which must not happen, so its connection was closed; its last error"},
 	{EventCallerLeft, "id, route, sends, took", "the caller disconnected before the end of the answer"},
 	{EventSendFailed, "id, endpoint, kind, quiet, error", "an endpoint did not run a request or failed it; how long it had sent nothing to this daemon"},
 	{EventRetry, "id, endpoint, status, error", "a request is retried"},
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -27,6 +27,7 @@
 	"samphireturn/internal/forward/stager"
 	"samphireturn/internal/traffic/budgeter"
 	"samphireturn/internal/traffic/collector"
+	"samphireturn/internal/traffic/finisher"
 	"samphireturn/internal/traffic/gatekeeper"
 	"samphireturn/internal/traffic/queuer"
 )
@@ -161,7 +162,11 @@
 	if f.Queue != nil {
 		f.Balancer.OnRelease = f.observeRelease
 	}
-	f.peerServer = newDrainer(&http.Server{Handler: http.HandlerFunc(f.servePeer), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}, nil)
+	f.peerServer = newDrainer(&http.Server{
+		Handler:           &finisher.Handler{Name: "peer", Serve: f.servePeer, Log: f.Log},
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:       defaultIdleTimeout,
+	}, nil)
 	f.readinessServer = &http.Server{Handler: http.HandlerFunc(f.handleReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
 	f.wait.Go(f.accept)
 	f.wait.Go(func() { f.serveListener(f.readinessServer, f.ReadinessListener) })
--- a/internal/forward/forwarder/listener.go
+++ b/internal/forward/forwarder/listener.go
@@ -14,6 +14,7 @@
 	"samphireturn"
 	"samphireturn/internal/core/logger"
 	"samphireturn/internal/core/timekeeper"
+	"samphireturn/internal/traffic/finisher"
 )
 
 // callerServer serves callers' connections under one set of limits. Connections that
@@ -151,7 +152,7 @@
 	s := &callerServer{
 		limits: limits,
 		drainer: newDrainer(&http.Server{
-			Handler:           http.HandlerFunc(f.serve),
+			Handler:           &finisher.Handler{Name: "caller", Serve: f.serve, Log: f.Log},
 			ReadHeaderTimeout: limits.HeaderTimeout,
 			IdleTimeout:       limits.IdleTimeout,
 			MaxHeaderBytes:    limits.HeaderBytes,
--- a/internal/forward/forwarder/peerserver.go
+++ b/internal/forward/forwarder/peerserver.go
@@ -10,13 +10,14 @@
 
 	"samphireturn"
 	"samphireturn/internal/core/logger"
+	"samphireturn/internal/traffic/finisher"
 )
 
 // maxPeerRequests bounds the requests of peers in flight at this daemon.
 const maxPeerRequests = 256
 
 // servePeer handles one attempt that another daemon asks for.
-func (f *Forwarder) servePeer(w http.ResponseWriter, r *http.Request) {
+func (f *Forwarder) servePeer(w http.ResponseWriter, r *http.Request) finisher.End {
 	c := f.newCall(w, r)
 	defer f.activeRequests.Add(-1)
 	f.peerAskedAt.Store(int64(f.Clock()))
@@ -40,6 +41,7 @@
 	if refused != nil {
 		c.refusePeer(refused)
 	}
+	return c.end()
 }
 
 // applyPeerAttempt sets what the daemon that asks for the attempt determines.
--- a/internal/forward/forwarder/serve.go
+++ b/internal/forward/forwarder/serve.go
@@ -6,10 +6,11 @@
 
 	"samphireturn"
 	"samphireturn/internal/core/meter"
+	"samphireturn/internal/traffic/finisher"
 )
 
 // serve handles one caller's request.
-func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request) {
+func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request) finisher.End {
 	c := f.newCall(w, r)
 	defer f.activeRequests.Add(-1)
 	defer func() { meter.ObserveRequest(c.routeName(), c.outcome, f.Clock()-c.start) }()
@@ -17,8 +18,12 @@
 	if refusal := c.run(c.forward); refusal != nil {
 		c.refuse(refusal)
 	}
+	return c.end()
 }
 
+// end returns what is known of the request once it was handled.
+func (c *proxyCall) end() finisher.End { return finisher.End{ID: c.request.ID, Err: c.lastErr} }
+
 // newCall counts a request and returns its state.
 func (f *Forwarder) newCall(w http.ResponseWriter, r *http.Request) *proxyCall {
 	f.activeRequests.Add(1)
--- a/internal/traffic/collector/refuse.go
+++ b/internal/traffic/collector/refuse.go
@@ -4,6 +4,10 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/go-faster/errors"
+
+	"samphireturn/internal/traffic/finisher"
 )
 
 const (
@@ -16,7 +20,8 @@
 // sending it. It then reads the rest of the body for a short time, in which the caller may pause for
 // a time: a connection that is closed with unread bytes is reset, and the answer may be lost with it.
 // It panics with http.ErrAbortHandler unless the body ends: what remains of it must not be
-// read as another request.
+// read as another request. If write sends nothing, it returns at once and the finisher closes the
+// connection.
 func Refuse(w http.ResponseWriter, r *http.Request, pause time.Duration, write func()) {
 	control := http.NewResponseController(w)
 	// Otherwise the server reads the body before it answers.
@@ -24,8 +29,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	write()
+	err := control.Flush()
+	if errors.Is(err, finisher.ErrUnanswered) {
+		return
+	}
 	// A caller that asked whether to send the body does not send it now.
-	if control.Flush() != nil || r.Header.Get("Expect") != "" || !discard(control, r.Body, pause) {
+	if err != nil || r.Header.Get("Expect") != "" || !discard(control, r.Body, pause) {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/traffic/receiver/exchange.go
+++ b/internal/traffic/receiver/exchange.go
@@ -21,6 +21,7 @@
 	"samphireturn/internal/ledger/minter"
 	"samphireturn/internal/traffic/collector"
 	"samphireturn/internal/traffic/decoder"
+	"samphireturn/internal/traffic/finisher"
 )
 
 const requestPrefix = "req-"
@@ -113,25 +114,33 @@
 
 // authenticated returns a handler that authenticates the caller and decodes the
 // Samphire headers before it calls next. Kind is the key of the request counter.
-func (r *Receiver) authenticated(kind string, next func(context.Context, *exchange) error) http.HandlerFunc {
-	return func(w http.ResponseWriter, req *http.Request) {
+func (r *Receiver) authenticated(kind string, next func(context.Context, *exchange) error) http.Handler {
+	serve := func(w http.ResponseWriter, req *http.Request) finisher.End {
 		requests.Add(kind, 1)
 		x := &exchange{ResponseWriter: w, request: req, start: time.Now(), snapshot: r.Control.Snapshot(), id: requestPrefix + uuid.NewString()}
 		defer func() { x.body.Release() }()
 		err := r.prepare(x)
 		x.log = r.Log.With().Str("request", x.id).Logger()
-		if err != nil {
-			r.writeRefusal(x, err)
-			return
+		if err == nil {
+			err = r.handle(x, next)
 		}
-		ctx, cancel := context.WithTimeout(req.Context(), x.options.Timeout)
-		defer cancel()
-		if err := next(ctx, x); err != nil {
+		if err != nil {
 			r.writeRefusal(x, err)
-			return
 		}
-		x.logAnswered()
+		return finisher.End{ID: x.id, Err: err}
+	}
+	return &finisher.Handler{Name: kind, Serve: serve, Log: r.Log}
+}
+
+// handle calls next within the request's time and logs its answer.
+func (r *Receiver) handle(x *exchange, next func(context.Context, *exchange) error) error {
+	ctx, cancel := context.WithTimeout(x.request.Context(), x.options.Timeout)
+	defer cancel()
+	if err := next(ctx, x); err != nil {
+		return err
 	}
+	x.logAnswered()
+	return nil
 }
 
 // prepare sets the exchange's team, options and id. It refuses the request while
--- a/internal/traffic/receiver/receiver.go
+++ b/internal/traffic/receiver/receiver.go
@@ -172,10 +172,10 @@
 // routes returns the handler of all paths.
 func (r *Receiver) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", r.authenticated("chat", r.chat))
-	mux.HandleFunc("GET /v1/models", r.authenticated("models", r.models))
-	mux.HandleFunc("POST /v1/ids", r.authenticated("ids", r.ids))
-	mux.HandleFunc("/v1/services/{service}/{path...}", r.authenticated("service", r.service))
+	mux.Handle("POST /v1/chat/completions", r.authenticated("chat", r.chat))
+	mux.Handle("GET /v1/models", r.authenticated("models", r.models))
+	mux.Handle("POST /v1/ids", r.authenticated("ids", r.ids))
+	mux.Handle("/v1/services/{service}/{path...}", r.authenticated("service", r.service))
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") })
 	mux.HandleFunc("GET /readyz", r.readyz)
 	mux.Handle("GET /debug/vars", expvar.Handler())
