Bound what requests in flight take of a daemon's memory, in one account

Callers saw: two of three machines were lost, and 1,570 streams with headers of 15 KB came to the third.

Cause: bodies, connections and answers had bounds of their own, a connection at 32 KiB. A request in flight takes 45 KB with a usual header and 68 with one of 15 KB, and each field 300 bytes beside its text in both copies. Nothing counted that, and nothing bounded the sum.

Change: accountant.Accountant counts connections, requests with their headers, bodies and answers, the store's too, in bytes as measured. A request that does not fit is refused at its beginning with 503 and Retry-After, streams before short requests, and the less urgent of each before the others; the rest is for bodies and answers of what has begun. The interface without the users' platform does the same.

--- a/internal/config/loader/loader.go
+++ b/internal/config/loader/loader.go
@@ -87,8 +87,8 @@
 
 	// Limits bounds the size of requests and the time that they may take.
 	Limits struct {
-		// MemoryBytes is the memory in bytes that the daemon may use: it bounds the bodies and the
-		// connections that it holds.
+		// MemoryBytes is the memory in bytes that the daemon may use: it bounds the requests,
+		// bodies, answers and connections that it holds.
 		MemoryBytes int64 `toml:"memory"`
 		// MaxHeaderBytes and MaxBodyBytes bound a request's header and body.
 		MaxHeaderBytes int64 `toml:"header"`
--- a/internal/core/assembler/services.go
+++ b/internal/core/assembler/services.go
@@ -8,6 +8,7 @@
 	"samphireturn"
 	"samphireturn/internal/config/reporter"
 	"samphireturn/internal/config/watcher"
+	"samphireturn/internal/core/accountant"
 	"samphireturn/internal/core/kernel"
 	"samphireturn/internal/core/rationer"
 	"samphireturn/internal/fleet/detector"
@@ -176,12 +177,14 @@
 	}
 	clock := func() time.Duration { return time.Duration(p.limiter.Clock()) }
 	endpoints := dispatcher.New(p.Dial)
-	endpoints.Answers = &rationer.Rationer{Capacity: rationer.CapacityOf(limits.MemoryBytes)}
-	bodies := &collector.Collector{Capacity: collector.CapacityOf(limits.MemoryBytes), Clock: clock}
+	memory := &accountant.Accountant{Capacity: accountant.CapacityOf(limits.MemoryBytes)}
+	endpoints.Answers = &rationer.Rationer{Capacity: rationer.CapacityOf(limits.MemoryBytes), Account: memory}
+	bodies := &collector.Collector{Capacity: collector.CapacityOf(limits.MemoryBytes), Account: memory, Clock: clock}
 	return &receiver.Receiver{
 		Listener:       ln,
+		Memory:         memory,
 		Bodies:         bodies,
-		Gate:           &gatekeeper.Gatekeeper{Capacity: gatekeeper.CapacityOf(limits.MemoryBytes, 0), DropStalled: bodies.DropStalled, Clock: clock},
+		Gate:           &gatekeeper.Gatekeeper{Capacity: gatekeeper.CapacityOf(limits.MemoryBytes, 0), Account: memory, DropStalled: bodies.DropStalled, Clock: clock},
 		MaxBodyBytes:   limits.MaxBodyBytes,
 		MaxHeaderBytes: int(limits.MaxHeaderBytes),
 		IdleTimeout:    time.Duration(limits.IdleTimeoutMs) * time.Millisecond,
--- a/internal/core/builder/builder.go
+++ b/internal/core/builder/builder.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireturn"
+	"samphireturn/internal/core/accountant"
 	"samphireturn/internal/core/kernel"
 	"samphireturn/internal/core/rationer"
 	"samphireturn/internal/fleet/concluder"
@@ -104,6 +105,8 @@
 	// RankedQueue is true if requests wait at the daemon, ordered by rank, while no endpoint
 	// has capacity.
 	RankedQueue bool
+	// Memory is the account of what callers and endpoints make the daemon hold; nil means no bound.
+	Memory *accountant.Accountant
 	// BodyCapacity bounds the bytes of requests' bodies that the daemon holds, and MaxConns the
 	// open connections of callers; 0 means no bound.
 	BodyCapacity int64
@@ -220,11 +223,12 @@
 	if b.StrictRevocation {
 		maxAgeForKeys = b.RevocationTime - revocationMargin
 	}
-	bodies := &collector.Collector{Capacity: b.BodyCapacity, Clock: b.Clock}
+	bodies := &collector.Collector{Capacity: b.BodyCapacity, Account: b.Memory, Clock: b.Clock}
 	return &forwarder.Forwarder{
+		Memory:            b.Memory,
 		Bodies:            bodies,
 		Answers:           b.Answers,
-		Gate:              &gatekeeper.Gatekeeper{Capacity: b.MaxConns, DropStalled: bodies.DropStalled, Clock: b.Clock},
+		Gate:              &gatekeeper.Gatekeeper{Capacity: b.MaxConns, Account: b.Memory, DropStalled: bodies.DropStalled, Clock: b.Clock},
 		Listener:          callerListener,
 		ReadinessListener: readinessListener,
 		MetricsListener:   metricsListener,
--- a/internal/core/rationer/rationer.go
+++ b/internal/core/rationer/rationer.go
@@ -12,6 +12,8 @@
 	"sync"
 
 	"github.com/go-faster/errors"
+
+	"samphireturn/internal/core/accountant"
 )
 
 const (
@@ -34,6 +36,8 @@
 		// Capacity bounds the bytes that all shares hold beyond what each may; 0 means no bound. Set
 		// it before the first use.
 		Capacity int64
+		// Account counts them too, and may have less room; nil bounds nothing.
+		Account *accountant.Accountant
 
 		mu   sync.Mutex
 		held int64
@@ -67,10 +71,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if size > 0 && r.Capacity > 0 && r.held+size > r.Capacity {
+	if size > 0 && (r.Capacity > 0 && r.held+size > r.Capacity || !r.Account.Take(accountant.Answer, 0, size)) {
 		refused.Add(1)
 		return false
 	}
+	if size < 0 {
+		r.Account.Add(size)
+	}
 	r.held += size
 	heldBytes.Add(size)
 	return true
--- a/internal/forward/forwarder/admit.go
+++ b/internal/forward/forwarder/admit.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"samphireturn"
+	"samphireturn/internal/core/accountant"
 	"samphireturn/internal/core/timekeeper"
 	"samphireturn/internal/forward/balancer"
 	"samphireturn/internal/forward/isolator"
@@ -64,6 +65,9 @@
 		}
 	}
 	c.budget = c.Forwarder.budget(c.pool.Name)
+	if !c.takeMemory() {
+		return refusal(samphireturn.ForwardNoRoom, busyRetryAfter, errors.New("no memory for the request"))
+	}
 	if refusal := c.readBody(); refusal != nil {
 		return refusal
 	}
@@ -139,6 +143,31 @@
 	return timeout - c.Clock() + c.start
 }
 
+// takeMemory takes what the request holds beside its body from the account of memory, and reports
+// whether there is room.
+func (c *proxyCall) takeMemory() bool {
+	size := accountant.RequestBytes + accountant.HeaderBytes(c.r.Header)
+	if c.forPeer != nil {
+		// The connections of peers are not counted while they are idle.
+		size += accountant.ConnBytes
+	}
+	use := accountant.Short
+	if c.route.Work == samphireturn.WorkStream {
+		use = accountant.Long
+	}
+	if !c.Memory.Take(use, c.priority, size) {
+		return false
+	}
+	c.held = size
+	return true
+}
+
+// releaseMemory gives back what the request holds.
+func (c *proxyCall) releaseMemory() {
+	c.collected.Release()
+	c.Memory.Add(-c.held)
+}
+
 // readBody reads the complete body, so that the request can be retried.
 func (c *proxyCall) readBody() *samphireturn.Refusal {
 	control := http.NewResponseController(c.w)
--- a/internal/forward/forwarder/forwarder.go
+++ b/internal/forward/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireturn"
+	"samphireturn/internal/core/accountant"
 	"samphireturn/internal/core/logger"
 	"samphireturn/internal/core/meter"
 	"samphireturn/internal/core/rationer"
@@ -76,7 +77,9 @@
 	Recorder                                     *recorder.Recorder
 	Isolator                                     *isolator.Isolator
 	Peers                                        samphireturn.Peers
-	// Bodies holds the bodies of requests, and Gate bounds the connections of callers.
+	// Memory is the account of what requests hold; nil bounds nothing. Bodies holds their bodies, and
+	// Gate bounds the connections of callers.
+	Memory *accountant.Accountant
 	Bodies *collector.Collector
 	// Answers bounds the memory of what is kept of answers.
 	Answers *rationer.Rationer
--- a/internal/forward/forwarder/peerserver.go
+++ b/internal/forward/forwarder/peerserver.go
@@ -23,7 +23,7 @@
 	f.peerAskedAt.Store(int64(f.Clock()))
 	inFlight := f.peerRequests.Add(1)
 	defer f.peerRequests.Add(-1)
-	defer func() { c.collected.Release() }()
+	defer c.releaseMemory()
 	c.forPeer = new(peerAttempt)
 	err := decodeHeader(r.Header.Get(headerPeerAttempt), c.forPeer)
 	r.Header.Del(headerPeerAttempt)
--- a/internal/forward/forwarder/proxycall.go
+++ b/internal/forward/forwarder/proxycall.go
@@ -75,7 +75,9 @@
 	team         string
 	priority     int
 	body         []byte
-	// collected holds the room of the body; nil if none was read.
+	// held is what the request has of the account of memory, in bytes, and collected holds the room of
+	// its body; nil if none was read.
+	held        int64
 	collected   *collector.Body
 	pickRequest balancer.Request
 	// keys are those that the request may be isolated for: the first is its own, since it may
--- a/internal/forward/forwarder/serve.go
+++ b/internal/forward/forwarder/serve.go
@@ -14,7 +14,7 @@
 	c := f.newCall(w, r)
 	defer f.activeRequests.Add(-1)
 	defer func() { meter.ObserveRequest(c.routeName(), c.outcome, f.Clock()-c.start) }()
-	defer func() { c.collected.Release() }()
+	defer c.releaseMemory()
 	if refusal := c.run(c.forward); refusal != nil {
 		c.refuse(refusal)
 	}
--- a/internal/soak/runner/process.go
+++ b/internal/soak/runner/process.go
@@ -107,13 +107,17 @@
 // pid returns the id of the process.
 func (p *process) pid() int { return p.cmd.Process.Pid }
 
-// peakMemory returns the highest resident memory of the process in bytes, or 0.
-func (p *process) peakMemory() int64 {
+// memory and peakMemory return the resident memory of the process and the highest so far in bytes, or 0.
+func (p *process) memory() int64     { return p.status("VmRSS:") }
+func (p *process) peakMemory() int64 { return p.status("VmHWM:") }
+
+// status returns the bytes that the kernel names for the process, or 0.
+func (p *process) status(name string) int64 {
 	data, err := os.ReadFile(p.path("status"))
 	if err != nil {
 		return 0
 	}
-	_, rest, _ := strings.Cut(string(data), "VmHWM:")
+	_, rest, _ := strings.Cut(string(data), name)
 	fields := strings.Fields(rest)
 	if len(fields) == 0 {
 		return 0
--- a/internal/traffic/collector/collector.go
+++ b/internal/traffic/collector/collector.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"samphireturn/internal/core/accountant"
 )
 
 // Kinds of errors.
@@ -68,6 +70,8 @@
 	Collector struct {
 		// Capacity bounds the bytes that all bodies hold; 0 means no bound.
 		Capacity int64
+		// Account counts them too, and may have less room; nil bounds nothing.
+		Account *accountant.Accountant
 		// Clock is a monotonic clock.
 		Clock func() time.Duration
 
@@ -258,7 +262,7 @@
 	if size > smallBytes {
 		bound = max(int64(largeShare*float64(c.Capacity)), spareBodies*limit)
 	}
-	for c.Capacity > 0 && c.held+size > bound {
+	for c.Capacity > 0 && c.held+size > bound || !c.Account.Take(accountant.Body, 0, size) {
 		if !c.dropStalled() {
 			return false
 		}
@@ -291,6 +295,7 @@
 // give gives room of a body back. The caller holds mu.
 func (c *Collector) give(b *Body, size int64) {
 	size = min(size, b.held)
+	c.Account.Add(-size)
 	c.held -= size
 	b.held -= size
 	heldBytes.Add(-size)
--- a/internal/traffic/gatekeeper/gatekeeper.go
+++ b/internal/traffic/gatekeeper/gatekeeper.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"samphireturn/internal/core/accountant"
 )
 
 const (
@@ -24,7 +26,7 @@
 	// of Capacity.
 	maxLeavingShare = 0.25
 	// memoryShare is the part of a process's memory that the connections of callers may take, and
-	// connBytes what one takes at most: its buffers, its stack and a header.
+	// connBytes what one takes with a usual request, but for the connection to its endpoint and its body.
 	memoryShare = 0.375
 	connBytes   = 32 << 10
 	// socketShare is the part of its sockets: each request has a connection of its caller and one to
@@ -43,6 +45,8 @@
 	Gatekeeper struct {
 		// Capacity bounds the open connections; 0 means no bound.
 		Capacity int
+		// Account counts them; nil counts nothing.
+		Account *accountant.Accountant
 		// DropStalled ends a request that makes no progress and reports whether there is one; nil
 		// means that there is none.
 		DropStalled func() bool
@@ -100,6 +104,7 @@
 		evicted.Add(1)
 	}
 	g.open++
+	g.Account.Add(accountant.ConnBytes)
 	openConns.Add(1)
 	return true
 }
@@ -119,6 +124,7 @@
 		g.add(&g.idle, c)
 	case http.StateClosed, http.StateHijacked:
 		g.open--
+		g.Account.Add(-accountant.ConnBytes)
 		g.leaving = max(g.leaving-1, 0)
 		openConns.Add(-1)
 	}
--- a/internal/traffic/receiver/exchange.go
+++ b/internal/traffic/receiver/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireturn"
+	"samphireturn/internal/core/accountant"
 	"samphireturn/internal/ledger/minter"
 	"samphireturn/internal/traffic/collector"
 	"samphireturn/internal/traffic/decoder"
@@ -41,7 +42,9 @@
 	// affinity is the session that determines the preferred data centre when the
 	// request is forwarded; nil for services.
 	affinity *samphireturn.Session
-	// body holds the room of the request's body; nil if it was not read.
+	// held is what the request has of the account of memory, in bytes, and body holds the room of its
+	// body; nil if it was not read.
+	held int64
 	body *collector.Body
 	// bodyStarted is true once bytes of the answer's body were sent to the caller.
 	bodyStarted bool
@@ -113,14 +116,17 @@
 }
 
 // authenticated returns a handler that authenticates the caller and decodes the
-// Samphire headers before it calls next. Kind is the key of the request counter.
-func (r *Receiver) authenticated(kind string, next func(context.Context, *exchange) error) http.Handler {
+// Samphire headers before it calls next. Kind is the key of the request counter, and use that of memory.
+func (r *Receiver) authenticated(kind string, use accountant.Use, next func(context.Context, *exchange) error) http.Handler {
 	serve := func(w http.ResponseWriter, req *http.Request) finisher.End {
 		requests.Add(kind, 1)
 		x := &exchange{ResponseWriter: w, request: req, start: time.Now(), snapshot: r.Control.Snapshot(), id: requestPrefix + uuid.NewString()}
-		defer func() { x.body.Release() }()
+		defer r.releaseMemory(x)
 		err := r.prepare(x)
 		x.log = r.Log.With().Str("request", x.id).Logger()
+		if err == nil {
+			err = r.takeMemory(x, use)
+		}
 		if err == nil {
 			err = r.handle(x, next)
 		}
@@ -132,6 +138,25 @@
 	return &finisher.Handler{Name: kind, Serve: serve, Log: r.Log}
 }
 
+// takeMemory takes what the request holds beside its body from the account of memory. More urgent
+// requests have the higher priority here, and the lower rank there.
+func (r *Receiver) takeMemory(x *exchange, use accountant.Use) error {
+	size := accountant.RequestBytes + accountant.HeaderBytes(x.request.Header)
+	if !r.Memory.Take(use, accountant.MaxRank-x.options.Priority, size) {
+		return &samphireturn.Refusal{
+			Reason: samphireturn.ReasonBusy, Executed: samphireturn.ExecutedNo, RetryAfter: time.Second, Err: errors.New("no memory for the request"),
+		}
+	}
+	x.held = size
+	return nil
+}
+
+// releaseMemory gives back what the request holds.
+func (r *Receiver) releaseMemory(x *exchange) {
+	x.body.Release()
+	r.Memory.Add(-x.held)
+}
+
 // handle calls next within the request's time and logs its answer.
 func (r *Receiver) handle(x *exchange, next func(context.Context, *exchange) error) error {
 	ctx, cancel := context.WithTimeout(x.request.Context(), x.options.Timeout)
--- a/internal/traffic/receiver/receiver.go
+++ b/internal/traffic/receiver/receiver.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireturn"
+	"samphireturn/internal/core/accountant"
 	"samphireturn/internal/ledger/biller"
 	"samphireturn/internal/ledger/claimer"
 	"samphireturn/internal/ledger/minter"
@@ -93,7 +94,9 @@
 	// listener, so that load balancers notice the change.
 	ShutdownDelay time.Duration
 
-	// Bodies holds the bodies of requests, and Gate bounds the open connections.
+	// Memory is the account of what requests hold; nil bounds nothing. Bodies holds their bodies, and
+	// Gate bounds the open connections.
+	Memory *accountant.Accountant
 	Bodies *collector.Collector
 	Gate   *gatekeeper.Gatekeeper
 
@@ -172,10 +175,10 @@
 // routes returns the handler of all paths.
 func (r *Receiver) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST /v1/chat/completions", r.authenticated("chat", r.chat))
-	mux.Handle("GET /v1/models", r.authenticated("models", r.models))
-	mux.Handle("POST /v1/ids", r.authenticated("ids", r.ids))
-	mux.Handle("/v1/services/{service}/{path...}", r.authenticated("service", r.service))
+	mux.Handle("POST /v1/chat/completions", r.authenticated("chat", accountant.Long, r.chat))
+	mux.Handle("GET /v1/models", r.authenticated("models", accountant.Short, r.models))
+	mux.Handle("POST /v1/ids", r.authenticated("ids", accountant.Short, r.ids))
+	mux.Handle("/v1/services/{service}/{path...}", r.authenticated("service", accountant.Short, r.service))
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") })
 	mux.HandleFunc("GET /readyz", r.readyz)
 	mux.Handle("GET /debug/vars", expvar.Handler())
--- a/internal/traffic/receiver/unanswered_test.go
+++ b/internal/traffic/receiver/unanswered_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireturn"
+	"samphireturn/internal/core/accountant"
 )
 
 // teamControl is a control state with one team.
@@ -36,7 +37,7 @@
 	c := qt.New(t)
 	var log bytes.Buffer
 	r := &Receiver{Log: zerolog.New(&log).Level(zerolog.InfoLevel), Ready: func() bool { return true }, Control: teamControl{key: "key"}}
-	s := httptest.NewServer(r.authenticated("chat", func(context.Context, *exchange) error { return nil }))
+	s := httptest.NewServer(r.authenticated("chat", accountant.Long, func(context.Context, *exchange) error { return nil }))
 	req, err := http.NewRequest(http.MethodPost, s.URL, strings.NewReader("{}"))
 	c.Assert(err, qt.IsNil)
 	req.Header.Set("Authorization", "Bearer key")
--- a/refusal.go
+++ b/refusal.go
@@ -44,7 +44,7 @@
 	ForwardNoRoute = "no_route"
 	// ForwardRequestSlow means that the request's body did not arrive in time.
 	ForwardRequestSlow = "request_slow"
-	// ForwardNoRoom means that the daemon has no room for the request's body.
+	// ForwardNoRoom means that the daemon has no room for the request or its body.
 	ForwardNoRoom = "no_room"
 	// ForwardPaused means that all endpoints that can be reached asked for no requests for
 	// a time.
