Count the heads of callers while they are read

Callers saw: nothing yet. 700 connections with heads of 2,200 short fields that do not end, 15 KB each, took a daemon of 64 MB to 182 MB, and would have ended it with all requests in flight.

Cause: net/http keeps each field of a head as it comes, in far more than its text, and there is no request yet that the account of memory could count.

Change: the gatekeeper's connections count lines and bytes of a head beyond 20 KiB. One for which there is no memory gets 503 with Retry-After before its end. Long heads of few fields are left to the request, which is refused by rank.

--- a/internal/forward/forwarder/listener.go
+++ b/internal/forward/forwarder/listener.go
@@ -74,6 +74,7 @@
 			}
 			continue
 		}
+		conn = f.Gate.Meter(conn)
 		if !f.Gate.Admit(conn) {
 			f.acceptFailed(&delay, errTooManyConns)
 			continue
--- a/internal/soak/runner/request_memory_test.go
+++ b/internal/soak/runner/request_memory_test.go
@@ -110,6 +110,33 @@
 	return lines.String()
 }
 
+// TestUnfinishedHeads guards against callers that send heads of many fields without an end: the daemon
+// stays within its memory, and ordinary requests are answered beside them and after them.
+func TestUnfinishedHeads(t *testing.T) {
+	c := qt.New(t)
+	r := openRaw(c, &rawEndpoint{answer: heldStream})
+	p := r.daemons[0].current()
+	resetPeak(p)
+	var conns []net.Conn
+	for i := range heldStreams {
+		time.Sleep(heldStagger / 2)
+		conn, err := r.dialDaemon()
+		if err != nil {
+			continue
+		}
+		conns = append(conns, conn)
+		_, _ = fmt.Fprintf(conn, "POST /draft0/%d HTTP/1.1\r\nHost: %s\r\n%s", i, serviceHost, manyFields())
+	}
+	c.Check(r.served("beside"), qt.IsTrue)
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+	c.Check(r.served("after"), qt.IsTrue)
+	c.Check(p.running(), qt.IsTrue)
+	c.Check(p.peakMemory() <= crowdMemory, qt.IsTrue, qt.Commentf("peak of memory: %d MB", p.peakMemory()>>20))
+	t.Logf("peak of memory: %d MB", p.peakMemory()>>20)
+}
+
 // TestRequestsInFlight guards against many requests at once, with headers that are long or have many
 // fields, taking a daemon beyond its memory: what doesn't fit is refused at once, and the streams that
 // have begun go on. With usual headers there is room for all of them.
--- a/internal/traffic/gatekeeper/gatekeeper.go
+++ b/internal/traffic/gatekeeper/gatekeeper.go
@@ -111,6 +111,9 @@
 
 // Observe records the state of an admitted connection. It is the ConnState hook of a server.
 func (g *Gatekeeper) Observe(c net.Conn, state http.ConnState) {
+	if metered, ok := c.(*meteredConn); ok && state != http.StateActive {
+		metered.expect()
+	}
 	if g.Capacity == 0 && state != http.StateClosed {
 		return
 	}
@@ -178,8 +181,11 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
-		if err != nil || l.gatekeeper.Admit(c) {
-			return c, err
+		if err != nil {
+			return nil, err
+		}
+		if c = l.gatekeeper.Meter(c); l.gatekeeper.Admit(c) {
+			return c, nil
 		}
 	}
 }
