Keep no result of the tests with real processes for other code

These tests build the programs that they run, which the cache of tests does not know: after a change of the product go test printed the result of the code before. The test package imports what the programs are built from now.

Evidence: after a change of internal/traffic/gatekeeper TestUnfinishedHeads of the time printed the figures of the run before (174, 162, 181 MB), and 35, 45, 46 MB with -count 1.

--- a/internal/soak/runner/runner_test.go
+++ b/internal/soak/runner/runner_test.go
@@ -13,7 +13,10 @@
 
 	qt "github.com/frankban/quicktest"
 
+	// The programs that these tests build: a result in the cache of tests is that of the same code.
+	_ "samphireturn/internal/core/assembler"
 	"samphireturn/internal/soak/planner"
+	_ "samphireturn/platform"
 )
 
 // TestSoak runs daemons and endpoints as processes under the faults of a few seconds.
