Have the stalled bodies of a test come one after the other

TestFaultStalledBodies failed now and then: 200 where 503 is expected. The test was wrong. Six bodies of 1,000 bytes came at once where there is room for 4,000 bytes, and each that grows holds two buffers, of 512 and 1,000, until it has copied the first. If they grow together some are refused for want of room.

Each body is read now before the next one comes; the checks are as they were.

--- a/internal/core/assembler/fault_body_test.go
+++ b/internal/core/assembler/fault_body_test.go
@@ -60,6 +60,9 @@
 		var stalled []net.Conn
 		for range 6 {
 			stalled = append(stalled, open(bearer, "Content-Length: 1000", strings.Repeat(" ", bodyBytes-10)))
+			// One is read before the next comes: each of those that grow together holds two buffers, so
+			// that most of them may be refused, and not enough of them stall.
+			synctest.Wait()
 		}
 		chat := `{"model":"small","messages":[{"role":"user","content":"hi"}]}`
 		chat += strings.Repeat(" ", bodyBytes-len(chat))
