Cut all connections of a partition at the same moment

TestFaultOnce failed now and then, in the rows "during/killed, platform down": the first caller was told "unknown" where it should have got nothing. The test's network was wrong. A VM is killed there by closing its connections one after the other. If the one to the service came first, the daemon, which still ran, answered its caller on one that was open yet.

What the connections carry is dropped before the first of them is closed; the same where a process ends (SetDown). No check was changed.

--- a/internal/standin/connector/connector.go
+++ b/internal/standin/connector/connector.go
@@ -127,10 +127,17 @@
 	n.partitioned = match
 	n.mu.Unlock()
 	if match != nil {
-		n.forEachOpen(match, func(c *conn) { _ = c.Close() })
+		n.cut(match)
 	}
 }
 
+// cut closes the open connections that match, all of them at the same moment: nothing that one end
+// writes once one is closed arrives by another.
+func (n *Network) cut(match func(from, to string) bool) {
+	n.BlackholeOpen(match)
+	n.forEachOpen(match, func(c *conn) { _ = c.Close() })
+}
+
 // RefuseNew refuses new connections that match until the next call of RefuseNew.
 // Open connections stay open. A nil match accepts all connections again.
 func (n *Network) RefuseNew(match func(from, to string) bool) {
@@ -149,7 +156,7 @@
 	n.down[to] = down
 	n.mu.Unlock()
 	if down {
-		n.forEachOpen(func(_, at string) bool { return at == to }, func(c *conn) { _ = c.Close() })
+		n.cut(func(_, at string) bool { return at == to })
 	}
 }
 
