Take no part of a body for a head, by the state of its connection

Found by reading: the gatekeeper took the end of a head from its empty line alone. With a request whose head came in the same read as the request before it, the body that followed was counted as a head, and could have been answered with 503 in the middle of its request if there was no memory.

A head ends now when the server reports the connection as active too, which it does before the request has a handler. A lock guards the count, as the server reads ahead meanwhile.

Evidence: TestMeter, row "lines in a body whose head came with the request before", fails if the state is ignored; 20 runs with the race detector.

--- a/internal/traffic/gatekeeper/gatekeeper.go
+++ b/internal/traffic/gatekeeper/gatekeeper.go
@@ -26,9 +26,9 @@
 	// of Capacity.
 	maxLeavingShare = 0.25
 	// memoryShare is the part of a process's memory that the connections of callers may take, and
-	// connBytes what one takes with a usual request, but for the connection to its endpoint and its body.
+	// usualBytes what one takes with a usual request, but for the connection to its endpoint and its body.
 	memoryShare = 0.375
-	connBytes   = 32 << 10
+	usualBytes  = 32 << 10
 	// socketShare is the part of its sockets: each request has a connection of its caller and one to
 	// an endpoint.
 	socketShare = 0.5
@@ -79,7 +79,7 @@
 // CapacityOf returns the Capacity for a process that may use some bytes of memory and have some
 // sockets open; 0 means no bound of either.
 func CapacityOf(memory int64, sockets int) int {
-	capacity := int(memoryShare * float64(memory) / connBytes)
+	capacity := int(memoryShare * float64(memory) / usualBytes)
 	if sockets > 0 {
 		bySockets := max(int(socketShare*float64(sockets)), 1)
 		if capacity == 0 {
@@ -111,8 +111,8 @@
 
 // Observe records the state of an admitted connection. It is the ConnState hook of a server.
 func (g *Gatekeeper) Observe(c net.Conn, state http.ConnState) {
-	if metered, ok := c.(*meteredConn); ok && state != http.StateActive {
-		metered.expect()
+	if metered, ok := c.(*meteredConn); ok {
+		metered.turn(state == http.StateActive)
 	}
 	if g.Capacity == 0 && state != http.StateClosed {
 		return
--- a/internal/traffic/gatekeeper/head.go
+++ b/internal/traffic/gatekeeper/head.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,20 +28,21 @@
 
 // meteredConn is the connection of a caller whose heads are counted by the account while they are read,
 // before there is a request: a head of many fields takes far more than its text, and may never end.
-// It is used by the goroutine of its server alone.
 type meteredConn struct {
 	net.Conn
 	account *accountant.Accountant
+	// mu guards the rest: the server reads ahead while it handles a request.
+	mu sync.Mutex
 	// cost is what the head takes so far, and held what was taken of the account for it.
 	cost, held int64
 	// lineBytes is the length of the line that is read, without its end.
 	lineBytes int
-	// ended is true from the end of a head until the connection is idle.
+	// ended is true from the end of a head until the connection is idle: what is read then is no head.
 	ended bool
 }
 
-// Meter returns a connection whose heads the account counts. The server's states of it must be
-// observed.
+// Meter returns a connection whose heads the account counts. Observe must be the ConnState hook of its
+// server, which is told that a connection is active before the request has a handler.
 func (g *Gatekeeper) Meter(c net.Conn) net.Conn {
 	if g.Account == nil {
 		return c
@@ -51,21 +53,22 @@
 // Read implements io.Reader. It refuses a head for which there is no memory.
 func (c *meteredConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if c.ended || c.read(p[:n]) {
+	if c.read(p[:n]) {
 		return n, err
 	}
 	c.refuse(p)
 	return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errNoMemory}
 }
 
-// read counts the next bytes of a head, and reports whether there is memory for it.
+// read counts the next bytes, and reports whether there is memory for the head that they belong to.
 func (c *meteredConn) read(p []byte) bool {
-	for _, b := range p {
-		switch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := 0; i < len(p) && !c.ended; i++ {
+		switch b := p[i]; {
 		case b == '\n' && c.lineBytes == 0 && c.cost > 0:
 			c.release()
 			c.ended = true
-			return true
 		case b == '\n':
 			c.cost += accountant.FieldBytes
 			c.lineBytes = 0
@@ -80,28 +83,30 @@
 	}
 	size := max(missing, headStep)
 	if !c.account.Take(accountant.Short, 0, size) {
+		c.release()
+		c.ended = true
 		return false
 	}
 	c.held += size
 	return true
 }
 
-// release gives back what the head holds: its request has an account of its own.
+// release gives back what the head holds: its request has an account of its own. The caller holds mu.
 func (c *meteredConn) release() {
 	c.account.Add(-c.held)
 	c.cost, c.held, c.lineBytes = 0, 0, 0
 }
 
-// expect begins the next head.
-func (c *meteredConn) expect() {
+// turn gives back what a head holds, and either ends it or begins the next one.
+func (c *meteredConn) turn(ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.release()
-	c.ended = false
+	c.ended = ended
 }
 
 // refuse answers a head that is not read to its end.
 func (c *meteredConn) refuse(buffer []byte) {
-	c.release()
-	c.ended = true
 	end := time.Now().Add(discardTime)
 	if c.SetDeadline(end) != nil {
 		return
--- a/internal/traffic/gatekeeper/head_test.go
+++ b/internal/traffic/gatekeeper/head_test.go
@@ -26,7 +26,7 @@
 	for i := range lines {
 		fmt.Fprintf(&fields, "x%d:\r\n", i)
 	}
-	body := strings.Repeat("\n", lines)
+	body := strings.Repeat("x\n", lines)
 	long := "GET / HTTP/1.1\r\nHost: x\r\n" + fields.String()
 	tests := []struct {
 		name string
@@ -35,7 +35,8 @@
 		statuses []int
 	}{
 		{"usual heads", plain + plain, []int{200, 200}},
-		{"lines in a body", fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", lines, body), []int{200}},
+		{"lines in a body whose head came with the request before", plain + fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", 20*len(body), strings.Repeat(body, 20)), []int{200, 200}},
+		{"lines in a body", fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body), []int{200}},
 		{"many fields", long + "\r\n", []int{503}},
 		{"many fields without an end", long, []int{503}},
 		{"one long field without an end", "GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 60<<10), []int{503}},
