Leave the memory of connections out of the account from the start

Found by reading: the account counted connections as they were opened, whatever there was room for. 1,500 idle ones take 24 MiB beside requests in flight that hold nearly all of it. Counting them within the bound was tried: where memory is short new connections were then closed without an answer, TestFaultMemory failed, and nobody was refused by rank.

The Capacity is less by the connections that callers may have open, open or not. A caller that is refused needs one, too.

Evidence: the sum can't exceed the Capacity any more, as Take alone adds to it.

--- a/internal/core/accountant/accountant.go
+++ b/internal/core/accountant/accountant.go
@@ -2,16 +2,17 @@
 // hold.
 //
 // The law: what is held stays below a Capacity, and the later in its course something is, the more of it
-// may be used. A connection counts ConnBytes as long as it is open. A request in flight counts
-// RequestBytes and the cost of its header, which it keeps twice: as it came and as it was sent on. It is
-// refused at its beginning if that doesn't fit, the less urgent ones earlier, and those that take long
-// before the short ones, which would have no room for as long. What is left is for those that have begun:
-// first for their bodies, and to the end for answers, the store's too. Bodies and answers count their
-// buffers. Nobody waits for room, and nothing that has begun is ended for the sake of the account.
+// may be used. A request in flight counts RequestBytes and the cost of its header, which it keeps twice:
+// as it came and as it was sent on. It is refused at its beginning if that doesn't fit, the less urgent
+// ones earlier, and those that take long before the short ones, which would have no room for as long. What
+// is left is for those that have begun: first for their bodies, and to the end for answers, the store's
+// too. Bodies and answers count their buffers. Nobody waits for room, and nothing that has begun is ended
+// for the sake of the account. ConnBytes for each connection that callers may have open are left out of
+// the Capacity, open or not: who is refused needs one too.
 //
 // Bytes are those by which the resident memory of a process grew in measurements, with what the collector
-// has not freed yet. What a daemon holds without any of these is left out of the Capacity. Bodies, answers
-// and connections have bounds of their own beside the account, so that none of them can take all of it.
+// has not freed yet. What a daemon holds without any of these is left out of the Capacity too. Bodies and
+// answers have bounds of their own beside the account, so that neither can take all of it.
 package accountant
 
 import (
@@ -75,13 +76,13 @@
 	}
 )
 
-// CapacityOf returns the Capacity for a process that may use some bytes of memory; 0 means no bound of
-// either.
-func CapacityOf(memory int64) int64 {
+// CapacityOf returns the Capacity for a process that may use some bytes of memory and have some
+// connections of callers; 0 means no bound of memory.
+func CapacityOf(memory int64, conns int) int64 {
 	if memory == 0 {
 		return 0
 	}
-	return max(int64(usableShare*float64(memory-baseBytes)), leastBytes)
+	return max(int64(usableShare*float64(memory-baseBytes))-int64(conns)*ConnBytes, leastBytes)
 }
 
 // String returns the use's name in counters.
@@ -123,23 +124,18 @@
 		refused.Add(u.String(), 1)
 		return false
 	}
-	a.add(size)
+	a.held += size
+	heldBytes.Add(size)
 	return true
 }
 
-// Add adds bytes that are held already, or gives back some of those that were taken if size is
-// negative.
-func (a *Accountant) Add(size int64) {
+// Give gives back bytes that were taken.
+func (a *Accountant) Give(size int64) {
 	if a == nil {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.add(size)
-}
-
-// add is Add. The caller holds mu.
-func (a *Accountant) add(size int64) {
-	a.held += size
-	heldBytes.Add(size)
+	a.held -= size
+	heldBytes.Add(-size)
 }
--- a/internal/core/accountant/accountant_test.go
+++ b/internal/core/accountant/accountant_test.go
@@ -38,10 +38,7 @@
 		before = a.Held()
 	}
 	c.Check(a.Held(), qt.Equals, a.Capacity)
-	// What is held already is counted, whatever there is room for.
-	a.Add(size)
-	c.Check(a.Held(), qt.Equals, a.Capacity+size)
-	a.Add(-a.Held())
+	a.Give(a.Held())
 	c.Check(a.Take(Long, 0, size), qt.IsTrue)
 }
 
@@ -50,23 +47,26 @@
 	for _, a := range []*Accountant{nil, {}} {
 		c := qt.New(t)
 		c.Check(a.Take(Long, MaxRank, 1<<40), qt.IsTrue)
-		a.Add(-1 << 40)
+		a.Give(1 << 40)
 		c.Check(a.Held(), qt.Equals, int64(0))
 	}
 }
 
 func TestCapacityOf(t *testing.T) {
 	tests := []struct {
-		memory, least, most int64
+		memory      int64
+		conns       int
+		least, most int64
 	}{
-		{0, 0, 0},
-		{16 << 10, 8 << 20, 8 << 20},
-		{64 << 20, 36 << 20, 40 << 20},
-		{134 << 20, 100 << 20, 110 << 20},
-		{536 << 20, 470 << 20, 512 << 20},
+		{0, 100, 0, 0},
+		{16 << 10, 1, 8 << 20, 8 << 20},
+		{64 << 20, 768, 23 << 20, 28 << 20},
+		{64 << 20, 100, 34 << 20, 38 << 20},
+		{134 << 20, 1608, 74 << 20, 85 << 20},
+		{536 << 20, 1950, 440 << 20, 480 << 20},
 	}
 	for _, test := range tests {
-		got := CapacityOf(test.memory)
+		got := CapacityOf(test.memory, test.conns)
 		qt.New(t).Check(got >= test.least && got <= test.most, qt.IsTrue, qt.Commentf("%d of %d", got, test.memory))
 	}
 }
--- a/internal/core/assembler/services.go
+++ b/internal/core/assembler/services.go
@@ -177,14 +177,15 @@
 	}
 	clock := func() time.Duration { return time.Duration(p.limiter.Clock()) }
 	endpoints := dispatcher.New(p.Dial)
-	memory := &accountant.Accountant{Capacity: accountant.CapacityOf(limits.MemoryBytes)}
+	conns := gatekeeper.CapacityOf(limits.MemoryBytes, 0)
+	memory := &accountant.Accountant{Capacity: accountant.CapacityOf(limits.MemoryBytes, conns)}
 	endpoints.Answers = &rationer.Rationer{Capacity: rationer.CapacityOf(limits.MemoryBytes), Account: memory}
 	bodies := &collector.Collector{Capacity: collector.CapacityOf(limits.MemoryBytes), Account: memory, Clock: clock}
 	return &receiver.Receiver{
 		Listener:       ln,
 		Memory:         memory,
 		Bodies:         bodies,
-		Gate:           &gatekeeper.Gatekeeper{Capacity: gatekeeper.CapacityOf(limits.MemoryBytes, 0), Account: memory, DropStalled: bodies.DropStalled, Clock: clock},
+		Gate:           &gatekeeper.Gatekeeper{Capacity: conns, Account: memory, DropStalled: bodies.DropStalled, Clock: clock},
 		MaxBodyBytes:   limits.MaxBodyBytes,
 		MaxHeaderBytes: int(limits.MaxHeaderBytes),
 		IdleTimeout:    time.Duration(limits.IdleTimeoutMs) * time.Millisecond,
--- a/internal/core/rationer/rationer.go
+++ b/internal/core/rationer/rationer.go
@@ -76,7 +76,7 @@
 		return false
 	}
 	if size < 0 {
-		r.Account.Add(size)
+		r.Account.Give(-size)
 	}
 	r.held += size
 	heldBytes.Add(size)
--- a/internal/forward/forwarder/admit.go
+++ b/internal/forward/forwarder/admit.go
@@ -148,7 +148,7 @@
 func (c *proxyCall) takeMemory() bool {
 	size := accountant.RequestBytes + accountant.HeaderBytes(c.r.Header)
 	if c.forPeer != nil {
-		// The connections of peers are not counted while they are idle.
+		// No room is left for the connections of peers.
 		size += accountant.ConnBytes
 	}
 	use := accountant.Short
@@ -165,7 +165,7 @@
 // releaseMemory gives back what the request holds.
 func (c *proxyCall) releaseMemory() {
 	c.collected.Release()
-	c.Memory.Add(-c.held)
+	c.Memory.Give(c.held)
 }
 
 // readBody reads the complete body, so that the request can be retried.
--- a/internal/traffic/collector/collector.go
+++ b/internal/traffic/collector/collector.go
@@ -295,7 +295,7 @@
 // give gives room of a body back. The caller holds mu.
 func (c *Collector) give(b *Body, size int64) {
 	size = min(size, b.held)
-	c.Account.Add(-size)
+	c.Account.Give(size)
 	c.held -= size
 	b.held -= size
 	heldBytes.Add(-size)
--- a/internal/traffic/gatekeeper/gatekeeper.go
+++ b/internal/traffic/gatekeeper/gatekeeper.go
@@ -45,7 +45,7 @@
 	Gatekeeper struct {
 		// Capacity bounds the open connections; 0 means no bound.
 		Capacity int
-		// Account counts them; nil counts nothing.
+		// Account counts the heads of their requests; nil counts nothing.
 		Account *accountant.Accountant
 		// DropStalled ends a request that makes no progress and reports whether there is one; nil
 		// means that there is none.
@@ -104,7 +104,6 @@
 		evicted.Add(1)
 	}
 	g.open++
-	g.Account.Add(accountant.ConnBytes)
 	openConns.Add(1)
 	return true
 }
@@ -127,7 +126,6 @@
 		g.add(&g.idle, c)
 	case http.StateClosed, http.StateHijacked:
 		g.open--
-		g.Account.Add(-accountant.ConnBytes)
 		g.leaving = max(g.leaving-1, 0)
 		openConns.Add(-1)
 	}
--- a/internal/traffic/gatekeeper/head.go
+++ b/internal/traffic/gatekeeper/head.go
@@ -93,7 +93,7 @@
 
 // release gives back what the head holds: its request has an account of its own. The caller holds mu.
 func (c *meteredConn) release() {
-	c.account.Add(-c.held)
+	c.account.Give(c.held)
 	c.cost, c.held, c.lineBytes = 0, 0, 0
 }
 
--- a/internal/traffic/gatekeeper/head_test.go
+++ b/internal/traffic/gatekeeper/head_test.go
@@ -46,7 +46,7 @@
 		for _, after := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, after another request %t", test.name, after), func(t *testing.T) {
 				c := qt.New(t)
-				account := &accountant.Accountant{Capacity: 8*accountant.FieldBytes + freeHeadBytes + accountant.ConnBytes}
+				account := &accountant.Accountant{Capacity: 8*accountant.FieldBytes + freeHeadBytes}
 				g := &Gatekeeper{Capacity: 10, Account: account, Clock: func() time.Duration { return 0 }}
 				l, err := net.Listen("tcp", "127.0.0.1:0")
 				c.Assert(err, qt.IsNil)
--- a/internal/traffic/receiver/exchange.go
+++ b/internal/traffic/receiver/exchange.go
@@ -154,7 +154,7 @@
 // releaseMemory gives back what the request holds.
 func (r *Receiver) releaseMemory(x *exchange) {
 	x.body.Release()
-	r.Memory.Add(-x.held)
+	r.Memory.Give(x.held)
 }
 
 // handle calls next within the request's time and logs its answer.
