--- a/internal/core/accountant/accountant.go
+++ b/internal/core/accountant/accountant.go
@@ -48,7 +48,7 @@
 	baseBytes = 24 << 20
 	// usableShare is the share of the rest that is used, and leastBytes the least Capacity, however
 	// small the memory is.
-	usableShare = 0.93
+	usableShare = 0.9
 	leastBytes  = 8 << 20
 	// rankShare is the share of Capacity that the least urgent requests leave to the most urgent.
 	rankShare = 0.06
