--- a/internal/traffic/gatekeeper/gatekeeper.go
+++ b/internal/traffic/gatekeeper/gatekeeper.go
@@ -2,7 +2,7 @@
 //
 // If as many are open as may be, the one that has been idle for longest makes room for a new one, or
 // one that has sent nothing yet, or a request whose body makes no progress. If there is none of these, the
-// new connection is closed.
+// new connection is closed. The heads of requests are counted by the account of memory while they are read.
 package gatekeeper
 
 import (
