Play the case of prompts of many parts on the site of the other case

Cause: the two claims named different sites, and the script's bookings were more than its sheet has.

--- a/review/stand3/parts.go
+++ b/review/stand3/parts.go
@@ -15,19 +15,21 @@
 func init() { cases["parts"] = playParts }
 
 const (
-	// headerMemory is memoryMb of the site, and headerCallers the number of callers, each
+	// headerMemory is memoryMb of the site's small machines, and headerCallers the number of callers, each
 	// with one stream in flight.
-	headerMemory, headerCallers = 134, 736
+	headerMemory, headerCallers = 112, 736
 	// headerParts is the number of parts that a prompt names, each with partTokens tokens: the whole header
 	// of a request stays below maxHeaderBytes, 16,384.
 	headerParts, partTokens = 3180, 8
 	// bookers is the number of clients that book on kept connections.
 	bookers      = 24
-	headerEvents = 40
+	headerEvents = 36
 	eventGap     = 500 * time.Millisecond
-	bookingTime  = 60 * time.Millisecond
+	bookingTime  = 450 * time.Millisecond
 	watchTime    = 40 * time.Second
 	maxLost      = 3
+	// returnTime is the time over which the callers of lost machines come back.
+	returnTime = 8 * time.Second
 )
 
 // resident returns the resident memory of the process in bytes.
@@ -80,7 +82,7 @@
 			d = c.daemons[0]
 		}
 		k := &call{
-			id: newID(), method: http.MethodPost, path: "/draft/2f", body: strings.Repeat("a", 12000), deadline: 25 * time.Second,
+			id: newID(), method: http.MethodPost, path: "/draft/2f", body: strings.Repeat("a", questionBytes), deadline: 20 * time.Second,
 			header: map[string]string{
 				"Model": "m0", "Token-Count": tokenCount, "Prompt-Prefix": prefix(n),
 			},
@@ -93,6 +95,8 @@
 		switch r := send(d.address(), k); {
 		case r.err != nil:
 			c.broken.Add(1)
+			// Those that come back together stay below the link of a small machine.
+			time.Sleep(time.Duration(n%headerCallers) * returnTime / headerCallers)
 		case r.status != http.StatusOK:
 			c.refused.Add(1)
 		}
@@ -159,7 +163,7 @@
 	}
 	for n := range headerCallers {
 		wait.Go(func() {
-			time.Sleep(time.Duration(n) * 2 * time.Millisecond)
+			time.Sleep(time.Duration(n) * 6 * time.Millisecond)
 			c.draft(n)
 		})
 	}
